--- /dev/null
+++ b/include/dotterel/base/Errors.h
@@ -0,0 +1,72 @@
+//===- Errors.h - Exception classes -----------------------------*- C++ -*-===//
+///
+/// \file
+/// Exceptions of the project. Each message has the shape
+/// `[dotterel.<class>.<id>] <text>`; the ids are listed with each class.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_BASE_ERRORS_H
+#define DOTTEREL_BASE_ERRORS_H
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace dotterel {
+
+/// Base of every exception that the project throws.
+class Error : public std::runtime_error {
+public:
+  /// Identifies the failure within its class.
+  [[nodiscard]] auto id() const -> int { return m_Id; }
+
+protected:
+  Error(std::string_view Class, int Id, std::string_view Text);
+
+private:
+  int m_Id;
+};
+
+/// Wrong flags or environment variables.
+///
+/// 101: one or more settings have values that are not allowed
+/// 102: the command line cannot be parsed
+class SettingsError : public Error {
+public:
+  SettingsError(int Id, std::string_view Text)
+      : Error("settings_error", Id, Text) {}
+};
+
+/// A configuration document or change that is not acceptable.
+///
+/// 201: malformed document
+/// 202: a value is out of range or refers to something unknown
+/// 203: the change conflicts with one accepted earlier
+class ConfigurationError : public Error {
+public:
+  ConfigurationError(int Id, std::string_view Text)
+      : Error("configuration_error", Id, Text) {}
+};
+
+/// A message from outside that breaks its interface's rules.
+///
+/// 301: malformed message
+class ProtocolError : public Error {
+public:
+  ProtocolError(int Id, std::string_view Text)
+      : Error("protocol_error", Id, Text) {}
+};
+
+/// The operating system or an I/O library refused an operation.
+///
+/// 401: cannot listen on the address
+/// 402: a library could not be initialised
+/// 403: cannot connect
+class IoError : public Error {
+public:
+  IoError(int Id, std::string_view Text) : Error("io_error", Id, Text) {}
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_BASE_ERRORS_H
--- /dev/null
+++ b/include/dotterel/base/Log.h
@@ -0,0 +1,81 @@
+//===- Log.h - Structured log lines -----------------------------*- C++ -*-===//
+///
+/// \file
+/// One line of `key=value` pairs per event, to standard error.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_BASE_LOG_H
+#define DOTTEREL_BASE_LOG_H
+
+#include "dotterel/base/Ids.h"
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace dotterel {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+/// One `key=value` pair of a log line.
+class LogField {
+public:
+  LogField(std::string_view Key, std::string_view Value)
+      : m_Key(Key), m_Value(Value) {}
+  LogField(std::string_view Key, const char *Value)
+      : m_Key(Key), m_Value(Value) {}
+  LogField(std::string_view Key, const std::string &Value)
+      : m_Key(Key), m_Value(Value) {}
+  LogField(std::string_view Key, bool Value)
+      : m_Key(Key), m_Value(Value ? "true" : "false") {}
+  LogField(std::string_view Key, double Value);
+  template <std::integral Number>
+  LogField(std::string_view Key, Number Value)
+      : m_Key(Key), m_Value(std::to_string(Value)) {}
+  template <typename Tag>
+  LogField(std::string_view Key, const TextId<Tag> &Value)
+      : m_Key(Key), m_Value(Value.text()) {}
+  template <typename Tag>
+  LogField(std::string_view Key, const NumberId<Tag> &Value)
+      : m_Key(Key), m_Value(std::to_string(Value.number())) {}
+
+  [[nodiscard]] auto key() const -> std::string_view { return m_Key; }
+  [[nodiscard]] auto value() const -> const std::string & { return m_Value; }
+
+private:
+  std::string_view m_Key;
+  std::string m_Value;
+};
+
+/// Writes one line when \p Level reaches the process's threshold.
+///
+/// Values with spaces, quotes or control characters are quoted and escaped, so
+/// that no caller's text can forge a line. Never pass keys or prompts.
+auto logEvent(LogLevel Level, std::string_view Event,
+              std::initializer_list<LogField> Fields) -> void;
+
+auto logDebug(std::string_view Event, std::initializer_list<LogField> Fields)
+    -> void;
+auto logInfo(std::string_view Event, std::initializer_list<LogField> Fields)
+    -> void;
+auto logWarning(std::string_view Event, std::initializer_list<LogField> Fields)
+    -> void;
+auto logError(std::string_view Event, std::initializer_list<LogField> Fields)
+    -> void;
+
+/// Sets the lowest level that is written. \throws SettingsError 101 when
+/// \p Name is no level.
+auto setLogLevel(std::string_view Name) -> void;
+
+/// Sends lines to \p Sink in place of standard error; an empty one restores.
+auto setLogSink(std::function<void(std::string_view)> Sink) -> void;
+
+/// Formats the fields as they stand on a log line, without time and level.
+auto formatFields(std::initializer_list<LogField> Fields) -> std::string;
+
+} // namespace dotterel
+
+#endif // DOTTEREL_BASE_LOG_H
--- /dev/null
+++ b/include/dotterel/base/Units.h
@@ -0,0 +1,65 @@
+//===- Units.h - Time and quantity types ------------------------*- C++ -*-===//
+///
+/// \file
+/// Time points, durations and token counts as types of their own.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_BASE_UNITS_H
+#define DOTTEREL_BASE_UNITS_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace dotterel {
+
+using Duration = std::chrono::microseconds;
+using Milliseconds = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+/// Clock that never steps back and counts time spent suspended.
+struct MonotonicClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true; // NOLINT: name required by chrono
+};
+
+using MonotonicTime = MonotonicClock::time_point;
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+/// Whole milliseconds of \p Value, rounded down.
+constexpr auto toMilliseconds(Duration Value) -> std::int64_t {
+  return std::chrono::duration_cast<Milliseconds>(Value).count();
+}
+
+/// A number of tokens.
+class TokenCount {
+public:
+  constexpr TokenCount() = default;
+  explicit constexpr TokenCount(std::uint64_t Value) : m_Value(Value) {}
+
+  [[nodiscard]] constexpr auto number() const -> std::uint64_t {
+    return m_Value;
+  }
+
+  auto operator<=>(const TokenCount &) const = default;
+
+  constexpr auto operator+=(TokenCount Other) -> TokenCount & {
+    m_Value += Other.m_Value;
+    return *this;
+  }
+
+  friend constexpr auto operator+(TokenCount Left, TokenCount Right)
+      -> TokenCount {
+    return TokenCount{Left.m_Value + Right.m_Value};
+  }
+
+private:
+  std::uint64_t m_Value = 0;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_BASE_UNITS_H
--- /dev/null
+++ b/include/dotterel/io/HttpMessage.h
@@ -0,0 +1,48 @@
+//===- HttpMessage.h - HTTP requests and answers ----------------*- C++ -*-===//
+///
+/// \file
+/// Plain data passed between the HTTP adapters and the rest.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_IO_HTTPMESSAGE_H
+#define DOTTEREL_IO_HTTPMESSAGE_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dotterel {
+
+struct HttpHeader {
+  std::string m_Name;
+  std::string m_Value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// Whether two header names are equal, ignoring ASCII case.
+auto sameHeaderName(std::string_view Left, std::string_view Right) -> bool;
+
+/// The first value of header \p Name, if any. Complexity: linear.
+auto findHeader(const HttpHeaders &Headers, std::string_view Name)
+    -> std::optional<std::string>;
+
+/// A request as received from a caller.
+struct HttpRequest {
+  std::string m_Method;
+  std::string m_Path;
+  HttpHeaders m_Query;
+  HttpHeaders m_Headers;
+  std::string m_Body;
+};
+
+struct HttpResponse {
+  unsigned m_Status = 200;
+  HttpHeaders m_Headers;
+  std::string m_Body;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_IO_HTTPMESSAGE_H
--- /dev/null
+++ b/include/dotterel/io/SocketAddress.h
@@ -0,0 +1,38 @@
+//===- SocketAddress.h - IP number and port ---------------------*- C++ -*-===//
+///
+/// \file
+/// An IP number with a port, as settings and messages carry it.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_IO_SOCKETADDRESS_H
+#define DOTTEREL_IO_SOCKETADDRESS_H
+
+#include <cstdint>
+#include <netinet/in.h>
+#include <string>
+#include <string_view>
+
+namespace dotterel {
+
+/// An IPv4 address and port. Shape: `127.0.0.1:8080`.
+class SocketAddress {
+public:
+  SocketAddress() = default;
+
+  /// \throws ProtocolError 301 when \p Text is not `IP:PORT`.
+  static auto parse(std::string_view Text) -> SocketAddress;
+
+  [[nodiscard]] auto text() const -> std::string;
+  [[nodiscard]] auto port() const -> std::uint16_t;
+  [[nodiscard]] auto raw() const -> const sockaddr_in & { return m_Address; }
+
+  /// The same IP number with another port.
+  [[nodiscard]] auto withPort(std::uint16_t Port) const -> SocketAddress;
+
+private:
+  sockaddr_in m_Address{};
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_IO_SOCKETADDRESS_H
--- /dev/null
+++ b/src/config/Configuration.cpp
@@ -0,0 +1,230 @@
+#include "dotterel/config/Configuration.h"
+
+#include "dotterel/base/Errors.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace dotterel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto LongestDeadline = Milliseconds(3'600'000);
+constexpr auto LongestName = std::size_t{64};
+
+auto presetToJson(const Preset &Value) -> Json {
+  return {{"role_changes", Value.m_RoleChanges},
+          {"cheap_servers", Value.m_CheapServers},
+          {"queue_limit", Value.m_QueueLimit},
+          {"interactive_deadline_ms", Value.m_InteractiveDeadline.count()},
+          {"standard_deadline_ms", Value.m_StandardDeadline.count()},
+          {"batch_deadline_ms", Value.m_BatchDeadline.count()}};
+}
+
+auto presetFromJson(const std::string &Id, const Json &Source) -> Preset {
+  return {
+      .m_Id = PresetId{Id},
+      .m_RoleChanges = Source.at("role_changes").get<bool>(),
+      .m_CheapServers = Source.at("cheap_servers").get<bool>(),
+      .m_QueueLimit = Source.at("queue_limit").get<std::uint32_t>(),
+      .m_InteractiveDeadline = Milliseconds(
+          Source.at("interactive_deadline_ms").get<std::int64_t>()),
+      .m_StandardDeadline =
+          Milliseconds(Source.at("standard_deadline_ms").get<std::int64_t>()),
+      .m_BatchDeadline =
+          Milliseconds(Source.at("batch_deadline_ms").get<std::int64_t>())};
+}
+
+auto routeToJson(const Route &Value) -> Json {
+  return {{"service", Value.m_Service},
+          {"open", Value.m_Open},
+          {"idempotent", Value.m_Idempotent},
+          {"cheap_servers", Value.m_CheapServers},
+          {"timeout_ms", Value.m_Timeout.count()}};
+}
+
+auto routeFromJson(const std::string &Id, const Json &Source) -> Route {
+  return {.m_Id = RouteId{Id},
+          .m_Service = Source.at("service").get<std::string>(),
+          .m_Open = Source.at("open").get<bool>(),
+          .m_Idempotent = Source.at("idempotent").get<bool>(),
+          .m_CheapServers = Source.at("cheap_servers").get<bool>(),
+          .m_Timeout =
+              Milliseconds(Source.at("timeout_ms").get<std::int64_t>())};
+}
+
+auto isName(const std::string &Text) -> bool {
+  auto Allowed = [](char Character) {
+    return (Character >= 'a' && Character <= 'z') ||
+           (Character >= '0' && Character <= '9') || Character == '-' ||
+           Character == '_';
+  };
+  return !Text.empty() && Text.size() <= LongestName &&
+         std::all_of(Text.begin(), Text.end(), Allowed);
+}
+
+auto checkName(const std::string &Path, const std::string &Text) -> void {
+  if (isName(Text))
+    return;
+  throw ConfigurationError(
+      202, fmt::format("{}: a name is 1 to {} of a-z 0-9 - _", Path,
+                       LongestName));
+}
+
+auto checkDuration(const std::string &Path, Milliseconds Value) -> void {
+  if (Value > Milliseconds::zero() && Value <= LongestDeadline)
+    return;
+  throw ConfigurationError(
+      202,
+      fmt::format("{}: {} is not within 1 to {} ms", Path, Value.count(),
+                  LongestDeadline.count()));
+}
+
+auto validatePreset(const Preset &Value) -> void {
+  auto Path = fmt::format("presets.{}", Value.m_Id.text());
+  checkName(Path, Value.m_Id.text());
+  checkDuration(Path + ".interactive_deadline_ms", Value.m_InteractiveDeadline);
+  checkDuration(Path + ".standard_deadline_ms", Value.m_StandardDeadline);
+  checkDuration(Path + ".batch_deadline_ms", Value.m_BatchDeadline);
+  if (Value.m_QueueLimit == 0)
+    throw ConfigurationError(202, Path + ".queue_limit: must be at least 1");
+}
+
+auto validateRoute(const Route &Value) -> void {
+  auto Path = fmt::format("routes.{}", Value.m_Id.text());
+  checkName(Path, Value.m_Id.text());
+  if (Value.m_Id.text() == "v1" || Value.m_Id.text() == "metrics" ||
+      Value.m_Id.text() == "healthz" || Value.m_Id.text() == "readyz")
+    throw ConfigurationError(202, Path + ": the name is taken by the gate");
+  checkName(Path + ".service", Value.m_Service);
+  checkDuration(Path + ".timeout_ms", Value.m_Timeout);
+  if (Value.m_CheapServers && !Value.m_Idempotent)
+    throw ConfigurationError(
+        202, Path + ".cheap_servers: only for routes that are idempotent");
+}
+
+auto readHead(const std::string &Head) -> Configuration {
+  auto Source = Json::parse(Head);
+  auto Value = Configuration{
+      .m_Revision =
+          ConfigRevision{Source.at("revision").get<std::uint64_t>()},
+      .m_PresetInForce =
+          PresetId{Source.at("preset_in_force").get<std::string>()}};
+  for (const auto &[Id, Item] : Source.at("presets").items())
+    Value.m_Presets[PresetId{Id}] = presetFromJson(Id, Item);
+  for (const auto &[Id, Item] : Source.at("routes").items())
+    Value.m_Routes[RouteId{Id}] = routeFromJson(Id, Item);
+  Value.m_ShardDigests =
+      Source.at("shards").get<std::array<std::uint64_t, ShardCount>>();
+  return Value;
+}
+
+auto readShard(const std::string &Document, Configuration &Target) -> void {
+  // Held in a variable: items() refers to it throughout the loop.
+  auto Parsed = Json::parse(Document);
+  for (const auto &[Digest, Item] : Parsed.items())
+    Target.m_Keys[Digest] = {
+        .m_Digest = Digest,
+        .m_Organisation =
+            OrganisationId{Item.at("organisation").get<std::string>()},
+        .m_Weight = Item.at("weight").get<std::uint32_t>()};
+}
+
+} // namespace
+
+auto Configuration::shardOf(const std::string &KeyDigest) -> std::size_t {
+  return XXH3_64bits(KeyDigest.data(), KeyDigest.size()) % ShardCount;
+}
+
+auto Configuration::validate() const -> void {
+  if (!m_Presets.contains(m_PresetInForce))
+    throw ConfigurationError(202,
+                             fmt::format("preset_in_force: no preset {}",
+                                         m_PresetInForce.text()));
+  for (const auto &[Id, Item] : m_Presets)
+    validatePreset(Item);
+  for (const auto &[Id, Item] : m_Routes)
+    validateRoute(Item);
+  for (const auto &[Digest, Item] : m_Keys) {
+    checkName("keys.organisation", Item.m_Organisation.text());
+    if (Item.m_Weight == 0)
+      throw ConfigurationError(202, "keys.weight: must be at least 1");
+  }
+}
+
+auto initialConfiguration() -> Configuration {
+  auto Value = Configuration();
+  auto Id = PresetId{"ordinary"};
+  Value.m_Presets[Id] = {.m_Id = Id};
+  Value.m_PresetInForce = Id;
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    refreshShard(Value, Shard);
+  return Value;
+}
+
+auto encodeHead(const Configuration &Value) -> std::string {
+  auto Presets = Json::object();
+  for (const auto &[Id, Item] : Value.m_Presets)
+    Presets[Id.text()] = presetToJson(Item);
+  auto Routes = Json::object();
+  for (const auto &[Id, Item] : Value.m_Routes)
+    Routes[Id.text()] = routeToJson(Item);
+  return Json{{"revision", Value.m_Revision.number()},
+              {"preset_in_force", Value.m_PresetInForce.text()},
+              {"presets", Presets},
+              {"routes", Routes},
+              {"shards", Value.m_ShardDigests}}
+      .dump();
+}
+
+auto encodeShard(const Configuration &Value, std::size_t Shard)
+    -> std::string {
+  auto Document = Json::object();
+  for (const auto &[Digest, Item] : Value.m_Keys)
+    if (Configuration::shardOf(Digest) == Shard)
+      Document[Digest] = {{"organisation", Item.m_Organisation.text()},
+                          {"weight", Item.m_Weight}};
+  return Document.dump();
+}
+
+auto digestDocument(const std::string &Document) -> std::uint64_t {
+  return XXH3_64bits(Document.data(), Document.size());
+}
+
+auto refreshShard(Configuration &Value, std::size_t Shard) -> void {
+  Value.m_ShardDocuments[Shard] = encodeShard(Value, Shard);
+  Value.m_ShardDigests[Shard] =
+      digestDocument(Value.m_ShardDocuments[Shard]);
+}
+
+auto assembleConfiguration(const std::string &Head,
+                           const std::map<std::size_t, std::string> &Shards,
+                           const Configuration *Known)
+    -> std::optional<Configuration> {
+  try {
+    auto Value = readHead(Head);
+    for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard) {
+      auto Found = Shards.find(Shard);
+      if (Found != Shards.end())
+        Value.m_ShardDocuments[Shard] = Found->second;
+      else if (Known != nullptr)
+        Value.m_ShardDocuments[Shard] = Known->m_ShardDocuments[Shard];
+      else
+        return std::nullopt;
+      const auto &Document = Value.m_ShardDocuments[Shard];
+      if (digestDocument(Document) != Value.m_ShardDigests[Shard])
+        return std::nullopt;
+      readShard(Document, Value);
+    }
+    Value.validate();
+    return Value;
+  } catch (const Json::exception &Failure) {
+    throw ConfigurationError(201, Failure.what());
+  }
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/config/ConfigurationStore.cpp
@@ -0,0 +1,198 @@
+#include "dotterel/config/ConfigurationStore.h"
+
+#include "dotterel/base/Errors.h"
+#include "dotterel/base/Log.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto Prefix = "config/";
+constexpr auto HeadKey = "config/head";
+
+auto shardKey(std::size_t Shard) -> std::string {
+  return fmt::format("config/keys/{:02}", Shard);
+}
+
+/// Builds a configuration from a read of all records; the initial one when
+/// there is none yet.
+auto assembleAll(const RangeResult &Read, StoreRevision &HeadRevision)
+    -> std::optional<Configuration> {
+  auto Head = std::string();
+  auto Shards = std::map<std::size_t, std::string>();
+  auto Initial = initialConfiguration();
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    Shards[Shard] = Initial.m_ShardDocuments[Shard];
+  for (const auto &Item : Read.m_Values) {
+    if (Item.m_Key == HeadKey) {
+      Head = Item.m_Value;
+      HeadRevision = Item.m_Modified;
+      continue;
+    }
+    auto Number = Item.m_Key.substr(Item.m_Key.rfind('/') + 1);
+    Shards[std::stoul(Number)] = Item.m_Value;
+  }
+  if (Head.empty())
+    return Initial;
+  return assembleConfiguration(Head, Shards, nullptr);
+}
+
+auto headRevision(const std::string &Head) -> ConfigRevision {
+  try {
+    return ConfigRevision{
+        nlohmann::json::parse(Head).at("revision").get<std::uint64_t>()};
+  } catch (const nlohmann::json::exception &Failure) {
+    throw ConfigurationError(201, Failure.what());
+  }
+}
+
+} // namespace
+
+auto ConfigurationStore::refresh(std::function<void(bool)> Done) -> void {
+  auto SentAt = m_Scheduler.now();
+  m_Store.read(
+      KeyRange::single(HeadKey),
+      [this, SentAt, Done = std::move(Done)](const auto &Reply) mutable {
+        if (!Reply) {
+          m_Freshness.recordOwnFailure(SentAt);
+          Done(false);
+          return;
+        }
+        auto Head = Reply->m_Values.empty()
+                        ? encodeHead(initialConfiguration())
+                        : Reply->m_Values.front().m_Value;
+        try {
+          applyHead(Head, SentAt, std::move(Done));
+        } catch (const ConfigurationError &Failure) {
+          logError("config.unreadable", {{"reason", Failure.what()}});
+          Done(false);
+        }
+      });
+}
+
+auto ConfigurationStore::applyHead(const std::string &Head,
+                                   MonotonicTime SentAt,
+                                   std::function<void(bool)> Done) -> void {
+  auto Stored = headRevision(Head);
+  auto Known = m_Holder.current();
+  // An answer served late shows an older head; it is no evidence.
+  if (Known && Stored < Known->m_Revision) {
+    Done(true);
+    return;
+  }
+  if (Known && Stored == Known->m_Revision) {
+    m_Freshness.recordOwnRead(SentAt);
+    Done(true);
+    return;
+  }
+  readAll([this, SentAt, Done = std::move(Done)](const auto &Reply) {
+    if (!Reply) {
+      m_Freshness.recordOwnFailure(SentAt);
+      Done(false);
+      return;
+    }
+    try {
+      auto HeadRevision = StoreRevision();
+      auto Value = assembleAll(*Reply.m_Answer, HeadRevision);
+      if (Value && (Value->m_Revision >= m_Holder.revision())) {
+        m_Holder.apply(std::move(*Value));
+        m_Freshness.recordOwnRead(SentAt);
+      }
+      Done(true);
+    } catch (const ConfigurationError &Failure) {
+      logError("config.unreadable", {{"reason", Failure.what()}});
+      Done(false);
+    }
+  });
+}
+
+auto ConfigurationStore::readAll(
+    std::function<void(StoreReply<RangeResult>)> Done) -> void {
+  m_Store.read(KeyRange::prefix(Prefix), std::move(Done));
+}
+
+auto ConfigurationStore::change(std::function<void(Configuration &)> Edit,
+                                ConfigRevision Expected,
+                                std::function<void(ChangeResult)> Done)
+    -> void {
+  readAll([this, Edit = std::move(Edit), Expected,
+           Done = std::move(Done)](const auto &Reply) {
+    if (!Reply) {
+      Done({.m_Kind = ChangeResult::Kind::StoreDown,
+            .m_Reason = "the store cannot be read"});
+      return;
+    }
+    try {
+      auto HeadRevision = StoreRevision();
+      auto Before = assembleAll(*Reply.m_Answer, HeadRevision);
+      if (!Before) {
+        Done({.m_Kind = ChangeResult::Kind::Conflict,
+              .m_Reason = "the configuration changed while it was read"});
+        return;
+      }
+      if (Expected != ConfigRevision{} && Before->m_Revision != Expected) {
+        Done({.m_Kind = ChangeResult::Kind::Conflict,
+              .m_Revision = Before->m_Revision,
+              .m_Reason =
+                  fmt::format("revision {} is in force, with preset {}",
+                              Before->m_Revision.number(),
+                              Before->m_PresetInForce.text())});
+        return;
+      }
+      commitChange(*Before, HeadRevision, Edit, Done);
+    } catch (const ConfigurationError &Failure) {
+      Done({.m_Kind = ChangeResult::Kind::Rejected,
+            .m_Reason = Failure.what()});
+    }
+  });
+}
+
+auto ConfigurationStore::commitChange(
+    const Configuration &Before, StoreRevision HeadRevision,
+    const std::function<void(Configuration &)> &Edit,
+    std::function<void(ChangeResult)> Done) -> void {
+  auto After = Before;
+  Edit(After);
+  After.m_Revision = ConfigRevision{Before.m_Revision.number() + 1};
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    refreshShard(After, Shard);
+  After.validate();
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back(
+      {.m_Key = HeadKey, .m_Modified = HeadRevision});
+  Transaction.m_Writes.push_back(
+      {.m_Key = HeadKey, .m_Value = encodeHead(After)});
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    if (After.m_ShardDigests[Shard] != Before.m_ShardDigests[Shard])
+      Transaction.m_Writes.push_back(
+          {.m_Key = shardKey(Shard),
+           .m_Value = After.m_ShardDocuments[Shard]});
+  m_Store.commit(
+      std::move(Transaction),
+      [this, After, Done = std::move(Done)](const auto &Reply) mutable {
+        if (!Reply) {
+          auto Lost = Reply.m_Failure == StoreFailure::Unknown;
+          Done({.m_Kind = Lost ? ChangeResult::Kind::Unknown
+                               : ChangeResult::Kind::StoreDown,
+                .m_Reason = Lost ? "the store's answer was lost; look before "
+                                   "trying again"
+                                 : "the store did not take the change"});
+          return;
+        }
+        if (!Reply->m_Applied) {
+          Done({.m_Kind = ChangeResult::Kind::Conflict,
+                .m_Reason = "another change was accepted first"});
+          return;
+        }
+        auto Revision = After.m_Revision;
+        m_Holder.apply(std::move(After));
+        Done({.m_Kind = ChangeResult::Kind::Accepted,
+              .m_Revision = Revision});
+      });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/io/HttpServer.cpp
@@ -0,0 +1,376 @@
+#include "dotterel/io/HttpServer.h"
+
+#include "dotterel/base/Errors.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstring>
+#include <fmt/format.h>
+#include <microhttpd.h>
+#include <optional>
+#include <unistd.h>
+#include <unordered_set>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto StreamBlockBytes = std::size_t{16} << 10U;
+
+auto collect(void *Target, enum MHD_ValueKind /*Kind*/, const char *Key,
+             const char *Value) -> MHD_Result {
+  auto *Headers = static_cast<HttpHeaders *>(Target);
+  Headers->push_back({.m_Name = Key, .m_Value = Value ? Value : ""});
+  return MHD_YES;
+}
+
+} // namespace
+
+class HttpServer::Impl {
+public:
+  class Exchange;
+
+  Impl(EventLoop &Loop, HttpHandler &Handler, const HttpServerOptions &Options);
+  Impl(const Impl &) = delete;
+  auto operator=(const Impl &) -> Impl & = delete;
+  ~Impl();
+
+  /// Runs the daemon at the loop's next turn, so that a handler may answer
+  /// from inside the daemon's own callback.
+  auto runSoon() -> void;
+
+  EventLoop &m_Loop;
+  HttpHandler &m_Handler;
+  HttpServerOptions m_Options;
+  MHD_Daemon *m_Daemon = nullptr;
+  int m_ListenFd = -1;
+  std::unique_ptr<FdWatcher> m_Watcher;
+  std::optional<TimerId> m_RunTimer;
+  std::optional<TimerId> m_TimeoutTimer;
+  std::size_t m_Open = 0;
+  std::unordered_set<Exchange *> m_Exchanges;
+
+private:
+  auto run() -> void;
+  static auto onAccess(void *Self, MHD_Connection *Connection, const char *Url,
+                       const char *Method, const char *Version,
+                       const char *Upload, std::size_t *UploadSize,
+                       void **Context) -> MHD_Result;
+  static auto onCompleted(void *Self, MHD_Connection *Connection,
+                          void **Context,
+                          enum MHD_RequestTerminationCode Code) -> void;
+};
+
+class HttpServer::Impl::Exchange final : public HttpExchange {
+public:
+  enum class State : std::uint8_t {
+    Receiving,
+    Waiting,
+    Ready,
+    Answering,
+    Closed
+  };
+
+  Exchange(Impl &Server, MHD_Connection *Connection)
+      : m_Server(&Server), m_Connection(Connection) {}
+
+  [[nodiscard]] auto request() const -> const HttpRequest & override {
+    return m_Request;
+  }
+
+  auto respond(HttpResponse Response) -> void override {
+    assert(!m_Streaming && "an answer has begun already");
+    if (m_State == State::Closed)
+      return;
+    m_Status = Response.m_Status;
+    m_Headers = std::move(Response.m_Headers);
+    m_Buffer = std::move(Response.m_Body);
+    ready();
+  }
+
+  auto startStream(unsigned Status, HttpHeaders Headers) -> void override {
+    if (m_State == State::Closed)
+      return;
+    m_Streaming = true;
+    m_Status = Status;
+    m_Headers = std::move(Headers);
+    ready();
+  }
+
+  auto write(std::string_view Data) -> void override {
+    if (m_State == State::Closed || Data.empty())
+      return;
+    m_Buffer.append(Data);
+    wake();
+  }
+
+  auto finish() -> void override {
+    if (m_State == State::Closed)
+      return;
+    m_Finished = true;
+    wake();
+  }
+
+  auto abort() -> void override {
+    if (m_State == State::Closed)
+      return;
+    m_Aborted = true;
+    wake();
+  }
+
+  [[nodiscard]] auto backlog() const -> std::size_t override {
+    return m_Buffer.size() - m_Taken;
+  }
+
+  auto onDisconnect(std::function<void()> Callback) -> void override {
+    m_OnDisconnect = std::move(Callback);
+  }
+
+  auto receive(const char *Data, std::size_t Size) -> void {
+    if (m_Request.m_Body.size() + Size > m_Server->m_Options.m_MaximumBodyBytes)
+      m_TooLarge = true;
+    if (!m_TooLarge)
+      m_Request.m_Body.append(Data, Size);
+  }
+
+  auto complete(const std::shared_ptr<Exchange> &Self) -> MHD_Result {
+    if (m_TooLarge) {
+      auto Limit = m_Server->m_Options.m_MaximumBodyBytes;
+      m_State = State::Waiting;
+      respond(m_Server->m_Handler.bodyTooLarge(Limit));
+      return answer();
+    }
+    m_State = State::Waiting;
+    ++m_Server->m_Open;
+    m_Counted = true;
+    m_Server->m_Handler.handle(Self);
+    if (m_State == State::Ready)
+      return answer();
+    MHD_suspend_connection(m_Connection);
+    m_Suspended = true;
+    return MHD_YES;
+  }
+
+  auto answer() -> MHD_Result {
+    m_State = State::Answering;
+    auto *Response = m_Streaming ? MHD_create_response_from_callback(
+                                       MHD_SIZE_UNKNOWN, StreamBlockBytes,
+                                       &Exchange::onRead, this, nullptr)
+                                 : MHD_create_response_from_buffer(
+                                       m_Buffer.size(), m_Buffer.data(),
+                                       MHD_RESPMEM_MUST_COPY);
+    for (const auto &Header : m_Headers)
+      MHD_add_response_header(Response, Header.m_Name.c_str(),
+                              Header.m_Value.c_str());
+    auto Result = MHD_queue_response(m_Connection, m_Status, Response);
+    MHD_destroy_response(Response);
+    return Result;
+  }
+
+  /// Lets the daemon take a suspended connection back before it stops.
+  auto release() -> void {
+    m_Aborted = true;
+    wake();
+  }
+
+  auto close(bool Whole) -> void {
+    if (m_Counted)
+      --m_Server->m_Open;
+    m_Counted = false;
+    m_State = State::Closed;
+    auto Callback = std::move(m_OnDisconnect);
+    m_OnDisconnect = nullptr;
+    if (!Whole && Callback)
+      Callback();
+  }
+
+  State m_State = State::Receiving;
+  HttpRequest m_Request;
+
+private:
+  auto ready() -> void {
+    assert((m_State == State::Waiting) && "one answer for each request");
+    m_State = State::Ready;
+    wake();
+  }
+
+  auto wake() -> void {
+    if (!m_Suspended)
+      return;
+    m_Suspended = false;
+    MHD_resume_connection(m_Connection);
+    m_Server->runSoon();
+  }
+
+  static auto onRead(void *Self, std::uint64_t /*Position*/, char *Target,
+                     std::size_t Room) -> ssize_t {
+    return static_cast<Exchange *>(Self)->read(Target, Room);
+  }
+
+  auto read(char *Target, std::size_t Room) -> ssize_t {
+    auto Available = m_Buffer.size() - m_Taken;
+    if (Available > 0) {
+      auto Size = std::min(Room, Available);
+      std::memcpy(Target, m_Buffer.data() + m_Taken, Size);
+      m_Taken += Size;
+      if (m_Taken == m_Buffer.size()) {
+        m_Buffer.clear();
+        m_Taken = 0;
+      }
+      return static_cast<ssize_t>(Size);
+    }
+    if (m_Aborted)
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    if (m_Finished)
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    MHD_suspend_connection(m_Connection);
+    m_Suspended = true;
+    return 0;
+  }
+
+  Impl *m_Server;
+  MHD_Connection *m_Connection;
+  unsigned m_Status = 0;
+  HttpHeaders m_Headers;
+  std::string m_Buffer;
+  std::size_t m_Taken = 0;
+  bool m_Streaming = false;
+  bool m_Finished = false;
+  bool m_Aborted = false;
+  bool m_Suspended = false;
+  bool m_TooLarge = false;
+  bool m_Counted = false;
+  std::function<void()> m_OnDisconnect;
+};
+
+HttpServer::Impl::Impl(EventLoop &Loop, HttpHandler &Handler,
+                       const HttpServerOptions &Options)
+    : m_Loop(Loop), m_Handler(Handler), m_Options(Options) {
+  auto Address = Options.m_Address.raw();
+  m_Daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TCP_FASTOPEN, 0,
+      nullptr, nullptr, &Impl::onAccess, this, MHD_OPTION_SOCK_ADDR,
+      reinterpret_cast<sockaddr *>(&Address), MHD_OPTION_CONNECTION_LIMIT,
+      Options.m_MaximumConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+      Options.m_IdleTimeoutSeconds, MHD_OPTION_NOTIFY_COMPLETED,
+      &Impl::onCompleted, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_END);
+  if (m_Daemon == nullptr)
+    throw IoError(401, fmt::format("cannot listen on {}: {}",
+                                   Options.m_Address.text(),
+                                   std::strerror(errno)));
+  auto EpollFd =
+      MHD_get_daemon_info(m_Daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  m_Watcher = std::make_unique<FdWatcher>(Loop, EpollFd, EV_READ,
+                                          [this](int) { run(); });
+  run();
+}
+
+HttpServer::Impl::~Impl() {
+  if (m_RunTimer)
+    m_Loop.cancel(*m_RunTimer);
+  if (m_TimeoutTimer)
+    m_Loop.cancel(*m_TimeoutTimer);
+  m_Watcher.reset();
+  // libmicrohttpd refuses to stop while connections are suspended.
+  for (auto *Current : m_Exchanges)
+    Current->release();
+  if (m_RunTimer)
+    m_Loop.cancel(*m_RunTimer);
+  MHD_run(m_Daemon);
+  MHD_stop_daemon(m_Daemon);
+  if (m_ListenFd >= 0)
+    ::close(m_ListenFd);
+}
+
+auto HttpServer::Impl::runSoon() -> void {
+  if (m_RunTimer)
+    return;
+  m_RunTimer = m_Loop.schedule(Duration::zero(), [this] {
+    m_RunTimer.reset();
+    run();
+  });
+}
+
+auto HttpServer::Impl::run() -> void {
+  MHD_run(m_Daemon);
+  if (m_TimeoutTimer)
+    m_Loop.cancel(*m_TimeoutTimer);
+  m_TimeoutTimer.reset();
+  MHD_UNSIGNED_LONG_LONG Timeout = 0;
+  if (MHD_get_timeout(m_Daemon, &Timeout) != MHD_YES)
+    return;
+  m_TimeoutTimer = m_Loop.schedule(Milliseconds(Timeout), [this] {
+    m_TimeoutTimer.reset();
+    run();
+  });
+}
+
+auto HttpServer::Impl::onAccess(void *Self, MHD_Connection *Connection,
+                                const char *Url, const char *Method,
+                                const char * /*Version*/, const char *Upload,
+                                std::size_t *UploadSize, void **Context)
+    -> MHD_Result {
+  auto &Server = *static_cast<Impl *>(Self);
+  if (*Context == nullptr) {
+    auto Created = std::make_shared<Exchange>(Server, Connection);
+    Created->m_Request.m_Method = Method;
+    Created->m_Request.m_Path = Url;
+    MHD_get_connection_values(Connection, MHD_HEADER_KIND, &collect,
+                              &Created->m_Request.m_Headers);
+    MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, &collect,
+                              &Created->m_Request.m_Query);
+    Server.m_Exchanges.insert(Created.get());
+    *Context = new std::shared_ptr<Exchange>(std::move(Created));
+    return MHD_YES;
+  }
+  auto Current = *static_cast<std::shared_ptr<Exchange> *>(*Context);
+  if (*UploadSize > 0) {
+    Current->receive(Upload, *UploadSize);
+    *UploadSize = 0;
+    return MHD_YES;
+  }
+  if (Current->m_State == Exchange::State::Receiving)
+    return Current->complete(Current);
+  if (Current->m_State == Exchange::State::Ready)
+    return Current->answer();
+  return MHD_YES;
+}
+
+auto HttpServer::Impl::onCompleted(void *Self,
+                                   MHD_Connection * /*Connection*/,
+                                   void **Context,
+                                   enum MHD_RequestTerminationCode Code)
+    -> void {
+  auto *Holder = static_cast<std::shared_ptr<Exchange> *>(*Context);
+  if (Holder == nullptr)
+    return;
+  static_cast<Impl *>(Self)->m_Exchanges.erase(Holder->get());
+  (*Holder)->close(Code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  delete Holder;
+  *Context = nullptr;
+}
+
+HttpServer::HttpServer(EventLoop &Loop, HttpHandler &Handler,
+                       const HttpServerOptions &Options)
+    : m_Impl(std::make_unique<Impl>(Loop, Handler, Options)) {
+  auto Port =
+      MHD_get_daemon_info(m_Impl->m_Daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  m_Bound = Options.m_Address.withPort(Port);
+}
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::stopListening() -> void {
+  if (m_Impl->m_ListenFd < 0)
+    m_Impl->m_ListenFd = MHD_quiesce_daemon(m_Impl->m_Daemon);
+  if (m_Impl->m_ListenFd >= 0)
+    ::close(m_Impl->m_ListenFd);
+  m_Impl->m_ListenFd = -1;
+}
+
+auto HttpServer::openExchanges() const -> std::size_t {
+  return m_Impl->m_Open;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/lease/DutyLease.cpp
@@ -0,0 +1,141 @@
+#include "dotterel/lease/DutyLease.h"
+
+#include "dotterel/base/Log.h"
+
+#include <utility>
+
+namespace dotterel {
+
+DutyLease::DutyLease(Scheduler &Scheduler, KeyValueStore &Store, DutyId Duty,
+                     ProcessId Self, const DutyLeaseOptions &Options)
+    : m_Scheduler(Scheduler), m_Store(Store), m_Duty(std::move(Duty)),
+      m_Self(std::move(Self)), m_Options(Options) {}
+
+DutyLease::~DutyLease() {
+  *m_Alive = false;
+  if (m_Timer)
+    m_Scheduler.cancel(*m_Timer);
+}
+
+auto DutyLease::start() -> void {
+  m_Running = true;
+  campaign();
+}
+
+auto DutyLease::resign(std::function<void()> Done) -> void {
+  m_Running = false;
+  if (m_Timer)
+    m_Scheduler.cancel(*m_Timer);
+  m_Timer.reset();
+  m_HeldUntil.reset();
+  if (m_Lease == LeaseId{}) {
+    Done();
+    return;
+  }
+  m_Store.revokeLease(std::exchange(m_Lease, LeaseId{}),
+                      [Done = std::move(Done)](const auto &) { Done(); });
+}
+
+auto DutyLease::held() const -> bool {
+  return m_HeldUntil && m_Scheduler.now() < *m_HeldUntil;
+}
+
+auto DutyLease::guard() const -> StoreCompare {
+  return {.m_Key = key(), .m_Modified = StoreRevision{m_Fencing.number()}};
+}
+
+auto DutyLease::key() const -> std::string { return "duties/" + m_Duty.text(); }
+
+auto DutyLease::again(Duration Delay, void (DutyLease::*Step)()) -> void {
+  if (!m_Running)
+    return;
+  if (m_Timer)
+    m_Scheduler.cancel(*m_Timer);
+  m_Timer = m_Scheduler.schedule(Delay, [this, Step] {
+    m_Timer.reset();
+    (this->*Step)();
+  });
+}
+
+auto DutyLease::campaign() -> void {
+  // A read first: campaigners that lose cost the store no writes.
+  m_Store.read(KeyRange::single(key()), [this, Alive = m_Alive](
+                                            const auto &Reply) {
+    if (!*Alive || !m_Running)
+      return;
+    if (!Reply || !Reply->m_Values.empty()) {
+      again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+      return;
+    }
+    auto SentAt = m_Scheduler.now();
+    m_Store.grantLease(m_Options.m_Term, [this, Alive,
+                                          SentAt](const auto &Granted) {
+      if (!*Alive || !m_Running)
+        return;
+      if (!Granted) {
+        again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+        return;
+      }
+      acquire(*Granted.m_Answer, SentAt);
+    });
+  });
+}
+
+auto DutyLease::acquire(LeaseId Lease, MonotonicTime SentAt) -> void {
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back({.m_Key = key()});
+  Transaction.m_Writes.push_back(
+      {.m_Key = key(), .m_Value = m_Self.text(), .m_Lease = Lease});
+  m_Store.commit(
+      std::move(Transaction),
+      [this, Alive = m_Alive, Lease, SentAt](const auto &Reply) {
+        if (!*Alive || !m_Running)
+          return;
+        if (!Reply || !Reply->m_Applied) {
+          // After a lost answer the key may be ours; the lease then lapses.
+          again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+          return;
+        }
+        m_Lease = Lease;
+        m_Fencing = FencingNumber{Reply->m_Revision.number()};
+        m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
+        logInfo("duty.granted", {{"duty", m_Duty},
+                                 {"holder", m_Self},
+                                 {"fencing", m_Fencing}});
+        again(m_Options.m_RenewInterval, &DutyLease::renew);
+        if (held() && m_OnGranted)
+          m_OnGranted();
+      });
+}
+
+auto DutyLease::renew() -> void {
+  // A lease that lapsed by our own clock is not revived: somebody may have
+  // read the duty as free.
+  if (!held()) {
+    lose("lapsed");
+    return;
+  }
+  auto SentAt = m_Scheduler.now();
+  m_Store.keepLease(
+      m_Lease, [this, Alive = m_Alive, SentAt](const auto &Reply) {
+        if (!*Alive || !m_Running)
+          return;
+        if (Reply && *Reply.m_Answer == Seconds::zero()) {
+          lose("lapsed in the store");
+          return;
+        }
+        if (Reply && held())
+          m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
+        again(m_Options.m_RenewInterval, &DutyLease::renew);
+      });
+}
+
+auto DutyLease::lose(const char *Reason) -> void {
+  m_HeldUntil.reset();
+  m_Lease = LeaseId{};
+  logWarning("duty.lost",
+             {{"duty", m_Duty}, {"holder", m_Self}, {"reason", Reason}});
+  again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/ledger/ClaimBook.cpp
@@ -0,0 +1,84 @@
+#include "dotterel/ledger/ClaimBook.h"
+
+#include <fmt/format.h>
+#include <utility>
+#include <xxhash.h>
+
+namespace dotterel {
+
+auto ClaimBook::claim(const Claim &Request,
+                      std::function<void(ClaimReply)> Done) -> void {
+  auto Writer = writerOf(shardOf(Request.m_Identity));
+  if (Writer.empty()) {
+    claimHere(Request, std::move(Done));
+    return;
+  }
+  m_Peers.claim(Writer, Request,
+                [this, Request, Done = std::move(Done)](
+                    const std::optional<ClaimReply> &Reply) mutable {
+                  if (Reply &&
+                      Reply->m_Verdict != ClaimVerdict::Unavailable) {
+                    Done(*Reply);
+                    return;
+                  }
+                  claimHere(Request, std::move(Done));
+                });
+}
+
+auto ClaimBook::record(const ClaimOutcome &Outcome,
+                       std::function<void(bool)> Done) -> void {
+  auto Writer = writerOf(shardOf(Outcome.m_Identity));
+  if (Writer.empty()) {
+    recordHere(Outcome, std::move(Done));
+    return;
+  }
+  m_Peers.recordOutcome(
+      Writer, Outcome,
+      [this, Outcome, Done = std::move(Done)](
+          const std::optional<bool> &Durable) mutable {
+        if (Durable && *Durable) {
+          Done(true);
+          return;
+        }
+        recordHere(Outcome, std::move(Done));
+      });
+}
+
+auto ClaimBook::claimHere(const Claim &Request,
+                          std::function<void(ClaimReply)> Done) -> void {
+  shard(shardOf(Request.m_Identity)).claim(Request, std::move(Done));
+}
+
+auto ClaimBook::recordHere(const ClaimOutcome &Outcome,
+                           std::function<void(bool)> Done) -> void {
+  shard(shardOf(Outcome.m_Identity)).record(Outcome, std::move(Done));
+}
+
+auto ClaimBook::shardOf(const RequestIdentity &Identity) const
+    -> std::size_t {
+  const auto &Text = Identity.text();
+  return XXH3_64bits(Text.data(), Text.size()) % m_Options.m_Shards;
+}
+
+auto ClaimBook::shard(std::size_t Index) -> ClaimShard & {
+  auto &Slot = m_Shards[Index];
+  if (!Slot)
+    Slot = std::make_unique<ClaimShard>(m_Scheduler, m_Store,
+                                        fmt::format("{:03}", Index),
+                                        m_Options.m_Shard);
+  return *Slot;
+}
+
+auto ClaimBook::writerOf(std::size_t Index) const -> std::string {
+  auto Candidates = std::vector<Member>{m_Members.self()};
+  for (auto &Candidate : m_Members.live(m_Scheduler.now()))
+    if (Candidate.m_Role == ProcessRole::Gate && !Candidate.m_Leaving)
+      Candidates.push_back(std::move(Candidate));
+  auto Ordered =
+      rendezvousOrder(fmt::format("claims/{:03}", Index), Candidates);
+  const auto &Writer = Ordered.front();
+  return Writer.m_Process == m_Members.self().m_Process ? std::string()
+                                                        : Writer.m_Address;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/membership/MemberTable.cpp
@@ -0,0 +1,88 @@
+#include "dotterel/membership/MemberTable.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace dotterel {
+
+MemberTable::MemberTable(Member Self, const MemberTableOptions &Options)
+    : m_Self(std::move(Self)), m_Options(Options) {}
+
+auto MemberTable::beat(MonotonicTime Now) -> void {
+  ++m_Self.m_Heartbeat;
+  std::erase_if(m_Entries, [&](const auto &Item) {
+    return Now - Item.second.m_Heard > m_Options.m_ForgetAfter;
+  });
+}
+
+auto MemberTable::merge(const Member &Record, MonotonicTime Now) -> void {
+  if (Record.m_Process == m_Self.m_Process)
+    return;
+  auto Found = m_Entries.find(Record.m_Process);
+  if (Found == m_Entries.end()) {
+    m_Entries.emplace(Record.m_Process,
+                      Entry{.m_Record = Record, .m_Heard = Now});
+    return;
+  }
+  if (!Record.newerThan(Found->second.m_Record))
+    return;
+  Found->second = Entry{.m_Record = Record, .m_Heard = Now};
+}
+
+auto MemberTable::live(MonotonicTime Now) const -> std::vector<Member> {
+  auto Live = std::vector<Member>();
+  for (const auto &[Process, Item] : m_Entries)
+    if (Now - Item.m_Heard <= m_Options.m_SuspectAfter)
+      Live.push_back(Item.m_Record);
+  return Live;
+}
+
+auto MemberTable::findLive(const ProcessId &Process, MonotonicTime Now) const
+    -> const Member * {
+  auto Found = m_Entries.find(Process);
+  if (Found == m_Entries.end() ||
+      Now - Found->second.m_Heard > m_Options.m_SuspectAfter)
+    return nullptr;
+  return &Found->second.m_Record;
+}
+
+auto MemberTable::lastHeard(const ProcessId &Process) const -> MonotonicTime {
+  auto Found = m_Entries.find(Process);
+  return Found == m_Entries.end() ? MonotonicTime() : Found->second.m_Heard;
+}
+
+auto MemberTable::view(Random &Random, MonotonicTime Now) const
+    -> std::vector<Member> {
+  auto Others = live(Now);
+  auto Room = std::min(m_Options.m_ViewSize - 1, Others.size());
+  auto View = std::vector<Member>{m_Self};
+  for (auto Index = std::size_t{0}; Index < Room; ++Index) {
+    auto Pick = Index + Random.below(Others.size() - Index);
+    std::swap(Others[Index], Others[Pick]);
+    View.push_back(Others[Index]);
+  }
+  return View;
+}
+
+auto rendezvousOrder(const std::string &Subject,
+                     const std::vector<Member> &Members)
+    -> std::vector<Member> {
+  auto Weighted = std::vector<std::pair<std::uint64_t, Member>>();
+  for (const auto &Candidate : Members) {
+    const auto &Name = Candidate.m_Process.text();
+    auto Seed = XXH3_64bits(Subject.data(), Subject.size());
+    Weighted.emplace_back(XXH3_64bits_withSeed(Name.data(), Name.size(), Seed),
+                          Candidate);
+  }
+  std::sort(Weighted.begin(), Weighted.end(), [](const auto &A, const auto &B) {
+    return A.first > B.first;
+  });
+  auto Ordered = std::vector<Member>();
+  Ordered.reserve(Weighted.size());
+  for (auto &[Weight, Candidate] : Weighted)
+    Ordered.push_back(std::move(Candidate));
+  return Ordered;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/poison/CrashRegistry.cpp
@@ -0,0 +1,90 @@
+#include "dotterel/poison/CrashRegistry.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace dotterel {
+
+auto digestRequest(const ModelId &Model, const std::string &Body)
+    -> RequestDigest {
+  auto Seed = XXH3_64bits(Model.text().data(), Model.text().size());
+  return RequestDigest{XXH3_64bits_withSeed(Body.data(), Body.size(), Seed)};
+}
+
+auto CrashRegistry::recordLoss(const BackendId &Backend,
+                               const DataCentreId &DataCentre,
+                               const std::vector<RequestDigest> &Running,
+                               MonotonicTime Now) -> void {
+  std::erase_if(m_Recent, [&](const Loss &Old) {
+    return Now - Old.m_At > m_Options.m_ReclaimWindow;
+  });
+  m_Recent.push_back({.m_Backend = Backend,
+                      .m_DataCentre = DataCentre,
+                      .m_At = Now,
+                      .m_Running = Running});
+  for (auto Digest : Running) {
+    auto &Report = m_Reports[Digest];
+    Report.m_Digest = Digest;
+    Report.m_Backends.insert(Backend);
+  }
+  forgiveReclaim(DataCentre);
+}
+
+auto CrashRegistry::forgiveReclaim(const DataCentreId &DataCentre) -> void {
+  auto Lost = std::set<BackendId>();
+  for (const auto &Recent : m_Recent)
+    if (Recent.m_DataCentre == DataCentre)
+      Lost.insert(Recent.m_Backend);
+  if (Lost.size() < m_Options.m_ReclaimSize)
+    return;
+  for (const auto &Recent : m_Recent) {
+    if (Recent.m_DataCentre != DataCentre)
+      continue;
+    for (auto Digest : Recent.m_Running) {
+      auto Found = m_Reports.find(Digest);
+      // A digest that is quarantined took its servers one after another; a
+      // reclaim later on does not clear it.
+      if (Found == m_Reports.end() ||
+          verdict(Digest) == CrashVerdict::Quarantined)
+        continue;
+      Found->second.m_Backends.erase(Recent.m_Backend);
+    }
+  }
+}
+
+auto CrashRegistry::verdict(RequestDigest Digest) const -> CrashVerdict {
+  auto Found = m_Reports.find(Digest);
+  if (Found == m_Reports.end() || Found->second.m_Backends.empty())
+    return CrashVerdict::Clear;
+  return Found->second.m_Backends.size() >= m_Options.m_QuarantineAfter
+             ? CrashVerdict::Quarantined
+             : CrashVerdict::Suspect;
+}
+
+auto CrashRegistry::release(RequestDigest Digest) -> void {
+  auto &Report = m_Reports[Digest];
+  Report.m_Digest = Digest;
+  Report.m_Backends.clear();
+  ++Report.m_Releases;
+}
+
+auto CrashRegistry::merge(const CrashReport &Report) -> void {
+  auto &Own = m_Reports[Report.m_Digest];
+  Own.m_Digest = Report.m_Digest;
+  if (Report.m_Releases > Own.m_Releases) {
+    Own = Report;
+    return;
+  }
+  if (Report.m_Releases < Own.m_Releases)
+    return;
+  Own.m_Backends.insert(Report.m_Backends.begin(), Report.m_Backends.end());
+}
+
+auto CrashRegistry::reports() const -> std::vector<CrashReport> {
+  auto Result = std::vector<CrashReport>();
+  for (const auto &[Digest, Report] : m_Reports)
+    Result.push_back(Report);
+  return Result;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/store/HttpStore.cpp
@@ -0,0 +1,180 @@
+#include "dotterel/store/HttpStore.h"
+
+#include "dotterel/base/Errors.h"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto StatusOk = 200U;
+
+/// The interface carries 64-bit numbers as strings.
+auto number(const Json &Source, const char *Name) -> std::uint64_t {
+  auto Found = Source.find(Name);
+  if (Found == Source.end())
+    return 0;
+  return Found->is_string() ? std::stoull(Found->get<std::string>())
+                            : Found->get<std::uint64_t>();
+}
+
+auto revisionOf(const Json &Answer) -> StoreRevision {
+  return StoreRevision{number(Answer.at("header"), "revision")};
+}
+
+auto parseRange(const Json &Answer) -> RangeResult {
+  auto Result = RangeResult{.m_Revision = revisionOf(Answer)};
+  for (const auto &Item : Answer.value("kvs", Json::array()))
+    Result.m_Values.push_back(
+        {.m_Key = decodeBase64(Item.at("key").get<std::string>()),
+         .m_Value = decodeBase64(Item.value("value", "")),
+         .m_Modified = StoreRevision{number(Item, "mod_revision")}});
+  return Result;
+}
+
+auto toJson(const StoreCompare &Compare) -> Json {
+  return {{"key", encodeBase64(Compare.m_Key)},
+          {"target", "MOD"},
+          {"result", "EQUAL"},
+          {"mod_revision", std::to_string(Compare.m_Modified.number())}};
+}
+
+auto toJson(const StoreWrite &Write) -> Json {
+  auto Key = encodeBase64(Write.m_Key);
+  if (!Write.m_Value)
+    return {{"request_delete_range", {{"key", Key}}}};
+  auto Put = Json{{"key", Key}, {"value", encodeBase64(*Write.m_Value)}};
+  if (Write.m_Lease != LeaseId{})
+    Put["lease"] = std::to_string(Write.m_Lease.number());
+  return {{"request_put", std::move(Put)}};
+}
+
+class HttpStore final : public KeyValueStore {
+public:
+  HttpStore(HttpClient &Client, HttpStoreOptions Options)
+      : m_Client(Client), m_Options(std::move(Options)) {}
+
+  auto read(KeyRange Range, StoreCallback<RangeResult> Callback)
+      -> void override {
+    auto Body = Json{{"key", encodeBase64(Range.m_First)}};
+    if (!Range.m_End.empty())
+      Body["range_end"] = encodeBase64(Range.m_End);
+    post<RangeResult>("/v3/kv/range", Body, std::move(Callback), parseRange);
+  }
+
+  auto commit(StoreTransaction Transaction,
+              StoreCallback<TransactionResult> Callback) -> void override {
+    auto Body = Json{{"compare", Json::array()}, {"success", Json::array()}};
+    for (const auto &Compare : Transaction.m_Compares)
+      Body["compare"].push_back(toJson(Compare));
+    for (const auto &Write : Transaction.m_Writes)
+      Body["success"].push_back(toJson(Write));
+    post<TransactionResult>("/v3/kv/txn", Body, std::move(Callback),
+                            [](const Json &Answer) -> TransactionResult {
+                              return {.m_Applied =
+                                          Answer.value("succeeded", false),
+                                      .m_Revision = revisionOf(Answer)};
+                            });
+  }
+
+  auto grantLease(Seconds Term, StoreCallback<LeaseId> Callback)
+      -> void override {
+    post<LeaseId>("/v3/lease/grant", {{"TTL", std::to_string(Term.count())}},
+                  std::move(Callback), [](const Json &Answer) {
+                    return LeaseId{number(Answer, "ID")};
+                  });
+  }
+
+  auto keepLease(LeaseId Lease, StoreCallback<Seconds> Callback)
+      -> void override {
+    post<Seconds>("/v3/lease/keepalive",
+                  {{"ID", std::to_string(Lease.number())}},
+                  std::move(Callback), [](const Json &Answer) {
+                    return Seconds(number(Answer.at("result"), "TTL"));
+                  });
+  }
+
+  auto revokeLease(LeaseId Lease, StoreCallback<bool> Callback)
+      -> void override {
+    post<bool>("/v3/lease/revoke", {{"ID", std::to_string(Lease.number())}},
+               std::move(Callback), [](const Json &) { return true; });
+  }
+
+private:
+  template <typename Answer, typename Parse>
+  auto post(const char *Path, const Json &Body, StoreCallback<Answer> Callback,
+            Parse Parser) -> void {
+    auto Call = HttpCall();
+    Call.m_Method = "POST";
+    Call.m_Url = m_Options.m_BaseUrl + Path;
+    Call.m_Headers = {
+        {.m_Name = "Content-Type", .m_Value = "application/json"}};
+    Call.m_Body = Body.dump();
+    Call.m_Timeout = m_Options.m_CallTimeout;
+    Call.m_OnDone = [Callback = std::move(Callback),
+                     Parser](const HttpCallResult &Result) {
+      Callback(interpret<Answer>(Result, Parser));
+    };
+    m_Client.start(std::move(Call));
+  }
+
+  template <typename Answer, typename Parse>
+  static auto interpret(const HttpCallResult &Result, Parse Parser)
+      -> StoreReply<Answer> {
+    if (Result.m_Outcome == HttpOutcome::NotSent)
+      return {.m_Failure = StoreFailure::Refused};
+    // 429 and 503 are answers of a store that did nothing.
+    constexpr auto TooManyRequests = 429U;
+    constexpr auto Unavailable = 503U;
+    if (Result.m_Outcome != HttpOutcome::Complete)
+      return {.m_Failure = StoreFailure::Unknown};
+    if (Result.m_Status == TooManyRequests || Result.m_Status == Unavailable)
+      return {.m_Failure = StoreFailure::Refused};
+    if (Result.m_Status != StatusOk)
+      return {.m_Failure = StoreFailure::Unknown};
+    try {
+      return {.m_Answer = Parser(Json::parse(Result.m_Body))};
+    } catch (const std::exception &) {
+      return {.m_Failure = StoreFailure::Unknown};
+    }
+  }
+
+  HttpClient &m_Client;
+  HttpStoreOptions m_Options;
+};
+
+} // namespace
+
+auto makeHttpStore(HttpClient &Client, const HttpStoreOptions &Options)
+    -> std::unique_ptr<KeyValueStore> {
+  return std::make_unique<HttpStore>(Client, Options);
+}
+
+auto encodeBase64(std::string_view Text) -> std::string {
+  constexpr auto Variant = sodium_base64_VARIANT_ORIGINAL;
+  auto Size = sodium_base64_ENCODED_LEN(Text.size(), Variant);
+  auto Result = std::string(Size, '\0');
+  sodium_bin2base64(Result.data(), Size,
+                    reinterpret_cast<const unsigned char *>(Text.data()),
+                    Text.size(), Variant);
+  Result.pop_back(); // the terminating zero
+  return Result;
+}
+
+auto decodeBase64(std::string_view Text) -> std::string {
+  auto Result = std::string(Text.size(), '\0');
+  auto Size = std::size_t{0};
+  if (sodium_base642bin(reinterpret_cast<unsigned char *>(Result.data()),
+                        Result.size(), Text.data(), Text.size(), nullptr, &Size,
+                        nullptr, sodium_base64_VARIANT_ORIGINAL) != 0)
+    throw ProtocolError(301, "not base64");
+  Result.resize(Size);
+  return Result;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/tests/unit-PeerRpc.cpp
@@ -0,0 +1,145 @@
+#include "dotterel/io/KjLoop.h"
+#include "dotterel/rpc/PeerRpc.h"
+
+#include <doctest/doctest.h>
+
+using namespace dotterel;
+
+namespace {
+
+class EchoService final : public PeerService {
+public:
+  auto onExchange(const PeerView &View) -> PeerView override { return View; }
+  auto onFetchConfiguration(const std::vector<std::uint64_t> &Known)
+      -> ConfigurationDelta override {
+    return {.m_Revision = ConfigRevision{Known.size()}, .m_Head = "head"};
+  }
+  auto onClaim(const Claim &Request, std::function<void(ClaimReply)> Callback)
+      -> void override {
+    if (Request.m_Identity.text() == "silent")
+      m_Held.push_back(std::move(Callback));
+    else
+      Callback({.m_Verdict = ClaimVerdict::Granted});
+  }
+  auto onOutcome(const ClaimOutcome & /*Outcome*/,
+                 std::function<void(bool)> Callback) -> void override {
+    Callback(true);
+  }
+  auto onUsage(const UsageSegment &Segment) -> void override {
+    m_Segments.push_back(Segment);
+  }
+
+  std::vector<std::function<void(ClaimReply)>> m_Held;
+  std::vector<UsageSegment> m_Segments;
+};
+
+struct Fixture {
+  EventLoop m_Loop;
+  KjLoop m_Kj{m_Loop};
+  EchoService m_Service;
+  PeerServer m_Server{m_Kj, m_Service, SocketAddress::parse("127.0.0.1:0")};
+  std::unique_ptr<PeerCaller> m_Caller =
+      makePeerCaller(m_Kj, {.m_CallTimeout = Milliseconds(200)});
+  std::string m_Address = m_Server.address().text();
+};
+
+} // namespace
+
+TEST_CASE("peer calls carry every field of a view") {
+  auto Test = Fixture();
+  auto Sent = PeerView();
+  Sent.m_Members.push_back(
+      {.m_Process = ProcessId{"h1/gate"},
+       .m_Location = {.m_Host = HostId{"h1"},
+                      .m_DataCentre = DataCentreId{"ghent"},
+                      .m_Region = RegionId{"east"}},
+       .m_Role = ProcessRole::Steward,
+       .m_Address = "127.0.0.1:1",
+       .m_Incarnation = 7,
+       .m_Heartbeat = 8,
+       .m_Leaving = true,
+       .m_ConfigRevision = ConfigRevision{9},
+       .m_StoreLost = true,
+       .m_PrefillTokensPerSecond = 10,
+       .m_DecodeTokensPerSecond = 11});
+  Sent.m_Crashes.push_back({.m_Digest = RequestDigest{12},
+                            .m_Backends = {BackendId{"e1"}, BackendId{"e2"}},
+                            .m_Releases = 13});
+  Sent.m_EvidenceAge = Milliseconds(100);
+  Sent.m_LeavingBackends.emplace_back("e3");
+  auto Received = std::optional<PeerView>();
+  Test.m_Caller->exchange(Test.m_Address, Sent, [&](auto Reply) {
+    Received = std::move(Reply);
+    Test.m_Loop.stop();
+  });
+  Test.m_Loop.run();
+  REQUIRE(Received);
+  const auto &Member = Received->m_Members.at(0);
+  CHECK(Member.m_Process.text() == "h1/gate");
+  CHECK(Member.m_Location == Sent.m_Members[0].m_Location);
+  CHECK(Member.m_Role == ProcessRole::Steward);
+  CHECK(Member.m_Address == "127.0.0.1:1");
+  CHECK(Member.m_Incarnation == 7);
+  CHECK(Member.m_Heartbeat == 8);
+  CHECK(Member.m_Leaving);
+  CHECK(Member.m_ConfigRevision.number() == 9);
+  CHECK(Member.m_StoreLost);
+  CHECK(Member.m_PrefillTokensPerSecond == 10);
+  CHECK(Member.m_DecodeTokensPerSecond == 11);
+  CHECK(Received->m_Crashes.at(0).m_Backends == Sent.m_Crashes[0].m_Backends);
+  CHECK(Received->m_Crashes.at(0).m_Releases == 13);
+  // Two hops, each of which rounds an age up and never down.
+  CHECK(Received->m_EvidenceAge >= Sent.m_EvidenceAge);
+  CHECK(Received->m_LeavingBackends == Sent.m_LeavingBackends);
+}
+
+TEST_CASE("peer calls to nobody fail and later calls connect anew") {
+  auto Test = Fixture();
+  auto Failed = false;
+  Test.m_Caller->claim("127.0.0.1:1", {}, [&](auto Reply) {
+    Failed = !Reply.has_value();
+    Test.m_Loop.stop();
+  });
+  Test.m_Loop.run();
+  CHECK(Failed);
+}
+
+TEST_CASE("peer call without an answer times out and the next one succeeds") {
+  auto Test = Fixture();
+  auto Failed = false;
+  Test.m_Caller->claim(Test.m_Address,
+                       {.m_Identity = RequestIdentity{"silent"}},
+                       [&](auto Reply) {
+                         Failed = !Reply.has_value();
+                         Test.m_Loop.stop();
+                       });
+  Test.m_Loop.run();
+  CHECK(Failed);
+  auto Verdict = ClaimVerdict::Unavailable;
+  Test.m_Caller->claim(Test.m_Address, {}, [&](auto Reply) {
+    REQUIRE(Reply);
+    Verdict = Reply->m_Verdict;
+    Test.m_Loop.stop();
+  });
+  Test.m_Loop.run();
+  CHECK(Verdict == ClaimVerdict::Granted);
+}
+
+TEST_CASE("many peer calls in sequence share one connection") {
+  auto Test = Fixture();
+  constexpr auto Calls = 500;
+  auto Answered = 0;
+  std::function<void()> Next = [&] {
+    Test.m_Caller->fetchConfiguration(Test.m_Address, {1, 2, 3}, [&](auto Got) {
+      REQUIRE(Got);
+      CHECK(Got->m_Revision.number() == 3);
+      if (++Answered == Calls)
+        Test.m_Loop.stop();
+      else
+        Next();
+    });
+  };
+  Next();
+  Test.m_Loop.run();
+  CHECK(Answered == Calls);
+}
