--- a/include/dotterel/base/Log.h
+++ b/include/dotterel/base/Log.h
@@ -57,6 +57,10 @@
 auto logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) -> void;
 
+/// Writes one line whose fields were formatted by formatFields().
+auto logLine(LogLevel Level, std::string_view Event, std::string_view Fields)
+    -> void;
+
 auto logDebug(std::string_view Event, std::initializer_list<LogField> Fields)
     -> void;
 auto logInfo(std::string_view Event, std::initializer_list<LogField> Fields)
--- a/include/dotterel/config/Configuration.h
+++ b/include/dotterel/config/Configuration.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
   PresetId m_PresetInForce;
   std::map<PresetId, Preset> m_Presets;
   std::map<RouteId, Route> m_Routes;
+  /// Backend servers that get no new work, by operators' order.
+  std::set<BackendId> m_Drained;
   /// Digest of the document of each key shard.
   std::array<std::uint64_t, ShardCount> m_ShardDigests{};
   /// Documents of the shards, as stored.
@@ -101,10 +104,10 @@
 /// \returns nothing when a shard's digest is not the one the head names, as
 /// happens when head and shards were read at different revisions.
 /// \throws ConfigurationError 201 for malformed documents.
-auto assembleConfiguration(
-    const std::string &Head,
-    const std::map<std::size_t, std::string> &Shards,
-    const Configuration *Known) -> std::optional<Configuration>;
+auto assembleConfiguration(const std::string &Head,
+                           const std::map<std::size_t, std::string> &Shards,
+                           const Configuration *Known)
+    -> std::optional<Configuration>;
 
 } // namespace dotterel
 
--- a/include/dotterel/config/ConfigurationStore.h
+++ b/include/dotterel/config/ConfigurationStore.h
@@ -21,10 +21,10 @@
 struct ChangeResult {
   enum class Kind : std::uint8_t {
     Accepted,
-    Rejected,   ///< The change is not acceptable; nothing was stored.
-    Conflict,   ///< Another operator's change won.
-    Unknown,    ///< The store may or may not have taken it.
-    StoreDown,  ///< The store did not take it.
+    Rejected,  ///< The change is not acceptable; nothing was stored.
+    Conflict,  ///< Another operator's change won.
+    Unknown,   ///< The store may or may not have taken it.
+    StoreDown, ///< The store did not take it.
   };
 
   Kind m_Kind = Kind::StoreDown;
@@ -50,8 +50,8 @@
   ///
   /// \param Expected when not 0, the revision that the operator looked at.
   auto change(std::function<void(Configuration &)> Edit,
-              ConfigRevision Expected,
-              std::function<void(ChangeResult)> Done) -> void;
+              ConfigRevision Expected, std::function<void(ChangeResult)> Done)
+      -> void;
 
 private:
   auto readAll(std::function<void(StoreReply<RangeResult>)> Done) -> void;
--- /dev/null
+++ b/include/dotterel/fakes/FakePlatform.h
@@ -0,0 +1,75 @@
+//===- FakePlatform.h - Stand-in of the platform ----------------*- C++ -*-===//
+///
+/// \file
+/// The key-value service, host list, backend orders, weight store and usage
+/// intake, with faults that can be switched. For tests and the demo only.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_FAKES_FAKEPLATFORM_H
+#define DOTTEREL_FAKES_FAKEPLATFORM_H
+
+#include "dotterel/io/HttpServer.h"
+#include "dotterel/store/StoreModel.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+/// Faults of the stand-in; set by `POST /faults` with members of these names.
+struct PlatformFaults {
+  bool m_StoreDown = false;           ///< `store_down`: refuses every call.
+  bool m_StoreSilent = false;         ///< `store_silent`: never answers.
+  std::int64_t m_StoreDelayMs = 0;    ///< `store_delay_ms`
+  std::int64_t m_LoseAnswers = 0;     ///< `lose_answers`: so many writes.
+  std::int64_t m_ListLagMs = 0;       ///< `list_lag_ms`: of both lists.
+  std::int64_t m_LoseReports = 0;     ///< `lose_report_answers`: so many.
+  std::int64_t m_WritesPerSecond = 0; ///< `writes_per_second`; 0: no limit.
+  std::int64_t m_ReadsPerSecond = 0;  ///< `reads_per_second`; 0: no limit.
+  bool m_BackendOrdersDown = false;   ///< `backend_orders_down`
+  /// `unavailable_data_centre`: cannot start cheap servers there.
+  std::string m_UnavailableDataCentre;
+};
+
+/// The platform's interfaces on one port.
+class FakePlatform final : public HttpHandler {
+public:
+  explicit FakePlatform(Scheduler &Scheduler)
+      : m_Scheduler(Scheduler), m_Store(Scheduler) {}
+
+  auto handle(HttpExchangePtr Exchange) -> void override;
+  auto bodyTooLarge(std::size_t Limit) -> HttpResponse override;
+
+private:
+  using Json = nlohmann::json;
+
+  auto handleStore(const HttpExchangePtr &Exchange) -> void;
+  auto handleLists(const HttpExchangePtr &Exchange) -> bool;
+  auto handleOrders(const HttpExchangePtr &Exchange, const Json &Body) -> void;
+  auto handleReports(const HttpExchangePtr &Exchange, const Json &Body) -> void;
+  auto handleWeights(const HttpExchangePtr &Exchange) -> void;
+  auto setFaults(const HttpExchangePtr &Exchange, const Json &Body) -> void;
+  auto storeAnswer(const std::string &Path, const Json &Body) -> Json;
+  auto overLimit(bool Write) -> bool;
+  auto publish() -> void;
+  auto lagged(const std::string &Name) const -> Json;
+
+  Scheduler &m_Scheduler;
+  StoreModel m_Store;
+  PlatformFaults m_Faults;
+  Json m_Hosts = Json::array();
+  Json m_Backends = Json::array();
+  Json m_Orders = Json::array();
+  Json m_Reports = Json::array();
+  /// Past states of the lists, oldest first.
+  std::deque<std::pair<MonotonicTime, Json>> m_History;
+  std::map<bool, std::pair<std::int64_t, std::int64_t>> m_Rates;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_FAKES_FAKEPLATFORM_H
--- /dev/null
+++ b/include/dotterel/fleet/OrderSender.h
@@ -0,0 +1,90 @@
+//===- OrderSender.h - Gives orders to one engine ---------------*- C++ -*-===//
+///
+/// \file
+/// The protocol by which an engine never gets conflicting orders, also from a
+/// sender that was paused, and also when it ignores fencing numbers.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_FLEET_ORDERSENDER_H
+#define DOTTEREL_FLEET_ORDERSENDER_H
+
+#include "dotterel/base/Scheduler.h"
+#include "dotterel/fleet/OrderRecord.h"
+#include "dotterel/lease/DutyLease.h"
+#include "dotterel/store/KeyValueStore.h"
+
+#include <functional>
+#include <memory>
+
+namespace dotterel {
+
+struct OrderSenderOptions {
+  BackendId m_Engine;
+  bool m_ChecksFencing = false;
+  SenderId m_Self;
+};
+
+/// Gives orders to one engine, one at a time:
+/// 1. read the engine's state and the record
+/// 2. intend: write the order, and the own name as a sender of it, in a
+///    transaction that fails when the duty has passed on
+/// 3. check the clock, send
+/// 4. record the result, taking the own name off once no copy of the order can
+///    be under way any more
+///
+/// An order that is not settled is repeated; a different one waits.
+class OrderSender {
+public:
+  /// \p Gone says whether a sender's process is known to have ended.
+  OrderSender(Scheduler &Scheduler, KeyValueStore &Store, const DutyLease &Duty,
+              EngineOrders &Engines, std::function<bool(const SenderId &)> Gone,
+              const OrderSenderOptions &Options);
+  OrderSender(const OrderSender &) = delete;
+  auto operator=(const OrderSender &) -> OrderSender & = delete;
+  ~OrderSender() { *m_Alive = false; }
+
+  /// Works towards \p Role, if the duty is held and no step is in progress.
+  /// An earlier order that is not settled is brought to its end first.
+  auto pursue(EngineRole Role) -> void;
+
+  /// Whether a step is in progress.
+  [[nodiscard]] auto busy() const -> bool { return m_Busy; }
+
+private:
+  struct Step {
+    EngineRole m_Wanted = EngineRole::Mixed;
+    EngineState m_State;
+    OrderRecord m_Record;
+    StoreRevision m_Revision; ///< Of the record.
+  };
+  using StepPtr = std::shared_ptr<Step>;
+
+  auto readRecord(const StepPtr &Current) -> void;
+  auto decide(const StepPtr &Current) -> void;
+  auto dropSettledSenders(Step &Current) -> void;
+  auto intend(const StepPtr &Current) -> void;
+  auto send(const StepPtr &Current, FencingNumber Fencing) -> void;
+  auto recordResult(const OrderId &Order, bool Accepted, int Tries) -> void;
+  auto write(const OrderRecord &Record, StoreRevision Revision, bool Guarded,
+             StoreCallback<TransactionResult> Done) -> void;
+  auto finish() -> void { m_Busy = false; }
+
+  Scheduler &m_Scheduler;
+  KeyValueStore &m_Store;
+  const DutyLease &m_Duty;
+  EngineOrders &m_Engines;
+  std::function<bool(const SenderId &)> m_Gone;
+  OrderSenderOptions m_Options;
+  bool m_Busy = false;
+  std::uint64_t m_LastOrder = 0;
+  // Own copies of the newest order. They live and end with this process, like
+  // its name among the record's senders.
+  OrderId m_SentOrder;
+  std::uint32_t m_Sent = 0;
+  std::uint32_t m_Unanswered = 0;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_FLEET_ORDERSENDER_H
--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -19,10 +19,10 @@
 
 /// How a call ended.
 enum class HttpOutcome : std::uint8_t {
-  Complete,   ///< The whole answer arrived, its length checked.
-  NotSent,    ///< No byte of the request left this process.
-  Broken,     ///< The connection failed after bytes may have left.
-  TimedOut,   ///< The deadline passed after bytes may have left.
+  Complete, ///< The whole answer arrived, its length checked.
+  NotSent,  ///< No byte of the request left this process.
+  Broken,   ///< The connection failed after bytes may have left.
+  TimedOut, ///< The deadline passed after bytes may have left.
 };
 
 struct HttpCallResult {
--- a/include/dotterel/io/KjLoop.h
+++ b/include/dotterel/io/KjLoop.h
@@ -21,7 +21,7 @@
   explicit KjLoop(EventLoop &Loop);
   KjLoop(const KjLoop &) = delete;
   auto operator=(const KjLoop &) -> KjLoop & = delete;
-  ~KjLoop();
+  ~KjLoop() noexcept;
 
   [[nodiscard]] auto loop() -> EventLoop & { return m_Loop; }
 
--- a/include/dotterel/lease/DutyLease.h
+++ b/include/dotterel/lease/DutyLease.h
@@ -57,6 +57,12 @@
   /// on. \pre held() was true.
   [[nodiscard]] auto guard() const -> StoreCompare;
 
+  /// Lets the process campaign only while \p Eligible says so, so that the
+  /// store's reads do not grow with the number of processes.
+  auto setEligible(std::function<bool()> Eligible) -> void {
+    m_Eligible = std::move(Eligible);
+  }
+
   /// Calls \p Callback after each grant.
   auto onGranted(std::function<void()> Callback) -> void {
     m_OnGranted = std::move(Callback);
@@ -81,6 +87,7 @@
   std::optional<MonotonicTime> m_HeldUntil;
   std::optional<TimerId> m_Timer;
   std::function<void()> m_OnGranted;
+  std::function<bool()> m_Eligible;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
--- a/include/dotterel/ledger/Claim.h
+++ b/include/dotterel/ledger/Claim.h
@@ -28,13 +28,14 @@
   /// Names this attempt; a claim sent again under the same attempt is the same
   /// claim.
   AttemptId m_Attempt;
-  WallTime m_IssuedAt;  ///< The time inside the idempotency key.
+  WallTime m_IssuedAt;     ///< The time inside the idempotency key.
   ContentDigest m_Content; ///< Of the request's body.
 };
 
 /// A recorded answer of a request that ran.
 struct RecordedAnswer {
   unsigned m_Status = 0;
+  std::string m_ContentType;
   std::optional<std::string> m_Body; ///< Empty when it was too large to keep.
 };
 
--- a/include/dotterel/ledger/ClaimShard.h
+++ b/include/dotterel/ledger/ClaimShard.h
@@ -79,8 +79,7 @@
   auto replay(const RangeResult &Read) -> void;
   auto append() -> void;
   auto appended(const StoreReply<TransactionResult> &Reply,
-                const std::vector<ClaimEntry> &Batch, WallTime Horizon)
-      -> void;
+                const std::vector<ClaimEntry> &Batch, WallTime Horizon) -> void;
   auto transactionFor(std::vector<ClaimEntry> Entries, WallTime Horizon)
       -> StoreTransaction;
   /// The horizon to forget at, when that frees a sealed segment.
--- /dev/null
+++ b/include/dotterel/membership/HostList.h
@@ -0,0 +1,35 @@
+//===- HostList.h - The platform's list of hosts ----------------*- C++ -*-===//
+///
+/// \file
+/// The processes that the platform lists; the list lags.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_MEMBERSHIP_HOSTLIST_H
+#define DOTTEREL_MEMBERSHIP_HOSTLIST_H
+
+#include "dotterel/membership/Member.h"
+
+#include <string>
+#include <vector>
+
+namespace dotterel {
+
+/// A process on a listed host.
+struct ListedProcess {
+  ProcessId m_Process;
+  ProcessRole m_Role = ProcessRole::Gate;
+  std::string m_Address; ///< Of its RPC server.
+  bool m_Leaving = false;
+};
+
+/// Shape: `{"hosts":[{"host":"h1","state":"live","processes":[
+/// {"role":"gate","rpc":"127.0.0.1:1"}]}]}`.
+/// \throws ProtocolError 301 for a malformed list.
+auto parseHostList(const std::string &Document) -> std::vector<ListedProcess>;
+
+/// The id of the process with this role on a host.
+auto processIdOf(const HostId &Host, ProcessRole Role) -> ProcessId;
+
+} // namespace dotterel
+
+#endif // DOTTEREL_MEMBERSHIP_HOSTLIST_H
--- a/include/dotterel/membership/MemberTable.h
+++ b/include/dotterel/membership/MemberTable.h
@@ -69,8 +69,7 @@
 /// The live gates ordered by their claim to \p Subject: a pure function of the
 /// set, so that processes with equal views agree without talking.
 auto rendezvousOrder(const std::string &Subject,
-                     const std::vector<Member> &Members)
-    -> std::vector<Member>;
+                     const std::vector<Member> &Members) -> std::vector<Member>;
 
 } // namespace dotterel
 
--- /dev/null
+++ b/include/dotterel/routing/EngineTable.h
@@ -0,0 +1,150 @@
+//===- EngineTable.h - Known backend servers --------------------*- C++ -*-===//
+///
+/// \file
+/// Backend servers with their reported load and this gate's work on them.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_ROUTING_ENGINETABLE_H
+#define DOTTEREL_ROUTING_ENGINETABLE_H
+
+#include "dotterel/fleet/Backend.h"
+#include "dotterel/membership/Member.h"
+#include "dotterel/poison/CrashRegistry.h"
+#include "dotterel/routing/Candidate.h"
+#include "dotterel/routing/OutlierDetector.h"
+#include "dotterel/routing/PrefixIndex.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dotterel {
+
+struct EngineTableOptions {
+  std::size_t m_CachedPieces = 512; ///< Remembered for each engine.
+  /// Round trips, for the cost of distance.
+  Duration m_DataCentreDistance = Milliseconds(2);
+  Duration m_RegionDistance = Milliseconds(60);
+  /// Work in flight for each slot of an engine before a request waits here.
+  double m_Overcommit = 1.25;
+  OutlierOptions m_Outliers;
+};
+
+/// A request on its way to or on an engine.
+struct FlightPlan {
+  RequestId m_Request;
+  AttemptId m_Attempt;
+  RequestDigest m_Digest;
+  Work m_Work;
+  std::vector<std::uint64_t> m_Pieces;
+  bool m_Alone = false; ///< Takes the engine for itself.
+};
+
+/// What a request needs of an engine.
+struct EngineQuery {
+  RequestId m_Request;
+  ModelId m_Model;
+  Work m_Work;
+  std::vector<std::uint64_t> m_Pieces;
+  bool m_CheapAllowed = true;
+  bool m_Alone = false;
+  std::set<BackendId> m_Excluded; ///< Tried already.
+};
+
+/// Known backend servers.
+///
+/// \invariant An engine's own in-flight figures equal the sum over its flights.
+class EngineTable {
+public:
+  EngineTable(Location Self, const EngineTableOptions &Options)
+      : m_Self(std::move(Self)), m_Options(Options),
+        m_Outliers(Options.m_Outliers) {}
+
+  /// Takes over the platform's list. A server that the list calls leaving, or
+  /// that a peer does, gets no new work.
+  auto updateList(const std::vector<Backend> &Listed) -> void;
+
+  auto updateLoad(const BackendId &Id, const EngineLoad &Load,
+                  MonotonicTime Now) -> void;
+
+  /// Notes that a server leaves, whatever the list says.
+  auto markLeaving(const BackendId &Id) -> void;
+  [[nodiscard]] auto leaving() const -> std::vector<BackendId>;
+
+  /// Engines that may take the request at this moment, with their figures.
+  /// Complexity: linear in the number of engines.
+  [[nodiscard]] auto candidates(const EngineQuery &Query,
+                                MonotonicTime Now) const
+      -> std::vector<Candidate>;
+
+  /// Keeps new work off one engine until \p Query's request, which must run
+  /// alone, has begun there. Does nothing when one is kept already.
+  auto reserve(const EngineQuery &Query) -> void;
+
+  /// Gives a reservation back.
+  auto unreserve(const RequestId &Request) -> void;
+
+  /// Backend servers drained by operators' order, in place of those before.
+  auto setDrained(const std::set<BackendId> &Drained) -> void {
+    m_Drained = Drained;
+  }
+
+  /// Whether any engine, busy or not, serves \p Model.
+  [[nodiscard]] auto serves(const ModelId &Model) const -> bool;
+  [[nodiscard]] auto models() const -> std::vector<ModelId>;
+
+  /// A backend server of a plain service, in turn; nothing when none is left.
+  auto pickService(const std::string &Service, bool CheapAllowed,
+                   const std::set<BackendId> &Excluded, MonotonicTime Now)
+      -> std::optional<Backend>;
+
+  auto begin(const BackendId &Id, const FlightPlan &Flight) -> void;
+  auto end(const BackendId &Id, const AttemptId &Attempt) -> void;
+  /// The engine has produced its first token: the prefill is done.
+  auto prefilled(const BackendId &Id, const AttemptId &Attempt) -> void;
+
+  /// Digests of the requests of this gate on \p Id.
+  [[nodiscard]] auto digestsOn(const BackendId &Id) const
+      -> std::vector<RequestDigest>;
+
+  [[nodiscard]] auto find(const BackendId &Id) const -> const Backend *;
+  [[nodiscard]] auto load(const BackendId &Id) const
+      -> std::optional<EngineLoad>;
+  [[nodiscard]] auto all() const -> std::vector<Backend>;
+  [[nodiscard]] auto inFlight(const BackendId &Id) const -> std::size_t;
+  [[nodiscard]] auto outliers() -> OutlierDetector & { return m_Outliers; }
+
+private:
+  struct Entry {
+    Backend m_Backend;
+    std::optional<EngineLoad> m_Load;
+    MonotonicTime m_ReportedAt;
+    std::map<AttemptId, FlightPlan> m_Flights;
+    double m_OwnPrefill = 0;          ///< Tokens not yet prefilled.
+    std::uint32_t m_StartedSince = 0; ///< Since the load report.
+    std::uint32_t m_EndedSince = 0;
+    bool m_TakenAlone = false;
+    RequestId m_ReservedFor; ///< Empty: for anyone.
+    PrefixIndex m_Prefixes;
+  };
+
+  [[nodiscard]] auto accepts(const Entry &Item, const EngineQuery &Query) const
+      -> bool;
+  [[nodiscard]] auto candidateOf(const Entry &Item, const EngineQuery &Query,
+                                 MonotonicTime Now) const -> Candidate;
+  [[nodiscard]] auto distance(const Backend &Server) const -> Duration;
+
+  Location m_Self;
+  EngineTableOptions m_Options;
+  std::map<BackendId, Entry> m_Entries;
+  std::set<BackendId> m_Leaving;
+  std::set<BackendId> m_Drained;
+  OutlierDetector m_Outliers;
+  std::size_t m_NextService = 0;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_ROUTING_ENGINETABLE_H
--- a/include/dotterel/usage/Usage.h
+++ b/include/dotterel/usage/Usage.h
@@ -12,6 +12,7 @@
 
 #include <compare>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace dotterel {
@@ -54,6 +55,19 @@
   UsageTotals m_Totals;
 };
 
+/// Adds all of \p More to \p Target.
+auto addTotals(UsageTotals &Target, const UsageTotals &More) -> void;
+
+/// What \p Whole counts beyond \p Part. \pre no figure of \p Part is larger.
+auto subtractTotals(const UsageTotals &Whole, const UsageTotals &Part)
+    -> UsageTotals;
+
+/// JSON of a list of entries, in order of their keys.
+auto encodeTotals(const UsageTotals &Totals) -> std::string;
+
+/// \throws ProtocolError 301 for a malformed document.
+auto decodeTotals(const std::string &Document) -> UsageTotals;
+
 } // namespace dotterel
 
 #endif // DOTTEREL_USAGE_USAGE_H
--- a/schema/Peer.capnp
+++ b/schema/Peer.capnp
@@ -58,6 +58,7 @@
   status @1 :UInt16;
   body @2 :Text;
   hasBody @3 :Bool;
+  contentType @4 :Text;
 
   enum Verdict {
     granted @0;
@@ -75,6 +76,7 @@
   status @3 :UInt16;
   body @4 :Text;
   hasBody @5 :Bool;
+  contentType @6 :Text;
 }
 
 struct UsageEntry {
--- a/schema/Peer.capnp.h
+++ b/schema/Peer.capnp.h
@@ -148,7 +148,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a819ff4ce5a6832f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a819ff4ce5a6832f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -163,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(880ee10ee18c12cb, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(880ee10ee18c12cb, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -957,6 +957,9 @@
 
   inline bool getHasBody() const;
 
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1001,6 +1004,13 @@
   inline bool getHasBody();
   inline void setHasBody(bool value);
 
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1059,6 +1069,9 @@
 
   inline bool getHasBody() const;
 
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1117,6 +1130,13 @@
   inline bool getHasBody();
   inline void setHasBody(bool value);
 
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2948,6 +2968,40 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ClaimReply::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimReply::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimReply::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimReply::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimReply::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimReply::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ClaimReply::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimReply::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool OutcomeRecord::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3092,6 +3146,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool OutcomeRecord::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool OutcomeRecord::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OutcomeRecord::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OutcomeRecord::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void OutcomeRecord::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OutcomeRecord::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void OutcomeRecord::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OutcomeRecord::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool UsageEntry::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/auth/KeyDigest.cpp
+++ b/src/auth/KeyDigest.cpp
@@ -19,18 +19,16 @@
   auto Raw = std::array<unsigned char, KeyBytes>{};
   randombytes_buf(Raw.data(), Raw.size());
   constexpr auto Variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
-  auto Text =
-      std::array<char, sodium_base64_ENCODED_LEN(KeyBytes, Variant)>{};
+  auto Text = std::array<char, sodium_base64_ENCODED_LEN(KeyBytes, Variant)>{};
   sodium_bin2base64(Text.data(), Text.size(), Raw.data(), Raw.size(), Variant);
   return std::string("dp_") + Text.data();
 }
 
 auto digestKey(const std::string &Key, const std::string &Secret)
     -> std::string {
-  auto Folded =
-      std::array<unsigned char, crypto_generichash_KEYBYTES_MAX>{};
-  crypto_generichash(Folded.data(), Folded.size(), bytes(Secret),
-                     Secret.size(), nullptr, 0);
+  auto Folded = std::array<unsigned char, crypto_generichash_KEYBYTES_MAX>{};
+  crypto_generichash(Folded.data(), Folded.size(), bytes(Secret), Secret.size(),
+                     nullptr, 0);
   auto Digest = std::array<unsigned char, crypto_generichash_BYTES>{};
   crypto_generichash(Digest.data(), Digest.size(), bytes(Key), Key.size(),
                      Folded.data(), Folded.size());
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -75,6 +75,12 @@
 
 auto logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) -> void {
+  if (Level >= threshold())
+    logLine(Level, Event, formatFields(Fields));
+}
+
+auto logLine(LogLevel Level, std::string_view Event, std::string_view Fields)
+    -> void {
   if (Level < threshold())
     return;
   auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(
@@ -83,9 +89,9 @@
   auto Line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
                           fmt::gmtime(Whole), (Now - Whole).count(),
                           LevelNames[static_cast<std::size_t>(Level)], Event);
-  if (Fields.size() != 0) {
+  if (!Fields.empty()) {
     Line += ' ';
-    Line += formatFields(Fields);
+    Line += Fields;
   }
   Line += '\n';
   if (sink()) {
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -26,17 +26,16 @@
 }
 
 auto presetFromJson(const std::string &Id, const Json &Source) -> Preset {
-  return {
-      .m_Id = PresetId{Id},
-      .m_RoleChanges = Source.at("role_changes").get<bool>(),
-      .m_CheapServers = Source.at("cheap_servers").get<bool>(),
-      .m_QueueLimit = Source.at("queue_limit").get<std::uint32_t>(),
-      .m_InteractiveDeadline = Milliseconds(
-          Source.at("interactive_deadline_ms").get<std::int64_t>()),
-      .m_StandardDeadline =
-          Milliseconds(Source.at("standard_deadline_ms").get<std::int64_t>()),
-      .m_BatchDeadline =
-          Milliseconds(Source.at("batch_deadline_ms").get<std::int64_t>())};
+  return {.m_Id = PresetId{Id},
+          .m_RoleChanges = Source.at("role_changes").get<bool>(),
+          .m_CheapServers = Source.at("cheap_servers").get<bool>(),
+          .m_QueueLimit = Source.at("queue_limit").get<std::uint32_t>(),
+          .m_InteractiveDeadline = Milliseconds(
+              Source.at("interactive_deadline_ms").get<std::int64_t>()),
+          .m_StandardDeadline = Milliseconds(
+              Source.at("standard_deadline_ms").get<std::int64_t>()),
+          .m_BatchDeadline =
+              Milliseconds(Source.at("batch_deadline_ms").get<std::int64_t>())};
 }
 
 auto routeToJson(const Route &Value) -> Json {
@@ -71,17 +70,16 @@
   if (isName(Text))
     return;
   throw ConfigurationError(
-      202, fmt::format("{}: a name is 1 to {} of a-z 0-9 - _", Path,
-                       LongestName));
+      202,
+      fmt::format("{}: a name is 1 to {} of a-z 0-9 - _", Path, LongestName));
 }
 
 auto checkDuration(const std::string &Path, Milliseconds Value) -> void {
   if (Value > Milliseconds::zero() && Value <= LongestDeadline)
     return;
-  throw ConfigurationError(
-      202,
-      fmt::format("{}: {} is not within 1 to {} ms", Path, Value.count(),
-                  LongestDeadline.count()));
+  throw ConfigurationError(202,
+                           fmt::format("{}: {} is not within 1 to {} ms", Path,
+                                       Value.count(), LongestDeadline.count()));
 }
 
 auto validatePreset(const Preset &Value) -> void {
@@ -110,14 +108,15 @@
 auto readHead(const std::string &Head) -> Configuration {
   auto Source = Json::parse(Head);
   auto Value = Configuration{
-      .m_Revision =
-          ConfigRevision{Source.at("revision").get<std::uint64_t>()},
+      .m_Revision = ConfigRevision{Source.at("revision").get<std::uint64_t>()},
       .m_PresetInForce =
           PresetId{Source.at("preset_in_force").get<std::string>()}};
   for (const auto &[Id, Item] : Source.at("presets").items())
     Value.m_Presets[PresetId{Id}] = presetFromJson(Id, Item);
   for (const auto &[Id, Item] : Source.at("routes").items())
     Value.m_Routes[RouteId{Id}] = routeFromJson(Id, Item);
+  for (const auto &Item : Source.at("drained"))
+    Value.m_Drained.insert(BackendId{Item.get<std::string>()});
   Value.m_ShardDigests =
       Source.at("shards").get<std::array<std::uint64_t, ShardCount>>();
   return Value;
@@ -142,9 +141,8 @@
 
 auto Configuration::validate() const -> void {
   if (!m_Presets.contains(m_PresetInForce))
-    throw ConfigurationError(202,
-                             fmt::format("preset_in_force: no preset {}",
-                                         m_PresetInForce.text()));
+    throw ConfigurationError(202, fmt::format("preset_in_force: no preset {}",
+                                              m_PresetInForce.text()));
   for (const auto &[Id, Item] : m_Presets)
     validatePreset(Item);
   for (const auto &[Id, Item] : m_Routes)
@@ -173,7 +171,11 @@
   auto Routes = Json::object();
   for (const auto &[Id, Item] : Value.m_Routes)
     Routes[Id.text()] = routeToJson(Item);
+  auto Drained = Json::array();
+  for (const auto &Id : Value.m_Drained)
+    Drained.push_back(Id.text());
   return Json{{"revision", Value.m_Revision.number()},
+              {"drained", Drained},
               {"preset_in_force", Value.m_PresetInForce.text()},
               {"presets", Presets},
               {"routes", Routes},
@@ -181,8 +183,7 @@
       .dump();
 }
 
-auto encodeShard(const Configuration &Value, std::size_t Shard)
-    -> std::string {
+auto encodeShard(const Configuration &Value, std::size_t Shard) -> std::string {
   auto Document = Json::object();
   for (const auto &[Digest, Item] : Value.m_Keys)
     if (Configuration::shardOf(Digest) == Shard)
@@ -197,8 +198,7 @@
 
 auto refreshShard(Configuration &Value, std::size_t Shard) -> void {
   Value.m_ShardDocuments[Shard] = encodeShard(Value, Shard);
-  Value.m_ShardDigests[Shard] =
-      digestDocument(Value.m_ShardDocuments[Shard]);
+  Value.m_ShardDigests[Shard] = digestDocument(Value.m_ShardDocuments[Shard]);
 }
 
 auto assembleConfiguration(const std::string &Head,
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -62,9 +62,8 @@
           Done(false);
           return;
         }
-        auto Head = Reply->m_Values.empty()
-                        ? encodeHead(initialConfiguration())
-                        : Reply->m_Values.front().m_Value;
+        auto Head = Reply->m_Values.empty() ? encodeHead(initialConfiguration())
+                                            : Reply->m_Values.front().m_Value;
         try {
           applyHead(Head, SentAt, std::move(Done));
         } catch (const ConfigurationError &Failure) {
@@ -137,16 +136,15 @@
       if (Expected != ConfigRevision{} && Before->m_Revision != Expected) {
         Done({.m_Kind = ChangeResult::Kind::Conflict,
               .m_Revision = Before->m_Revision,
-              .m_Reason =
-                  fmt::format("revision {} is in force, with preset {}",
-                              Before->m_Revision.number(),
-                              Before->m_PresetInForce.text())});
+              .m_Reason = fmt::format("revision {} is in force, with preset {}",
+                                      Before->m_Revision.number(),
+                                      Before->m_PresetInForce.text())});
         return;
       }
       commitChange(*Before, HeadRevision, Edit, Done);
     } catch (const ConfigurationError &Failure) {
-      Done({.m_Kind = ChangeResult::Kind::Rejected,
-            .m_Reason = Failure.what()});
+      Done(
+          {.m_Kind = ChangeResult::Kind::Rejected, .m_Reason = Failure.what()});
     }
   });
 }
@@ -169,30 +167,27 @@
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
     if (After.m_ShardDigests[Shard] != Before.m_ShardDigests[Shard])
       Transaction.m_Writes.push_back(
-          {.m_Key = shardKey(Shard),
-           .m_Value = After.m_ShardDocuments[Shard]});
-  m_Store.commit(
-      std::move(Transaction),
-      [this, After, Done = std::move(Done)](const auto &Reply) mutable {
-        if (!Reply) {
-          auto Lost = Reply.m_Failure == StoreFailure::Unknown;
-          Done({.m_Kind = Lost ? ChangeResult::Kind::Unknown
-                               : ChangeResult::Kind::StoreDown,
-                .m_Reason = Lost ? "the store's answer was lost; look before "
-                                   "trying again"
-                                 : "the store did not take the change"});
-          return;
-        }
-        if (!Reply->m_Applied) {
-          Done({.m_Kind = ChangeResult::Kind::Conflict,
-                .m_Reason = "another change was accepted first"});
-          return;
-        }
-        auto Revision = After.m_Revision;
-        m_Holder.apply(std::move(After));
-        Done({.m_Kind = ChangeResult::Kind::Accepted,
-              .m_Revision = Revision});
-      });
+          {.m_Key = shardKey(Shard), .m_Value = After.m_ShardDocuments[Shard]});
+  m_Store.commit(std::move(Transaction), [this, After, Done = std::move(Done)](
+                                             const auto &Reply) mutable {
+    if (!Reply) {
+      auto Lost = Reply.m_Failure == StoreFailure::Unknown;
+      Done({.m_Kind = Lost ? ChangeResult::Kind::Unknown
+                           : ChangeResult::Kind::StoreDown,
+            .m_Reason = Lost ? "the store's answer was lost; look before "
+                               "trying again"
+                             : "the store did not take the change"});
+      return;
+    }
+    if (!Reply->m_Applied) {
+      Done({.m_Kind = ChangeResult::Kind::Conflict,
+            .m_Reason = "another change was accepted first"});
+      return;
+    }
+    auto Revision = After.m_Revision;
+    m_Holder.apply(std::move(After));
+    Done({.m_Kind = ChangeResult::Kind::Accepted, .m_Revision = Revision});
+  });
 }
 
 } // namespace dotterel
--- /dev/null
+++ b/src/fakes/FakePlatform.cpp
@@ -0,0 +1,266 @@
+#include "dotterel/fakes/FakePlatform.h"
+
+#include "dotterel/store/HttpStore.h"
+
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto MostHistory = std::size_t{1000};
+
+auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
+  return {
+      .m_Status = Status,
+      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
+      .m_Body = Body.dump()};
+}
+
+auto number(const Json &Source, const char *Name) -> std::uint64_t {
+  if (!Source.contains(Name))
+    return 0;
+  const auto &Value = Source.at(Name);
+  return Value.is_string() ? std::stoull(Value.get<std::string>())
+                           : Value.get<std::uint64_t>();
+}
+
+auto header(StoreRevision Revision) -> Json {
+  return {{"revision", std::to_string(Revision.number())}};
+}
+
+auto rangeAnswer(StoreModel &Store, const Json &Body) -> Json {
+  auto Range =
+      KeyRange{.m_First = decodeBase64(Body.at("key").get<std::string>()),
+               .m_End = decodeBase64(Body.value("range_end", ""))};
+  auto Result = Store.read(Range);
+  auto Values = Json::array();
+  for (const auto &Item : Result.m_Values)
+    Values.push_back(
+        {{"key", encodeBase64(Item.m_Key)},
+         {"value", encodeBase64(Item.m_Value)},
+         {"mod_revision", std::to_string(Item.m_Modified.number())}});
+  return {{"header", header(Result.m_Revision)},
+          {"kvs", Values},
+          {"count", std::to_string(Values.size())}};
+}
+
+auto transactionAnswer(StoreModel &Store, const Json &Body) -> Json {
+  auto Transaction = StoreTransaction();
+  for (const auto &Item : Body.value("compare", Json::array()))
+    Transaction.m_Compares.push_back(
+        {.m_Key = decodeBase64(Item.at("key").get<std::string>()),
+         .m_Modified = StoreRevision{number(Item, "mod_revision")}});
+  for (const auto &Item : Body.value("success", Json::array())) {
+    if (Item.contains("request_put")) {
+      const auto &Put = Item.at("request_put");
+      Transaction.m_Writes.push_back(
+          {.m_Key = decodeBase64(Put.at("key").get<std::string>()),
+           .m_Value = decodeBase64(Put.value("value", "")),
+           .m_Lease = LeaseId{number(Put, "lease")}});
+      continue;
+    }
+    const auto &Delete = Item.at("request_delete_range");
+    Transaction.m_Writes.push_back(
+        {.m_Key = decodeBase64(Delete.at("key").get<std::string>())});
+  }
+  auto Result = Store.commit(Transaction);
+  return {{"header", header(Result.m_Revision)},
+          {"succeeded", Result.m_Applied}};
+}
+
+} // namespace
+
+auto FakePlatform::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Request = Exchange->request();
+  auto Body = Request.m_Body.empty()
+                  ? Json::object()
+                  : Json::parse(Request.m_Body, nullptr, false);
+  if (Body.is_discarded()) {
+    Exchange->respond(jsonReply(400, {{"error", "malformed"}}));
+    return;
+  }
+  try {
+    if (Request.m_Path.starts_with("/v3/"))
+      handleStore(Exchange);
+    else if (Request.m_Path == "/faults")
+      setFaults(Exchange, Body);
+    else if (Request.m_Path == "/platform/v1/orders")
+      handleOrders(Exchange, Body);
+    else if (Request.m_Path == "/platform/v1/usage")
+      handleReports(Exchange, Body);
+    else if (Request.m_Path.starts_with("/platform/v1/weights/"))
+      handleWeights(Exchange);
+    else if (!handleLists(Exchange))
+      Exchange->respond(jsonReply(404, {{"error", "not found"}}));
+  } catch (const std::exception &Failure) {
+    Exchange->respond(jsonReply(400, {{"error", Failure.what()}}));
+  }
+}
+
+auto FakePlatform::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
+  return jsonReply(413, {{"error", "too large"}});
+}
+
+auto FakePlatform::overLimit(bool Write) -> bool {
+  auto Limit = Write ? m_Faults.m_WritesPerSecond : m_Faults.m_ReadsPerSecond;
+  if (Limit == 0)
+    return false;
+  auto Second = m_Scheduler.now().time_since_epoch() / Seconds(1);
+  auto &[Counted, Calls] = m_Rates[Write];
+  if (Counted != Second)
+    Calls = 0;
+  Counted = Second;
+  return ++Calls > Limit;
+}
+
+auto FakePlatform::storeAnswer(const std::string &Path, const Json &Body)
+    -> Json {
+  if (Path == "/v3/kv/range")
+    return rangeAnswer(m_Store, Body);
+  if (Path == "/v3/kv/txn")
+    return transactionAnswer(m_Store, Body);
+  if (Path == "/v3/lease/grant") {
+    auto Term = Seconds(number(Body, "TTL"));
+    return {{"ID", std::to_string(m_Store.grantLease(Term).number())},
+            {"TTL", std::to_string(Term.count())}};
+  }
+  auto Lease = LeaseId{number(Body, "ID")};
+  if (Path == "/v3/lease/keepalive") {
+    auto Left = m_Store.keepLease(Lease);
+    return {{"result",
+             {{"ID", std::to_string(Lease.number())},
+              {"TTL", std::to_string(Left.count())}}}};
+  }
+  if (Path == "/v3/lease/revoke") {
+    m_Store.revokeLease(Lease);
+    return {{"header", Json::object()}};
+  }
+  throw std::runtime_error("no such call");
+}
+
+auto FakePlatform::handleStore(const HttpExchangePtr &Exchange) -> void {
+  const auto &Request = Exchange->request();
+  auto Write = Request.m_Path != "/v3/kv/range";
+  if (m_Faults.m_StoreSilent)
+    return;
+  if (m_Faults.m_StoreDown || overLimit(Write)) {
+    Exchange->respond(jsonReply(m_Faults.m_StoreDown ? 503 : 429,
+                                {{"error", "unavailable"}}));
+    return;
+  }
+  auto Answer = storeAnswer(Request.m_Path, Json::parse(Request.m_Body));
+  if (Write && m_Faults.m_LoseAnswers > 0) {
+    // The effect stands; the caller's connection just stays silent.
+    --m_Faults.m_LoseAnswers;
+    return;
+  }
+  m_Scheduler.schedule(
+      Milliseconds(m_Faults.m_StoreDelayMs),
+      [Exchange, Answer] { Exchange->respond(jsonReply(200, Answer)); });
+}
+
+auto FakePlatform::publish() -> void {
+  m_History.emplace_back(m_Scheduler.now(),
+                         Json{{"hosts", m_Hosts}, {"backends", m_Backends}});
+  if (m_History.size() > MostHistory)
+    m_History.pop_front();
+}
+
+auto FakePlatform::lagged(const std::string &Name) const -> Json {
+  auto Shown = Json::array();
+  auto Horizon = m_Scheduler.now() - Milliseconds(m_Faults.m_ListLagMs);
+  for (const auto &[At, State] : m_History)
+    if (At <= Horizon)
+      Shown = State.at(Name);
+  return {{Name, Shown}};
+}
+
+auto FakePlatform::handleLists(const HttpExchangePtr &Exchange) -> bool {
+  const auto &Request = Exchange->request();
+  auto Hosts = Request.m_Path == "/platform/v1/hosts";
+  if (!Hosts && Request.m_Path != "/platform/v1/backends")
+    return false;
+  auto Name = std::string(Hosts ? "hosts" : "backends");
+  if (Request.m_Method == "PUT") {
+    (Hosts ? m_Hosts : m_Backends) = Json::parse(Request.m_Body).at(Name);
+    publish();
+  }
+  Exchange->respond(jsonReply(200, lagged(Name)));
+  return true;
+}
+
+auto FakePlatform::handleOrders(const HttpExchangePtr &Exchange,
+                                const Json &Body) -> void {
+  if (Exchange->request().m_Method == "GET") {
+    Exchange->respond(jsonReply(200, {{"orders", m_Orders}}));
+    return;
+  }
+  if (m_Faults.m_BackendOrdersDown) {
+    Exchange->respond(jsonReply(503, {{"error", "unavailable"}}));
+    return;
+  }
+  m_Orders.push_back(Body);
+  // An order names a backend server and the state it shall have; the list
+  // shows it, with its lag.
+  for (auto &Item : m_Backends) {
+    if (Item.at("id") != Body.at("backend"))
+      continue;
+    auto Blocked = Item.value("cheap", false) &&
+                   Body.at("state") == "running" &&
+                   Item.at("data_centre") == m_Faults.m_UnavailableDataCentre;
+    if (!Blocked)
+      Item["state"] = Body.at("state");
+  }
+  publish();
+  Exchange->respond(jsonReply(200, {{"accepted", true}}));
+}
+
+auto FakePlatform::handleReports(const HttpExchangePtr &Exchange,
+                                 const Json &Body) -> void {
+  if (Exchange->request().m_Method == "GET") {
+    Exchange->respond(jsonReply(200, {{"reports", m_Reports}}));
+    return;
+  }
+  m_Reports.push_back(Body);
+  if (m_Faults.m_LoseReports > 0) {
+    --m_Faults.m_LoseReports;
+    return;
+  }
+  Exchange->respond(jsonReply(200, {{"taken", true}}));
+}
+
+auto FakePlatform::handleWeights(const HttpExchangePtr &Exchange) -> void {
+  if (overLimit(false)) {
+    Exchange->respond(jsonReply(429, {{"error", "rate limited"}}));
+    return;
+  }
+  constexpr auto WeightBytes = std::size_t{1024};
+  Exchange->respond({.m_Status = 200,
+                     .m_Headers = {{.m_Name = "Content-Type",
+                                    .m_Value = "application/octet-stream"}},
+                     .m_Body = std::string(WeightBytes, 'w')});
+}
+
+auto FakePlatform::setFaults(const HttpExchangePtr &Exchange, const Json &Body)
+    -> void {
+  auto &F = m_Faults;
+  F.m_StoreDown = Body.value("store_down", F.m_StoreDown);
+  F.m_StoreSilent = Body.value("store_silent", F.m_StoreSilent);
+  F.m_StoreDelayMs = Body.value("store_delay_ms", F.m_StoreDelayMs);
+  F.m_LoseAnswers = Body.value("lose_answers", F.m_LoseAnswers);
+  F.m_ListLagMs = Body.value("list_lag_ms", F.m_ListLagMs);
+  F.m_LoseReports = Body.value("lose_report_answers", F.m_LoseReports);
+  F.m_WritesPerSecond = Body.value("writes_per_second", F.m_WritesPerSecond);
+  F.m_ReadsPerSecond = Body.value("reads_per_second", F.m_ReadsPerSecond);
+  F.m_BackendOrdersDown =
+      Body.value("backend_orders_down", F.m_BackendOrdersDown);
+  F.m_UnavailableDataCentre =
+      Body.value("unavailable_data_centre", F.m_UnavailableDataCentre);
+  Exchange->respond(jsonReply(200, {{"store_writes", m_Store.writes()},
+                                    {"store_reads", m_Store.reads()}}));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/fakes/FakeRunner.cpp
@@ -0,0 +1,331 @@
+#include "dotterel/fakes/FakeRunner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto LoadInterval = Milliseconds(50);
+constexpr auto MostSeen = std::size_t{5000};
+
+auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
+  return {
+      .m_Status = Status,
+      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
+      .m_Body = Body.dump()};
+}
+
+auto span(double Seconds) -> Duration {
+  return Duration(static_cast<std::int64_t>(Seconds * 1e6));
+}
+
+auto promptOf(const Json &Body, bool Chat) -> std::string {
+  if (!Chat)
+    return Body.at("prompt").get<std::string>();
+  auto Prompt = std::string();
+  for (const auto &Message : Body.at("messages")) {
+    Prompt += Message.at("role").get<std::string>() + '\n';
+    Prompt += Message.at("content").get<std::string>() + '\n';
+  }
+  return Prompt;
+}
+
+} // namespace
+
+struct FakeRunner::Stream {
+  HttpExchangePtr m_Exchange;
+  std::string m_Id;
+  std::string m_Model;
+  bool m_Chat = false;
+  std::vector<std::uint64_t> m_Pieces;
+  std::uint64_t m_PromptTokens = 0;
+  std::uint64_t m_Position = 0;
+  std::uint64_t m_Maximum = 0;
+  bool m_Over = false;
+  bool m_Hangs = false;
+  bool m_Breaks = false;
+  bool m_Crossed = false;
+};
+
+FakeRunner::FakeRunner(Scheduler &Scheduler, const FakeRunnerOptions &Options,
+                       std::function<void()> Crash)
+    : m_Scheduler(Scheduler), m_Options(Options), m_Crash(std::move(Crash)),
+      m_Incarnation(m_Random.hex()) {
+  observeLoad();
+  m_LoadTimer.emplace(Scheduler, LoadInterval, [this] { observeLoad(); });
+}
+
+FakeRunner::~FakeRunner() = default;
+
+auto FakeRunner::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Request = Exchange->request();
+  auto Body = Request.m_Body.empty()
+                  ? Json::object()
+                  : Json::parse(Request.m_Body, nullptr, false);
+  try {
+    if (Request.m_Path == "/v1/chat/completions")
+      handleCompletion(Exchange, Body, true);
+    else if (Request.m_Path == "/v1/completions")
+      handleCompletion(Exchange, Body, false);
+    else if (Request.m_Path == "/load") {
+      if (m_Faults.m_LoadDown)
+        Exchange->respond(jsonReply(503, {{"error", "unavailable"}}));
+      else
+        Exchange->respond(jsonReply(200, m_Loads.front().second));
+    } else if (Request.m_Path == "/orders")
+      handleOrder(Exchange, Body);
+    else if (Request.m_Path == "/kv")
+      handleCache(Exchange, Body);
+    else if (Request.m_Path == "/faults")
+      setFaults(Exchange, Body);
+    else if (Request.m_Path == "/seen")
+      Exchange->respond(jsonReply(200, {{"requests", m_Seen},
+                                        {"orders", m_Orders},
+                                        {"completed", m_Completed},
+                                        {"cancelled", m_Cancelled}}));
+    else
+      Exchange->respond(jsonReply(404, {{"error", "not found"}}));
+  } catch (const Json::exception &Failure) {
+    Exchange->respond(jsonReply(400, {{"error", Failure.what()}}));
+  }
+}
+
+auto FakeRunner::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
+  return jsonReply(413, {{"error", "too large"}});
+}
+
+auto FakeRunner::speed(EngineRole Favoured) const -> double {
+  constexpr auto Favour = 1.6;
+  constexpr auto Neglect = 0.4;
+  auto Factor = 1.0;
+  if (m_Role != EngineRole::Mixed)
+    Factor = m_Role == Favoured ? Favour : Neglect;
+  return Factor / m_Faults.m_Slowdown;
+}
+
+auto FakeRunner::loadNow() const -> Json {
+  auto Queued = std::uint64_t{0};
+  for (const auto &Item : m_Waiting)
+    Queued += Item->m_PromptTokens;
+  auto Busy = std::max(Duration::zero(), m_PrefillFree - m_Scheduler.now());
+  auto Rate = m_Options.m_PrefillTokensPerSecond * speed(EngineRole::Prefill);
+  Queued += static_cast<std::uint64_t>(
+      std::chrono::duration<double>(Busy).count() * Rate);
+  return {{"incarnation", m_Incarnation},
+          {"role", roleName(m_Role)},
+          {"running", m_Running.size() + m_Waiting.size()},
+          {"slots", m_ChangingRole ? 1 : m_Options.m_Slots},
+          {"queued_prefill_tokens", Queued},
+          {"prefill_tokens_per_second", Rate},
+          {"decode_tokens_per_second",
+           m_Options.m_DecodeTokensPerSecond * speed(EngineRole::Decode)},
+          {"last_order", m_LastOrder.value("order", "")}};
+}
+
+auto FakeRunner::observeLoad() -> void {
+  auto Now = m_Scheduler.now();
+  m_Loads.emplace_back(Now, loadNow());
+  // The front is the newest report that is at least as old as the lag.
+  while (m_Loads.size() > 1 && m_Loads[1].first <= Now - m_Options.m_LoadLag)
+    m_Loads.pop_front();
+}
+
+auto FakeRunner::handleCompletion(const HttpExchangePtr &Exchange,
+                                  const Json &Body, bool Chat) -> void {
+  auto Prompt = promptOf(Body, Chat);
+  if (m_Seen.size() < MostSeen) {
+    auto Headers = Json::object();
+    for (const auto &Header : Exchange->request().m_Headers)
+      Headers[Header.m_Name] = Header.m_Value;
+    m_Seen.push_back({{"headers", Headers},
+                      {"body", Exchange->request().m_Body.substr(0, 2000)}});
+  }
+  if (!m_Faults.m_CrashOn.empty() &&
+      Prompt.find(m_Faults.m_CrashOn) != std::string::npos) {
+    m_Crash();
+    return;
+  }
+  auto Item = std::make_shared<Stream>();
+  Item->m_Exchange = Exchange;
+  Item->m_Id = findHeader(Exchange->request().m_Headers, "x-request-id")
+                   .value_or("unknown");
+  Item->m_Model = Body.at("model").get<std::string>();
+  Item->m_Chat = Chat;
+  Item->m_Pieces = pieceDigests(Prompt);
+  Item->m_PromptTokens = estimateTokens(Prompt);
+  Item->m_Position = Body.value("resume_position", std::uint64_t{0});
+  Item->m_Maximum = Body.value("max_tokens", std::uint64_t{16});
+  Item->m_Hangs = m_Faults.m_HangStreams > 0 && m_Faults.m_HangStreams-- > 0;
+  Item->m_Breaks = m_Faults.m_BreakStreams > 0 && m_Faults.m_BreakStreams-- > 0;
+  Item->m_Crossed =
+      m_Faults.m_CrossAnswers > 0 && m_Faults.m_CrossAnswers-- > 0;
+  Exchange->onDisconnect([this, Item] {
+    ++m_Cancelled;
+    drop(Item);
+  });
+  m_Waiting.push_back(Item);
+  admit();
+}
+
+auto FakeRunner::admit() -> void {
+  while (!m_Waiting.empty() && !m_ChangingRole &&
+         m_Running.size() < m_Options.m_Slots) {
+    auto Item = m_Waiting.front();
+    m_Waiting.pop_front();
+    m_Running.insert(Item);
+    auto Cached = m_Cache.match(Item->m_Pieces) * PieceTokens;
+    auto Tokens = Item->m_PromptTokens + Item->m_Position;
+    Tokens -= std::min<std::uint64_t>(Tokens, Cached);
+    m_Cache.touch(Item->m_Pieces);
+    auto Rate = m_Options.m_PrefillTokensPerSecond * speed(EngineRole::Prefill);
+    // Prefills go one after another; decoding goes on beside them.
+    auto Start = std::max(m_Scheduler.now(), m_PrefillFree);
+    m_PrefillFree = Start + span(static_cast<double>(Tokens) / Rate);
+    m_Scheduler.schedule(m_PrefillFree - m_Scheduler.now(),
+                         [this, Item] { prefillDone(Item); });
+  }
+}
+
+auto FakeRunner::prefillDone(const StreamPtr &Item) -> void {
+  if (Item->m_Over)
+    return;
+  Item->m_Exchange->startStream(
+      200, {{.m_Name = "Content-Type", .m_Value = "text/event-stream"},
+            {.m_Name = "x-request-id", .m_Value = Item->m_Id}});
+  if (!Item->m_Hangs)
+    nextToken(Item);
+}
+
+auto FakeRunner::nextToken(const StreamPtr &Item) -> void {
+  if (Item->m_Over)
+    return;
+  if (Item->m_Position >= Item->m_Maximum) {
+    endStream(Item);
+    return;
+  }
+  auto Breaking = Item->m_Breaks && Item->m_Position >= Item->m_Maximum / 2;
+  if (Breaking) {
+    Item->m_Exchange->abort();
+    drop(Item);
+    return;
+  }
+  writeToken(Item, Item->m_Position);
+  if (m_Faults.m_DuplicateTokens > 0) {
+    --m_Faults.m_DuplicateTokens;
+    writeToken(Item, Item->m_Position);
+  }
+  ++Item->m_Position;
+  if (m_Faults.m_StopAfterTokens > 0 && --m_Faults.m_StopAfterTokens == 0) {
+    m_Crash();
+    return;
+  }
+  auto Rate = m_Options.m_DecodeTokensPerSecond * speed(EngineRole::Decode);
+  m_Scheduler.schedule(span(1.0 / Rate), [this, Item] { nextToken(Item); });
+}
+
+auto FakeRunner::writeToken(const StreamPtr &Item, std::uint64_t Position)
+    -> void {
+  auto Text = fmt::format("t{} ", Position);
+  auto Choice = Json{{"index", 0}, {"finish_reason", nullptr}};
+  if (Item->m_Chat)
+    Choice["delta"] = {{"content", Text}};
+  else
+    Choice["text"] = Text;
+  auto Event = Json{{"id", Item->m_Crossed ? "another" : Item->m_Id},
+                    {"model", Item->m_Model},
+                    {"position", Position},
+                    {"choices", Json::array({Choice})}};
+  Item->m_Exchange->write(fmt::format("data: {}\n\n", Event.dump()));
+}
+
+auto FakeRunner::endStream(const StreamPtr &Item) -> void {
+  auto Choice = Json{{"index", 0}, {"finish_reason", "length"}};
+  if (Item->m_Chat)
+    Choice["delta"] = Json::object();
+  else
+    Choice["text"] = "";
+  auto Event = Json{{"id", Item->m_Id},
+                    {"model", Item->m_Model},
+                    {"position", Item->m_Position},
+                    {"choices", Json::array({Choice})},
+                    {"usage",
+                     {{"prompt_tokens", Item->m_PromptTokens},
+                      {"completion_tokens", Item->m_Position}}}};
+  Item->m_Exchange->write(
+      fmt::format("data: {}\n\ndata: [DONE]\n\n", Event.dump()));
+  Item->m_Exchange->finish();
+  ++m_Completed;
+  drop(Item);
+}
+
+auto FakeRunner::drop(const StreamPtr &Item) -> void {
+  Item->m_Over = true;
+  m_Running.erase(Item);
+  std::erase(m_Waiting, Item);
+  Item->m_Exchange->onDisconnect(nullptr);
+  m_Scheduler.schedule(Duration::zero(), [this] { admit(); });
+}
+
+auto FakeRunner::handleOrder(const HttpExchangePtr &Exchange, const Json &Body)
+    -> void {
+  if (Exchange->request().m_Method == "GET") {
+    Exchange->respond(jsonReply(
+        200, {{"incarnation", m_Incarnation}, {"last_order", m_LastOrder}}));
+    return;
+  }
+  auto Fencing = Body.at("fencing").get<std::uint64_t>();
+  m_Orders.push_back(Body);
+  if (m_Options.m_ChecksFencing && Fencing < m_HighestFencing) {
+    Exchange->respond(jsonReply(409, {{"error", "old fencing number"}}));
+    return;
+  }
+  m_HighestFencing = std::max(m_HighestFencing, Fencing);
+  auto Repeated = m_LastOrder.value("order", "") == Body.at("order");
+  m_LastOrder = Body;
+  if (!Repeated) {
+    m_ChangingRole = true;
+    auto Role = parseRole(Body.at("role").get<std::string>());
+    m_Scheduler.schedule(m_Options.m_RoleChangeTime, [this, Role] {
+      m_Role = Role;
+      m_ChangingRole = false;
+      admit();
+    });
+  }
+  if (m_Faults.m_LoseOrderAnswers > 0) {
+    --m_Faults.m_LoseOrderAnswers;
+    return;
+  }
+  Exchange->respond(jsonReply(200, {{"accepted", Body.at("order")}}));
+}
+
+auto FakeRunner::handleCache(const HttpExchangePtr &Exchange, const Json &Body)
+    -> void {
+  // An export or import costs time in proportion to its size.
+  auto Bytes = Body.value("bytes", 0.0);
+  constexpr auto BytesPerSecond = 10e9;
+  m_Scheduler.schedule(span(Bytes / BytesPerSecond), [Exchange, Bytes] {
+    Exchange->respond(jsonReply(200, {{"bytes", Bytes}}));
+  });
+}
+
+auto FakeRunner::setFaults(const HttpExchangePtr &Exchange, const Json &Body)
+    -> void {
+  auto &F = m_Faults;
+  F.m_CrashOn = Body.value("crash_on", F.m_CrashOn);
+  F.m_StopAfterTokens = Body.value("stop_after_tokens", F.m_StopAfterTokens);
+  F.m_BreakStreams = Body.value("break_streams", F.m_BreakStreams);
+  F.m_CrossAnswers = Body.value("cross_answers", F.m_CrossAnswers);
+  F.m_DuplicateTokens = Body.value("duplicate_tokens", F.m_DuplicateTokens);
+  F.m_HangStreams = Body.value("hang_streams", F.m_HangStreams);
+  F.m_Slowdown = Body.value("slowdown", F.m_Slowdown);
+  F.m_LoseOrderAnswers = Body.value("lose_order_answers", F.m_LoseOrderAnswers);
+  F.m_LoadDown = Body.value("load_down", F.m_LoadDown);
+  Exchange->respond(jsonReply(200, Json::object()));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/fakes/FakeService.cpp
@@ -0,0 +1,94 @@
+#include "dotterel/fakes/FakeService.h"
+
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto MostSeen = std::size_t{5000};
+
+auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
+  return {
+      .m_Status = Status,
+      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
+      .m_Body = Body.dump()};
+}
+
+auto take(std::int64_t &Count) -> bool {
+  if (Count == 0)
+    return false;
+  --Count;
+  return true;
+}
+
+} // namespace
+
+auto FakeService::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Request = Exchange->request();
+  if (Request.m_Path == "/seen") {
+    Exchange->respond(
+        jsonReply(200, {{"executions", m_Executions}, {"requests", m_Seen}}));
+    return;
+  }
+  if (Request.m_Path == "/faults") {
+    auto Body = Json::parse(Request.m_Body, nullptr, false);
+    if (!Body.is_object()) {
+      Exchange->respond(jsonReply(400, {{"error", "malformed"}}));
+      return;
+    }
+    auto &F = m_Faults;
+    F.m_DelayMs = Body.value("delay_ms", F.m_DelayMs);
+    F.m_LoseAnswers = Body.value("lose_answers", F.m_LoseAnswers);
+    F.m_BreakAnswers = Body.value("break_answers", F.m_BreakAnswers);
+    F.m_CrossAnswers = Body.value("cross_answers", F.m_CrossAnswers);
+    Exchange->respond(jsonReply(200, Json::object()));
+    return;
+  }
+  execute(Exchange);
+}
+
+auto FakeService::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
+  return jsonReply(413, {{"error", "too large"}});
+}
+
+auto FakeService::execute(const HttpExchangePtr &Exchange) -> void {
+  const auto &Request = Exchange->request();
+  auto Identity =
+      findHeader(Request.m_Headers, "idempotency-key").value_or("none");
+  ++m_Executions[Identity];
+  auto Attempt = findHeader(Request.m_Headers, "x-request-id").value_or("");
+  if (m_Seen.size() < MostSeen) {
+    auto Headers = Json::object();
+    for (const auto &Header : Request.m_Headers)
+      Headers[Header.m_Name] = Header.m_Value;
+    auto Query = Json::object();
+    for (const auto &Item : Request.m_Query)
+      Query[Item.m_Name] = Item.m_Value;
+    m_Seen.push_back({{"path", Request.m_Path},
+                      {"headers", Headers},
+                      {"query", Query},
+                      {"body", Request.m_Body}});
+  }
+  if (take(m_Faults.m_LoseAnswers))
+    return;
+  if (take(m_Faults.m_BreakAnswers)) {
+    Exchange->startStream(200, {});
+    Exchange->abort();
+    return;
+  }
+  auto Response = jsonReply(200, {{"path", Request.m_Path},
+                                  {"identity", Identity},
+                                  {"execution", m_Executions[Identity]}});
+  Response.m_Headers.push_back(
+      {.m_Name = "x-request-id",
+       .m_Value = take(m_Faults.m_CrossAnswers) ? "another" : Attempt});
+  m_Scheduler.schedule(Milliseconds(m_Faults.m_DelayMs),
+                       [Exchange, Response = std::move(Response)] {
+                         Exchange->respond(Response);
+                       });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/fleet/Discovery.cpp
@@ -0,0 +1,86 @@
+#include "dotterel/fleet/Discovery.h"
+
+#include "dotterel/base/Errors.h"
+#include "dotterel/base/Log.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto ListTimeout = Seconds(2);
+constexpr auto LoadTimeout = Milliseconds(800);
+constexpr auto StatusOk = 200U;
+
+} // namespace
+
+Discovery::Discovery(Scheduler &Scheduler, HttpClient &Client,
+                     EngineTable &Engines, const DiscoveryOptions &Options)
+    : m_Scheduler(Scheduler), m_Client(Client), m_Engines(Engines),
+      m_Options(Options) {}
+
+auto Discovery::start() -> void {
+  m_Lists.emplace(m_Scheduler, m_Options.m_ListInterval,
+                  [this] { pollLists(); });
+  m_Loads.emplace(m_Scheduler, m_Options.m_LoadInterval,
+                  [this] { pollLoads(); });
+  pollLists();
+}
+
+auto Discovery::stop() -> void {
+  m_Lists.reset();
+  m_Loads.reset();
+}
+
+auto Discovery::get(const std::string &Url, Duration Timeout,
+                    std::function<void(const std::string &)> Take) -> void {
+  if (!m_Pending.insert(Url).second)
+    return;
+  auto Call = HttpCall();
+  Call.m_Url = Url;
+  Call.m_Timeout = Timeout;
+  Call.m_OnDone = [this, Alive = std::weak_ptr(m_Alive), Url,
+                   Take = std::move(Take)](const HttpCallResult &Result) {
+    if (Alive.expired())
+      return;
+    m_Pending.erase(Url);
+    if (Result.m_Outcome != HttpOutcome::Complete ||
+        Result.m_Status != StatusOk)
+      return;
+    try {
+      Take(Result.m_Body);
+    } catch (const ProtocolError &Failure) {
+      logWarning("discovery.malformed",
+                 {{"url", Url}, {"reason", Failure.what()}});
+    }
+  };
+  m_Client.start(std::move(Call));
+}
+
+auto Discovery::pollLists() -> void {
+  get(m_Options.m_PlatformUrl + "/platform/v1/backends", ListTimeout,
+      [this](const std::string &Body) {
+        m_Engines.updateList(parseBackends(Body));
+        pollLoads();
+      });
+  get(m_Options.m_PlatformUrl + "/platform/v1/hosts", ListTimeout,
+      [this](const std::string &Body) {
+        if (m_OnHosts)
+          m_OnHosts(parseHostList(Body));
+      });
+}
+
+auto Discovery::pollLoads() -> void {
+  for (const auto &Server : m_Engines.all()) {
+    if (!Server.m_Service.empty())
+      continue;
+    auto Id = Server.m_Id;
+    get(Server.m_Url + "/load", LoadTimeout,
+        [this, Id](const std::string &Body) {
+          m_Engines.updateLoad(Id, parseLoad(Body), m_Scheduler.now());
+          if (m_OnLoad)
+            m_OnLoad();
+        });
+  }
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/fleet/OrderSender.cpp
@@ -0,0 +1,221 @@
+#include "dotterel/fleet/OrderSender.h"
+
+#include "dotterel/base/Errors.h"
+#include "dotterel/base/Log.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto RecordTries = 5;
+
+} // namespace
+
+OrderSender::OrderSender(Scheduler &Scheduler, KeyValueStore &Store,
+                         const DutyLease &Duty, EngineOrders &Engines,
+                         std::function<bool(const SenderId &)> Gone,
+                         const OrderSenderOptions &Options)
+    : m_Scheduler(Scheduler), m_Store(Store), m_Duty(Duty), m_Engines(Engines),
+      m_Gone(std::move(Gone)), m_Options(Options) {}
+
+auto OrderSender::pursue(EngineRole Role) -> void {
+  if (m_Busy || !m_Duty.held())
+    return;
+  m_Busy = true;
+  auto Current = std::make_shared<Step>(Step{.m_Wanted = Role});
+  m_Engines.readBack(m_Options.m_Engine,
+                     [this, Alive = m_Alive,
+                      Current](const std::optional<EngineState> &State) {
+                       if (!*Alive)
+                         return;
+                       if (!State) {
+                         finish();
+                         return;
+                       }
+                       Current->m_State = *State;
+                       readRecord(Current);
+                     });
+}
+
+auto OrderSender::readRecord(const StepPtr &Current) -> void {
+  m_Store.read(KeyRange::single(orderKey(m_Options.m_Engine)),
+               [this, Alive = m_Alive, Current](const auto &Reply) {
+                 if (!*Alive)
+                   return;
+                 if (!Reply) {
+                   finish();
+                   return;
+                 }
+                 try {
+                   if (!Reply->m_Values.empty()) {
+                     const auto &Item = Reply->m_Values.front();
+                     Current->m_Record = decodeOrderRecord(Item.m_Value);
+                     Current->m_Revision = Item.m_Modified;
+                   }
+                   decide(Current);
+                 } catch (const ProtocolError &Failure) {
+                   logError("order.unreadable", {{"engine", m_Options.m_Engine},
+                                                 {"reason", Failure.what()}});
+                   finish();
+                 }
+               });
+}
+
+auto OrderSender::dropSettledSenders(Step &Current) -> void {
+  auto &Record = Current.m_Record;
+  auto Replaced = Record.m_Incarnation != Current.m_State.m_Incarnation;
+  auto Applied =
+      !Record.m_Order.empty() && Record.m_Order == Current.m_State.m_LastOrder;
+  // An unanswered copy has arrived when it is the only one and its effect is
+  // seen. A new incarnation has lost what was sent to the old one.
+  if (Replaced || (Applied && m_Sent == 1))
+    m_Unanswered = 0;
+  std::erase_if(Record.m_Senders, [&](const SenderId &Sender) {
+    if (Replaced)
+      return true;
+    if (Sender == m_Options.m_Self)
+      return m_Unanswered == 0;
+    return m_Gone(Sender);
+  });
+}
+
+auto OrderSender::decide(const StepPtr &Current) -> void {
+  auto &Record = Current->m_Record;
+  if (Record.m_Order == Current->m_State.m_LastOrder)
+    Record.m_Done = true;
+  dropSettledSenders(*Current);
+  auto Replaced = Record.m_Incarnation != Current->m_State.m_Incarnation;
+  auto Pending = !Record.m_Order.empty() && !Record.m_Done && !Replaced;
+  auto Different = Record.m_Role != Current->m_Wanted;
+  auto MayReplace = Record.settled() || m_Options.m_ChecksFencing;
+  if (Pending && (!Different || !MayReplace)) {
+    // Repeated under its own id, whatever is wanted by now: it may have been
+    // given already.
+    intend(Current);
+    return;
+  }
+  if (!Pending && !Different && !Replaced && !Record.m_Order.empty()) {
+    finish();
+    return;
+  }
+  if (!MayReplace) {
+    logWarning("order.blocked", {{"engine", m_Options.m_Engine},
+                                 {"order", Record.m_Order},
+                                 {"senders", Record.m_Senders.size()}});
+    finish();
+    return;
+  }
+  Record.m_Order =
+      OrderId{fmt::format("{}.{}", m_Duty.fencing().number(), ++m_LastOrder)};
+  Record.m_Role = Current->m_Wanted;
+  Record.m_Incarnation = Current->m_State.m_Incarnation;
+  Record.m_Done = false;
+  // Copies of an older order are refused by their lower number.
+  Record.m_Senders.clear();
+  intend(Current);
+}
+
+auto OrderSender::intend(const StepPtr &Current) -> void {
+  Current->m_Record.m_Senders.insert(m_Options.m_Self);
+  write(Current->m_Record, Current->m_Revision, true,
+        [this, Alive = m_Alive, Current](const auto &Reply) {
+          if (!*Alive)
+            return;
+          // Without a certain answer nothing is sent. If the intent stands all
+          // the same, the next round repeats the order.
+          if (!Reply || !Reply->m_Applied) {
+            finish();
+            return;
+          }
+          send(Current, FencingNumber{Reply->m_Revision.number()});
+        });
+}
+
+auto OrderSender::send(const StepPtr &Current, FencingNumber Fencing) -> void {
+  const auto &Record = Current->m_Record;
+  if (!m_Duty.held()) {
+    finish();
+    return;
+  }
+  logInfo("order.sent", {{"engine", m_Options.m_Engine},
+                         {"order", Record.m_Order},
+                         {"role", roleName(Record.m_Role)},
+                         {"fencing", Fencing}});
+  if (m_SentOrder != Record.m_Order) {
+    m_SentOrder = Record.m_Order;
+    m_Sent = 0;
+    m_Unanswered = 0;
+  }
+  ++m_Sent;
+  ++m_Unanswered;
+  auto Order = EngineOrder{
+      .m_Id = Record.m_Order, .m_Role = Record.m_Role, .m_Fencing = Fencing};
+  m_Engines.send(m_Options.m_Engine, Order,
+                 [this, Alive = m_Alive, Order](OrderAnswer Answer) {
+                   if (!*Alive)
+                     return;
+                   if (Answer == OrderAnswer::Unknown) {
+                     // The next round reads back what became of it.
+                     finish();
+                     return;
+                   }
+                   --m_Unanswered;
+                   recordResult(Order.m_Id, Answer == OrderAnswer::Accepted,
+                                RecordTries);
+                 });
+}
+
+auto OrderSender::recordResult(const OrderId &Order, bool Accepted, int Tries)
+    -> void {
+  if (Tries == 0) {
+    finish();
+    return;
+  }
+  m_Store.read(
+      KeyRange::single(orderKey(m_Options.m_Engine)),
+      [this, Alive = m_Alive, Order, Accepted, Tries](const auto &Reply) {
+        if (!*Alive)
+          return;
+        if (!Reply || Reply->m_Values.empty()) {
+          finish();
+          return;
+        }
+        const auto &Item = Reply->m_Values.front();
+        auto Record = decodeOrderRecord(Item.m_Value);
+        if (Record.m_Order != Order) {
+          finish();
+          return;
+        }
+        Record.m_Done = Record.m_Done || Accepted;
+        if (m_Unanswered == 0)
+          Record.m_Senders.erase(m_Options.m_Self);
+        // No guard: what became of an own copy stays true without the duty.
+        write(Record, Item.m_Modified, false,
+              [this, Alive, Order, Accepted, Tries](const auto &Written) {
+                if (!*Alive)
+                  return;
+                if (Written && !Written->m_Applied)
+                  recordResult(Order, Accepted, Tries - 1);
+                else
+                  finish();
+              });
+      });
+}
+
+auto OrderSender::write(const OrderRecord &Record, StoreRevision Revision,
+                        bool Guarded, StoreCallback<TransactionResult> Done)
+    -> void {
+  auto Key = orderKey(m_Options.m_Engine);
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back({.m_Key = Key, .m_Modified = Revision});
+  if (Guarded)
+    Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Writes.push_back(
+      {.m_Key = Key, .m_Value = encodeOrderRecord(Record)});
+  m_Store.commit(std::move(Transaction), std::move(Done));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/gate/GateServices.cpp
@@ -0,0 +1,49 @@
+#include "dotterel/gate/GateServices.h"
+
+#include "dotterel/auth/KeyDigest.h"
+
+namespace dotterel {
+
+namespace {
+
+/// Whether keys can be judged at this moment.
+auto checkFreshness(const GateServices &Services) -> std::optional<Refusal> {
+  if (!Services.m_Configuration.current())
+    return Refusal(RefusalCode::NotReady);
+  auto Judged = Services.m_Freshness.judge(
+      Services.m_Scheduler.now(), Services.m_Members, Services.m_Listed);
+  if (Judged == Freshness::Stale)
+    return Refusal(RefusalCode::ConfigurationStale);
+  return std::nullopt;
+}
+
+} // namespace
+
+auto authorize(const GateServices &Services, const HttpRequest &Request)
+    -> std::variant<Caller, Refusal> {
+  auto Key = presentedKey(Request);
+  if (!Key)
+    return Refusal(RefusalCode::KeyMissing);
+  if (auto Stale = checkFreshness(Services))
+    return *Stale;
+  auto Found = findCaller(*Services.m_Configuration.current(),
+                          digestKey(*Key, Services.m_KeySecret));
+  if (!Found)
+    return Refusal(RefusalCode::KeyUnknown);
+  if (keyLeaks(Request, *Key))
+    return Refusal(RefusalCode::KeyInRequest);
+  return *Found;
+}
+
+auto recheck(const GateServices &Services, const Caller &Caller)
+    -> std::optional<Refusal> {
+  if (Caller.m_KeyDigest.empty())
+    return std::nullopt;
+  if (auto Stale = checkFreshness(Services))
+    return Stale;
+  if (!stillGranted(*Services.m_Configuration.current(), Caller))
+    return Refusal(RefusalCode::KeyWithdrawn, Execution::NotRun);
+  return std::nullopt;
+}
+
+} // namespace dotterel
--- a/src/io/EventLoop.cpp
+++ b/src/io/EventLoop.cpp
@@ -15,7 +15,8 @@
   std::function<void()> m_Callback;
 };
 
-EventLoop::EventLoop() : m_Loop(ev_loop_new(unsigned{EVFLAG_NOENV} | unsigned{EVBACKEND_EPOLL})) {
+EventLoop::EventLoop()
+    : m_Loop(ev_loop_new(unsigned{EVFLAG_NOENV} | unsigned{EVBACKEND_EPOLL})) {
   if (m_Loop == nullptr)
     throw IoError(402, "libev cannot create an event loop");
   // A peer that goes away while being written to is an ordinary event.
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -8,8 +8,10 @@
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <optional>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_set>
+#include <utility>
 
 namespace dotterel {
 
@@ -57,8 +59,8 @@
                        const char *Upload, std::size_t *UploadSize,
                        void **Context) -> MHD_Result;
   static auto onCompleted(void *Self, MHD_Connection *Connection,
-                          void **Context,
-                          enum MHD_RequestTerminationCode Code) -> void;
+                          void **Context, enum MHD_RequestTerminationCode Code)
+      -> void;
 };
 
 class HttpServer::Impl::Exchange final : public HttpExchange {
@@ -146,19 +148,19 @@
     m_Server->m_Handler.handle(Self);
     if (m_State == State::Ready)
       return answer();
-    MHD_suspend_connection(m_Connection);
-    m_Suspended = true;
+    suspend();
     return MHD_YES;
   }
 
   auto answer() -> MHD_Result {
     m_State = State::Answering;
-    auto *Response = m_Streaming ? MHD_create_response_from_callback(
-                                       MHD_SIZE_UNKNOWN, StreamBlockBytes,
-                                       &Exchange::onRead, this, nullptr)
-                                 : MHD_create_response_from_buffer(
-                                       m_Buffer.size(), m_Buffer.data(),
-                                       MHD_RESPMEM_MUST_COPY);
+    auto *Response =
+        m_Streaming
+            ? MHD_create_response_from_callback(
+                  MHD_SIZE_UNKNOWN, StreamBlockBytes, &Exchange::onRead, this,
+                  nullptr)
+            : MHD_create_response_from_buffer(m_Buffer.size(), m_Buffer.data(),
+                                              MHD_RESPMEM_MUST_COPY);
     for (const auto &Header : m_Headers)
       MHD_add_response_header(Response, Header.m_Name.c_str(),
                               Header.m_Value.c_str());
@@ -173,13 +175,15 @@
     wake();
   }
 
+  [[nodiscard]] auto gone() const -> bool { return m_Gone; }
+
   auto close(bool Whole) -> void {
+    m_Watcher.reset();
     if (m_Counted)
       --m_Server->m_Open;
     m_Counted = false;
     m_State = State::Closed;
-    auto Callback = std::move(m_OnDisconnect);
-    m_OnDisconnect = nullptr;
+    auto Callback = std::exchange(m_OnDisconnect, nullptr);
     if (!Whole && Callback)
       Callback();
   }
@@ -194,6 +198,39 @@
     wake();
   }
 
+  auto suspend() -> void {
+    MHD_suspend_connection(m_Connection);
+    m_Suspended = true;
+    if (m_Watcher || m_Pipelined)
+      return;
+    // libmicrohttpd does not look at a suspended connection, so a caller that
+    // leaves is noticed here.
+    auto Fd =
+        MHD_get_connection_info(m_Connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    m_Watcher = std::make_unique<FdWatcher>(
+        m_Server->m_Loop, Fd, EV_READ, [this, Fd](int) { lookForEnd(Fd); });
+  }
+
+  auto lookForEnd(int Fd) -> void {
+    auto Byte = char{0};
+    auto Count = ::recv(Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (Count < 0 && (errno == EAGAIN || errno == EINTR))
+      return;
+    m_Watcher->enable(false);
+    // Data in front of the answer is the next request's start.
+    m_Pipelined = Count > 0;
+    if (m_Pipelined)
+      return;
+    m_Gone = true;
+    m_Aborted = true;
+    auto Callback = std::exchange(m_OnDisconnect, nullptr);
+    m_State = State::Closed;
+    wake();
+    if (Callback)
+      Callback();
+  }
+
   auto wake() -> void {
     if (!m_Suspended)
       return;
@@ -223,8 +260,7 @@
       return MHD_CONTENT_READER_END_WITH_ERROR;
     if (m_Finished)
       return MHD_CONTENT_READER_END_OF_STREAM;
-    MHD_suspend_connection(m_Connection);
-    m_Suspended = true;
+    suspend();
     return 0;
   }
 
@@ -240,6 +276,9 @@
   bool m_Suspended = false;
   bool m_TooLarge = false;
   bool m_Counted = false;
+  bool m_Pipelined = false;
+  bool m_Gone = false;
+  std::unique_ptr<FdWatcher> m_Watcher;
   std::function<void()> m_OnDisconnect;
 };
 
@@ -256,9 +295,9 @@
       &Impl::onCompleted, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
       MHD_OPTION_END);
   if (m_Daemon == nullptr)
-    throw IoError(401, fmt::format("cannot listen on {}: {}",
-                                   Options.m_Address.text(),
-                                   std::strerror(errno)));
+    throw IoError(401,
+                  fmt::format("cannot listen on {}: {}",
+                              Options.m_Address.text(), std::strerror(errno)));
   auto EpollFd =
       MHD_get_daemon_info(m_Daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   m_Watcher = std::make_unique<FdWatcher>(Loop, EpollFd, EV_READ,
@@ -330,6 +369,8 @@
     *UploadSize = 0;
     return MHD_YES;
   }
+  if (Current->gone())
+    return MHD_NO;
   if (Current->m_State == Exchange::State::Receiving)
     return Current->complete(Current);
   if (Current->m_State == Exchange::State::Ready)
@@ -337,8 +378,7 @@
   return MHD_YES;
 }
 
-auto HttpServer::Impl::onCompleted(void *Self,
-                                   MHD_Connection * /*Connection*/,
+auto HttpServer::Impl::onCompleted(void *Self, MHD_Connection * /*Connection*/,
                                    void **Context,
                                    enum MHD_RequestTerminationCode Code)
     -> void {
@@ -369,8 +409,6 @@
   m_Impl->m_ListenFd = -1;
 }
 
-auto HttpServer::openExchanges() const -> std::size_t {
-  return m_Impl->m_Open;
-}
+auto HttpServer::openExchanges() const -> std::size_t { return m_Impl->m_Open; }
 
 } // namespace dotterel
--- a/src/io/KjLoop.cpp
+++ b/src/io/KjLoop.cpp
@@ -179,7 +179,7 @@
   m_Port.attach(m_Guest);
 }
 
-KjLoop::~KjLoop() = default;
+KjLoop::~KjLoop() noexcept = default;
 
 auto KjLoop::wrap(int Fd) -> kj::Own<kj::AsyncIoStream> {
   ::fcntl(Fd, F_SETFL, ::fcntl(Fd, F_GETFL) | O_NONBLOCK);
@@ -216,8 +216,7 @@
   auto Pair = kj::newPromiseAndFulfiller<void>();
   auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
       kj::mv(Pair.fulfiller));
-  auto Timer =
-      m_Loop.schedule(Delay, [Fulfiller] { (*Fulfiller)->fulfill(); });
+  auto Timer = m_Loop.schedule(Delay, [Fulfiller] { (*Fulfiller)->fulfill(); });
   return Pair.promise.attach(
       kj::defer([this, Timer] { m_Loop.cancel(Timer); }));
 }
--- a/src/lease/DutyLease.cpp
+++ b/src/lease/DutyLease.cpp
@@ -58,27 +58,31 @@
 }
 
 auto DutyLease::campaign() -> void {
+  if (m_Eligible && !m_Eligible()) {
+    again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+    return;
+  }
   // A read first: campaigners that lose cost the store no writes.
-  m_Store.read(KeyRange::single(key()), [this, Alive = m_Alive](
-                                            const auto &Reply) {
-    if (!*Alive || !m_Running)
-      return;
-    if (!Reply || !Reply->m_Values.empty()) {
-      again(m_Options.m_CampaignInterval, &DutyLease::campaign);
-      return;
-    }
-    auto SentAt = m_Scheduler.now();
-    m_Store.grantLease(m_Options.m_Term, [this, Alive,
-                                          SentAt](const auto &Granted) {
-      if (!*Alive || !m_Running)
-        return;
-      if (!Granted) {
-        again(m_Options.m_CampaignInterval, &DutyLease::campaign);
-        return;
-      }
-      acquire(*Granted.m_Answer, SentAt);
-    });
-  });
+  m_Store.read(
+      KeyRange::single(key()), [this, Alive = m_Alive](const auto &Reply) {
+        if (!*Alive || !m_Running)
+          return;
+        if (!Reply || !Reply->m_Values.empty()) {
+          again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+          return;
+        }
+        auto SentAt = m_Scheduler.now();
+        m_Store.grantLease(
+            m_Options.m_Term, [this, Alive, SentAt](const auto &Granted) {
+              if (!*Alive || !m_Running)
+                return;
+              if (!Granted) {
+                again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+                return;
+              }
+              acquire(*Granted.m_Answer, SentAt);
+            });
+      });
 }
 
 auto DutyLease::acquire(LeaseId Lease, MonotonicTime SentAt) -> void {
@@ -86,26 +90,24 @@
   Transaction.m_Compares.push_back({.m_Key = key()});
   Transaction.m_Writes.push_back(
       {.m_Key = key(), .m_Value = m_Self.text(), .m_Lease = Lease});
-  m_Store.commit(
-      std::move(Transaction),
-      [this, Alive = m_Alive, Lease, SentAt](const auto &Reply) {
-        if (!*Alive || !m_Running)
-          return;
-        if (!Reply || !Reply->m_Applied) {
-          // After a lost answer the key may be ours; the lease then lapses.
-          again(m_Options.m_CampaignInterval, &DutyLease::campaign);
-          return;
-        }
-        m_Lease = Lease;
-        m_Fencing = FencingNumber{Reply->m_Revision.number()};
-        m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
-        logInfo("duty.granted", {{"duty", m_Duty},
-                                 {"holder", m_Self},
-                                 {"fencing", m_Fencing}});
-        again(m_Options.m_RenewInterval, &DutyLease::renew);
-        if (held() && m_OnGranted)
-          m_OnGranted();
-      });
+  m_Store.commit(std::move(Transaction), [this, Alive = m_Alive, Lease,
+                                          SentAt](const auto &Reply) {
+    if (!*Alive || !m_Running)
+      return;
+    if (!Reply || !Reply->m_Applied) {
+      // After a lost answer the key may be ours; the lease then lapses.
+      again(m_Options.m_CampaignInterval, &DutyLease::campaign);
+      return;
+    }
+    m_Lease = Lease;
+    m_Fencing = FencingNumber{Reply->m_Revision.number()};
+    m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
+    logInfo("duty.granted",
+            {{"duty", m_Duty}, {"holder", m_Self}, {"fencing", m_Fencing}});
+    again(m_Options.m_RenewInterval, &DutyLease::renew);
+    if (held() && m_OnGranted)
+      m_OnGranted();
+  });
 }
 
 auto DutyLease::renew() -> void {
--- a/src/ledger/ClaimBook.cpp
+++ b/src/ledger/ClaimBook.cpp
@@ -16,8 +16,7 @@
   m_Peers.claim(Writer, Request,
                 [this, Request, Done = std::move(Done)](
                     const std::optional<ClaimReply> &Reply) mutable {
-                  if (Reply &&
-                      Reply->m_Verdict != ClaimVerdict::Unavailable) {
+                  if (Reply && Reply->m_Verdict != ClaimVerdict::Unavailable) {
                     Done(*Reply);
                     return;
                   }
@@ -32,16 +31,15 @@
     recordHere(Outcome, std::move(Done));
     return;
   }
-  m_Peers.recordOutcome(
-      Writer, Outcome,
-      [this, Outcome, Done = std::move(Done)](
-          const std::optional<bool> &Durable) mutable {
-        if (Durable && *Durable) {
-          Done(true);
-          return;
-        }
-        recordHere(Outcome, std::move(Done));
-      });
+  m_Peers.recordOutcome(Writer, Outcome,
+                        [this, Outcome, Done = std::move(Done)](
+                            const std::optional<bool> &Durable) mutable {
+                          if (Durable && *Durable) {
+                            Done(true);
+                            return;
+                          }
+                          recordHere(Outcome, std::move(Done));
+                        });
 }
 
 auto ClaimBook::claimHere(const Claim &Request,
@@ -54,8 +52,7 @@
   shard(shardOf(Outcome.m_Identity)).record(Outcome, std::move(Done));
 }
 
-auto ClaimBook::shardOf(const RequestIdentity &Identity) const
-    -> std::size_t {
+auto ClaimBook::shardOf(const RequestIdentity &Identity) const -> std::size_t {
   const auto &Text = Identity.text();
   return XXH3_64bits(Text.data(), Text.size()) % m_Options.m_Shards;
 }
@@ -63,9 +60,8 @@
 auto ClaimBook::shard(std::size_t Index) -> ClaimShard & {
   auto &Slot = m_Shards[Index];
   if (!Slot)
-    Slot = std::make_unique<ClaimShard>(m_Scheduler, m_Store,
-                                        fmt::format("{:03}", Index),
-                                        m_Options.m_Shard);
+    Slot = std::make_unique<ClaimShard>(
+        m_Scheduler, m_Store, fmt::format("{:03}", Index), m_Options.m_Shard);
   return *Slot;
 }
 
--- a/src/ledger/ClaimLog.cpp
+++ b/src/ledger/ClaimLog.cpp
@@ -25,8 +25,10 @@
   auto Line = Json{{"outcome", Entry.m_Identity.text()},
                    {"attempt", Entry.m_Attempt.text()},
                    {"released", Entry.m_Released}};
-  if (!Entry.m_Released)
+  if (!Entry.m_Released) {
     Line["status"] = Entry.m_Answer.m_Status;
+    Line["content_type"] = Entry.m_Answer.m_ContentType;
+  }
   // Bodies may hold any bytes; JSON text may not.
   if (Entry.m_Answer.m_Body)
     Line["body"] = Json::binary(
@@ -48,6 +50,7 @@
       .m_Attempt = AttemptId{Line.at("attempt").get<std::string>()},
       .m_Released = Line.at("released").get<bool>()};
   Entry.m_Answer.m_Status = Line.value("status", 0U);
+  Entry.m_Answer.m_ContentType = Line.value("content_type", "");
   auto Body = Line.find("body");
   if (Body != Line.end()) {
     const auto &Bytes = Body->get_binary();
@@ -121,8 +124,7 @@
   Known.m_Answer = Entry.m_Answer;
 }
 
-auto ClaimLog::judge(const Claim &Request) const
-    -> std::optional<ClaimReply> {
+auto ClaimLog::judge(const Claim &Request) const -> std::optional<ClaimReply> {
   if (Request.m_IssuedAt < m_Horizon)
     return ClaimReply{.m_Verdict = ClaimVerdict::Unavailable};
   auto Found = m_Records.find(Request.m_Identity);
--- a/src/ledger/ClaimShard.cpp
+++ b/src/ledger/ClaimShard.cpp
@@ -113,25 +113,25 @@
 }
 
 auto ClaimShard::load() -> void {
-  m_Store.read(KeyRange::prefix(m_Prefix), [this, Alive = m_Alive](
-                                               const auto &Reply) {
-    if (!*Alive)
-      return;
-    m_Busy = false;
-    if (!Reply) {
-      pumpAfter(m_Options.m_RetryDelay);
-      return;
-    }
-    try {
-      replay(*Reply.m_Answer);
-      m_Loaded = true;
-      pump();
-    } catch (const ProtocolError &Failure) {
-      logError("claims.unreadable",
-               {{"shard", m_Prefix}, {"reason", Failure.what()}});
-      pumpAfter(m_Options.m_RetryDelay);
-    }
-  });
+  m_Store.read(KeyRange::prefix(m_Prefix),
+               [this, Alive = m_Alive](const auto &Reply) {
+                 if (!*Alive)
+                   return;
+                 m_Busy = false;
+                 if (!Reply) {
+                   pumpAfter(m_Options.m_RetryDelay);
+                   return;
+                 }
+                 try {
+                   replay(*Reply.m_Answer);
+                   m_Loaded = true;
+                   pump();
+                 } catch (const ProtocolError &Failure) {
+                   logError("claims.unreadable",
+                            {{"shard", m_Prefix}, {"reason", Failure.what()}});
+                   pumpAfter(m_Options.m_RetryDelay);
+                 }
+               });
 }
 
 auto ClaimShard::replay(const RangeResult &Read) -> void {
@@ -263,9 +263,8 @@
        ++Index)
     m_Sealed.pop_front();
   if (encodeEntries(m_Open).size() > m_Options.m_SegmentBytes) {
-    m_Sealed.push_back(
-        {.m_Key = fmt::format("{}{:012}", m_Prefix, m_Sequence),
-         .m_NewestIssue = newestIssue(m_Open)});
+    m_Sealed.push_back({.m_Key = fmt::format("{}{:012}", m_Prefix, m_Sequence),
+                        .m_NewestIssue = newestIssue(m_Open)});
     ++m_Sequence;
     m_Open.clear();
   }
--- /dev/null
+++ b/src/membership/Gossip.cpp
@@ -0,0 +1,194 @@
+#include "dotterel/membership/Gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel {
+
+Gossip::Gossip(Scheduler &Scheduler, Random &Random, MemberTable &Members,
+               PeerCaller &Peers, ConfigurationHolder &Configuration,
+               FreshnessTracker &Freshness, CrashRegistry &Crashes,
+               const GossipOptions &Options)
+    : m_Scheduler(Scheduler), m_Random(Random), m_Members(Members),
+      m_Peers(Peers), m_Configuration(Configuration), m_Freshness(Freshness),
+      m_Crashes(Crashes), m_Options(Options) {}
+
+auto Gossip::setLeavingBackends(
+    std::function<std::vector<BackendId>()> Tell,
+    std::function<void(const std::vector<BackendId> &)> Hear) -> void {
+  m_TellLeaving = std::move(Tell);
+  m_HearLeaving = std::move(Hear);
+}
+
+auto Gossip::setListed(std::vector<ListedProcess> Listed) -> void {
+  m_Listed = std::move(Listed);
+  m_ListedIds.clear();
+  for (const auto &Item : m_Listed)
+    if (!Item.m_Leaving)
+      m_ListedIds.insert(Item.m_Process);
+}
+
+auto Gossip::relays() const -> std::vector<Member> {
+  const auto &Self = m_Members.self();
+  auto Nearby = std::vector<Member>();
+  if (Self.m_Role == ProcessRole::Gate && !Self.m_Leaving)
+    Nearby.push_back(Self);
+  for (auto &Other : m_Members.live(m_Scheduler.now()))
+    if (Other.m_Role == ProcessRole::Gate && !Other.m_Leaving &&
+        Other.m_Location.m_DataCentre == Self.m_Location.m_DataCentre)
+      Nearby.push_back(std::move(Other));
+  auto Ordered =
+      rendezvousOrder("relay/" + Self.m_Location.m_DataCentre.text(), Nearby);
+  if (Ordered.size() > m_Options.m_RelaysPerDataCentre)
+    Ordered.resize(m_Options.m_RelaysPerDataCentre);
+  return Ordered;
+}
+
+auto Gossip::readsStore() const -> bool {
+  if (m_Freshness.age(m_Scheduler.now()) > m_Options.m_SelfReadAge)
+    return true;
+  auto Chosen = relays();
+  return std::any_of(Chosen.begin(), Chosen.end(), [this](const Member &Item) {
+    return Item.m_Process == m_Members.self().m_Process;
+  });
+}
+
+auto Gossip::relayAddress() const -> std::string {
+  auto Chosen = relays();
+  std::erase_if(Chosen, [this](const Member &Item) {
+    return Item.m_Process == m_Members.self().m_Process;
+  });
+  if (Chosen.empty())
+    return {};
+  // Turns between the relays, so that one which is cut off is noticed.
+  auto Turn = m_Members.self().m_Heartbeat % Chosen.size();
+  return Chosen[Turn].m_Address;
+}
+
+auto Gossip::randomAddress() -> std::string {
+  auto Addresses = std::vector<std::string>();
+  for (const auto &Item : m_Members.live(m_Scheduler.now()))
+    Addresses.push_back(Item.m_Address);
+  // Listed ones that nobody has heard of join in this way.
+  for (const auto &Item : m_Listed)
+    if (Item.m_Process != m_Members.self().m_Process &&
+        m_Members.findLive(Item.m_Process, m_Scheduler.now()) == nullptr)
+      Addresses.push_back(Item.m_Address);
+  if (Addresses.empty())
+    return {};
+  return Addresses[m_Random.below(Addresses.size())];
+}
+
+auto Gossip::ownView() -> PeerView {
+  auto Now = m_Scheduler.now();
+  m_Members.self().m_ConfigRevision = m_Configuration.revision();
+  m_Members.self().m_StoreLost = m_Freshness.storeLost(Now);
+  auto View = PeerView{.m_Members = m_Members.view(m_Random, Now),
+                       .m_Crashes = m_Crashes.reports(),
+                       .m_EvidenceAge = m_Freshness.age(Now)};
+  if (m_TellLeaving)
+    View.m_LeavingBackends = m_TellLeaving();
+  return View;
+}
+
+auto Gossip::round() -> void {
+  m_Members.beat(m_Scheduler.now());
+  auto Relay = relayAddress();
+  if (!Relay.empty())
+    exchangeWith(Relay);
+  auto Other = randomAddress();
+  if (!Other.empty() && Other != Relay)
+    exchangeWith(Other);
+}
+
+auto Gossip::exchangeWith(const std::string &Address,
+                          std::function<void()> Done) -> void {
+  auto SentAt = m_Scheduler.now();
+  m_Peers.exchange(
+      Address, ownView(),
+      [this, Address, SentAt,
+       Done = std::move(Done)](const std::optional<PeerView> &Reply) {
+        if (!Reply || Reply->m_Members.empty()) {
+          if (Done)
+            Done();
+          return;
+        }
+        absorb(*Reply);
+        auto Theirs = Reply->m_Members.front().m_ConfigRevision;
+        auto Age = Reply->m_EvidenceAge;
+        catchUp(Address, Theirs, [this, Theirs, SentAt, Age, Done] {
+          // Evidence counts only for a configuration that we hold.
+          if (m_Configuration.current() && m_Configuration.revision() >= Theirs)
+            m_Freshness.recordRelayed(SentAt, Age);
+          if (Done)
+            Done();
+        });
+      });
+}
+
+auto Gossip::catchUp(const std::string &Address, ConfigRevision Theirs,
+                     std::function<void()> Done) -> void {
+  auto Behind =
+      Theirs > m_Configuration.revision() || !m_Configuration.current();
+  if (!Behind) {
+    Done();
+    return;
+  }
+  m_Peers.fetchConfiguration(
+      Address, m_Configuration.knownShards(),
+      [this,
+       Done = std::move(Done)](const std::optional<ConfigurationDelta> &Delta) {
+        if (Delta)
+          m_Configuration.applyDelta(*Delta);
+        Done();
+      });
+}
+
+auto Gossip::absorb(const PeerView &View) -> void {
+  auto Now = m_Scheduler.now();
+  for (const auto &Record : View.m_Members)
+    m_Members.merge(Record, Now);
+  for (const auto &Report : View.m_Crashes)
+    m_Crashes.merge(Report);
+  if (m_HearLeaving)
+    m_HearLeaving(View.m_LeavingBackends);
+}
+
+auto Gossip::answer(const PeerView &View) -> PeerView {
+  absorb(View);
+  // No evidence is taken from a caller: how long its message was under way
+  // cannot be told.
+  if (!View.m_Members.empty()) {
+    const auto &Caller = View.m_Members.front();
+    catchUp(Caller.m_Address, Caller.m_ConfigRevision, [] {});
+  }
+  return ownView();
+}
+
+auto Gossip::announce(std::function<void()> Done) -> void {
+  struct Announcement {
+    std::size_t m_Left = 0;
+    bool m_Told = false;
+    std::function<void()> m_Done;
+  };
+  auto State = std::make_shared<Announcement>();
+  State->m_Done = std::move(Done);
+  auto Finish = [State] {
+    if (!std::exchange(State->m_Told, true))
+      State->m_Done();
+  };
+  for (const auto &Other : m_Members.live(m_Scheduler.now())) {
+    if (Other.m_Role != ProcessRole::Gate)
+      continue;
+    ++State->m_Left;
+    exchangeWith(Other.m_Address, [State, Finish] {
+      if (--State->m_Left == 0)
+        Finish();
+    });
+  }
+  auto Wait =
+      State->m_Left == 0 ? Duration::zero() : m_Options.m_AnnounceTimeout;
+  m_Scheduler.schedule(Wait, Finish);
+}
+
+} // namespace dotterel
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -75,9 +75,8 @@
     Weighted.emplace_back(XXH3_64bits_withSeed(Name.data(), Name.size(), Seed),
                           Candidate);
   }
-  std::sort(Weighted.begin(), Weighted.end(), [](const auto &A, const auto &B) {
-    return A.first > B.first;
-  });
+  std::sort(Weighted.begin(), Weighted.end(),
+            [](const auto &A, const auto &B) { return A.first > B.first; });
   auto Ordered = std::vector<Member>();
   Ordered.reserve(Weighted.size());
   for (auto &[Weight, Candidate] : Weighted)
--- /dev/null
+++ b/src/routing/EngineTable.cpp
@@ -0,0 +1,260 @@
+#include "dotterel/routing/EngineTable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace dotterel {
+
+auto EngineTable::updateList(const std::vector<Backend> &Listed) -> void {
+  auto Present = std::set<BackendId>();
+  for (const auto &Server : Listed) {
+    Present.insert(Server.m_Id);
+    auto Found = m_Entries.find(Server.m_Id);
+    if (Found == m_Entries.end())
+      m_Entries.emplace(Server.m_Id, Entry{.m_Backend = Server,
+                                           .m_Prefixes = PrefixIndex(
+                                               m_Options.m_CachedPieces)});
+    else
+      Found->second.m_Backend = Server;
+    if (Server.m_Leaving)
+      m_Leaving.insert(Server.m_Id);
+  }
+  std::erase_if(m_Entries, [&](const auto &Item) {
+    // A server that still runs our work stays known until that has ended.
+    return !Present.contains(Item.first) && Item.second.m_Flights.empty();
+  });
+  // The note that a server leaves outlives its entry in the lagging list.
+  std::erase_if(m_Leaving,
+                [&](const auto &Id) { return !Present.contains(Id); });
+}
+
+auto EngineTable::updateLoad(const BackendId &Id, const EngineLoad &Load,
+                             MonotonicTime Now) -> void {
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return;
+  auto &Item = Found->second;
+  if (Item.m_Load && Item.m_Load->m_Incarnation != Load.m_Incarnation)
+    Item.m_Prefixes.clear();
+  Item.m_Load = Load;
+  Item.m_ReportedAt = Now;
+  Item.m_StartedSince = 0;
+  Item.m_EndedSince = 0;
+}
+
+auto EngineTable::markLeaving(const BackendId &Id) -> void {
+  if (m_Entries.contains(Id))
+    m_Leaving.insert(Id);
+}
+
+auto EngineTable::leaving() const -> std::vector<BackendId> {
+  return {m_Leaving.begin(), m_Leaving.end()};
+}
+
+auto EngineTable::accepts(const Entry &Item, const EngineQuery &Query) const
+    -> bool {
+  const auto &Server = Item.m_Backend;
+  if (!Server.m_Service.empty() || !Item.m_Load || Item.m_TakenAlone)
+    return false;
+  if (Server.m_Cheap && !Query.m_CheapAllowed)
+    return false;
+  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id) ||
+      Query.m_Excluded.contains(Server.m_Id))
+    return false;
+  if (!Item.m_ReservedFor.empty() && Item.m_ReservedFor != Query.m_Request)
+    return false;
+  if (std::find(Server.m_Models.begin(), Server.m_Models.end(),
+                Query.m_Model) == Server.m_Models.end())
+    return false;
+  return !Query.m_Alone || Item.m_Flights.empty();
+}
+
+auto EngineTable::candidates(const EngineQuery &Query, MonotonicTime Now) const
+    -> std::vector<Candidate> {
+  auto Sound = std::vector<Candidate>();
+  auto Ejected = std::vector<Candidate>();
+  auto Pool = std::size_t{0};
+  auto PoolEjected = std::size_t{0};
+  for (const auto &[Id, Item] : m_Entries) {
+    if (!accepts(Item, Query))
+      continue;
+    auto Out = m_Outliers.ejected(Id, Now);
+    ++Pool;
+    PoolEjected += Out ? 1 : 0;
+    auto Figures = candidateOf(Item, Query, Now);
+    if (Figures.m_Running >= Figures.m_Slots * m_Options.m_Overcommit)
+      continue;
+    (Out ? Ejected : Sound).push_back(std::move(Figures));
+  }
+  if (Pool > 0 && !m_Outliers.mayLeaveOut(PoolEjected, Pool))
+    Sound.insert(Sound.end(), Ejected.begin(), Ejected.end());
+  return Sound;
+}
+
+auto EngineTable::candidateOf(const Entry &Item, const EngineQuery &Query,
+                              MonotonicTime Now) const -> Candidate {
+  const auto &Load = *Item.m_Load;
+  auto Age = std::chrono::duration<double>(Now - Item.m_ReportedAt).count();
+  // The queue that was reported has been worked on since.
+  auto Worked = Age * Load.m_PrefillTokensPerSecond;
+  auto Reported =
+      std::max(0.0, static_cast<double>(Load.m_QueuedPrefillTokens) - Worked);
+  auto Running = static_cast<std::int64_t>(Load.m_Running) +
+                 Item.m_StartedSince - Item.m_EndedSince;
+  auto Own = static_cast<std::int64_t>(Item.m_Flights.size());
+  return {.m_Id = Item.m_Backend.m_Id,
+          .m_OwnInFlight = static_cast<std::uint32_t>(Own),
+          .m_Running = static_cast<std::uint32_t>(std::max(Running, Own)),
+          .m_Slots = Load.m_Slots,
+          .m_QueuedPrefillTokens = std::max(Reported, Item.m_OwnPrefill),
+          .m_PrefillTokensPerSecond = Load.m_PrefillTokensPerSecond,
+          .m_DecodeTokensPerSecond = Load.m_DecodeTokensPerSecond,
+          .m_CachedTokens = Item.m_Prefixes.match(Query.m_Pieces) * PieceTokens,
+          .m_Distance = distance(Item.m_Backend)};
+}
+
+auto EngineTable::distance(const Backend &Server) const -> Duration {
+  if (Server.m_Region != m_Self.m_Region)
+    return m_Options.m_RegionDistance;
+  if (Server.m_DataCentre != m_Self.m_DataCentre)
+    return m_Options.m_DataCentreDistance;
+  return Duration::zero();
+}
+
+auto EngineTable::reserve(const EngineQuery &Query) -> void {
+  auto Any = Query;
+  Any.m_Alone = false;
+  Entry *Least = nullptr;
+  for (auto &[Id, Item] : m_Entries) {
+    if (Item.m_ReservedFor == Query.m_Request)
+      return;
+    if (!accepts(Item, Any))
+      continue;
+    if (Least == nullptr || Item.m_Flights.size() < Least->m_Flights.size())
+      Least = &Item;
+  }
+  if (Least != nullptr)
+    Least->m_ReservedFor = Query.m_Request;
+}
+
+auto EngineTable::unreserve(const RequestId &Request) -> void {
+  for (auto &[Id, Item] : m_Entries)
+    if (Item.m_ReservedFor == Request)
+      Item.m_ReservedFor = RequestId{};
+}
+
+auto EngineTable::serves(const ModelId &Model) const -> bool {
+  auto All = models();
+  return std::find(All.begin(), All.end(), Model) != All.end();
+}
+
+auto EngineTable::models() const -> std::vector<ModelId> {
+  auto Names = std::set<ModelId>();
+  for (const auto &[Id, Item] : m_Entries)
+    Names.insert(Item.m_Backend.m_Models.begin(),
+                 Item.m_Backend.m_Models.end());
+  return {Names.begin(), Names.end()};
+}
+
+auto EngineTable::pickService(const std::string &Service, bool CheapAllowed,
+                              const std::set<BackendId> &Excluded,
+                              MonotonicTime Now) -> std::optional<Backend> {
+  auto Sound = std::vector<Backend>();
+  auto Out = std::vector<Backend>();
+  for (const auto &[Id, Item] : m_Entries) {
+    const auto &Server = Item.m_Backend;
+    if (Server.m_Service != Service || m_Leaving.contains(Id) ||
+        m_Drained.contains(Id) || Excluded.contains(Id) ||
+        (Server.m_Cheap && !CheapAllowed))
+      continue;
+    (m_Outliers.ejected(Id, Now) ? Out : Sound).push_back(Server);
+  }
+  if (Sound.empty())
+    Sound = std::move(Out);
+  if (Sound.empty())
+    return std::nullopt;
+  // The nearest ones take turns.
+  auto Nearest = distance(*std::min_element(
+      Sound.begin(), Sound.end(), [this](const auto &Left, const auto &Right) {
+        return distance(Left) < distance(Right);
+      }));
+  std::erase_if(
+      Sound, [&](const Backend &Server) { return distance(Server) > Nearest; });
+  return Sound[m_NextService++ % Sound.size()];
+}
+
+auto EngineTable::begin(const BackendId &Id, const FlightPlan &Flight) -> void {
+  auto Found = m_Entries.find(Id);
+  assert(Found != m_Entries.end() && "work goes to known servers only");
+  auto &Item = Found->second;
+  unreserve(Flight.m_Request);
+  Item.m_Flights[Flight.m_Attempt] = Flight;
+  Item.m_OwnPrefill += static_cast<double>(Flight.m_Work.m_PrefillTokens);
+  ++Item.m_StartedSince;
+  Item.m_TakenAlone = Item.m_TakenAlone || Flight.m_Alone;
+  Item.m_Prefixes.touch(Flight.m_Pieces);
+}
+
+auto EngineTable::prefilled(const BackendId &Id, const AttemptId &Attempt)
+    -> void {
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return;
+  auto Flight = Found->second.m_Flights.find(Attempt);
+  if (Flight == Found->second.m_Flights.end())
+    return;
+  auto &Tokens = Flight->second.m_Work.m_PrefillTokens;
+  Found->second.m_OwnPrefill -= static_cast<double>(Tokens);
+  Tokens = 0;
+}
+
+auto EngineTable::end(const BackendId &Id, const AttemptId &Attempt) -> void {
+  prefilled(Id, Attempt);
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return;
+  auto &Item = Found->second;
+  auto Flight = Item.m_Flights.find(Attempt);
+  if (Flight == Item.m_Flights.end())
+    return;
+  if (Flight->second.m_Alone)
+    Item.m_TakenAlone = false;
+  Item.m_Flights.erase(Flight);
+  ++Item.m_EndedSince;
+}
+
+auto EngineTable::digestsOn(const BackendId &Id) const
+    -> std::vector<RequestDigest> {
+  auto Digests = std::vector<RequestDigest>();
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return Digests;
+  for (const auto &[Attempt, Flight] : Found->second.m_Flights)
+    Digests.push_back(Flight.m_Digest);
+  return Digests;
+}
+
+auto EngineTable::find(const BackendId &Id) const -> const Backend * {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end() ? nullptr : &Found->second.m_Backend;
+}
+
+auto EngineTable::load(const BackendId &Id) const -> std::optional<EngineLoad> {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end() ? std::nullopt : Found->second.m_Load;
+}
+
+auto EngineTable::all() const -> std::vector<Backend> {
+  auto Servers = std::vector<Backend>();
+  for (const auto &[Id, Item] : m_Entries)
+    Servers.push_back(Item.m_Backend);
+  return Servers;
+}
+
+auto EngineTable::inFlight(const BackendId &Id) const -> std::size_t {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end() ? 0 : Found->second.m_Flights.size();
+}
+
+} // namespace dotterel
--- a/src/rpc/PeerRpc.cpp
+++ b/src/rpc/PeerRpc.cpp
@@ -26,8 +26,8 @@
   explicit PeerAdapter(PeerService &Service) : m_Service(Service) {}
 
   auto exchange(ExchangeContext Context) -> kj::Promise<void> override {
-    auto View = m_Service.onExchange(
-        detail::decode(Context.getParams().getView()));
+    auto View =
+        m_Service.onExchange(detail::decode(Context.getParams().getView()));
     detail::encode(View, Context.getResults().initView());
     return kj::READY_NOW;
   }
@@ -37,8 +37,7 @@
     auto Known = std::vector<std::uint64_t>();
     for (auto Digest : Context.getParams().getKnown())
       Known.push_back(Digest);
-    detail::encode(m_Service.onFetchConfiguration(Known),
-                   Context.getResults());
+    detail::encode(m_Service.onFetchConfiguration(Known), Context.getResults());
     return kj::READY_NOW;
   }
 
@@ -145,13 +144,11 @@
           auto Digests = Request.initKnown(Known.size());
           for (auto Index = 0U; Index < Known.size(); ++Index)
             Digests.set(Index, Known[Index]);
-          return Request.send().then(
-              [](auto Reply) -> ConfigurationDelta {
-                return detail::decode(
-                    static_cast<
-                        schema::Peer::FetchConfigurationResults::Reader>(
-                        Reply));
-              });
+          return Request.send().then([](auto Reply) -> ConfigurationDelta {
+            return detail::decode(
+                static_cast<schema::Peer::FetchConfigurationResults::Reader>(
+                    Reply));
+          });
         },
         std::move(Callback));
   }
@@ -204,18 +201,16 @@
   auto call(const std::string &Address, Send Action,
             PeerCallback<Reply> Callback) -> void {
     auto Shared = std::make_shared<PeerCallback<Reply>>(std::move(Callback));
-    auto Work =
-        departure()
-            .then([this, Address] { return connected(Address); })
-            .then([Action](std::shared_ptr<Connection> Peer) mutable {
-              auto Client = Peer->bootstrap();
-              auto Result = Action(Client);
-              return Result.attach(kj::mv(Client), std::move(Peer));
-            });
-    auto Timeout =
-        m_Loop.delay(m_Options.m_CallTimeout).then([]() -> Reply {
-          throw KJ_EXCEPTION(OVERLOADED, "call timed out");
-        });
+    auto Work = departure()
+                    .then([this, Address] { return connected(Address); })
+                    .then([Action](std::shared_ptr<Connection> Peer) mutable {
+                      auto Client = Peer->bootstrap();
+                      auto Result = Action(Client);
+                      return Result.attach(kj::mv(Client), std::move(Peer));
+                    });
+    auto Timeout = m_Loop.delay(m_Options.m_CallTimeout).then([]() -> Reply {
+      throw KJ_EXCEPTION(OVERLOADED, "call timed out");
+    });
     m_Tasks->add(
         Work.exclusiveJoin(kj::mv(Timeout))
             .then([Shared](Reply Result) { (*Shared)(std::move(Result)); },
@@ -325,8 +320,8 @@
       ::listen(Fd, Backlog) != 0) {
     auto Reason = std::string(std::strerror(errno));
     ::close(Fd);
-    throw IoError(401, fmt::format("cannot listen on {}: {}", Address.text(),
-                                   Reason));
+    throw IoError(
+        401, fmt::format("cannot listen on {}: {}", Address.text(), Reason));
   }
   auto Bound = sockaddr_in{};
   auto Size = socklen_t{sizeof Bound};
--- a/src/rpc/detail/PeerCodec.cpp
+++ b/src/rpc/detail/PeerCodec.cpp
@@ -53,8 +53,7 @@
 
 auto encodeAge(Duration Age) -> std::uint32_t {
   // Rounded up: evidence must never look fresher than it is.
-  auto Rounded =
-      Age == Duration::max() ? NoEvidence : toMilliseconds(Age) + 1;
+  auto Rounded = Age == Duration::max() ? NoEvidence : toMilliseconds(Age) + 1;
   return static_cast<std::uint32_t>(
       std::min<std::int64_t>(Rounded, NoEvidence));
 }
@@ -66,6 +65,7 @@
 template <typename Builder>
 auto encodeAnswer(const RecordedAnswer &Value, Builder &Target) -> void {
   Target.setStatus(static_cast<std::uint16_t>(Value.m_Status));
+  Target.setContentType(Value.m_ContentType);
   Target.setHasBody(Value.m_Body.has_value());
   if (Value.m_Body)
     Target.setBody(*Value.m_Body);
@@ -73,7 +73,8 @@
 
 template <typename Reader>
 auto decodeAnswer(const Reader &Source) -> RecordedAnswer {
-  auto Answer = RecordedAnswer{.m_Status = Source.getStatus()};
+  auto Answer = RecordedAnswer{.m_Status = Source.getStatus(),
+                               .m_ContentType = text(Source.getContentType())};
   if (Source.getHasBody())
     Answer.m_Body = text(Source.getBody());
   return Answer;
@@ -139,8 +140,7 @@
 
 auto encode(const ClaimReply &Value, schema::ClaimReply::Builder Target)
     -> void {
-  Target.setVerdict(
-      static_cast<schema::ClaimReply::Verdict>(Value.m_Verdict));
+  Target.setVerdict(static_cast<schema::ClaimReply::Verdict>(Value.m_Verdict));
   encodeAnswer(Value.m_Answer, Target);
 }
 
@@ -203,9 +203,9 @@
                .m_Incarnation = IncarnationId{text(Source.getIncarnation())},
                .m_Number = Source.getSegment()}};
   for (auto Entry : Source.getEntries()) {
-    auto Key =
-        UsageKey{.m_Organisation = OrganisationId{text(Entry.getOrganisation())},
-                 .m_Model = ModelId{text(Entry.getModel())}};
+    auto Key = UsageKey{.m_Organisation =
+                            OrganisationId{text(Entry.getOrganisation())},
+                        .m_Model = ModelId{text(Entry.getModel())}};
     Segment.m_Totals[Key] = {
         .m_Requests = Entry.getRequests(),
         .m_PrefillTokens = TokenCount{Entry.getPrefillTokens()},
--- /dev/null
+++ b/src/steward/RoleKeeper.cpp
@@ -0,0 +1,108 @@
+#include "dotterel/steward/RoleKeeper.h"
+
+#include "dotterel/base/Log.h"
+
+#include <utility>
+
+namespace dotterel {
+
+RoleKeeper::RoleKeeper(Scheduler &Scheduler, KeyValueStore &Store,
+                       const DutyLease &Duty, EngineOrders &Orders,
+                       const EngineTable &Engines, const MemberTable &Members,
+                       ConfigurationHolder &Configuration,
+                       std::function<bool(const SenderId &)> Gone,
+                       const RoleKeeperOptions &Options)
+    : m_Scheduler(Scheduler), m_Store(Store), m_Duty(Duty), m_Orders(Orders),
+      m_Engines(Engines), m_Members(Members), m_Configuration(Configuration),
+      m_Gone(std::move(Gone)), m_Options(Options),
+      m_Planner(Options.m_Planner) {}
+
+auto RoleKeeper::group() const -> std::vector<GroupEngine> {
+  auto Members = std::vector<GroupEngine>();
+  for (const auto &Server : m_Engines.all()) {
+    auto Load = m_Engines.load(Server.m_Id);
+    if (Server.m_Region != m_Options.m_Region || !Server.m_Service.empty() ||
+        Server.m_Leaving || !Load)
+      continue;
+    // The report holds speeds in the present role.
+    auto Factor = [&](EngineRole Favoured) {
+      if (Load->m_Role == EngineRole::Mixed)
+        return 1.0;
+      return Load->m_Role == Favoured ? m_Options.m_Planner.m_Favour
+                                      : m_Options.m_Planner.m_Neglect;
+    };
+    Members.push_back(
+        {.m_Id = Server.m_Id,
+         .m_Role = Load->m_Role,
+         .m_PrefillTokensPerSecond =
+             Load->m_PrefillTokensPerSecond / Factor(EngineRole::Prefill),
+         .m_DecodeTokensPerSecond = Load->m_DecodeTokensPerSecond *
+                                    Load->m_Slots /
+                                    Factor(EngineRole::Decode)});
+  }
+  return Members;
+}
+
+auto RoleKeeper::demand() const -> GroupDemand {
+  auto Sum = GroupDemand();
+  for (const auto &Item : m_Members.live(m_Scheduler.now())) {
+    if (Item.m_Location.m_Region != m_Options.m_Region)
+      continue;
+    Sum.m_Prefill += static_cast<double>(Item.m_PrefillTokensPerSecond);
+    Sum.m_Decode += static_cast<double>(Item.m_DecodeTokensPerSecond);
+  }
+  return Sum;
+}
+
+auto RoleKeeper::senderOf(const BackendId &Engine) -> OrderSender & {
+  auto &Slot = m_Senders[Engine];
+  if (!Slot) {
+    const auto *Server = m_Engines.find(Engine);
+    Slot = std::make_unique<OrderSender>(
+        m_Scheduler, m_Store, m_Duty, m_Orders, m_Gone,
+        OrderSenderOptions{.m_Engine = Engine,
+                           .m_ChecksFencing =
+                               Server != nullptr && Server->m_ChecksFencing,
+                           .m_Self = m_Options.m_Self});
+  }
+  return *Slot;
+}
+
+auto RoleKeeper::step() -> void {
+  if (!m_Duty.held()) {
+    m_Wanted.clear();
+    return;
+  }
+  const auto &Configuration = m_Configuration.current();
+  if (!Configuration || !Configuration->presetInForce().m_RoleChanges)
+    return;
+  auto Group = group();
+  for (const auto &Engine : Group) {
+    auto Wanted = m_Wanted.find(Engine.m_Id);
+    if (Wanted == m_Wanted.end())
+      continue;
+    if (Engine.m_Role == Wanted->second)
+      m_Wanted.erase(Wanted);
+    else
+      senderOf(Engine.m_Id).pursue(Wanted->second);
+  }
+  // One engine of the group at a time.
+  if (!m_Wanted.empty())
+    return;
+  auto Demand = demand();
+  auto Change = m_Planner.plan(Group, Demand, m_Scheduler.now());
+  if (!Change)
+    return;
+  logInfo("role.planned", {{"region", m_Options.m_Region},
+                           {"engine", Change->m_Engine},
+                           {"from", roleName(Change->m_From)},
+                           {"to", roleName(Change->m_To)},
+                           {"utilisation_before", Change->m_Before},
+                           {"utilisation_after", Change->m_After},
+                           {"prefill_tokens_per_second", Demand.m_Prefill},
+                           {"decode_tokens_per_second", Demand.m_Decode}});
+  m_Wanted[Change->m_Engine] = Change->m_To;
+  senderOf(Change->m_Engine).pursue(Change->m_To);
+}
+
+} // namespace dotterel
--- a/src/store/HttpStore.cpp
+++ b/src/store/HttpStore.cpp
@@ -93,8 +93,8 @@
   auto keepLease(LeaseId Lease, StoreCallback<Seconds> Callback)
       -> void override {
     post<Seconds>("/v3/lease/keepalive",
-                  {{"ID", std::to_string(Lease.number())}},
-                  std::move(Callback), [](const Json &Answer) {
+                  {{"ID", std::to_string(Lease.number())}}, std::move(Callback),
+                  [](const Json &Answer) {
                     return Seconds(number(Answer.at("result"), "TTL"));
                   });
   }
--- /dev/null
+++ b/src/usage/ReplicaHolder.cpp
@@ -0,0 +1,43 @@
+#include "dotterel/usage/ReplicaHolder.h"
+
+#include <utility>
+
+namespace dotterel {
+
+auto ReplicaHolder::keep(const UsageSegment &Segment) -> void {
+  auto &Item = m_Copies[Segment.m_Id];
+  if (Item.m_Writing)
+    return;
+  Item.m_Segment = Segment;
+  Item.m_Renewed = m_Scheduler.now();
+}
+
+auto ReplicaHolder::writeOld() -> void {
+  auto Now = m_Scheduler.now();
+  for (auto &[Id, Item] : m_Copies)
+    if (!Item.m_Writing && Now - Item.m_Renewed >= m_Options.m_WriteAfter)
+      writeOne(Item);
+}
+
+auto ReplicaHolder::writeOne(Copy &Item) -> void {
+  Item.m_Writing = true;
+  auto Id = Item.m_Segment.m_Id;
+  m_Writer.write(Item.m_Segment, [this, Id](const UsageTotals &) {
+    m_Copies.erase(Id);
+    if (m_Copies.empty() && m_OnDrained)
+      std::exchange(m_OnDrained, nullptr)();
+  });
+}
+
+auto ReplicaHolder::drain(std::function<void()> Done) -> void {
+  if (m_Copies.empty()) {
+    Done();
+    return;
+  }
+  m_OnDrained = std::move(Done);
+  for (auto &[Id, Item] : m_Copies)
+    if (!Item.m_Writing)
+      writeOne(Item);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/usage/SegmentWriter.cpp
@@ -0,0 +1,119 @@
+#include "dotterel/usage/SegmentWriter.h"
+
+#include "dotterel/base/Log.h"
+#include "dotterel/usage/UsageKeys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel {
+
+auto SegmentWriter::write(UsageSegment Segment, Done Done) -> void {
+  writeOnTime(std::make_shared<Job>(
+      Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)}));
+}
+
+auto SegmentWriter::writeOnTime(const JobPtr &Item) -> void {
+  const auto &Id = Item->m_Segment.m_Id;
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back({.m_Key = segmentKey(Id)});
+  Transaction.m_Compares.push_back({.m_Key = closedKey(Id.m_Window)});
+  Transaction.m_Writes.push_back(
+      {.m_Key = segmentKey(Id),
+       .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
+  m_Store.commit(std::move(Transaction),
+                 [this, Alive = m_Alive, Item](const auto &Reply) {
+                   if (!*Alive)
+                     return;
+                   if (!Reply) {
+                     retry(Item);
+                     return;
+                   }
+                   if (!Reply->m_Applied) {
+                     inspect(Item);
+                     return;
+                   }
+                   Item->m_Done(Item->m_Segment.m_Totals);
+                 });
+}
+
+auto SegmentWriter::inspect(const JobPtr &Item) -> void {
+  auto Key = segmentKey(Item->m_Segment.m_Id);
+  m_Store.read(KeyRange::single(Key),
+               [this, Alive = m_Alive, Item](const auto &Reply) {
+                 if (!*Alive)
+                   return;
+                 if (!Reply) {
+                   retry(Item);
+                   return;
+                 }
+                 if (Reply->m_Values.empty()) {
+                   // The window is closed, or was cleared after its report.
+                   writeLate(Item);
+                   return;
+                 }
+                 Item->m_Done(decodeTotals(Reply->m_Values.front().m_Value));
+               });
+}
+
+auto SegmentWriter::writeLate(const JobPtr &Item) -> void {
+  const auto &Id = Item->m_Segment.m_Id;
+  auto Window = windowAt(m_Scheduler.wallNow(), m_Options.m_WindowLength);
+  if (Window.number() > Id.m_Window.number() + WindowsWritable) {
+    logError("usage.given-up", {{"window", Id.m_Window},
+                                {"incarnation", Id.m_Incarnation},
+                                {"segment", Id.m_Number}});
+    Item->m_Done(Item->m_Segment.m_Totals);
+    return;
+  }
+  // A clock that has stepped back must not lead into the closed window again.
+  Window = std::max(Window, WindowIndex{Id.m_Window.number() + 1});
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back({.m_Key = segmentKey(Id)});
+  Transaction.m_Compares.push_back({.m_Key = movedKey(Id)});
+  Transaction.m_Compares.push_back({.m_Key = closedKey(Window)});
+  Transaction.m_Writes.push_back(
+      {.m_Key = lateSegmentKey(Id, Window),
+       .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
+  Transaction.m_Writes.push_back(
+      {.m_Key = movedKey(Id),
+       .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
+  m_Store.commit(
+      std::move(Transaction), [this, Alive = m_Alive, Item](const auto &Reply) {
+        if (!*Alive)
+          return;
+        if (!Reply) {
+          retry(Item);
+          return;
+        }
+        if (!Reply->m_Applied) {
+          finishMoved(Item);
+          return;
+        }
+        logInfo("usage.late", {{"window", Item->m_Segment.m_Id.m_Window},
+                               {"segment", Item->m_Segment.m_Id.m_Number}});
+        Item->m_Done(Item->m_Segment.m_Totals);
+      });
+}
+
+auto SegmentWriter::finishMoved(const JobPtr &Item) -> void {
+  m_Store.read(KeyRange::single(movedKey(Item->m_Segment.m_Id)),
+               [this, Alive = m_Alive, Item](const auto &Reply) {
+                 if (!*Alive)
+                   return;
+                 if (!Reply || Reply->m_Values.empty()) {
+                   retry(Item);
+                   return;
+                 }
+                 Item->m_Done(decodeTotals(Reply->m_Values.front().m_Value));
+               });
+}
+
+auto SegmentWriter::retry(const JobPtr &Item) -> void {
+  m_Scheduler.schedule(m_Options.m_RetryDelay, [this, Alive = m_Alive, Item] {
+    if (*Alive)
+      writeOnTime(Item);
+  });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/usage/UsageKeys.cpp
@@ -0,0 +1,54 @@
+#include "dotterel/usage/UsageKeys.h"
+
+#include <fmt/format.h>
+
+namespace dotterel {
+
+namespace {
+
+/// Padded, so that the store's order of keys is the order of time.
+auto padded(WindowIndex Window) -> std::string {
+  return fmt::format("{:012}", Window.number());
+}
+
+} // namespace
+
+auto closedKey(WindowIndex Window) -> std::string {
+  return "usage-closed/" + padded(Window);
+}
+
+auto sealedKey(WindowIndex Window) -> std::string {
+  return "usage-sealed/" + padded(Window);
+}
+
+auto reportedKey(WindowIndex Window) -> std::string {
+  return "usage-reported/" + padded(Window);
+}
+
+auto segmentPrefix(WindowIndex Window) -> std::string {
+  return fmt::format("usage/{}/", padded(Window));
+}
+
+auto segmentKey(const SegmentId &Segment) -> std::string {
+  return fmt::format("{}{}.{}", segmentPrefix(Segment.m_Window),
+                     Segment.m_Incarnation.text(), Segment.m_Number);
+}
+
+auto lateSegmentKey(const SegmentId &Segment, WindowIndex Window)
+    -> std::string {
+  return fmt::format("{}{}.{}.late-{}", segmentPrefix(Window),
+                     Segment.m_Incarnation.text(), Segment.m_Number,
+                     Segment.m_Window.number());
+}
+
+auto movedKey(const SegmentId &Segment) -> std::string {
+  return fmt::format("usage-moved/{}.{}.{}", Segment.m_Incarnation.text(),
+                     Segment.m_Number, Segment.m_Window.number());
+}
+
+auto windowAt(WallTime Time, Seconds Length) -> WindowIndex {
+  return WindowIndex{
+      static_cast<std::uint64_t>(Time.time_since_epoch() / Length)};
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/usage/WindowSealer.cpp
@@ -0,0 +1,187 @@
+#include "dotterel/usage/WindowSealer.h"
+
+#include "dotterel/base/Log.h"
+#include "dotterel/usage/UsageKeys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+/// The newest window of which everything up to it is reported. Older windows
+/// were cleared.
+constexpr auto ProgressKey = "usage-progress";
+
+auto number(const std::string &Text) -> std::uint64_t {
+  return std::stoull(Text);
+}
+
+} // namespace
+
+template <typename Answer, typename Next>
+auto WindowSealer::then(Next Continue) -> StoreCallback<Answer> {
+  return [this, Alive = m_Alive,
+          Continue = std::move(Continue)](const StoreReply<Answer> &Reply) {
+    if (!*Alive)
+      return;
+    // Without an answer, or without the duty, the next step() looks again.
+    if (!Reply || !m_Duty.held()) {
+      m_Busy = false;
+      return;
+    }
+    Continue(*Reply.m_Answer);
+  };
+}
+
+auto WindowSealer::lastEnded() const -> WindowIndex {
+  auto Now = windowAt(m_Scheduler.wallNow() - m_Options.m_Grace,
+                      m_Options.m_WindowLength);
+  return WindowIndex{Now.number() - 1};
+}
+
+auto WindowSealer::step() -> void {
+  if (m_Busy || !m_Duty.held())
+    return;
+  m_Busy = true;
+  findNext();
+}
+
+auto WindowSealer::findNext() -> void {
+  m_Store.read(KeyRange::single(ProgressKey),
+               then<RangeResult>([this](const RangeResult &Read) {
+                 if (Read.m_Values.empty()) {
+                   findFirst();
+                   return;
+                 }
+                 auto Next =
+                     WindowIndex{number(Read.m_Values.front().m_Value) + 1};
+                 if (Next > lastEnded()) {
+                   m_Busy = false;
+                   return;
+                 }
+                 close(Next);
+               }));
+}
+
+auto WindowSealer::findFirst() -> void {
+  // A new installation starts with the oldest window that has a segment.
+  m_Store.read(KeyRange::prefix("usage/"),
+               then<RangeResult>([this](const RangeResult &Read) {
+                 auto First = lastEnded();
+                 if (!Read.m_Values.empty()) {
+                   const auto &Key = Read.m_Values.front().m_Key;
+                   auto Digits = Key.substr(std::string("usage/").size());
+                   First = std::min(First, WindowIndex{number(Digits)});
+                 }
+                 close(First);
+               }));
+}
+
+auto WindowSealer::close(WindowIndex Window) -> void {
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back({.m_Key = closedKey(Window)});
+  Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Writes.push_back({.m_Key = closedKey(Window), .m_Value = "1"});
+  m_Store.commit(std::move(Transaction),
+                 then<TransactionResult>([this, Window](const auto &) {
+                   // Not applied: closed already, or the duty has passed on,
+                   // which the next transaction notices.
+                   seal(Window);
+                 }));
+}
+
+auto WindowSealer::seal(WindowIndex Window) -> void {
+  m_Store.read(
+      KeyRange::prefix(segmentPrefix(Window)),
+      then<RangeResult>([this, Window](const RangeResult &Read) {
+        auto Totals = UsageTotals();
+        for (const auto &Item : Read.m_Values)
+          addTotals(Totals, decodeTotals(Item.m_Value));
+        auto Transaction = StoreTransaction();
+        Transaction.m_Compares.push_back({.m_Key = sealedKey(Window)});
+        Transaction.m_Compares.push_back(m_Duty.guard());
+        Transaction.m_Writes.push_back(
+            {.m_Key = sealedKey(Window), .m_Value = encodeTotals(Totals)});
+        m_Store.commit(
+            std::move(Transaction),
+            then<TransactionResult>([this, Window](const auto &Result) {
+              if (Result.m_Applied)
+                logInfo("usage.sealed", {{"window", Window}});
+              report(Window);
+            }));
+      }));
+}
+
+auto WindowSealer::report(WindowIndex Window) -> void {
+  m_Store.read(KeyRange::single(sealedKey(Window)),
+               then<RangeResult>([this, Window](const RangeResult &Read) {
+                 if (Read.m_Values.empty()) {
+                   m_Busy = false;
+                   return;
+                 }
+                 send(Window, Read.m_Values.front().m_Value);
+               }));
+}
+
+auto WindowSealer::send(WindowIndex Window, const std::string &Entries)
+    -> void {
+  if (!m_Duty.held()) {
+    m_Busy = false;
+    return;
+  }
+  auto Report = UsageReport{
+      .m_Window = Window, .m_Fencing = m_Duty.fencing(), .m_Entries = Entries};
+  m_Intake(Report, [this, Alive = m_Alive, Window](bool Taken) {
+    if (!*Alive)
+      return;
+    if (!Taken) {
+      m_Busy = false;
+      return;
+    }
+    logInfo("usage.reported", {{"window", Window}});
+    finish(Window);
+  });
+}
+
+auto WindowSealer::finish(WindowIndex Window) -> void {
+  // The closed mark stays, so that no late writer can reopen the window; the
+  // sealed figures stay for operators.
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Writes.push_back(
+      {.m_Key = reportedKey(Window), .m_Value = "1"});
+  Transaction.m_Writes.push_back(
+      {.m_Key = ProgressKey, .m_Value = std::to_string(Window.number())});
+  m_Store.commit(std::move(Transaction),
+                 then<TransactionResult>([this, Window](const auto &) {
+                   if (Window.number() > WindowsKept)
+                     deleteOld(WindowIndex{Window.number() - WindowsKept});
+                   else
+                     stepDone();
+                 }));
+}
+
+auto WindowSealer::deleteOld(WindowIndex Window) -> void {
+  m_Store.read(KeyRange::prefix(segmentPrefix(Window)),
+               then<RangeResult>([this, Window](const RangeResult &Read) {
+                 auto Transaction = StoreTransaction();
+                 Transaction.m_Compares.push_back(m_Duty.guard());
+                 for (const auto &Item : Read.m_Values)
+                   Transaction.m_Writes.push_back({.m_Key = Item.m_Key});
+                 for (auto Key : {closedKey(Window), sealedKey(Window),
+                                  reportedKey(Window)})
+                   Transaction.m_Writes.push_back({.m_Key = std::move(Key)});
+                 m_Store.commit(std::move(Transaction),
+                                then<TransactionResult>(
+                                    [this](const auto &) { stepDone(); }));
+               }));
+}
+
+auto WindowSealer::stepDone() -> void {
+  m_Busy = false;
+  step();
+}
+
+} // namespace dotterel
--- a/tests/fault-ClaimShard.cpp
+++ b/tests/fault-ClaimShard.cpp
@@ -119,9 +119,8 @@
   // A still believes in the state that it read a minute ago.
   Test.submit(A, Test.claimOf("x", "a"), Verdicts);
   Test.m_Scheduler.advance(Seconds(1));
-  CHECK(Verdicts ==
-        std::vector{ClaimVerdict::Granted, ClaimVerdict::Granted,
-                    ClaimVerdict::InDoubt});
+  CHECK(Verdicts == std::vector{ClaimVerdict::Granted, ClaimVerdict::Granted,
+                                ClaimVerdict::InDoubt});
 }
 
 TEST_CASE("claims: store down gives Unavailable and nothing is granted") {
@@ -177,9 +176,9 @@
   Test.submit(A, Test.claimOf("x", "b"), Verdicts);
   Test.submit(A, Test.claimOf("x", "c"), Verdicts);
   Test.m_Scheduler.advance(Seconds(1));
-  CHECK(Verdicts ==
-        std::vector{ClaimVerdict::Granted, ClaimVerdict::Unavailable,
-                    ClaimVerdict::Granted, ClaimVerdict::InDoubt});
+  CHECK(Verdicts == std::vector{ClaimVerdict::Granted,
+                                ClaimVerdict::Unavailable,
+                                ClaimVerdict::Granted, ClaimVerdict::InDoubt});
 }
 
 TEST_CASE("claims: a release that overtakes its claim blocks the claim") {
@@ -205,8 +204,7 @@
   Other.m_Content = ContentDigest{1};
   Test.submit(A, Other, Verdicts);
   Test.m_Scheduler.advance(Seconds(1));
-  CHECK(Verdicts ==
-        std::vector{ClaimVerdict::Granted, ClaimVerdict::Mismatch});
+  CHECK(Verdicts == std::vector{ClaimVerdict::Granted, ClaimVerdict::Mismatch});
 }
 
 TEST_CASE("claims: a clock that jumps ahead cannot make a forgotten claim run "
@@ -290,11 +288,10 @@
                 return;
               }
               if (Owner->m_Shard)
-                Owner->m_Shard->record(
-                    {.m_Identity = RequestIdentity{Identity},
-                     .m_Attempt = AttemptId{Attempt},
-                     .m_Released = true},
-                    [](bool) {});
+                Owner->m_Shard->record({.m_Identity = RequestIdentity{Identity},
+                                        .m_Attempt = AttemptId{Attempt},
+                                        .m_Released = true},
+                                       [](bool) {});
             });
       }
       Test.m_Scheduler.advance(Milliseconds(Source.below(800)));
--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -17,10 +17,10 @@
 
 enum class StoreFault : std::uint8_t {
   None,
-  Refuse,       ///< No effect, and the caller learns so.
-  LoseRequest,  ///< No effect, and the caller does not know.
-  LoseAnswer,   ///< Takes effect, and the caller does not know.
-  LateEffect,   ///< The caller gives up; the effect follows long after.
+  Refuse,      ///< No effect, and the caller learns so.
+  LoseRequest, ///< No effect, and the caller does not know.
+  LoseAnswer,  ///< Takes effect, and the caller does not know.
+  LateEffect,  ///< The caller gives up; the effect follows long after.
 };
 
 /// Delays each call and plants faults by call number, counted from 1.
@@ -96,9 +96,8 @@
       m_Scheduler.schedule(Late, [Action] { Action(); });
       break;
     }
-    m_Scheduler.schedule(GiveUp, [Callback] {
-      Callback({.m_Failure = StoreFailure::Unknown});
-    });
+    m_Scheduler.schedule(
+        GiveUp, [Callback] { Callback({.m_Failure = StoreFailure::Unknown}); });
   }
 
   VirtualScheduler &m_Scheduler;
