--- a/include/dotterel/fleet/OrderSender.h
+++ b/include/dotterel/fleet/OrderSender.h
@@ -8,7 +8,6 @@
 #ifndef DOTTEREL_FLEET_ORDERSENDER_H
 #define DOTTEREL_FLEET_ORDERSENDER_H
 
-#include "dotterel/base/Scheduler.h"
 #include "dotterel/fleet/OrderRecord.h"
 #include "dotterel/lease/DutyLease.h"
 #include "dotterel/store/KeyValueStore.h"
@@ -36,7 +35,7 @@
 class OrderSender {
 public:
   /// \p Gone says whether a sender's process is known to have ended.
-  OrderSender(Scheduler &Scheduler, KeyValueStore &Store, const DutyLease &Duty,
+  OrderSender(KeyValueStore &Store, const DutyLease &Duty,
               EngineOrders &Engines, std::function<bool(const SenderId &)> Gone,
               const OrderSenderOptions &Options);
   OrderSender(const OrderSender &) = delete;
@@ -69,7 +68,6 @@
              StoreCallback<TransactionResult> Done) -> void;
   auto finish() -> void { m_Busy = false; }
 
-  Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
   const DutyLease &m_Duty;
   EngineOrders &m_Engines;
--- a/include/dotterel/ledger/ClaimShard.h
+++ b/include/dotterel/ledger/ClaimShard.h
@@ -80,7 +80,7 @@
   auto append() -> void;
   auto appended(const StoreReply<TransactionResult> &Reply,
                 const std::vector<ClaimEntry> &Batch, WallTime Horizon) -> void;
-  auto transactionFor(std::vector<ClaimEntry> Entries, WallTime Horizon)
+  auto transactionFor(const std::vector<ClaimEntry> &Entries, WallTime Horizon)
       -> StoreTransaction;
   /// The horizon to forget at, when that frees a sealed segment.
   [[nodiscard]] auto nextHorizon() const -> WallTime;
--- a/src/fleet/OrderSender.cpp
+++ b/src/fleet/OrderSender.cpp
@@ -14,12 +14,12 @@
 
 } // namespace
 
-OrderSender::OrderSender(Scheduler &Scheduler, KeyValueStore &Store,
-                         const DutyLease &Duty, EngineOrders &Engines,
+OrderSender::OrderSender(KeyValueStore &Store, const DutyLease &Duty,
+                         EngineOrders &Engines,
                          std::function<bool(const SenderId &)> Gone,
                          const OrderSenderOptions &Options)
-    : m_Scheduler(Scheduler), m_Store(Store), m_Duty(Duty), m_Engines(Engines),
-      m_Gone(std::move(Gone)), m_Options(Options) {}
+    : m_Store(Store), m_Duty(Duty), m_Engines(Engines), m_Gone(std::move(Gone)),
+      m_Options(Options) {}
 
 auto OrderSender::pursue(EngineRole Role) -> void {
   if (m_Busy || !m_Duty.held())
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -121,22 +121,22 @@
 
 auto CompletionCall::wait() -> void {
   auto Asked = query();
+  auto Self = shared_from_this();
+  auto Cost = static_cast<double>(Asked.m_Work.m_PrefillTokens +
+                                  Asked.m_Work.m_DecodeTokens);
   auto Request = DispatchRequest{
       .m_Waiting = {.m_Request = m_Input.m_Request,
                     .m_Organisation = m_Input.m_Caller.m_Organisation,
                     .m_Weight = m_Input.m_Caller.m_Weight,
                     .m_Class = m_Input.m_Completion.m_Class,
-                    .m_Cost = static_cast<double>(Asked.m_Work.m_PrefillTokens +
-                                                  Asked.m_Work.m_DecodeTokens),
+                    .m_Cost = Cost,
                     .m_Since = m_Arrived,
                     .m_Deadline = deadline()},
       .m_Query = std::move(Asked),
       .m_OnGo =
-          [Self = shared_from_this()](const std::vector<Candidate> &Engines) {
-            Self->go(Engines);
-          },
+          [Self](const std::vector<Candidate> &Engines) { Self->go(Engines); },
       .m_OnExpired =
-          [Self = shared_from_this()] {
+          [Self] {
             Self->refuse(
                 Refusal(RefusalCode::DeadlineExceeded, Self->executed()));
           }};
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -73,7 +73,7 @@
   auto copyUsage(const UsageSegment &Segment, std::function<void(bool)> Done)
       -> void;
   auto replicaTarget() const -> std::string;
-  auto drainCallers(std::function<void()> Done) -> void;
+  auto drainCallers(const std::function<void()> &Done) -> void;
   auto drainUsage(std::function<void()> Done) -> void;
   auto leave(std::function<void()> Done, int Left) -> void;
   auto shutDown() -> void;
@@ -318,9 +318,7 @@
           },
       .m_Reset = [this] { m_CallerServer.reset(); },
       .m_Stop =
-          [this](std::function<void()> Done) {
-            drainCallers(std::move(Done));
-          }}));
+          [this](const std::function<void()> &Done) { drainCallers(Done); }}));
 }
 
 auto GateProcess::readConfiguration() -> void {
@@ -377,7 +375,7 @@
       });
 }
 
-auto GateProcess::drainCallers(std::function<void()> Done) -> void {
+auto GateProcess::drainCallers(const std::function<void()> &Done) -> void {
   m_Callers.leave();
   logInfo("gate.draining", {{"active", m_Callers.active()}});
   // Connections still arrive until the balancer has noticed.
--- a/src/ledger/ClaimShard.cpp
+++ b/src/ledger/ClaimShard.cpp
@@ -204,7 +204,7 @@
   Entries.insert(Entries.end(), Batch.begin(), Batch.end());
   auto Horizon = nextHorizon();
   m_NextAppend = m_Scheduler.now() + m_Options.m_AppendInterval;
-  m_Store.commit(transactionFor(std::move(Entries), Horizon),
+  m_Store.commit(transactionFor(Entries, Horizon),
                  [this, Alive = m_Alive, Batch, Horizon](const auto &Reply) {
                    if (*Alive)
                      appended(Reply, Batch, Horizon);
@@ -217,7 +217,7 @@
   return Frees ? std::max(Horizon, m_Log.horizon()) : m_Log.horizon();
 }
 
-auto ClaimShard::transactionFor(std::vector<ClaimEntry> Entries,
+auto ClaimShard::transactionFor(const std::vector<ClaimEntry> &Entries,
                                 WallTime Horizon) -> StoreTransaction {
   auto HeadKey = m_Prefix + "head";
   auto Next = Document{.m_Sequence = m_Sequence,
--- a/src/rpc/PeerRpc.cpp
+++ b/src/rpc/PeerRpc.cpp
@@ -45,7 +45,7 @@
     auto [Promise, Callback] = bridge<ClaimReply>();
     m_Service.onClaim(detail::decode(Context.getParams().getRequest()),
                       std::move(Callback));
-    return Promise.then([Context](ClaimReply Reply) mutable {
+    return Promise.then([Context](const ClaimReply &Reply) mutable {
       detail::encode(Reply, Context.getResults().initReply());
     });
   }
--- a/src/steward/RoleKeeper.cpp
+++ b/src/steward/RoleKeeper.cpp
@@ -59,7 +59,7 @@
   if (!Slot) {
     const auto *Server = m_Engines.find(Engine);
     Slot = std::make_unique<OrderSender>(
-        m_Scheduler, m_Store, m_Duty, m_Orders, m_Gone,
+        m_Store, m_Duty, m_Orders, m_Gone,
         OrderSenderOptions{.m_Engine = Engine,
                            .m_ChecksFencing =
                                Server != nullptr && Server->m_ChecksFencing,
--- /dev/null
+++ b/tests/fault-DutyLease.cpp
@@ -0,0 +1,127 @@
+#include "support/FaultyStore.h"
+
+#include "dotterel/base/Random.h"
+#include "dotterel/lease/DutyLease.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace dotterel;
+using namespace dotterel::test;
+
+namespace {
+
+struct Campaigner {
+  Campaigner(VirtualScheduler &Scheduler, StoreModel &Model,
+             const std::string &Name)
+      : m_Store(Scheduler, Model),
+        m_Lease(std::make_unique<DutyLease>(Scheduler, m_Store, DutyId{"d"},
+                                            ProcessId{Name},
+                                            DutyLeaseOptions{})) {
+    m_Lease->start();
+  }
+
+  FaultyStore m_Store;
+  std::unique_ptr<DutyLease> m_Lease;
+};
+
+struct World {
+  explicit World(std::size_t Count) {
+    for (auto Index = std::size_t{0}; Index < Count; ++Index)
+      m_All.push_back(std::make_unique<Campaigner>(m_Scheduler, m_Model,
+                                                   std::to_string(Index)));
+  }
+
+  [[nodiscard]] auto holders() const -> std::size_t {
+    auto Count = std::size_t{0};
+    for (const auto &Item : m_All)
+      Count += Item->m_Lease && Item->m_Lease->held() ? 1 : 0;
+    return Count;
+  }
+
+  VirtualScheduler m_Scheduler;
+  StoreModel m_Model{m_Scheduler};
+  std::vector<std::unique_ptr<Campaigner>> m_All;
+};
+
+} // namespace
+
+TEST_CASE("duty: one of three holds it, and its number rises with each grant") {
+  auto Test = World(3);
+  Test.m_Scheduler.advance(Seconds(5));
+  REQUIRE(Test.holders() == 1);
+  auto Last = FencingNumber{};
+  for (auto Round = 0; Round < 3; ++Round) {
+    for (auto &Item : Test.m_All)
+      if (Item->m_Lease && Item->m_Lease->held()) {
+        CHECK(Item->m_Lease->fencing() > Last);
+        Last = Item->m_Lease->fencing();
+        Item->m_Lease.reset();
+        break;
+      }
+    Test.m_Scheduler.advance(Seconds(20));
+    CHECK(Test.holders() == (Round == 2 ? 0 : 1));
+  }
+}
+
+TEST_CASE("duty: a holder that was paused past its term does not believe in "
+          "it, at the first look after it wakes") {
+  auto Test = World(1);
+  Test.m_Scheduler.advance(Seconds(5));
+  REQUIRE(Test.holders() == 1);
+  Test.m_Scheduler.pause(Seconds(11));
+  CHECK(Test.holders() == 0);
+}
+
+TEST_CASE("duty: a holder cut off from the store stops believing before the "
+          "store lets another one in") {
+  auto Test = World(2);
+  Test.m_Scheduler.advance(Seconds(5));
+  for (auto &Item : Test.m_All)
+    if (Item->m_Lease->held())
+      Item->m_Store.setOutage(StoreFault::LoseRequest);
+  auto Changed = false;
+  for (auto Step = 0; Step < 300; ++Step) {
+    Test.m_Scheduler.advance(Milliseconds(100));
+    CHECK(Test.holders() <= 1);
+    Changed = Changed || Test.holders() == 0;
+  }
+  CHECK(Changed);
+  CHECK(Test.holders() == 1);
+}
+
+TEST_CASE("duty: resigning lets another one in without waiting for the term") {
+  auto Test = World(2);
+  Test.m_Scheduler.advance(Seconds(5));
+  for (auto &Item : Test.m_All)
+    if (Item->m_Lease->held()) {
+      Item->m_Lease->resign([] {});
+      break;
+    }
+  CHECK(Test.holders() == 0);
+  Test.m_Scheduler.advance(Seconds(3));
+  CHECK(Test.holders() == 1);
+}
+
+TEST_CASE("duty: generated faults and pauses never make two holders") {
+  auto Passed = rc::check([] {
+    auto Source = Random(*rc::gen::arbitrary<std::uint32_t>());
+    auto Test = World(3);
+    constexpr auto Steps = 200;
+    for (auto Step = 0; Step < Steps; ++Step) {
+      auto &Target = *Test.m_All[Source.below(Test.m_All.size())];
+      constexpr auto Kinds = std::array{
+          StoreFault::None, StoreFault::Refuse, StoreFault::LoseRequest,
+          StoreFault::LoseAnswer, StoreFault::LateEffect};
+      Target.m_Store.faultAt(Target.m_Store.calls() + 1 + Source.below(3),
+                             Kinds[Source.below(Kinds.size())]);
+      if (Source.below(20) == 0)
+        Test.m_Scheduler.pause(Milliseconds(Source.below(15'000)));
+      Test.m_Scheduler.advance(Milliseconds(Source.below(1500)));
+      RC_ASSERT(Test.holders() <= 1);
+    }
+  });
+  CHECK(Passed);
+}
--- /dev/null
+++ b/tests/fault-OrderSender.cpp
@@ -0,0 +1,312 @@
+#include "support/FaultyStore.h"
+
+#include "dotterel/base/Random.h"
+#include "dotterel/fleet/OrderSender.h"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <set>
+#include <vector>
+
+using namespace dotterel;
+using namespace dotterel::test;
+
+namespace {
+
+constexpr auto Term = Seconds(10);
+
+/// An engine that notes every order it executes, in order of arrival.
+struct Engine {
+  bool m_ChecksFencing = false;
+  std::uint64_t m_Highest = 0;
+  std::string m_Incarnation = "1";
+  std::vector<EngineOrder> m_Executed;
+
+  auto receive(const EngineOrder &Order) -> bool {
+    if (m_ChecksFencing && Order.m_Fencing.number() < m_Highest)
+      return false;
+    m_Highest = std::max(m_Highest, Order.m_Fencing.number());
+    m_Executed.push_back(Order);
+    return true;
+  }
+
+  /// An order that came back after a different one conflicts with it.
+  [[nodiscard]] auto conflicted() const -> bool {
+    auto Left = std::set<OrderId>();
+    for (auto Index = std::size_t{1}; Index < m_Executed.size(); ++Index) {
+      if (m_Executed[Index].m_Id == m_Executed[Index - 1].m_Id)
+        continue;
+      Left.insert(m_Executed[Index - 1].m_Id);
+      if (Left.contains(m_Executed[Index].m_Id))
+        return true;
+    }
+    return false;
+  }
+};
+
+enum class SendFault : std::uint8_t { None, LoseOrder, LoseAnswer, Late };
+
+/// One steward's way to the engine. Frozen, it holds the next order back as a
+/// process that was paused between its clock check and the send.
+class Orders final : public EngineOrders {
+public:
+  Orders(VirtualScheduler &Scheduler, Engine &Target)
+      : m_Scheduler(Scheduler), m_Target(Target) {}
+
+  auto send(const BackendId & /*Id*/, const EngineOrder &Order,
+            std::function<void(OrderAnswer)> Done) -> void override {
+    if (m_Frozen) {
+      m_Held.push_back([this, Order, Done] { deliver(Order, Done); });
+      return;
+    }
+    deliver(Order, std::move(Done));
+  }
+
+  auto readBack(const BackendId & /*Id*/,
+                std::function<void(std::optional<EngineState>)> Done)
+      -> void override {
+    m_Scheduler.schedule(Milliseconds(1), [this, Done = std::move(Done)] {
+      auto State = EngineState{.m_Incarnation = m_Target.m_Incarnation};
+      if (!m_Target.m_Executed.empty())
+        State.m_LastOrder = m_Target.m_Executed.back().m_Id;
+      Done(State);
+    });
+  }
+
+  auto thaw() -> void {
+    m_Frozen = false;
+    for (auto &Item : std::exchange(m_Held, {}))
+      Item();
+  }
+
+  bool m_Frozen = false;
+  SendFault m_Next = SendFault::None;
+
+private:
+  auto deliver(const EngineOrder &Order, std::function<void(OrderAnswer)> Done)
+      -> void {
+    auto Fault = std::exchange(m_Next, SendFault::None);
+    constexpr auto GiveUp = Seconds(2);
+    auto Arrival = Fault == SendFault::Late ? Duration(Seconds(30))
+                                            : Duration(Milliseconds(1));
+    if (Fault != SendFault::LoseOrder)
+      m_Scheduler.schedule(Arrival, [this, Order, Done, Fault] {
+        auto Taken = m_Target.receive(Order);
+        if (Fault == SendFault::None)
+          Done(Taken ? OrderAnswer::Accepted : OrderAnswer::Refused);
+      });
+    if (Fault != SendFault::None)
+      m_Scheduler.schedule(GiveUp, [Done] { Done(OrderAnswer::Unknown); });
+  }
+
+  VirtualScheduler &m_Scheduler;
+  Engine &m_Target;
+  std::vector<std::function<void()>> m_Held;
+};
+
+struct Steward {
+  Steward(VirtualScheduler &Scheduler, StoreModel &Model, Engine &Target,
+          const std::string &Name, std::set<SenderId> &Gone)
+      : m_Store(Scheduler, Model), m_Orders(Scheduler, Target),
+        m_Duty(std::make_unique<DutyLease>(Scheduler, m_Store, DutyId{"roles"},
+                                           ProcessId{Name},
+                                           DutyLeaseOptions{.m_Term = Term})),
+        m_Sender(std::make_unique<OrderSender>(
+            m_Store, *m_Duty, m_Orders,
+            [&Gone](const SenderId &Sender) { return Gone.contains(Sender); },
+            OrderSenderOptions{.m_Engine = BackendId{"e"},
+                               .m_ChecksFencing = Target.m_ChecksFencing,
+                               .m_Self = SenderId{Name}})) {}
+
+  auto kill() -> void {
+    m_Sender.reset();
+    m_Duty.reset();
+  }
+
+  FaultyStore m_Store;
+  Orders m_Orders;
+  std::unique_ptr<DutyLease> m_Duty;
+  std::unique_ptr<OrderSender> m_Sender;
+};
+
+struct World {
+  explicit World(bool ChecksFencing) {
+    m_Engine.m_ChecksFencing = ChecksFencing;
+  }
+
+  auto steward(const std::string &Name) -> Steward & {
+    m_Stewards.push_back(std::make_unique<Steward>(m_Scheduler, m_Model,
+                                                   m_Engine, Name, m_Gone));
+    m_Stewards.back()->m_Duty->start();
+    return *m_Stewards.back();
+  }
+
+  /// Lets a steward pursue a role for a while.
+  auto pursue(Steward &Target, EngineRole Role, Duration Span) -> void {
+    for (auto Left = Span; Left > Duration::zero(); Left -= Milliseconds(500)) {
+      if (Target.m_Sender)
+        Target.m_Sender->pursue(Role);
+      m_Scheduler.advance(Milliseconds(500));
+    }
+  }
+
+  VirtualScheduler m_Scheduler;
+  StoreModel m_Model{m_Scheduler};
+  Engine m_Engine;
+  std::set<SenderId> m_Gone;
+  std::vector<std::unique_ptr<Steward>> m_Stewards;
+};
+
+} // namespace
+
+TEST_CASE("orders: a role is ordered once and settles") {
+  auto Test = World(false);
+  auto &A = Test.steward("a");
+  Test.pursue(A, EngineRole::Decode, Seconds(5));
+  Test.pursue(A, EngineRole::Prefill, Seconds(5));
+  REQUIRE(Test.m_Engine.m_Executed.size() == 2);
+  CHECK(Test.m_Engine.m_Executed[0].m_Role == EngineRole::Decode);
+  CHECK(Test.m_Engine.m_Executed[1].m_Role == EngineRole::Prefill);
+  CHECK(Test.m_Engine.m_Executed[0].m_Fencing <
+        Test.m_Engine.m_Executed[1].m_Fencing);
+}
+
+TEST_CASE(
+    "orders: a sender paused before the send, which wakes late, conflicts "
+    "with nothing") {
+  for (auto ChecksFencing : {false, true}) {
+    auto Test = World(ChecksFencing);
+    auto &A = Test.steward("a");
+    Test.m_Scheduler.advance(Seconds(1));
+    A.m_Orders.m_Frozen = true;
+    Test.pursue(A, EngineRole::Decode, Seconds(1));
+    // Its renewals stop with the process.
+    A.m_Store.setOutage(StoreFault::Refuse);
+    Test.m_Scheduler.advance(Seconds(20));
+    auto &B = Test.steward("b");
+    Test.pursue(B, EngineRole::Prefill, Seconds(20));
+    A.m_Orders.thaw();
+    A.m_Store.setOutage(StoreFault::None);
+    Test.pursue(B, EngineRole::Prefill, Seconds(20));
+    CAPTURE(ChecksFencing);
+    CHECK_FALSE(Test.m_Engine.conflicted());
+    // Once A's copy has been dealt with, B's own order goes through.
+    REQUIRE_FALSE(Test.m_Engine.m_Executed.empty());
+    if (ChecksFencing)
+      CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+  }
+}
+
+TEST_CASE(
+    "orders: a different order waits until the earlier sender is known to "
+    "be gone") {
+  auto Test = World(false);
+  auto &A = Test.steward("a");
+  Test.m_Scheduler.advance(Seconds(1));
+  A.m_Orders.m_Frozen = true;
+  Test.pursue(A, EngineRole::Decode, Seconds(1));
+  A.kill();
+  Test.m_Scheduler.advance(Seconds(20));
+  auto &B = Test.steward("b");
+  Test.pursue(B, EngineRole::Prefill, Seconds(20));
+  for (const auto &Order : Test.m_Engine.m_Executed)
+    CHECK(Order.m_Role == EngineRole::Decode);
+  Test.m_Gone.insert(SenderId{"a"});
+  Test.pursue(B, EngineRole::Prefill, Seconds(5));
+  CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+}
+
+TEST_CASE("orders: a replaced engine takes a new order whatever the old one "
+          "may still have got") {
+  auto Test = World(false);
+  auto &A = Test.steward("a");
+  Test.m_Scheduler.advance(Seconds(1));
+  A.m_Orders.m_Next = SendFault::LoseOrder;
+  Test.pursue(A, EngineRole::Decode, Seconds(1));
+  A.kill();
+  Test.m_Scheduler.advance(Seconds(20));
+  Test.m_Engine.m_Incarnation = "2";
+  auto &B = Test.steward("b");
+  Test.pursue(B, EngineRole::Prefill, Seconds(5));
+  REQUIRE_FALSE(Test.m_Engine.m_Executed.empty());
+  CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+}
+
+TEST_CASE("orders: every fault at every step, in pairs, with a change of "
+          "holder") {
+  constexpr auto StoreFaults =
+      std::array{StoreFault::None, StoreFault::Refuse, StoreFault::LoseRequest,
+                 StoreFault::LoseAnswer, StoreFault::LateEffect};
+  constexpr auto SendFaults =
+      std::array{SendFault::None, SendFault::LoseOrder, SendFault::LoseAnswer,
+                 SendFault::Late};
+  for (auto ChecksFencing : {false, true})
+    for (auto Fault : StoreFaults)
+      for (auto Step = 1U; Step <= 8; ++Step)
+        for (auto Sent : SendFaults)
+          for (auto Kill : {false, true}) {
+            auto Test = World(ChecksFencing);
+            auto &A = Test.steward("a");
+            A.m_Store.faultAt(Step, Fault);
+            A.m_Orders.m_Next = Sent;
+            Test.pursue(A, EngineRole::Decode, Seconds(6));
+            Test.pursue(A, EngineRole::Prefill, Seconds(6));
+            if (Kill) {
+              A.kill();
+              Test.m_Scheduler.advance(Seconds(15));
+            }
+            auto &B = Test.steward("b");
+            Test.pursue(B, EngineRole::Mixed, Seconds(40));
+            CAPTURE(ChecksFencing);
+            CAPTURE(static_cast<int>(Fault));
+            CAPTURE(Step);
+            CAPTURE(static_cast<int>(Sent));
+            CAPTURE(Kill);
+            CHECK_FALSE(Test.m_Engine.conflicted());
+          }
+}
+
+TEST_CASE("orders: generated pauses, kills and faults never conflict") {
+  auto Passed = rc::check([] {
+    auto Source = Random(*rc::gen::arbitrary<std::uint32_t>());
+    auto Test = World(Source.below(2) == 0);
+    Test.steward("s0");
+    Test.steward("s1");
+    constexpr auto Steps = 40;
+    constexpr auto Roles =
+        std::array{EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode};
+    for (auto Step = 0; Step < Steps; ++Step) {
+      auto Index = Source.below(Test.m_Stewards.size());
+      auto &Target = *Test.m_Stewards[Index];
+      switch (Source.below(8)) {
+      case 0:
+        Target.kill();
+        if (Source.below(2) == 0)
+          Test.m_Gone.insert(SenderId{"s" + std::to_string(Index)});
+        Test.steward("s" + std::to_string(Test.m_Stewards.size()));
+        break;
+      case 1:
+        Target.m_Orders.m_Next = SendFault::LoseAnswer;
+        break;
+      case 2:
+        Target.m_Orders.m_Frozen = true;
+        Target.m_Store.setOutage(StoreFault::Refuse);
+        break;
+      case 3:
+        // A killed process's held order is never sent.
+        if (Target.m_Sender)
+          Target.m_Orders.thaw();
+        Target.m_Store.setOutage(StoreFault::None);
+        break;
+      default:
+        Test.pursue(Target, Roles[Source.below(Roles.size())],
+                    Milliseconds(500) * (1 + Source.below(10)));
+      }
+      Test.m_Scheduler.advance(Milliseconds(Source.below(4000)));
+    }
+    RC_ASSERT(!Test.m_Engine.conflicted());
+  });
+  CHECK(Passed);
+}
