Test real processes end to end; keep popular prompts out of quarantine

Cause: bystanders with one common prompt were quarantined, since their digest stood on both engines that a crashing request took.

Ruled out: a longer count for all digests, which lets a crashing request take more engines. Change: two losses quarantine only when the digest ran alone in one of them; four when it never did; a success clears a suspect. A suspect prefers an engine that is idle everywhere.

Also: the retry budget starts at 10 and saves up to 20. With 3, an organisation with few requests was refused after three bad answers in a row.

--- a/include/dotterel/fakes/FakePlatform.h
+++ b/include/dotterel/fakes/FakePlatform.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -30,7 +31,10 @@
   std::int64_t m_LoseReports = 0;     ///< `lose_report_answers`: so many.
   std::int64_t m_WritesPerSecond = 0; ///< `writes_per_second`; 0: no limit.
   std::int64_t m_ReadsPerSecond = 0;  ///< `reads_per_second`; 0: no limit.
-  bool m_BackendOrdersDown = false;   ///< `backend_orders_down`
+  /// `cut`: names of processes whose calls to the store go unanswered. A
+  /// process is named by a path prefix `/as/<name>`.
+  std::set<std::string> m_Cut;
+  bool m_BackendOrdersDown = false; ///< `backend_orders_down`
   /// `unavailable_data_centre`: cannot start cheap servers there.
   std::string m_UnavailableDataCentre;
 };
@@ -47,7 +51,8 @@
 private:
   using Json = nlohmann::json;
 
-  auto handleStore(const HttpExchangePtr &Exchange) -> void;
+  auto handleStore(const HttpExchangePtr &Exchange, const std::string &Path)
+      -> void;
   auto handleLists(const HttpExchangePtr &Exchange) -> bool;
   auto handleOrders(const HttpExchangePtr &Exchange, const Json &Body) -> void;
   auto handleReports(const HttpExchangePtr &Exchange, const Json &Body) -> void;
--- a/include/dotterel/gate/LossInspector.h
+++ b/include/dotterel/gate/LossInspector.h
@@ -14,7 +14,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace dotterel {
@@ -36,7 +35,7 @@
 
 private:
   struct Inspection {
-    std::set<RequestDigest> m_Running;
+    std::map<RequestDigest, bool> m_Running; ///< And whether it ran alone.
     std::vector<std::function<void(bool)>> m_Waiters;
   };
 
--- a/include/dotterel/poison/CrashRegistry.h
+++ b/include/dotterel/poison/CrashRegistry.h
@@ -30,7 +30,14 @@
 struct CrashReport {
   RequestDigest m_Digest;
   std::set<BackendId> m_Backends;
-  std::uint64_t m_Releases = 0; ///< Operators' releases so far.
+  std::uint64_t m_Releases = 0; ///< By operators and by successes, so far.
+  bool m_LostAlone = false; ///< One was lost while it ran this request alone.
+};
+
+/// A request that was running on a backend server.
+struct RunningRequest {
+  RequestDigest m_Digest;
+  bool m_Alone = false; ///< It had the server for itself.
 };
 
 enum class CrashVerdict : std::uint8_t {
@@ -40,8 +47,12 @@
 };
 
 struct CrashRegistryOptions {
-  /// Losses after which a digest is refused everywhere.
+  /// Losses after which a digest is refused everywhere, when it ran alone in
+  /// one of them.
   std::size_t m_QuarantineAfter = 2;
+  /// Losses after which it is refused when it never ran alone: a prompt that
+  /// many callers send stands on every server, and is lost with each.
+  std::size_t m_QuarantineShared = 4;
   /// Losses in one data centre within this time count as one reclaim of the
   /// zone and as no evidence.
   Duration m_ReclaimWindow = Seconds(5);
@@ -61,12 +72,15 @@
   /// Notes that \p Backend was lost while it ran the requests \p Running.
   /// Several requests share the loss: each becomes suspect.
   auto recordLoss(const BackendId &Backend, const DataCentreId &DataCentre,
-                  const std::vector<RequestDigest> &Running, MonotonicTime Now)
+                  const std::vector<RunningRequest> &Running, MonotonicTime Now)
       -> void;
 
   /// Complexity: logarithmic.
   [[nodiscard]] auto verdict(RequestDigest Digest) const -> CrashVerdict;
 
+  /// Notes that a request ran to its end: a suspect is suspect no more.
+  auto recordSuccess(RequestDigest Digest) -> void;
+
   /// Clears a digest everywhere, by an operator's order.
   auto release(RequestDigest Digest) -> void;
 
@@ -78,7 +92,7 @@
     BackendId m_Backend;
     DataCentreId m_DataCentre;
     MonotonicTime m_At;
-    std::vector<RequestDigest> m_Running;
+    std::vector<RunningRequest> m_Running;
   };
 
   /// Takes back evidence from losses that turn out to be one reclaim.
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -105,9 +105,9 @@
   /// The engine has produced its first token: the prefill is done.
   auto prefilled(const BackendId &Id, const AttemptId &Attempt) -> void;
 
-  /// Digests of the requests of this gate on \p Id.
-  [[nodiscard]] auto digestsOn(const BackendId &Id) const
-      -> std::vector<RequestDigest>;
+  /// Requests of this gate on \p Id.
+  [[nodiscard]] auto runningOn(const BackendId &Id) const
+      -> std::vector<RunningRequest>;
 
   [[nodiscard]] auto find(const BackendId &Id) const -> const Backend *;
   [[nodiscard]] auto load(const BackendId &Id) const
@@ -132,6 +132,8 @@
 
   [[nodiscard]] auto accepts(const Entry &Item, const EngineQuery &Query) const
       -> bool;
+  /// Leaves only engines without any gate's work, if there is one.
+  static auto preferIdle(std::vector<Candidate> &Engines) -> void;
   [[nodiscard]] auto candidateOf(const Entry &Item, const EngineQuery &Query,
                                  MonotonicTime Now) const -> Candidate;
   [[nodiscard]] auto distance(const Backend &Server) const -> Duration;
--- a/include/dotterel/routing/RetryBudget.h
+++ b/include/dotterel/routing/RetryBudget.h
@@ -16,8 +16,9 @@
 
 struct RetryBudgetOptions {
   double m_PerSuccess = 0.2; ///< Retries earned by one success.
-  double m_Most = 10.0;      ///< Retries that can be saved up.
-  double m_Initial = 3.0;
+  double m_Most = 20.0;      ///< Retries that can be saved up.
+  /// Enough that an organisation with few requests survives a bad moment.
+  double m_Initial = 10.0;
 };
 
 /// Budgets by name of an organisation or a backend server.
--- a/schema/Peer.capnp
+++ b/schema/Peer.capnp
@@ -31,7 +31,8 @@
 struct CrashReport {
   digest @0 :UInt64;
   backends @1 :List(Text);
-  released @2 :UInt64;  # number of operators' releases seen
+  released @2 :UInt64;  # number of releases seen
+  lostAlone @3 :Bool;   # one was lost while it ran this request alone
 }
 
 struct View {
--- a/schema/Peer.capnp.h
+++ b/schema/Peer.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0419c4cf6a07929, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e0419c4cf6a07929, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -569,6 +569,8 @@
 
   inline  ::uint64_t getReleased() const;
 
+  inline bool getLostAlone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -611,6 +613,9 @@
   inline  ::uint64_t getReleased();
   inline void setReleased( ::uint64_t value);
 
+  inline bool getLostAlone();
+  inline void setLostAlone(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2628,6 +2633,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReport::Reader::getLostAlone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getLostAlone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setLostAlone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool View::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -27,6 +27,18 @@
                            : Value.get<std::uint64_t>();
 }
 
+/// Splits `/as/<name>/rest` into the name and the rest.
+auto splitCaller(const std::string &Path)
+    -> std::pair<std::string, std::string> {
+  constexpr auto Prefix = std::string_view("/as/");
+  if (!Path.starts_with(Prefix))
+    return {std::string(), Path};
+  auto End = Path.find('/', Prefix.size());
+  if (End == std::string::npos)
+    return {std::string(), Path};
+  return {Path.substr(Prefix.size(), End - Prefix.size()), Path.substr(End)};
+}
+
 auto header(StoreRevision Revision) -> Json {
   return {{"revision", std::to_string(Revision.number())}};
 }
@@ -83,9 +95,11 @@
     return;
   }
   try {
-    if (Request.m_Path.starts_with("/v3/"))
-      handleStore(Exchange);
-    else if (Request.m_Path == "/faults")
+    auto [Caller, Path] = splitCaller(Request.m_Path);
+    if (Path.starts_with("/v3/")) {
+      if (!m_Faults.m_Cut.contains(Caller))
+        handleStore(Exchange, Path);
+    } else if (Request.m_Path == "/faults")
       setFaults(Exchange, Body);
     else if (Request.m_Path == "/platform/v1/orders")
       handleOrders(Exchange, Body);
@@ -141,9 +155,10 @@
   throw std::runtime_error("no such call");
 }
 
-auto FakePlatform::handleStore(const HttpExchangePtr &Exchange) -> void {
+auto FakePlatform::handleStore(const HttpExchangePtr &Exchange,
+                               const std::string &Path) -> void {
   const auto &Request = Exchange->request();
-  auto Write = Request.m_Path != "/v3/kv/range";
+  auto Write = Path != "/v3/kv/range";
   if (m_Faults.m_StoreSilent)
     return;
   if (m_Faults.m_StoreDown || overLimit(Write)) {
@@ -151,7 +166,7 @@
                                 {{"error", "unavailable"}}));
     return;
   }
-  auto Answer = storeAnswer(Request.m_Path, Json::parse(Request.m_Body));
+  auto Answer = storeAnswer(Path, Json::parse(Request.m_Body));
   if (Write && m_Faults.m_LoseAnswers > 0) {
     // The effect stands; the caller's connection just stays silent.
     --m_Faults.m_LoseAnswers;
@@ -255,6 +270,7 @@
   F.m_LoseReports = Body.value("lose_report_answers", F.m_LoseReports);
   F.m_WritesPerSecond = Body.value("writes_per_second", F.m_WritesPerSecond);
   F.m_ReadsPerSecond = Body.value("reads_per_second", F.m_ReadsPerSecond);
+  F.m_Cut = Body.value("cut", F.m_Cut);
   F.m_BackendOrdersDown =
       Body.value("backend_orders_down", F.m_BackendOrdersDown);
   F.m_UnavailableDataCentre =
--- a/src/gate/LossInspector.cpp
+++ b/src/gate/LossInspector.cpp
@@ -15,10 +15,10 @@
 
 auto LossInspector::inspect(const BackendId &Id, std::function<void(bool)> Done)
     -> void {
-  auto Running = m_Engines.digestsOn(Id);
   auto First = !m_Inspections.contains(Id);
   auto &Item = m_Inspections[Id];
-  Item.m_Running.insert(Running.begin(), Running.end());
+  for (const auto &Request : m_Engines.runningOn(Id))
+    Item.m_Running[Request.m_Digest] = Request.m_Alone;
   Item.m_Waiters.push_back(std::move(Done));
   if (!First)
     return;
@@ -58,9 +58,12 @@
   const auto *Server = m_Engines.find(Id);
   logWarning("backend.lost",
              {{"backend", Id}, {"running", Item.m_Running.size()}});
+  auto Running = std::vector<RunningRequest>();
+  for (const auto &[Digest, Alone] : Item.m_Running)
+    Running.push_back({.m_Digest = Digest, .m_Alone = Alone});
   m_Crashes.recordLoss(
-      Id, Server != nullptr ? Server->m_DataCentre : DataCentreId{},
-      {Item.m_Running.begin(), Item.m_Running.end()}, m_Scheduler.now());
+      Id, Server != nullptr ? Server->m_DataCentre : DataCentreId{}, Running,
+      m_Scheduler.now());
   m_Announce(Finish);
 }
 
--- a/src/poison/CrashRegistry.cpp
+++ b/src/poison/CrashRegistry.cpp
@@ -13,7 +13,7 @@
 
 auto CrashRegistry::recordLoss(const BackendId &Backend,
                                const DataCentreId &DataCentre,
-                               const std::vector<RequestDigest> &Running,
+                               const std::vector<RunningRequest> &Running,
                                MonotonicTime Now) -> void {
   std::erase_if(m_Recent, [&](const Loss &Old) {
     return Now - Old.m_At > m_Options.m_ReclaimWindow;
@@ -22,10 +22,11 @@
                       .m_DataCentre = DataCentre,
                       .m_At = Now,
                       .m_Running = Running});
-  for (auto Digest : Running) {
-    auto &Report = m_Reports[Digest];
-    Report.m_Digest = Digest;
+  for (const auto &Item : Running) {
+    auto &Report = m_Reports[Item.m_Digest];
+    Report.m_Digest = Item.m_Digest;
     Report.m_Backends.insert(Backend);
+    Report.m_LostAlone = Report.m_LostAlone || Item.m_Alone;
   }
   forgiveReclaim(DataCentre);
 }
@@ -40,7 +41,7 @@
   for (const auto &Recent : m_Recent) {
     if (Recent.m_DataCentre != DataCentre)
       continue;
-    for (auto Digest : Recent.m_Running) {
+    for (const auto &[Digest, Alone] : Recent.m_Running) {
       auto Found = m_Reports.find(Digest);
       // A digest that is quarantined took its servers one after another; a
       // reclaim later on does not clear it.
@@ -56,15 +57,23 @@
   auto Found = m_Reports.find(Digest);
   if (Found == m_Reports.end() || Found->second.m_Backends.empty())
     return CrashVerdict::Clear;
-  return Found->second.m_Backends.size() >= m_Options.m_QuarantineAfter
-             ? CrashVerdict::Quarantined
-             : CrashVerdict::Suspect;
+  const auto &Report = Found->second;
+  auto Limit = Report.m_LostAlone ? m_Options.m_QuarantineAfter
+                                  : m_Options.m_QuarantineShared;
+  return Report.m_Backends.size() >= Limit ? CrashVerdict::Quarantined
+                                           : CrashVerdict::Suspect;
+}
+
+auto CrashRegistry::recordSuccess(RequestDigest Digest) -> void {
+  if (verdict(Digest) == CrashVerdict::Suspect)
+    release(Digest);
 }
 
 auto CrashRegistry::release(RequestDigest Digest) -> void {
   auto &Report = m_Reports[Digest];
   Report.m_Digest = Digest;
   Report.m_Backends.clear();
+  Report.m_LostAlone = false;
   ++Report.m_Releases;
 }
 
@@ -78,6 +87,7 @@
   if (Report.m_Releases < Own.m_Releases)
     return;
   Own.m_Backends.insert(Report.m_Backends.begin(), Report.m_Backends.end());
+  Own.m_LostAlone = Own.m_LostAlone || Report.m_LostAlone;
 }
 
 auto CrashRegistry::reports() const -> std::vector<CrashReport> {
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -89,9 +89,17 @@
   }
   if (Pool > 0 && !m_Outliers.mayLeaveOut(PoolEjected, Pool))
     Sound.insert(Sound.end(), Ejected.begin(), Ejected.end());
+  if (Query.m_Alone)
+    preferIdle(Sound);
   return Sound;
 }
 
+auto EngineTable::preferIdle(std::vector<Candidate> &Engines) -> void {
+  auto Busy = [](const Candidate &Engine) { return Engine.m_Running > 0; };
+  if (!std::all_of(Engines.begin(), Engines.end(), Busy))
+    std::erase_if(Engines, Busy);
+}
+
 auto EngineTable::candidateOf(const Entry &Item, const EngineQuery &Query,
                               MonotonicTime Now) const -> Candidate {
   const auto &Load = *Item.m_Load;
@@ -224,15 +232,15 @@
   ++Item.m_EndedSince;
 }
 
-auto EngineTable::digestsOn(const BackendId &Id) const
-    -> std::vector<RequestDigest> {
-  auto Digests = std::vector<RequestDigest>();
+auto EngineTable::runningOn(const BackendId &Id) const
+    -> std::vector<RunningRequest> {
+  auto Running = std::vector<RunningRequest>();
   auto Found = m_Entries.find(Id);
   if (Found == m_Entries.end())
-    return Digests;
+    return Running;
   for (const auto &[Attempt, Flight] : Found->second.m_Flights)
-    Digests.push_back(Flight.m_Digest);
-  return Digests;
+    Running.push_back({.m_Digest = Flight.m_Digest, .m_Alone = Flight.m_Alone});
+  return Running;
 }
 
 auto EngineTable::find(const BackendId &Id) const -> const Backend * {
--- a/src/rpc/detail/PeerCodec.cpp
+++ b/src/rpc/detail/PeerCodec.cpp
@@ -93,6 +93,7 @@
     auto Crash = Crashes[Index++];
     Crash.setDigest(Item.m_Digest.number());
     Crash.setReleased(Item.m_Releases);
+    Crash.setLostAlone(Item.m_LostAlone);
     auto Backends = Crash.initBackends(Item.m_Backends.size());
     auto Inner = 0U;
     for (const auto &Backend : Item.m_Backends)
@@ -111,7 +112,8 @@
     Value.m_Members.push_back(decodeMember(Item));
   for (auto Item : Source.getCrashes()) {
     auto Report = CrashReport{.m_Digest = RequestDigest{Item.getDigest()},
-                              .m_Releases = Item.getReleased()};
+                              .m_Releases = Item.getReleased(),
+                              .m_LostAlone = Item.getLostAlone()};
     for (auto Backend : Item.getBackends())
       Report.m_Backends.insert(BackendId{text(Backend)});
     Value.m_Crashes.push_back(std::move(Report));
