--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -185,7 +185,9 @@
 }
 
 auto FakePlatform::lagged(const std::string &Name) const -> Json {
-  auto Shown = Json::array();
+  // A list that lags shows an old state, never an empty one.
+  auto Shown =
+      m_History.empty() ? Json::array() : m_History.front().second.at(Name);
   auto Horizon = m_Scheduler.now() - Milliseconds(m_Faults.m_ListLagMs);
   for (const auto &[At, State] : m_History)
     if (At <= Horizon)
