Share key shards between revisions; bound engines tracked; load tool; unit tests

Cause, by the slopes just measured: taking over a change of one key parsed all shards, 103 ms at 41,000 organisations, which stalls every stream of the gate; and a gate tracked every engine of the fleet.

--- a/include/dotterel/config/Configuration.h
+++ b/include/dotterel/config/Configuration.h
@@ -9,8 +9,8 @@
 
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
+#include "dotterel/config/KeyTable.h"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -20,9 +20,6 @@
 
 namespace dotterel {
 
-/// Keys are spread over this many store values, since 41,000 do not fit one.
-inline constexpr auto ShardCount = std::size_t{64};
-
 /// How work is ordered when engines are short.
 enum class WorkClass : std::uint8_t {
   Interactive, ///< Must feel instant; goes first.
@@ -51,13 +48,6 @@
   Milliseconds m_Timeout{30'000};
 };
 
-/// A granted key, by digest; the key itself is never stored.
-struct KeyRecord {
-  std::string m_Digest; ///< Hexadecimal.
-  OrganisationId m_Organisation;
-  std::uint32_t m_Weight = 1; ///< Of the organisation in fair queueing.
-};
-
 /// Everything that operators set, at one revision.
 struct Configuration {
   ConfigRevision m_Revision;
@@ -66,20 +56,13 @@
   std::map<RouteId, Route> m_Routes;
   /// Backend servers that get no new work, by operators' order.
   std::set<BackendId> m_Drained;
-  /// Digest of the document of each key shard.
-  std::array<std::uint64_t, ShardCount> m_ShardDigests{};
-  /// Documents of the shards, as stored.
-  std::array<std::string, ShardCount> m_ShardDocuments;
-  std::map<std::string, KeyRecord> m_Keys; ///< By digest.
+  KeyTable m_Keys;
 
   /// \pre the configuration has been validated.
   [[nodiscard]] auto presetInForce() const -> const Preset & {
     return m_Presets.at(m_PresetInForce);
   }
 
-  /// The shard that holds keys with this digest.
-  static auto shardOf(const std::string &KeyDigest) -> std::size_t;
-
   /// \throws ConfigurationError 202 naming the path and the reason.
   auto validate() const -> void;
 };
@@ -90,14 +73,6 @@
 /// The head document: all but the keys. Complexity: linear.
 auto encodeHead(const Configuration &Value) -> std::string;
 
-/// The document of one shard of keys.
-auto encodeShard(const Configuration &Value, std::size_t Shard) -> std::string;
-
-auto digestDocument(const std::string &Document) -> std::uint64_t;
-
-/// Recomputes one shard's document and digest from the keys.
-auto refreshShard(Configuration &Value, std::size_t Shard) -> void;
-
 /// Builds a configuration from \p Head and the shard documents; a document
 /// missing from \p Shards is taken from \p Known.
 ///
--- a/include/dotterel/fleet/Discovery.h
+++ b/include/dotterel/fleet/Discovery.h
@@ -43,6 +43,11 @@
     m_OnLoad = std::move(Callback);
   }
 
+  /// Polls load reports only while \p Wanted says so.
+  auto setLoadWanted(std::function<bool()> Wanted) -> void {
+    m_LoadWanted = std::move(Wanted);
+  }
+
   auto start() -> void;
   auto stop() -> void;
 
@@ -61,6 +66,7 @@
   std::set<std::string> m_Pending; ///< Urls with a call in progress.
   std::function<void(std::vector<ListedProcess>)> m_OnHosts;
   std::function<void()> m_OnLoad;
+  std::function<bool()> m_LoadWanted;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
--- a/include/dotterel/fleet/RolePlanner.h
+++ b/include/dotterel/fleet/RolePlanner.h
@@ -16,8 +16,9 @@
 namespace dotterel {
 
 struct RolePlannerOptions {
-  /// Part of the peak load that a change must take away.
-  double m_LeastGain = 0.12;
+  /// What a change must win, as a part of one engine's work. Not of the whole
+  /// group's: one engine of many cannot change that by much.
+  double m_LeastGain = 0.3;
   /// Utilisation below which no change is worth its cost.
   double m_LeastUtilisation = 0.5;
   /// How long a gain must be seen before a change.
@@ -82,6 +83,9 @@
       -> std::optional<RoleChange>;
   [[nodiscard]] auto keepsFloor(const std::vector<GroupEngine> &Engines) const
       -> bool;
+  /// Work won by a change, in engines.
+  [[nodiscard]] static auto gain(const RoleChange &Change, std::size_t Engines)
+      -> double;
   [[nodiscard]] auto pays(const RoleChange &Change, std::size_t Engines) const
       -> bool;
   auto observe(const GroupDemand &Demand,
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -29,6 +29,10 @@
   Duration m_RegionDistance = Milliseconds(60);
   /// Work in flight for each slot of an engine before a request waits here.
   double m_Overcommit = 1.25;
+  /// Engines of each model that one gate keeps track of, so that its control
+  /// traffic does not grow with the fleet. Nearer ones go first; among equally
+  /// near ones each gate takes others.
+  std::size_t m_EnginesPerModel = 24;
   OutlierOptions m_Outliers;
 };
 
@@ -132,6 +136,9 @@
 
   [[nodiscard]] auto accepts(const Entry &Item, const EngineQuery &Query) const
       -> bool;
+  /// The listed servers that this gate keeps track of.
+  [[nodiscard]] auto subset(const std::vector<Backend> &Listed) const
+      -> std::vector<Backend>;
   /// Leaves only engines without any gate's work, if there is one.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
   [[nodiscard]] auto candidateOf(const Entry &Item, const EngineQuery &Query,
--- a/include/dotterel/settings/Settings.h
+++ b/include/dotterel/settings/Settings.h
@@ -81,6 +81,10 @@
   auto readFlags(int ArgumentCount, const char *const *Arguments)
       -> SettingsAction;
   auto readEnvironment() -> void;
+  /// The arguments, with `=true` behind switches that have no value.
+  [[nodiscard]] auto withSwitchValues(int ArgumentCount,
+                                      const char *const *Arguments) const
+      -> std::vector<std::string>;
   auto check() const -> void;
 
   std::string m_Program;
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -2,10 +2,9 @@
 
 #include "dotterel/base/Errors.h"
 
-#include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace dotterel {
 
@@ -14,7 +13,6 @@
 using Json = nlohmann::json;
 
 constexpr auto LongestDeadline = Milliseconds(3'600'000);
-constexpr auto LongestName = std::size_t{64};
 
 auto presetToJson(const Preset &Value) -> Json {
   return {{"role_changes", Value.m_RoleChanges},
@@ -56,22 +54,11 @@
               Milliseconds(Source.at("timeout_ms").get<std::int64_t>())};
 }
 
-auto isName(const std::string &Text) -> bool {
-  auto Allowed = [](char Character) {
-    return (Character >= 'a' && Character <= 'z') ||
-           (Character >= '0' && Character <= '9') || Character == '-' ||
-           Character == '_';
-  };
-  return !Text.empty() && Text.size() <= LongestName &&
-         std::all_of(Text.begin(), Text.end(), Allowed);
-}
-
 auto checkName(const std::string &Path, const std::string &Text) -> void {
-  if (isName(Text))
+  if (isConfigurationName(Text))
     return;
   throw ConfigurationError(
-      202,
-      fmt::format("{}: a name is 1 to {} of a-z 0-9 - _", Path, LongestName));
+      202, fmt::format("{}: a name is 1 to 64 of a-z 0-9 - _", Path));
 }
 
 auto checkDuration(const std::string &Path, Milliseconds Value) -> void {
@@ -117,28 +104,17 @@
     Value.m_Routes[RouteId{Id}] = routeFromJson(Id, Item);
   for (const auto &Item : Source.at("drained"))
     Value.m_Drained.insert(BackendId{Item.get<std::string>()});
-  Value.m_ShardDigests =
-      Source.at("shards").get<std::array<std::uint64_t, ShardCount>>();
   return Value;
 }
 
-auto readShard(const std::string &Document, Configuration &Target) -> void {
-  // Held in a variable: items() refers to it throughout the loop.
-  auto Parsed = Json::parse(Document);
-  for (const auto &[Digest, Item] : Parsed.items())
-    Target.m_Keys[Digest] = {
-        .m_Digest = Digest,
-        .m_Organisation =
-            OrganisationId{Item.at("organisation").get<std::string>()},
-        .m_Weight = Item.at("weight").get<std::uint32_t>()};
+using ShardDigests = std::array<std::uint64_t, ShardCount>;
+
+auto readShardDigests(const std::string &Head) -> ShardDigests {
+  return Json::parse(Head).at("shards").get<ShardDigests>();
 }
 
 } // namespace
 
-auto Configuration::shardOf(const std::string &KeyDigest) -> std::size_t {
-  return XXH3_64bits(KeyDigest.data(), KeyDigest.size()) % ShardCount;
-}
-
 auto Configuration::validate() const -> void {
   if (!m_Presets.contains(m_PresetInForce))
     throw ConfigurationError(202, fmt::format("preset_in_force: no preset {}",
@@ -147,11 +123,6 @@
     validatePreset(Item);
   for (const auto &[Id, Item] : m_Routes)
     validateRoute(Item);
-  for (const auto &[Digest, Item] : m_Keys) {
-    checkName("keys.organisation", Item.m_Organisation.text());
-    if (Item.m_Weight == 0)
-      throw ConfigurationError(202, "keys.weight: must be at least 1");
-  }
 }
 
 auto initialConfiguration() -> Configuration {
@@ -159,8 +130,6 @@
   auto Id = PresetId{"ordinary"};
   Value.m_Presets[Id] = {.m_Id = Id};
   Value.m_PresetInForce = Id;
-  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
-    refreshShard(Value, Shard);
   return Value;
 }
 
@@ -174,51 +143,35 @@
   auto Drained = Json::array();
   for (const auto &Id : Value.m_Drained)
     Drained.push_back(Id.text());
+  auto Digests = Json::array();
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    Digests.push_back(Value.m_Keys.digest(Shard));
   return Json{{"revision", Value.m_Revision.number()},
               {"drained", Drained},
               {"preset_in_force", Value.m_PresetInForce.text()},
               {"presets", Presets},
               {"routes", Routes},
-              {"shards", Value.m_ShardDigests}}
+              {"shards", Digests}}
       .dump();
 }
 
-auto encodeShard(const Configuration &Value, std::size_t Shard) -> std::string {
-  auto Document = Json::object();
-  for (const auto &[Digest, Item] : Value.m_Keys)
-    if (Configuration::shardOf(Digest) == Shard)
-      Document[Digest] = {{"organisation", Item.m_Organisation.text()},
-                          {"weight", Item.m_Weight}};
-  return Document.dump();
-}
-
-auto digestDocument(const std::string &Document) -> std::uint64_t {
-  return XXH3_64bits(Document.data(), Document.size());
-}
-
-auto refreshShard(Configuration &Value, std::size_t Shard) -> void {
-  Value.m_ShardDocuments[Shard] = encodeShard(Value, Shard);
-  Value.m_ShardDigests[Shard] = digestDocument(Value.m_ShardDocuments[Shard]);
-}
-
 auto assembleConfiguration(const std::string &Head,
                            const std::map<std::size_t, std::string> &Shards,
                            const Configuration *Known)
     -> std::optional<Configuration> {
   try {
     auto Value = readHead(Head);
+    auto Digests = readShardDigests(Head);
     for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard) {
       auto Found = Shards.find(Shard);
       if (Found != Shards.end())
-        Value.m_ShardDocuments[Shard] = Found->second;
+        Value.m_Keys.load(Shard, Found->second);
       else if (Known != nullptr)
-        Value.m_ShardDocuments[Shard] = Known->m_ShardDocuments[Shard];
+        Value.m_Keys.share(Shard, Known->m_Keys);
       else
         return std::nullopt;
-      const auto &Document = Value.m_ShardDocuments[Shard];
-      if (digestDocument(Document) != Value.m_ShardDigests[Shard])
+      if (Value.m_Keys.digest(Shard) != Digests[Shard])
         return std::nullopt;
-      readShard(Document, Value);
     }
     Value.validate();
     return Value;
--- a/src/config/ConfigurationHolder.cpp
+++ b/src/config/ConfigurationHolder.cpp
@@ -30,7 +30,10 @@
 auto ConfigurationHolder::knownShards() const -> std::vector<std::uint64_t> {
   if (!m_Current)
     return {};
-  return {m_Current->m_ShardDigests.begin(), m_Current->m_ShardDigests.end()};
+  auto Digests = std::vector<std::uint64_t>();
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    Digests.push_back(m_Current->m_Keys.digest(Shard));
+  return Digests;
 }
 
 auto ConfigurationHolder::delta(const std::vector<std::uint64_t> &Known) const
@@ -40,11 +43,10 @@
   auto Result = ConfigurationDelta{.m_Revision = m_Current->m_Revision,
                                    .m_Head = encodeHead(*m_Current)};
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard) {
-    if (Shard < Known.size() &&
-        Known[Shard] == m_Current->m_ShardDigests[Shard])
+    if (Shard < Known.size() && Known[Shard] == m_Current->m_Keys.digest(Shard))
       continue;
     Result.m_Shards.emplace_back(static_cast<std::uint32_t>(Shard),
-                                 m_Current->m_ShardDocuments[Shard]);
+                                 m_Current->m_Keys.document(Shard));
   }
   return Result;
 }
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -26,7 +26,7 @@
   auto Shards = std::map<std::size_t, std::string>();
   auto Initial = initialConfiguration();
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
-    Shards[Shard] = Initial.m_ShardDocuments[Shard];
+    Shards[Shard] = Initial.m_Keys.document(Shard);
   for (const auto &Item : Read.m_Values) {
     if (Item.m_Key == HeadKey) {
       Head = Item.m_Value;
@@ -156,8 +156,6 @@
   auto After = Before;
   Edit(After);
   After.m_Revision = ConfigRevision{Before.m_Revision.number() + 1};
-  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
-    refreshShard(After, Shard);
   After.validate();
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back(
@@ -165,9 +163,9 @@
   Transaction.m_Writes.push_back(
       {.m_Key = HeadKey, .m_Value = encodeHead(After)});
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
-    if (After.m_ShardDigests[Shard] != Before.m_ShardDigests[Shard])
+    if (After.m_Keys.digest(Shard) != Before.m_Keys.digest(Shard))
       Transaction.m_Writes.push_back(
-          {.m_Key = shardKey(Shard), .m_Value = After.m_ShardDocuments[Shard]});
+          {.m_Key = shardKey(Shard), .m_Value = After.m_Keys.document(Shard)});
   m_Store.commit(std::move(Transaction), [this, After, Done = std::move(Done)](
                                              const auto &Reply) mutable {
     if (!Reply) {
--- a/src/fleet/Discovery.cpp
+++ b/src/fleet/Discovery.cpp
@@ -70,6 +70,8 @@
 }
 
 auto Discovery::pollLoads() -> void {
+  if (m_LoadWanted && !m_LoadWanted())
+    return;
   for (const auto &Server : m_Engines.all()) {
     if (!Server.m_Service.empty())
       continue;
--- a/src/fleet/RolePlanner.cpp
+++ b/src/fleet/RolePlanner.cpp
@@ -74,6 +74,12 @@
   return Best;
 }
 
+auto RolePlanner::gain(const RoleChange &Change, std::size_t Engines)
+    -> double {
+  return (Change.m_Before - Change.m_After) / Change.m_Before *
+         static_cast<double>(Engines);
+}
+
 auto RolePlanner::pays(const RoleChange &Change, std::size_t Engines) const
     -> bool {
   auto Seconds = [](Duration Span) {
@@ -81,8 +87,7 @@
   };
   // What is won over the expected stay of the mix, against one engine's work
   // lost twice: the mix will turn, and so will the engine.
-  auto Won = (Change.m_Before - Change.m_After) / Change.m_Before *
-             static_cast<double>(Engines) * Seconds(m_Stay);
+  auto Won = gain(Change, Engines) * Seconds(m_Stay);
   auto Lost = 2 * Seconds(m_Options.m_ChangeTime);
   return Won > Lost;
 }
@@ -118,10 +123,9 @@
     -> std::optional<RoleChange> {
   observe(Demand, Engines, Now);
   auto Change = best(Engines, Demand);
-  auto Worth =
-      Change && Change->m_Before >= m_Options.m_LeastUtilisation &&
-      Change->m_After <= Change->m_Before * (1 - m_Options.m_LeastGain) &&
-      pays(*Change, Engines.size());
+  auto Worth = Change && Change->m_Before >= m_Options.m_LeastUtilisation &&
+               gain(*Change, Engines.size()) >= m_Options.m_LeastGain &&
+               pays(*Change, Engines.size());
   if (!Worth) {
     m_SeenSince.reset();
     return std::nullopt;
--- a/src/gate/AdminHandler.cpp
+++ b/src/gate/AdminHandler.cpp
@@ -217,9 +217,7 @@
                     OrganisationId{member<std::string>(Body, "organisation")},
                 .m_Weight = member<std::uint32_t>(Body, "weight", 1)};
   change(Exchange, Body,
-         [Record](Configuration &Target) {
-           Target.m_Keys[Record.m_Digest] = Record;
-         },
+         [Record](Configuration &Target) { Target.m_Keys.put(Record); },
          {{"key", Key}, {"digest", Record.m_Digest}});
 }
 
@@ -231,7 +229,7 @@
           : member<std::string>(Body, "digest");
   change(Exchange, Body,
          [Digest](Configuration &Target) {
-           if (Target.m_Keys.erase(Digest) == 0)
+           if (!Target.m_Keys.erase(Digest))
              throw ConfigurationError(202, "key: no such key is granted");
          },
          {{"digest", Digest}});
@@ -294,10 +292,11 @@
   auto Head = Json::parse(encodeHead(*Current));
   Head.erase("shards");
   auto Keys = Json::array();
-  for (const auto &[Digest, Record] : Current->m_Keys)
-    Keys.push_back({{"digest", Digest},
+  Current->m_Keys.forEach([&Keys](const KeyRecord &Record) {
+    Keys.push_back({{"digest", Record.m_Digest},
                     {"organisation", Record.m_Organisation.text()},
                     {"weight", Record.m_Weight}});
+  });
   Head["keys"] = Keys;
   Exchange->respond(reply(StatusOk, Head));
 }
--- a/src/gate/Credentials.cpp
+++ b/src/gate/Credentials.cpp
@@ -35,11 +35,11 @@
 
 auto findCaller(const Configuration &Configuration,
                 const std::string &KeyDigest) -> std::optional<Caller> {
-  auto Found = Configuration.m_Keys.find(KeyDigest);
-  if (Found == Configuration.m_Keys.end())
+  const auto *Found = Configuration.m_Keys.find(KeyDigest);
+  if (Found == nullptr)
     return std::nullopt;
-  return Caller{.m_Organisation = Found->second.m_Organisation,
-                .m_Weight = Found->second.m_Weight,
+  return Caller{.m_Organisation = Found->m_Organisation,
+                .m_Weight = Found->m_Weight,
                 .m_KeyDigest = KeyDigest};
 }
 
--- /dev/null
+++ b/src/load/LoadProcess.cpp
@@ -0,0 +1,174 @@
+#include "dotterel/load/LoadProcess.h"
+
+#include "dotterel/ctl/Table.h"
+#include "dotterel/load/LoadRun.h"
+
+#include <cstdlib>
+#include <fmt/format.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto Median = 0.5;
+constexpr auto Percentile95 = 0.95;
+constexpr auto Percentile99 = 0.99;
+
+auto split(const std::string &Text) -> std::vector<std::string> {
+  auto Parts = std::vector<std::string>();
+  auto Stream = std::istringstream(Text);
+  auto Part = std::string();
+  while (std::getline(Stream, Part, ','))
+    Parts.push_back(Part);
+  return Parts;
+}
+
+auto optionsFrom(const Settings &Values) -> LoadOptions {
+  return {.m_Urls = split(Values.text("urls")),
+          .m_Keys = split(Values.text("keys")),
+          .m_Seed = static_cast<std::uint64_t>(Values.integer("seed")),
+          .m_RequestsPerSecond =
+              static_cast<double>(Values.integer("requests-per-second")),
+          .m_Length = Seconds(Values.integer("seconds")),
+          .m_PromptTokens =
+              static_cast<std::uint64_t>(Values.integer("prompt-tokens")),
+          .m_AnswerTokens =
+              static_cast<std::uint64_t>(Values.integer("answer-tokens")),
+          .m_SwingPeriod = Seconds(Values.integer("swing-seconds")),
+          .m_Model = Values.text("model")};
+}
+
+auto run(LoadOptions Options) -> LoadResult {
+  auto Loop = EventLoop();
+  auto Client = makeHttpClient(Loop);
+  auto Run = LoadRun(Loop, *Client, std::move(Options), [&] { Loop.stop(); });
+  Run.start();
+  Loop.run();
+  return Run.result();
+}
+
+auto row(const std::string &Name, const LoadFigures &Figures)
+    -> std::vector<std::string> {
+  auto Number = [](double Value) { return fmt::format("{:.2f}", Value); };
+  return {Name,
+          std::to_string(Figures.m_Sent),
+          std::to_string(Figures.m_Whole),
+          std::to_string(Figures.m_InTime),
+          std::to_string(Figures.m_Refused),
+          std::to_string(Figures.m_Broken),
+          Number(quantile(Figures.m_FirstToken, Median)),
+          Number(quantile(Figures.m_FirstToken, Percentile95)),
+          Number(quantile(Figures.m_FirstToken, Percentile99)),
+          Number(quantile(Figures.m_Gaps, Percentile95)),
+          Number(quantile(Figures.m_Total, Median))};
+}
+
+auto toJson(const LoadFigures &Figures) -> nlohmann::json {
+  return {{"sent", Figures.m_Sent},
+          {"whole", Figures.m_Whole},
+          {"in_time", Figures.m_InTime},
+          {"refused", Figures.m_Refused},
+          {"broken", Figures.m_Broken},
+          {"first_token_p50_ms", quantile(Figures.m_FirstToken, Median)},
+          {"first_token_p95_ms", quantile(Figures.m_FirstToken, Percentile95)},
+          {"first_token_p99_ms", quantile(Figures.m_FirstToken, Percentile99)},
+          {"gap_p95_ms", quantile(Figures.m_Gaps, Percentile95)},
+          {"total_p50_ms", quantile(Figures.m_Total, Median)}};
+}
+
+auto addRows(Table &Target, const std::string &Name, const LoadResult &Result)
+    -> void {
+  Target.add(row(Name, Result.m_All));
+  for (const auto &[Organisation, Figures] : Result.m_Organisations)
+    Target.add(row(fmt::format("{} org {}", Name, Organisation), Figures));
+}
+
+auto printJson(const LoadResult &Result, const LoadResult *Compared) -> void {
+  auto Document = nlohmann::json{{"all", toJson(Result.m_All)},
+                                 {"worst_served", Result.worstServed()}};
+  for (const auto &[Name, Figures] : Result.m_Organisations)
+    Document["organisations"][Name] = toJson(Figures);
+  if (Compared != nullptr)
+    Document["compared"] = toJson(Compared->m_All);
+  fmt::print("{}\n", Document.dump(2));
+}
+
+auto printTable(const LoadResult &Result, const LoadResult *Compared) -> void {
+  auto Rows =
+      Table({"TARGET", "SENT", "WHOLE", "IN TIME", "REFUSED", "BROKEN",
+             "FIRST P50 MS", "P95", "P99", "GAP P95 MS", "TOTAL P50 MS"});
+  addRows(Rows, "system", Result);
+  if (Compared != nullptr)
+    addRows(Rows, "compared", *Compared);
+  fmt::print("{}worst-served organisation: {:.3f} of its requests in time\n",
+             Rows.text(), Result.worstServed());
+  if (Compared == nullptr)
+    return;
+  auto Ours = quantile(Result.m_All.m_FirstToken, Median);
+  auto Theirs = quantile(Compared->m_All.m_FirstToken, Median);
+  constexpr auto MicrosecondsPerMillisecond = 1000;
+  fmt::print("first token p50: {:.0f} us more, ratio {:.3f}\n",
+             (Ours - Theirs) * MicrosecondsPerMillisecond,
+             Theirs > 0 ? Ours / Theirs : 0);
+}
+
+} // namespace
+
+auto loadSettings() -> Settings {
+  auto Number = [](const char *Name, const char *Default, const char *Help,
+                   std::int64_t Least, std::int64_t Most) {
+    return Setting{.m_Name = Name,
+                   .m_Kind = SettingKind::Integer,
+                   .m_Default = Default,
+                   .m_Help = Help,
+                   .m_Least = Least,
+                   .m_Most = Most};
+  };
+  return {
+      "dotterel-load",
+      "Sends a seeded mix of completions at stated times and prints figures.",
+      {{.m_Name = "urls",
+        .m_Help = "Gates' addresses for callers, with commas between.",
+        .m_Required = true},
+       {.m_Name = "compare-urls",
+        .m_Help = "The same load goes to these afterwards, for comparison."},
+       {.m_Name = "keys",
+        .m_Help = "Keys of organisations, largest first, with commas between.",
+        .m_Required = true,
+        .m_Secret = true},
+       {.m_Name = "model",
+        .m_Kind = SettingKind::Name,
+        .m_Default = "namer",
+        .m_Help = "Model to ask for."},
+       Number("seed", "1", "Seed of the mix.", 0, 1'000'000'000),
+       Number("requests-per-second", "50", "Mean rate.", 1, 20'000),
+       Number("seconds", "10", "Length of the run, in seconds.", 1, 600),
+       Number("prompt-tokens", "200", "Mean tokens of a prompt.", 1, 100'000),
+       Number("answer-tokens", "20", "Mean tokens of an answer.", 1, 10'000),
+       Number("swing-seconds", "0",
+              "Period of the mix's swing, in seconds; 0: none.", 0, 600),
+       {.m_Name = "json",
+        .m_Kind = SettingKind::Switch,
+        .m_Default = "false",
+        .m_Help = "Prints JSON in place of a table."}}};
+}
+
+auto runLoad(const Settings &Values) -> int {
+  auto Options = optionsFrom(Values);
+  auto Result = run(Options);
+  auto Compared = std::unique_ptr<LoadResult>();
+  if (!Values.text("compare-urls").empty()) {
+    Options.m_Urls = split(Values.text("compare-urls"));
+    Compared = std::make_unique<LoadResult>(run(Options));
+  }
+  if (Values.enabled("json"))
+    printJson(Result, Compared.get());
+  else
+    printTable(Result, Compared.get());
+  return EXIT_SUCCESS;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/load/LoadRun.cpp
@@ -0,0 +1,197 @@
+#include "dotterel/load/LoadRun.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto BytesPerToken = std::size_t{4};
+constexpr auto StatusOk = 200U;
+constexpr auto SwingFactor = 4.0;
+constexpr auto CallTimeout = Seconds(120);
+
+auto milliseconds(Duration Span) -> double {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+} // namespace
+
+/// One request on its way.
+struct LoadRun::Sending {
+  MonotonicTime m_Due;
+  MonotonicTime m_LastToken;
+  std::string m_Organisation;
+  std::uint64_t m_Expected = 0;
+  std::uint64_t m_Tokens = 0;
+  bool m_End = false;
+  std::string m_Rest;
+  std::vector<double> m_Gaps;
+  double m_FirstToken = 0;
+
+  auto feed(std::string_view Data, MonotonicTime Now) -> void {
+    m_Rest.append(Data);
+    auto Start = std::size_t{0};
+    for (auto End = m_Rest.find("\n\n"); End != std::string::npos;
+         End = m_Rest.find("\n\n", Start)) {
+      auto Event = std::string_view(m_Rest).substr(Start, End - Start);
+      Start = End + 2;
+      if (Event == "data: [DONE]")
+        m_End = true;
+      else if (Event.find("\"content\":") != std::string_view::npos)
+        token(Now);
+    }
+    m_Rest.erase(0, Start);
+  }
+
+  auto token(MonotonicTime Now) -> void {
+    if (m_Tokens++ == 0)
+      m_FirstToken = milliseconds(Now - m_Due);
+    else
+      m_Gaps.push_back(milliseconds(Now - m_LastToken));
+    m_LastToken = Now;
+  }
+};
+
+auto quantile(std::vector<double> Values, double Share) -> double {
+  if (Values.empty())
+    return 0;
+  auto Index =
+      static_cast<std::size_t>(Share * static_cast<double>(Values.size() - 1));
+  auto Middle = Values.begin() + static_cast<std::ptrdiff_t>(Index);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
+auto LoadResult::worstServed() const -> double {
+  auto Worst = 1.0;
+  for (const auto &[Name, Figures] : m_Organisations)
+    if (Figures.m_Sent > 0)
+      Worst = std::min(Worst, static_cast<double>(Figures.m_InTime) /
+                                  static_cast<double>(Figures.m_Sent));
+  return Worst;
+}
+
+LoadRun::LoadRun(EventLoop &Loop, HttpClient &Client, LoadOptions Options,
+                 std::function<void()> OnEnd)
+    : m_Loop(Loop), m_Client(Client), m_Options(std::move(Options)),
+      m_OnEnd(std::move(OnEnd)), m_Random(m_Options.m_Seed) {}
+
+auto LoadRun::start() -> void {
+  m_Start = m_Loop.now();
+  m_NextDue = m_Start;
+  scheduleNext();
+}
+
+auto LoadRun::scheduleNext() -> void {
+  auto Gap = -std::log(1 - m_Random.unit()) / m_Options.m_RequestsPerSecond;
+  m_NextDue += Duration(static_cast<std::int64_t>(Gap * 1e6));
+  if (m_NextDue - m_Start > m_Options.m_Length) {
+    m_AllSent = true;
+    endWhenDone();
+    return;
+  }
+  m_Loop.schedule(m_NextDue - m_Loop.now(), [this] {
+    send(m_NextDue);
+    scheduleNext();
+  });
+}
+
+auto LoadRun::lengths() -> std::pair<std::uint64_t, std::uint64_t> {
+  auto Prompt = static_cast<double>(m_Options.m_PromptTokens);
+  auto Answer = static_cast<double>(m_Options.m_AnswerTokens);
+  if (m_Options.m_SwingPeriod > Duration::zero()) {
+    auto Phase = std::chrono::duration<double>(m_NextDue - m_Start).count() /
+                 std::chrono::duration<double>(m_Options.m_SwingPeriod).count();
+    constexpr auto Pi = 3.14159265358979;
+    auto Factor = std::pow(SwingFactor, std::sin(2 * Pi * Phase));
+    Prompt *= Factor;
+    Answer /= Factor;
+  }
+  // Exponential lengths: many short ones, few long ones.
+  auto Draw = [this](double Mean) {
+    auto Value = -std::log(1 - m_Random.unit()) * Mean;
+    return static_cast<std::uint64_t>(std::max(1.0, Value));
+  };
+  return {Draw(Prompt), Draw(Answer)};
+}
+
+auto LoadRun::pickOrganisation() -> std::size_t {
+  // The first is the largest: each has half the requests of the one before.
+  auto Index = std::size_t{0};
+  while (Index + 1 < m_Options.m_Keys.size() && m_Random.below(2) == 0)
+    ++Index;
+  return Index;
+}
+
+auto LoadRun::send(MonotonicTime Due) -> void {
+  auto [Prompt, Answer] = lengths();
+  auto Organisation = pickOrganisation();
+  auto Item = std::make_shared<Sending>();
+  Item->m_Due = Due;
+  Item->m_Organisation = fmt::format("{}", Organisation);
+  Item->m_Expected = Answer;
+  auto Text = m_Random.hex();
+  Text.resize(Prompt * BytesPerToken, 'p');
+  auto Call = HttpCall();
+  Call.m_Method = "POST";
+  Call.m_Url = m_Options.m_Urls[m_Random.below(m_Options.m_Urls.size())] +
+               "/v1/chat/completions";
+  Call.m_Headers = {{.m_Name = "Authorization",
+                     .m_Value = "Bearer " + m_Options.m_Keys[Organisation]},
+                    {.m_Name = "Content-Type", .m_Value = "application/json"}};
+  Call.m_Body =
+      nlohmann::json{{"model", m_Options.m_Model},
+                     {"max_tokens", Answer},
+                     {"stream", true},
+                     {"messages", {{{"role", "user"}, {"content", Text}}}}}
+          .dump();
+  Call.m_Timeout = CallTimeout;
+  Call.m_OnData = [this, Item](std::string_view Data) {
+    Item->feed(Data, m_Loop.now());
+  };
+  Call.m_OnDone = [this, Item](const HttpCallResult &Reply) {
+    finish(*Item, Reply);
+  };
+  ++m_Open;
+  m_Client.start(std::move(Call));
+}
+
+auto LoadRun::finish(const Sending &Item, const HttpCallResult &Reply) -> void {
+  auto Total = milliseconds(m_Loop.now() - Item.m_Due);
+  auto Whole = Reply.m_Outcome == HttpOutcome::Complete &&
+               Reply.m_Status == StatusOk && Item.m_End &&
+               Item.m_Tokens == Item.m_Expected;
+  auto InTime =
+      Whole && Item.m_FirstToken <= milliseconds(m_Options.m_FirstTokenTarget);
+  auto Refused =
+      Reply.m_Outcome == HttpOutcome::Complete && Reply.m_Status != StatusOk;
+  for (auto *Target :
+       {&m_Result.m_All, &m_Result.m_Organisations[Item.m_Organisation]}) {
+    ++Target->m_Sent;
+    Target->m_Whole += Whole ? 1 : 0;
+    Target->m_InTime += InTime ? 1 : 0;
+    Target->m_Refused += Refused ? 1 : 0;
+    Target->m_Broken += !Whole && !Refused ? 1 : 0;
+    if (!Whole)
+      continue;
+    Target->m_FirstToken.push_back(Item.m_FirstToken);
+    Target->m_Total.push_back(Total);
+    Target->m_Gaps.insert(Target->m_Gaps.end(), Item.m_Gaps.begin(),
+                          Item.m_Gaps.end());
+  }
+  --m_Open;
+  endWhenDone();
+}
+
+auto LoadRun::endWhenDone() -> void {
+  if (m_AllSent && m_Open == 0)
+    m_OnEnd();
+}
+
+} // namespace dotterel
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <tuple>
+#include <xxhash.h>
 
 namespace dotterel {
 
 auto EngineTable::updateList(const std::vector<Backend> &Listed) -> void {
   auto Present = std::set<BackendId>();
-  for (const auto &Server : Listed) {
+  for (const auto &Server : subset(Listed)) {
     Present.insert(Server.m_Id);
     auto Found = m_Entries.find(Server.m_Id);
     if (Found == m_Entries.end())
@@ -29,6 +31,46 @@
                 [&](const auto &Id) { return !Present.contains(Id); });
 }
 
+auto EngineTable::subset(const std::vector<Backend> &Listed) const
+    -> std::vector<Backend> {
+  struct Ranked {
+    Duration m_Distance;
+    std::uint64_t m_Weight = 0;
+    const Backend *m_Server = nullptr;
+  };
+  auto Chosen = std::vector<Backend>();
+  auto Models = std::map<ModelId, std::vector<Ranked>>();
+  const auto &Host = m_Self.m_Host.text();
+  auto Seed = XXH3_64bits(Host.data(), Host.size());
+  for (const auto &Server : Listed) {
+    if (!Server.m_Service.empty()) {
+      Chosen.push_back(Server);
+      continue;
+    }
+    const auto &Id = Server.m_Id.text();
+    auto Item =
+        Ranked{.m_Distance = distance(Server),
+               .m_Weight = XXH3_64bits_withSeed(Id.data(), Id.size(), Seed),
+               .m_Server = &Server};
+    for (const auto &Model : Server.m_Models)
+      Models[Model].push_back(Item);
+  }
+  auto Taken = std::set<BackendId>();
+  for (auto &[Model, Servers] : Models) {
+    std::sort(Servers.begin(), Servers.end(),
+              [](const Ranked &Left, const Ranked &Right) {
+                return std::tie(Left.m_Distance, Left.m_Weight) <
+                       std::tie(Right.m_Distance, Right.m_Weight);
+              });
+    if (Servers.size() > m_Options.m_EnginesPerModel)
+      Servers.resize(m_Options.m_EnginesPerModel);
+    for (const auto &Item : Servers)
+      if (Taken.insert(Item.m_Server->m_Id).second)
+        Chosen.push_back(*Item.m_Server);
+  }
+  return Chosen;
+}
+
 auto EngineTable::updateLoad(const BackendId &Id, const EngineLoad &Load,
                              MonotonicTime Now) -> void {
   auto Found = m_Entries.find(Id);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -147,10 +147,14 @@
     Options.push_back({Item.m_Name.c_str(), 0, Kind, nullptr, Next++, "", ""});
   }
   Options.push_back(POPT_TABLEEND);
-  auto Context = PoptPointer(
-      poptGetContext(m_Program.c_str(), ArgumentCount,
-                     const_cast<const char **>(Arguments), Options.data(), 0),
-      &poptFreeContext);
+  auto Given = withSwitchValues(ArgumentCount, Arguments);
+  auto Pointers = std::vector<const char *>();
+  for (const auto &Item : Given)
+    Pointers.push_back(Item.c_str());
+  auto Context = PoptPointer(poptGetContext(m_Program.c_str(),
+                                            static_cast<int>(Pointers.size()),
+                                            Pointers.data(), Options.data(), 0),
+                             &poptFreeContext);
   auto Action = SettingsAction::Run;
   auto Code = 0;
   while ((Code = poptGetNextOpt(Context.get())) > 0) {
@@ -164,9 +168,9 @@
       continue;
     const auto &Item =
         m_Declared[static_cast<std::size_t>(Code - FirstSetting)];
-    auto *Given = poptGetOptArg(Context.get());
-    m_Values[Item.m_Name] = Given != nullptr ? Given : "true";
-    std::free(Given); // NOLINT: popt allocates with malloc
+    auto *Value = poptGetOptArg(Context.get());
+    m_Values[Item.m_Name] = Value != nullptr ? Value : "";
+    std::free(Value); // NOLINT: popt allocates with malloc
   }
   if (Code < -1)
     throw SettingsError(
@@ -178,6 +182,18 @@
   return Action;
 }
 
+auto Settings::withSwitchValues(int ArgumentCount,
+                                const char *const *Arguments) const
+    -> std::vector<std::string> {
+  // popt would take the next operand for an optional value.
+  auto Result = std::vector<std::string>(Arguments, Arguments + ArgumentCount);
+  for (auto &Argument : Result)
+    for (const auto &Item : m_Declared)
+      if (Item.m_Kind == SettingKind::Switch && Argument == "--" + Item.m_Name)
+        Argument += "=true";
+  return Result;
+}
+
 auto Settings::check() const -> void {
   auto Faults = std::string();
   for (const auto &Item : m_Declared) {
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -27,6 +27,8 @@
 constexpr auto StepInterval = Milliseconds(500);
 /// Stewards that campaign for one duty.
 constexpr auto Campaigners = std::size_t{3};
+/// A duty's holder looks after all engines of its region.
+constexpr auto MostEnginesOfModel = std::size_t{10'000};
 constexpr auto ReportTimeout = Seconds(5);
 constexpr auto StatusOk = 200U;
 
@@ -129,7 +131,8 @@
           m_Loop, m_Random, m_Members, *m_Peers, m_Configuration, m_Freshness,
           m_Crashes,
           {.m_SelfReadAge = Values.milliseconds("freshness-bound-ms") / 2}),
-      m_Engines(locationFrom(Values), {}),
+      m_Engines(locationFrom(Values),
+                {.m_EnginesPerModel = MostEnginesOfModel}),
       m_Discovery(m_Loop, *m_Client, m_Engines,
                   {.m_PlatformUrl = Values.text("platform-url"),
                    .m_ListInterval = Values.milliseconds("platform-poll-ms"),
@@ -155,6 +158,7 @@
   m_Discovery.onHosts([this](std::vector<ListedProcess> Listed) {
     m_Gossip.setListed(std::move(Listed));
   });
+  m_Discovery.setLoadWanted([this] { return m_RoleDuty.held(); });
   m_UsageDuty.setEligible(
       [this] { return eligibleFor(DutyId{"usage-reports"}); });
   m_RoleDuty.setEligible([this] { return eligibleFor(roleDuty(m_Values)); });
--- a/tests/fault-Configuration.cpp
+++ b/tests/fault-Configuration.cpp
@@ -150,8 +150,8 @@
 
   auto grant() -> void {
     m_Gates[0]->change([](Configuration &Target) {
-      Target.m_Keys["k"] = {.m_Digest = "k",
-                            .m_Organisation = OrganisationId{"o"}};
+      Target.m_Keys.put(
+          {.m_Digest = "k", .m_Organisation = OrganisationId{"o"}});
     });
     m_Scheduler.advance(Seconds(5));
   }
--- /dev/null
+++ b/tests/unit-Routing.cpp
@@ -0,0 +1,208 @@
+#include "dotterel/routing/EngineTable.h"
+#include "dotterel/routing/RetryBudget.h"
+#include "dotterel/routing/RoutingPolicy.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <map>
+#include <set>
+
+using namespace dotterel;
+
+namespace {
+
+constexpr auto Now = MonotonicTime(Seconds(100));
+
+auto engine(int Number, const std::string &Zone = "a",
+            const std::string &Region = "r") -> Backend {
+  return {.m_Id = BackendId{fmt::format("e{}", Number)},
+          .m_Models = {ModelId{"m"}},
+          .m_DataCentre = DataCentreId{Zone},
+          .m_Region = RegionId{Region}};
+}
+
+auto load(std::uint32_t Running, std::uint64_t Queued) -> EngineLoad {
+  return {.m_Incarnation = "1",
+          .m_Running = Running,
+          .m_Slots = 8,
+          .m_QueuedPrefillTokens = Queued,
+          .m_PrefillTokensPerSecond = 10'000,
+          .m_DecodeTokensPerSecond = 50};
+}
+
+auto makeTable(int Engines) -> EngineTable {
+  auto Table = EngineTable({.m_Host = HostId{"h"},
+                            .m_DataCentre = DataCentreId{"a"},
+                            .m_Region = RegionId{"r"}},
+                           {});
+  auto Listed = std::vector<Backend>();
+  for (auto Number = 0; Number < Engines; ++Number)
+    Listed.push_back(engine(Number));
+  Table.updateList(Listed);
+  for (const auto &Server : Listed)
+    Table.updateLoad(Server.m_Id, load(0, 0), Now);
+  return Table;
+}
+
+const auto Query =
+    EngineQuery{.m_Request = RequestId{"q"},
+                .m_Model = ModelId{"m"},
+                .m_Work = {.m_PrefillTokens = 1000, .m_DecodeTokens = 100}};
+
+} // namespace
+
+TEST_CASE("routing: expected time counts queue, cache, distance and a full "
+          "batch") {
+  auto Base = Candidate{.m_Slots = 8, .m_PrefillTokensPerSecond = 10'000};
+  auto Request = Work{.m_PrefillTokens = 1000, .m_DecodeTokens = 100};
+  CHECK(expectedFirstToken(Base, Request) == Milliseconds(100));
+  auto Queued = Base;
+  Queued.m_QueuedPrefillTokens = 2000;
+  CHECK(expectedFirstToken(Queued, Request) == Milliseconds(300));
+  auto Cached = Base;
+  Cached.m_CachedTokens = 900;
+  CHECK(expectedFirstToken(Cached, Request) == Milliseconds(10));
+  auto Far = Base;
+  Far.m_Distance = Milliseconds(60);
+  CHECK(expectedFirstToken(Far, Request) == Milliseconds(160));
+  auto Full = Base;
+  Full.m_Running = 8;
+  CHECK(expectedFirstToken(Full, Request) > Milliseconds(100));
+}
+
+TEST_CASE("routing: with lagging reports the sampling policy does not herd, "
+          "and beats random on the longest queue") {
+  // 200 requests between two load reports, on 20 engines.
+  auto Longest = std::map<std::string, std::uint64_t>();
+  for (const auto &Name : routingPolicyNames()) {
+    auto Table = makeTable(20);
+    auto Policy = makeRoutingPolicy(Name);
+    auto Source = Random(3);
+    auto Counts = std::map<BackendId, std::uint64_t>();
+    for (auto Number = 0; Number < 140; ++Number) {
+      auto Engines = Table.candidates(Query, Now);
+      REQUIRE_FALSE(Engines.empty());
+      const auto &Id =
+          Engines[Policy->choose(Engines, Query.m_Work, Source)].m_Id;
+      Table.begin(Id, {.m_Attempt = AttemptId{std::to_string(Number)},
+                       .m_Work = Query.m_Work});
+      ++Counts[Id];
+    }
+    for (const auto &[Id, Count] : Counts)
+      Longest[Name] = std::max(Longest[Name], Count);
+  }
+  CHECK(Longest["expected-first-token"] <= 10);
+  CHECK(Longest["expected-first-token"] <= Longest["random"]);
+}
+
+TEST_CASE("routing: a prompt goes where its prefix is cached") {
+  auto Table = makeTable(10);
+  auto Pieces = pieceDigests(std::string(12'000, 'x'));
+  REQUIRE(Pieces.size() == 3);
+  Table.begin(BackendId{"e7"},
+              {.m_Attempt = AttemptId{"1"}, .m_Work = {}, .m_Pieces = Pieces});
+  Table.end(BackendId{"e7"}, AttemptId{"1"});
+  auto Asked = Query;
+  Asked.m_Work.m_PrefillTokens = 3000;
+  Asked.m_Pieces = Pieces;
+  auto Engines = Table.candidates(Asked, Now);
+  auto Source = Random(1);
+  auto Policy = makeRoutingPolicy("expected-first-token");
+  CHECK(Engines[Policy->choose(Engines, Asked.m_Work, Source)].m_Id ==
+        BackendId{"e7"});
+  // A restarted engine has lost its cache.
+  auto Restarted = load(0, 0);
+  Restarted.m_Incarnation = "2";
+  Table.updateLoad(BackendId{"e7"}, Restarted, Now);
+  for (const auto &Engine : Table.candidates(Asked, Now))
+    CHECK(Engine.m_CachedTokens == 0);
+}
+
+TEST_CASE("routing: leaving, drained, excluded, ejected and full engines get "
+          "nothing new") {
+  auto Table = makeTable(6);
+  Table.markLeaving(BackendId{"e0"});
+  Table.setDrained({BackendId{"e1"}});
+  for (auto Number = 0; Number < 3; ++Number)
+    Table.outliers().recordFailure(BackendId{"e2"}, Now);
+  Table.updateLoad(BackendId{"e3"}, load(10, 0), Now);
+  auto Asked = Query;
+  Asked.m_Excluded = {BackendId{"e4"}};
+  auto Engines = Table.candidates(Asked, Now);
+  REQUIRE(Engines.size() == 1);
+  CHECK(Engines[0].m_Id == BackendId{"e5"});
+}
+
+TEST_CASE("routing: ejection leaves at least half of a pool in the choice") {
+  auto Table = makeTable(4);
+  for (auto Engine : {"e0", "e1", "e2"})
+    for (auto Number = 0; Number < 3; ++Number)
+      Table.outliers().recordFailure(BackendId{Engine}, Now);
+  CHECK(Table.candidates(Query, Now).size() == 4);
+  // An ejection ends, and grows when the server fails again.
+  CHECK(Table.outliers().ejected(BackendId{"e0"}, Now));
+  CHECK_FALSE(Table.outliers().ejected(BackendId{"e0"}, Now + Seconds(1)));
+  Table.outliers().recordFailure(BackendId{"e0"}, Now + Seconds(1));
+  CHECK(Table.outliers().ejected(BackendId{"e0"}, Now + Milliseconds(2900)));
+}
+
+TEST_CASE("routing: a request that must run alone gets an engine for itself, "
+          "and one is kept free for it") {
+  auto Table = makeTable(2);
+  auto Alone = Query;
+  Alone.m_Alone = true;
+  for (auto Engine : {"e0", "e1"})
+    Table.begin(BackendId{Engine}, {.m_Attempt = AttemptId{Engine}});
+  CHECK(Table.candidates(Alone, Now).empty());
+  Table.reserve(Alone);
+  auto Other = Query;
+  Other.m_Request = RequestId{"other"};
+  CHECK(Table.candidates(Other, Now).size() == 1);
+  Table.end(BackendId{"e0"}, AttemptId{"e0"});
+  Table.end(BackendId{"e1"}, AttemptId{"e1"});
+  auto Engines = Table.candidates(Alone, Now);
+  REQUIRE_FALSE(Engines.empty());
+  Table.begin(Engines[0].m_Id, {.m_Request = Alone.m_Request,
+                                .m_Attempt = AttemptId{"x"},
+                                .m_Alone = true});
+  for (const auto &Engine : Table.candidates(Other, Now))
+    CHECK(Engine.m_Id != Engines[0].m_Id);
+}
+
+TEST_CASE("routing: gates track a bounded share of a large fleet, nearest "
+          "first, and together all of it") {
+  auto Listed = std::vector<Backend>();
+  constexpr auto Fleet = 400;
+  for (auto Number = 0; Number < Fleet; ++Number)
+    Listed.push_back(engine(Number, Number % 2 == 0 ? "a" : "b"));
+  auto Tracked = std::set<BackendId>();
+  constexpr auto Gates = 100;
+  for (auto Gate = 0; Gate < Gates; ++Gate) {
+    auto Table = EngineTable({.m_Host = HostId{std::to_string(Gate)},
+                              .m_DataCentre = DataCentreId{"a"},
+                              .m_Region = RegionId{"r"}},
+                             {.m_EnginesPerModel = 24});
+    Table.updateList(Listed);
+    CHECK(Table.all().size() == 24);
+    for (const auto &Server : Table.all()) {
+      CHECK(Server.m_DataCentre == DataCentreId{"a"});
+      Tracked.insert(Server.m_Id);
+    }
+  }
+  CHECK(Tracked.size() == Fleet / 2);
+}
+
+TEST_CASE("routing: retries are a bounded share of successes") {
+  auto Budget =
+      RetryBudget({.m_PerSuccess = 0.2, .m_Most = 20, .m_Initial = 10});
+  auto Granted = 0;
+  for (auto Number = 0; Number < 1000; ++Number)
+    Granted += Budget.spend("o") ? 1 : 0;
+  CHECK(Granted == 10);
+  for (auto Number = 0; Number < 50; ++Number)
+    Budget.recordSuccess("o");
+  for (auto Number = 0; Number < 1000; ++Number)
+    Granted += Budget.spend("o") ? 1 : 0;
+  CHECK(Granted <= 20);
+  CHECK(Budget.spend("other"));
+}
