Give suspects of different gates different engines; share the processes' core

Ruled out: judging by the merged set of digests on a lost engine, which needs a third engine in this race. Change: each engine belongs to one gate, by rendezvous order, for requests that run alone.

--- a/include/dotterel/config/KeyTable.h
+++ b/include/dotterel/config/KeyTable.h
@@ -19,8 +19,9 @@
 
 namespace dotterel {
 
-/// Keys are spread over this many store values, since 41,000 do not fit one.
-inline constexpr auto ShardCount = std::size_t{64};
+/// Keys are spread over this many store values: 41,000 do not fit one, and a
+/// change of one key moves one of them to every process.
+inline constexpr auto ShardCount = std::size_t{256};
 
 /// A granted key, by digest; the key itself is never stored.
 struct KeyRecord {
--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -63,6 +63,7 @@
   [[nodiscard]] auto query() const -> EngineQuery;
   [[nodiscard]] auto deadline() const -> MonotonicTime;
   [[nodiscard]] auto executed() const -> Execution;
+  [[nodiscard]] auto tokenChunk(const std::string &Text) const -> std::string;
   [[nodiscard]] auto chunk(const std::string &Text,
                            const std::string &FinishReason) const
       -> std::string;
--- a/include/dotterel/io/HttpMessage.h
+++ b/include/dotterel/io/HttpMessage.h
@@ -43,6 +43,9 @@
   std::string m_Body;
 };
 
+/// An answer whose body is the JSON document \p Document.
+auto jsonResponse(unsigned Status, std::string Document) -> HttpResponse;
+
 } // namespace dotterel
 
 #endif // DOTTEREL_IO_HTTPMESSAGE_H
--- a/include/dotterel/ledger/ClaimBook.h
+++ b/include/dotterel/ledger/ClaimBook.h
@@ -17,7 +17,9 @@
 namespace dotterel {
 
 struct ClaimBookOptions {
-  std::size_t m_Shards = 16;
+  /// The same at every gate. With the pause between appends it bounds the
+  /// store's writes for claims: 8 x 25 a second.
+  std::size_t m_Shards = 8;
   ClaimShardOptions m_Shard;
 };
 
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -14,6 +14,7 @@
 #include "dotterel/routing/OutlierDetector.h"
 #include "dotterel/routing/PrefixIndex.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -90,6 +91,13 @@
   /// Gives a reservation back.
   auto unreserve(const RequestId &Request) -> void;
 
+  /// Says on which engines this gate may run requests alone. Gates that agree
+  /// on this never run two suspects on one engine, where a loss would blame
+  /// both.
+  auto setAloneOwner(std::function<bool(const BackendId &)> Owner) -> void {
+    m_AloneOwner = std::move(Owner);
+  }
+
   /// Backend servers drained by operators' order, in place of those before.
   auto setDrained(const std::set<BackendId> &Drained) -> void {
     m_Drained = Drained;
@@ -141,6 +149,11 @@
       -> std::vector<Backend>;
   /// Leaves only engines without any gate's work, if there is one.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
+  [[nodiscard]] auto ownsForAlone(const BackendId &Id) const -> bool {
+    return !m_AloneOwner || m_AloneOwner(Id);
+  }
+  /// Whether this gate owns any engine that would do for the request.
+  [[nodiscard]] auto ownsAny(const EngineQuery &Query) const -> bool;
   [[nodiscard]] auto candidateOf(const Entry &Item, const EngineQuery &Query,
                                  MonotonicTime Now) const -> Candidate;
   [[nodiscard]] auto distance(const Backend &Server) const -> Duration;
@@ -150,6 +163,7 @@
   std::map<BackendId, Entry> m_Entries;
   std::set<BackendId> m_Leaving;
   std::set<BackendId> m_Drained;
+  std::function<bool(const BackendId &)> m_AloneOwner;
   OutlierDetector m_Outliers;
   std::size_t m_NextService = 0;
 };
--- a/include/dotterel/settings/Settings.h
+++ b/include/dotterel/settings/Settings.h
@@ -40,6 +40,10 @@
   bool m_Secret = false; ///< Never printed.
 };
 
+/// A whole number within bounds.
+auto integerSetting(std::string Name, std::string Default, std::string Help,
+                    std::int64_t Least, std::int64_t Most) -> Setting;
+
 /// What to do after the command line was read.
 enum class SettingsAction : std::uint8_t { Run, Check, Help, Version };
 
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -15,7 +15,7 @@
 constexpr auto HeadKey = "config/head";
 
 auto shardKey(std::size_t Shard) -> std::string {
-  return fmt::format("config/keys/{:02}", Shard);
+  return fmt::format("config/keys/{:03}", Shard);
 }
 
 /// Builds a configuration from a read of all records; the initial one when
--- a/src/ctl/Command.cpp
+++ b/src/ctl/Command.cpp
@@ -390,11 +390,7 @@
   };
   auto Number = [](const char *Name, const char *Help) {
     constexpr auto Most = std::int64_t{1} << 53U;
-    return Setting{.m_Name = Name,
-                   .m_Kind = SettingKind::Integer,
-                   .m_Help = Help,
-                   .m_Least = 0,
-                   .m_Most = Most};
+    return integerSetting(Name, "", Help, 0, Most);
   };
   auto Switch = [](const char *Name, const char *Help) {
     return Setting{
@@ -408,13 +404,10 @@
        .m_Help = "Token that operators send.",
        .m_Required = true,
        .m_Secret = true},
-      {.m_Name = "wait-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "10000",
-       .m_Help = "Longest wait for a change to be in force everywhere, in "
-                 "milliseconds.",
-       .m_Least = 0,
-       .m_Most = 600'000},
+      integerSetting("wait-ms", "10000",
+                     "Longest wait for a change to be in force everywhere, in "
+                     "milliseconds.",
+                     0, 600'000),
       {.m_Name = "json",
        .m_Kind = SettingKind::Switch,
        .m_Default = "false",
--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -13,10 +13,7 @@
 constexpr auto MostHistory = std::size_t{1000};
 
 auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
-  return {
-      .m_Status = Status,
-      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
-      .m_Body = Body.dump()};
+  return jsonResponse(Status, Body.dump());
 }
 
 auto number(const Json &Source, const char *Name) -> std::uint64_t {
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -14,10 +14,7 @@
 constexpr auto MostSeen = std::size_t{5000};
 
 auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
-  return {
-      .m_Status = Status,
-      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
-      .m_Body = Body.dump()};
+  return jsonResponse(Status, Body.dump());
 }
 
 auto span(double Seconds) -> Duration {
--- a/src/gate/AdminHandler.cpp
+++ b/src/gate/AdminHandler.cpp
@@ -25,10 +25,7 @@
 constexpr auto StatusUnavailable = 503U;
 
 auto reply(unsigned Status, const Json &Body) -> HttpResponse {
-  return {
-      .m_Status = Status,
-      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
-      .m_Body = Body.dump()};
+  return jsonResponse(Status, Body.dump());
 }
 
 auto failure(unsigned Status, const std::string &Code,
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -288,7 +288,7 @@
     refuse(Refusal(RefusalCode::SlowReader));
     return;
   }
-  m_Input.m_Exchange->write(chunk(Text, {}));
+  m_Input.m_Exchange->write(tokenChunk(Text));
 }
 
 auto CompletionCall::onDone(const HttpCallResult &Result) -> void {
@@ -443,6 +443,20 @@
   finish();
 }
 
+auto CompletionCall::tokenChunk(const std::string &Text) const -> std::string {
+  // Put together by hand: this runs for every token of every stream. Only the
+  // token and the model's name need escapes.
+  auto Chat = m_Input.m_Completion.m_Shape == CompletionShape::Chat;
+  return fmt::format(
+      R"(data: {{"choices":[{{"index":0,{}{}{},"finish_reason":null}}],)"
+      R"("id":"cmpl-{}","model":{},"object":"{}"}})"
+      "\n\n",
+      Chat ? R"("delta":{"content":)" : R"("text":)", Json(Text).dump(),
+      Chat ? "}" : "", m_Input.m_Request.text(),
+      Json(m_Input.m_Completion.m_Model.text()).dump(),
+      Chat ? "chat.completion.chunk" : "text_completion");
+}
+
 auto CompletionCall::chunk(const std::string &Text,
                            const std::string &FinishReason) const
     -> std::string {
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -2,24 +2,17 @@
 
 #include "dotterel/admission/WaitingQueue.h"
 #include "dotterel/base/Log.h"
-#include "dotterel/config/ConfigurationStore.h"
-#include "dotterel/fleet/Discovery.h"
 #include "dotterel/gate/AdminHandler.h"
 #include "dotterel/gate/CallerHandler.h"
 #include "dotterel/gate/Dispatcher.h"
 #include "dotterel/gate/GateServices.h"
 #include "dotterel/gate/LossInspector.h"
-#include "dotterel/io/KjLoop.h"
 #include "dotterel/ledger/ClaimBook.h"
-#include "dotterel/membership/Gossip.h"
-#include "dotterel/rpc/PeerRpc.h"
-#include "dotterel/settings/CommonSettings.h"
-#include "dotterel/store/HttpStore.h"
+#include "dotterel/process/ProcessCore.h"
 #include "dotterel/supervision/FunctionComponent.h"
 #include "dotterel/usage/ReplicaHolder.h"
 #include "dotterel/usage/UsageRecorder.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <memory>
 #include <optional>
@@ -33,22 +26,20 @@
 constexpr auto TickInterval = Milliseconds(100);
 constexpr auto ReplicaSweepInterval = Seconds(2);
 constexpr auto UsageDrainLimit = Seconds(10);
-/// Announces that this gate leaves, before its RPC server stops.
-constexpr auto LeaveAnnouncements = 2;
 
 /// Everything in a gate, in the order in which it is built.
 class GateProcess final : public PeerService {
 public:
   explicit GateProcess(const Settings &Values);
 
-  auto run() -> int;
+  auto run() -> int { return m_Core.run(m_Tree); }
 
   auto onExchange(const PeerView &View) -> PeerView override {
-    return m_Gossip.answer(View);
+    return m_Core.m_Gossip.answer(View);
   }
   auto onFetchConfiguration(const std::vector<std::uint64_t> &Known)
       -> ConfigurationDelta override {
-    return m_Configuration.delta(Known);
+    return m_Core.m_Configuration.delta(Known);
   }
   auto onClaim(const Claim &Request, std::function<void(ClaimReply)> Done)
       -> void override {
@@ -64,36 +55,21 @@
 
 private:
   auto addComponents() -> void;
-  auto addRpc() -> void;
-  auto addReaders() -> void;
+  auto addDispatcher() -> void;
   auto addUsage() -> void;
   auto addServers() -> void;
-  auto readConfiguration() -> void;
   auto tick() -> void;
   auto copyUsage(const UsageSegment &Segment, std::function<void(bool)> Done)
       -> void;
   auto replicaTarget() const -> std::string;
+  auto ownsForAlone(const BackendId &Id) const -> bool;
   auto drainCallers(const std::function<void()> &Done) -> void;
   auto drainUsage(std::function<void()> Done) -> void;
-  auto leave(std::function<void()> Done, int Left) -> void;
-  auto shutDown() -> void;
   auto serverOptions(const char *Address) const -> HttpServerOptions;
 
   const Settings &m_Values;
-  EventLoop m_Loop;
-  KjLoop m_Kj{m_Loop};
-  Random m_Random{systemSeed()};
-  std::unique_ptr<HttpClient> m_Client = makeHttpClient(m_Loop);
-  std::unique_ptr<KeyValueStore> m_Store;
-  std::unique_ptr<PeerCaller> m_Peers = makePeerCaller(m_Kj, {});
-  MemberTable m_Members;
-  ConfigurationHolder m_Configuration;
-  FreshnessTracker m_Freshness;
-  CrashRegistry m_Crashes{CrashRegistryOptions{}};
-  ConfigurationStore m_ConfigurationStore;
-  Gossip m_Gossip;
-  EngineTable m_Engines;
-  Discovery m_Discovery;
+  ProcessCore m_Core;
+  EventLoop &m_Loop = m_Core.m_Loop;
   std::unique_ptr<WaitingQueue> m_Queue;
   std::unique_ptr<RoutingPolicy> m_Routing;
   Dispatcher m_Dispatcher;
@@ -109,16 +85,10 @@
   GateServices m_Services;
   CallerHandler m_Callers;
   AdminHandler m_Admin;
-  std::optional<PeerServer> m_PeerServer;
   std::optional<HttpServer> m_CallerServer;
   std::optional<HttpServer> m_AdminServer;
-  std::optional<RepeatingTimer> m_ConfigTimer;
-  std::optional<RepeatingTimer> m_GossipTimer;
   std::optional<RepeatingTimer> m_TickTimer;
   std::optional<RepeatingTimer> m_ReplicaTimer;
-  bool m_Reading = false;
-  bool m_ShuttingDown = false;
-  bool m_Failed = false;
   Supervisor m_Tree;
 };
 
@@ -132,57 +102,42 @@
 }
 
 GateProcess::GateProcess(const Settings &Values)
-    : m_Values(Values),
-      m_Store(makeHttpStore(*m_Client, {.m_BaseUrl = Values.text("store-url"),
-                                        .m_CallTimeout = Values.milliseconds(
-                                            "store-timeout-ms")})),
-      m_Members(selfFrom(Values, ProcessRole::Gate, m_Loop.wallNow()), {}),
-      m_Freshness({.m_Bound = Values.milliseconds("freshness-bound-ms")}),
-      m_ConfigurationStore(m_Loop, *m_Store, m_Configuration, m_Freshness),
-      m_Gossip(
-          m_Loop, m_Random, m_Members, *m_Peers, m_Configuration, m_Freshness,
-          m_Crashes,
-          {.m_SelfReadAge = Values.milliseconds("freshness-bound-ms") / 2}),
-      m_Engines(locationFrom(Values), {}),
-      m_Discovery(m_Loop, *m_Client, m_Engines,
-                  {.m_PlatformUrl = Values.text("platform-url"),
-                   .m_ListInterval = Values.milliseconds("platform-poll-ms"),
-                   .m_LoadInterval = Values.milliseconds("load-poll-ms")}),
+    : m_Values(Values), m_Core(Values, ProcessRole::Gate, *this, {}),
       m_Queue(makeWaitingQueue(Values.text("waiting-queue"), {})),
       m_Routing(makeRoutingPolicy(Values.text("routing-policy"))),
-      m_Dispatcher(m_Loop, m_Engines, *m_Queue),
-      m_Losses(m_Loop, *m_Client, m_Engines, m_Crashes,
+      m_Dispatcher(m_Loop, m_Core.m_Engines, *m_Queue),
+      m_Losses(m_Loop, *m_Core.m_Client, m_Core.m_Engines, m_Core.m_Crashes,
                [this](std::function<void()> Done) {
-                 m_Gossip.announce(std::move(Done));
+                 m_Core.m_Gossip.announce(std::move(Done));
                }),
-      m_Claims(m_Loop, *m_Store, m_Members, *m_Peers, {}),
+      m_Claims(m_Loop, *m_Core.m_Store, m_Core.m_Members, *m_Core.m_Peers, {}),
       m_Usage(
-          m_Loop, *m_Store,
+          m_Loop, *m_Core.m_Store,
           IncarnationId{
-              fmt::format("{}-{}", Values.text("host"), m_Random.hex())},
+              fmt::format("{}-{}", Values.text("host"), m_Core.m_Random.hex())},
           [this](const UsageSegment &Segment, std::function<void(bool)> Done) {
             copyUsage(Segment, std::move(Done));
           },
           {.m_Writer = segmentOptions(Values),
            .m_FlushInterval = Values.milliseconds("usage-flush-ms")}),
-      m_Replicas(m_Loop, *m_Store,
+      m_Replicas(m_Loop, *m_Core.m_Store,
                  {.m_Writer = segmentOptions(Values),
                   .m_WriteAfter =
                       Values.milliseconds("usage-flush-ms") * 2 + Seconds(2)}),
       m_Services{.m_Scheduler = m_Loop,
-                 .m_Random = m_Random,
-                 .m_Client = *m_Client,
-                 .m_Configuration = m_Configuration,
-                 .m_Freshness = m_Freshness,
-                 .m_Members = m_Members,
-                 .m_Listed = m_Gossip.listed(),
-                 .m_Engines = m_Engines,
+                 .m_Random = m_Core.m_Random,
+                 .m_Client = *m_Core.m_Client,
+                 .m_Configuration = m_Core.m_Configuration,
+                 .m_Freshness = m_Core.m_Freshness,
+                 .m_Members = m_Core.m_Members,
+                 .m_Listed = m_Core.m_Gossip.listed(),
+                 .m_Engines = m_Core.m_Engines,
                  .m_Routing = *m_Routing,
                  .m_Dispatcher = m_Dispatcher,
                  .m_Losses = m_Losses,
                  .m_Claims = m_Claims,
                  .m_Usage = m_Usage,
-                 .m_Crashes = m_Crashes,
+                 .m_Crashes = m_Core.m_Crashes,
                  .m_OrganisationRetries = m_OrganisationRetries,
                  .m_BackendRetries = m_BackendRetries,
                  .m_Metrics = m_Metrics,
@@ -191,77 +146,35 @@
                  .m_Limits = limitsFrom(Values),
                  .m_KeySecret = Values.text("key-secret")},
       m_Callers(m_Services),
-      m_Admin(m_Services, m_ConfigurationStore, Values.text("operator-token"),
-              [this] { m_Gossip.announce([] {}); }),
+      m_Admin(m_Services, m_Core.m_ConfigurationStore,
+              Values.text("operator-token"),
+              [this] { m_Core.m_Gossip.announce([] {}); }),
       m_Tree(m_Loop, "gate", {}) {
-  m_Configuration.onChange([this] {
-    m_Engines.setDrained(m_Configuration.current()->m_Drained);
+  m_Core.m_Configuration.onChange([this] {
+    m_Core.m_Engines.setDrained(m_Core.m_Configuration.current()->m_Drained);
     m_Callers.onConfigurationChange();
   });
-  m_Gossip.setLeavingBackends([this] { return m_Engines.leaving(); },
-                              [this](const std::vector<BackendId> &Leaving) {
-                                for (const auto &Id : Leaving)
-                                  m_Engines.markLeaving(Id);
-                              });
-  m_Discovery.onHosts([this](std::vector<ListedProcess> Listed) {
-    m_Gossip.setListed(std::move(Listed));
-  });
-  m_Discovery.onLoad([this] { m_Dispatcher.pumpSoon(); });
+  m_Core.m_Gossip.setLeavingBackends(
+      [this] { return m_Core.m_Engines.leaving(); },
+      [this](const std::vector<BackendId> &Leaving) {
+        for (const auto &Id : Leaving)
+          m_Core.m_Engines.markLeaving(Id);
+      });
+  m_Core.m_Discovery.onLoad([this] { m_Dispatcher.pumpSoon(); });
+  m_Core.m_Engines.setAloneOwner(
+      [this](const BackendId &Id) { return ownsForAlone(Id); });
   addComponents();
 }
 
 auto GateProcess::addComponents() -> void {
-  addRpc();
-  addReaders();
+  m_Core.addPeers(m_Tree);
+  m_Core.addReaders(m_Tree);
+  addDispatcher();
   addUsage();
   addServers();
-  m_Tree.onEscalation([this](const std::string &Name) {
-    logError("gate.failed", {{"component", Name}});
-    m_Failed = true;
-    m_Loop.stop();
-  });
-}
-
-auto GateProcess::addRpc() -> void {
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "peer-server",
-      .m_Start =
-          [this] {
-            m_PeerServer.emplace(
-                m_Kj, *this, SocketAddress::parse(m_Values.text("rpc-listen")));
-            m_Members.self().m_Address = m_PeerServer->address().text();
-          },
-      .m_Reset = [this] { m_PeerServer.reset(); }}));
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "gossip",
-      .m_Start =
-          [this] {
-            m_GossipTimer.emplace(m_Loop,
-                                  m_Values.milliseconds("gossip-interval-ms"),
-                                  [this] { m_Gossip.round(); });
-          },
-      .m_Reset = [this] { m_GossipTimer.reset(); },
-      .m_Stop =
-          [this](std::function<void()> Done) {
-            leave(std::move(Done), LeaveAnnouncements);
-          }}));
 }
 
-auto GateProcess::addReaders() -> void {
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "configuration-reader",
-      .m_Start =
-          [this] {
-            m_ConfigTimer.emplace(m_Loop,
-                                  m_Values.milliseconds("config-poll-ms"),
-                                  [this] { readConfiguration(); });
-            readConfiguration();
-          },
-      .m_Reset = [this] { m_ConfigTimer.reset(); }}));
-  m_Tree.add(std::make_unique<FunctionComponent>(
-      FunctionComponentOptions{.m_Name = "discovery",
-                               .m_Start = [this] { m_Discovery.start(); },
-                               .m_Reset = [this] { m_Discovery.stop(); }}));
+auto GateProcess::addDispatcher() -> void {
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "dispatcher",
       .m_Start =
@@ -314,40 +227,33 @@
             logInfo("gate.listening",
                     {{"callers", m_CallerServer->address().text()},
                      {"operators", m_AdminServer->address().text()},
-                     {"rpc", m_Members.self().m_Address}});
+                     {"rpc", m_Core.m_Members.self().m_Address}});
           },
       .m_Reset = [this] { m_CallerServer.reset(); },
       .m_Stop =
           [this](const std::function<void()> &Done) { drainCallers(Done); }}));
 }
 
-auto GateProcess::readConfiguration() -> void {
-  if (m_Reading || !m_Gossip.readsStore())
-    return;
-  m_Reading = true;
-  m_ConfigurationStore.refresh([this](bool) { m_Reading = false; });
-}
-
 auto GateProcess::tick() -> void {
   m_Demand.update(m_Loop.now());
-  m_Members.self().m_PrefillTokensPerSecond =
+  m_Core.m_Members.self().m_PrefillTokensPerSecond =
       static_cast<std::uint64_t>(m_Demand.prefill());
-  m_Members.self().m_DecodeTokensPerSecond =
+  m_Core.m_Members.self().m_DecodeTokensPerSecond =
       static_cast<std::uint64_t>(m_Demand.decode());
   m_Dispatcher.pump();
   m_Metrics.setWaiting(static_cast<double>(m_Dispatcher.waiting()));
   m_Metrics.setConfigRevision(
-      static_cast<double>(m_Configuration.revision().number()));
-  auto Age = m_Freshness.age(m_Loop.now());
+      static_cast<double>(m_Core.m_Configuration.revision().number()));
+  auto Age = m_Core.m_Freshness.age(m_Loop.now());
   if (Age != Duration::max())
     m_Metrics.setEvidenceAge(std::chrono::duration<double>(Age).count());
   m_Metrics.setUncopiedUsage(static_cast<double>(m_Usage.uncopied()));
 }
 
 auto GateProcess::replicaTarget() const -> std::string {
-  const auto &Self = m_Members.self();
+  const auto &Self = m_Core.m_Members.self();
   auto Others = std::vector<Member>();
-  for (auto &Item : m_Members.live(m_Loop.now()))
+  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
     if (Item.m_Role == ProcessRole::Gate && !Item.m_Leaving)
       Others.push_back(std::move(Item));
   if (Others.empty())
@@ -360,6 +266,16 @@
   return Ordered.front().m_Address;
 }
 
+auto GateProcess::ownsForAlone(const BackendId &Id) const -> bool {
+  const auto &Self = m_Core.m_Members.self();
+  auto Gates = std::vector<Member>{Self};
+  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
+    if (Item.m_Role == ProcessRole::Gate && !Item.m_Leaving)
+      Gates.push_back(std::move(Item));
+  auto Ordered = rendezvousOrder("alone/" + Id.text(), Gates);
+  return Ordered.front().m_Process == Self.m_Process;
+}
+
 auto GateProcess::copyUsage(const UsageSegment &Segment,
                             std::function<void(bool)> Done) -> void {
   auto Target = replicaTarget();
@@ -368,7 +284,7 @@
                     [Done = std::move(Done)] { Done(false); });
     return;
   }
-  m_Peers->replicateUsage(
+  m_Core.m_Peers->replicateUsage(
       Target, Segment,
       [Done = std::move(Done)](const std::optional<bool> &Arrived) {
         Done(Arrived.value_or(false));
@@ -410,124 +326,8 @@
   });
 }
 
-auto GateProcess::leave(std::function<void()> Done, int Left) -> void {
-  m_Members.self().m_Leaving = true;
-  m_Members.beat(m_Loop.now());
-  m_Gossip.announce([this, Done = std::move(Done), Left]() mutable {
-    if (Left > 1)
-      leave(std::move(Done), Left - 1);
-    else
-      Done();
-  });
-}
-
-auto GateProcess::shutDown() -> void {
-  if (std::exchange(m_ShuttingDown, true))
-    return;
-  m_Tree.stop([this] {
-    logInfo("gate.stopped", {});
-    m_Loop.stop();
-  });
-}
-
-auto GateProcess::run() -> int {
-  m_Loop.onTermination([this] { shutDown(); });
-  m_Tree.start();
-  m_Loop.run();
-  return m_Failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
-
 } // namespace
 
-auto gateSettings() -> Settings {
-  auto Declared = commonSettings();
-  auto Own = std::vector<Setting>{
-      {.m_Name = "listen",
-       .m_Kind = SettingKind::Address,
-       .m_Default = "127.0.0.1:8080",
-       .m_Help = "Address for callers."},
-      {.m_Name = "admin-listen",
-       .m_Kind = SettingKind::Address,
-       .m_Default = "127.0.0.1:0",
-       .m_Help = "Address for operators. Port 0: any."},
-      {.m_Name = "key-secret",
-       .m_Help = "Secret under which keys are digested; the same everywhere.",
-       .m_Required = true,
-       .m_Secret = true},
-      {.m_Name = "operator-token",
-       .m_Help = "Token that operators send.",
-       .m_Required = true,
-       .m_Secret = true},
-      {.m_Name = "routing-policy",
-       .m_Kind = SettingKind::Choice,
-       .m_Default = "expected-first-token",
-       .m_Help = "How an engine is chosen.",
-       .m_Choices = routingPolicyNames()},
-      {.m_Name = "waiting-queue",
-       .m_Kind = SettingKind::Choice,
-       .m_Default = "fair",
-       .m_Help = "Order of requests that wait.",
-       .m_Choices = waitingQueueNames()},
-      {.m_Name = "usage-flush-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "5000",
-       .m_Help = "Pause between writes of usage to the store, in "
-                 "milliseconds.",
-       .m_Least = 100,
-       .m_Most = 60'000},
-      {.m_Name = "max-body-bytes",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "8388608",
-       .m_Help = "Largest body of a request, in bytes.",
-       .m_Least = 1024,
-       .m_Most = 1 << 28},
-      {.m_Name = "max-connections",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "2000",
-       .m_Help = "Open connections of callers at most.",
-       .m_Least = 1,
-       .m_Most = 100'000},
-      {.m_Name = "idle-timeout-seconds",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "30",
-       .m_Help = "A connection without progress is closed after this time, "
-                 "in seconds.",
-       .m_Least = 1,
-       .m_Most = 3600},
-      {.m_Name = "stall-timeout-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "15000",
-       .m_Help = "An engine's stream without progress is given up after this "
-                 "time, in milliseconds.",
-       .m_Least = 100,
-       .m_Most = 600'000},
-      {.m_Name = "request-timeout-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "600000",
-       .m_Help = "Longest time on an engine, in milliseconds.",
-       .m_Least = 100,
-       .m_Most = 3'600'000},
-      {.m_Name = "drain-lag-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "5000",
-       .m_Help = "After a stop is asked for, callers are taken in for this "
-                 "time, until the balancer has noticed, in milliseconds.",
-       .m_Least = 0,
-       .m_Most = 120'000},
-      {.m_Name = "drain-timeout-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "600000",
-       .m_Help = "Longest wait for requests in progress when stopping, in "
-                 "milliseconds.",
-       .m_Least = 0,
-       .m_Most = 3'600'000},
-  };
-  Declared.insert(Declared.end(), Own.begin(), Own.end());
-  return {"dotterel-gate",
-          "Serves callers: checks keys, admits, routes and counts usage.",
-          std::move(Declared)};
-}
-
 auto runGate(const Settings &Values) -> int {
   setLogLevel(Values.text("log-level"));
   auto Process = GateProcess(Values);
--- a/src/io/HttpMessage.cpp
+++ b/src/io/HttpMessage.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/io/HttpMessage.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterel {
 
@@ -27,4 +28,11 @@
   return std::nullopt;
 }
 
+auto jsonResponse(unsigned Status, std::string Document) -> HttpResponse {
+  return {
+      .m_Status = Status,
+      .m_Headers = {{.m_Name = "Content-Type", .m_Value = "application/json"}},
+      .m_Body = std::move(Document)};
+}
+
 } // namespace dotterel
--- a/src/load/LoadProcess.cpp
+++ b/src/load/LoadProcess.cpp
@@ -118,15 +118,6 @@
 } // namespace
 
 auto loadSettings() -> Settings {
-  auto Number = [](const char *Name, const char *Default, const char *Help,
-                   std::int64_t Least, std::int64_t Most) {
-    return Setting{.m_Name = Name,
-                   .m_Kind = SettingKind::Integer,
-                   .m_Default = Default,
-                   .m_Help = Help,
-                   .m_Least = Least,
-                   .m_Most = Most};
-  };
   return {
       "dotterel-load",
       "Sends a seeded mix of completions at stated times and prints figures.",
@@ -143,13 +134,17 @@
         .m_Kind = SettingKind::Name,
         .m_Default = "namer",
         .m_Help = "Model to ask for."},
-       Number("seed", "1", "Seed of the mix.", 0, 1'000'000'000),
-       Number("requests-per-second", "50", "Mean rate.", 1, 20'000),
-       Number("seconds", "10", "Length of the run, in seconds.", 1, 600),
-       Number("prompt-tokens", "200", "Mean tokens of a prompt.", 1, 100'000),
-       Number("answer-tokens", "20", "Mean tokens of an answer.", 1, 10'000),
-       Number("swing-seconds", "0",
-              "Period of the mix's swing, in seconds; 0: none.", 0, 600),
+       integerSetting("seed", "1", "Seed of the mix.", 0, 1'000'000'000),
+       integerSetting("requests-per-second", "50", "Mean rate.", 1, 20'000),
+       integerSetting("seconds", "10", "Length of the run, in seconds.", 1,
+                      600),
+       integerSetting("prompt-tokens", "200", "Mean tokens of a prompt.", 1,
+                      100'000),
+       integerSetting("answer-tokens", "20", "Mean tokens of an answer.", 1,
+                      10'000),
+       integerSetting("swing-seconds", "0",
+                      "Period of the mix's swing, in seconds; 0: none.", 0,
+                      600),
        {.m_Name = "json",
         .m_Kind = SettingKind::Switch,
         .m_Default = "false",
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -131,11 +131,25 @@
   }
   if (Pool > 0 && !m_Outliers.mayLeaveOut(PoolEjected, Pool))
     Sound.insert(Sound.end(), Ejected.begin(), Ejected.end());
-  if (Query.m_Alone)
-    preferIdle(Sound);
+  if (!Query.m_Alone)
+    return Sound;
+  // A busy engine of our own is waited for rather than another gate's taken.
+  if (ownsAny(Query))
+    std::erase_if(Sound, [this](const Candidate &Engine) {
+      return !ownsForAlone(Engine.m_Id);
+    });
+  preferIdle(Sound);
   return Sound;
 }
 
+auto EngineTable::ownsAny(const EngineQuery &Query) const -> bool {
+  auto Any = Query;
+  Any.m_Alone = false;
+  return std::any_of(m_Entries.begin(), m_Entries.end(), [&](const auto &Item) {
+    return accepts(Item.second, Any) && ownsForAlone(Item.first);
+  });
+}
+
 auto EngineTable::preferIdle(std::vector<Candidate> &Engines) -> void {
   auto Busy = [](const Candidate &Engine) { return Engine.m_Running > 0; };
   if (!std::all_of(Engines.begin(), Engines.end(), Busy))
@@ -176,10 +190,11 @@
   auto Any = Query;
   Any.m_Alone = false;
   Entry *Least = nullptr;
+  auto OnlyOwn = ownsAny(Query);
   for (auto &[Id, Item] : m_Entries) {
     if (Item.m_ReservedFor == Query.m_Request)
       return;
-    if (!accepts(Item, Any))
+    if (!accepts(Item, Any) || (OnlyOwn && !ownsForAlone(Id)))
       continue;
     if (Least == nullptr || Item.m_Flights.size() < Least->m_Flights.size())
       Least = &Item;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -108,6 +108,16 @@
 
 } // namespace
 
+auto integerSetting(std::string Name, std::string Default, std::string Help,
+                    std::int64_t Least, std::int64_t Most) -> Setting {
+  return {.m_Name = std::move(Name),
+          .m_Kind = SettingKind::Integer,
+          .m_Default = std::move(Default),
+          .m_Help = std::move(Help),
+          .m_Least = Least,
+          .m_Most = Most};
+}
+
 Settings::Settings(std::string Program, std::string Summary,
                    std::vector<Setting> Declared)
     : m_Program(std::move(Program)), m_Summary(std::move(Summary)),
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -1,24 +1,18 @@
 #include "dotterel/steward/StewardProcess.h"
 
 #include "dotterel/base/Log.h"
-#include "dotterel/config/ConfigurationStore.h"
-#include "dotterel/fleet/Discovery.h"
 #include "dotterel/fleet/HttpEngineOrders.h"
-#include "dotterel/io/KjLoop.h"
 #include "dotterel/lease/DutyLease.h"
-#include "dotterel/membership/Gossip.h"
-#include "dotterel/rpc/PeerRpc.h"
+#include "dotterel/process/ProcessCore.h"
 #include "dotterel/settings/CommonSettings.h"
 #include "dotterel/steward/RoleKeeper.h"
-#include "dotterel/store/HttpStore.h"
 #include "dotterel/supervision/FunctionComponent.h"
 #include "dotterel/usage/WindowSealer.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <fmt/format.h>
+#include <map>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace dotterel {
 
@@ -37,14 +31,14 @@
 public:
   explicit StewardProcess(const Settings &Values);
 
-  auto run() -> int;
+  auto run() -> int { return m_Core.run(m_Tree); }
 
   auto onExchange(const PeerView &View) -> PeerView override {
-    return m_Gossip.answer(View);
+    return m_Core.m_Gossip.answer(View);
   }
   auto onFetchConfiguration(const std::vector<std::uint64_t> &Known)
       -> ConfigurationDelta override {
-    return m_Configuration.delta(Known);
+    return m_Core.m_Configuration.delta(Known);
   }
   // Claims and usage are the gates'.
   auto onClaim(const Claim & /*Request*/, std::function<void(ClaimReply)> Done)
@@ -59,44 +53,22 @@
 
 private:
   auto addComponents() -> void;
-  auto addRpc() -> void;
-  auto addReaders() -> void;
   auto addDuty(const char *Name, DutyLease &Duty, std::function<void()> Step)
       -> void;
   auto eligibleFor(const DutyId &Duty) const -> bool;
   auto gone(const SenderId &Sender) const -> bool;
   auto report(const UsageReport &Report, std::function<void(bool)> Done)
       -> void;
-  auto readConfiguration() -> void;
-  auto shutDown() -> void;
 
   const Settings &m_Values;
-  EventLoop m_Loop;
-  KjLoop m_Kj{m_Loop};
-  Random m_Random{systemSeed()};
-  std::unique_ptr<HttpClient> m_Client = makeHttpClient(m_Loop);
-  std::unique_ptr<KeyValueStore> m_Store;
-  std::unique_ptr<PeerCaller> m_Peers = makePeerCaller(m_Kj, {});
-  MemberTable m_Members;
-  ConfigurationHolder m_Configuration;
-  FreshnessTracker m_Freshness;
-  CrashRegistry m_Crashes{CrashRegistryOptions{}};
-  ConfigurationStore m_ConfigurationStore;
-  Gossip m_Gossip;
-  EngineTable m_Engines;
-  Discovery m_Discovery;
+  ProcessCore m_Core;
+  EventLoop &m_Loop = m_Core.m_Loop;
   std::unique_ptr<EngineOrders> m_Orders;
   DutyLease m_UsageDuty;
   DutyLease m_RoleDuty;
   WindowSealer m_Sealer;
   RoleKeeper m_Roles;
-  std::optional<PeerServer> m_PeerServer;
-  std::optional<RepeatingTimer> m_GossipTimer;
-  std::optional<RepeatingTimer> m_ConfigTimer;
   std::map<std::string, std::unique_ptr<RepeatingTimer>> m_DutyTimers;
-  bool m_Reading = false;
-  bool m_ShuttingDown = false;
-  bool m_Failed = false;
   Supervisor m_Tree;
 };
 
@@ -120,45 +92,27 @@
 }
 
 StewardProcess::StewardProcess(const Settings &Values)
-    : m_Values(Values),
-      m_Store(makeHttpStore(*m_Client, {.m_BaseUrl = Values.text("store-url"),
-                                        .m_CallTimeout = Values.milliseconds(
-                                            "store-timeout-ms")})),
-      m_Members(selfFrom(Values, ProcessRole::Steward, m_Loop.wallNow()), {}),
-      m_Freshness({.m_Bound = Values.milliseconds("freshness-bound-ms")}),
-      m_ConfigurationStore(m_Loop, *m_Store, m_Configuration, m_Freshness),
-      m_Gossip(
-          m_Loop, m_Random, m_Members, *m_Peers, m_Configuration, m_Freshness,
-          m_Crashes,
-          {.m_SelfReadAge = Values.milliseconds("freshness-bound-ms") / 2}),
-      m_Engines(locationFrom(Values),
-                {.m_EnginesPerModel = MostEnginesOfModel}),
-      m_Discovery(m_Loop, *m_Client, m_Engines,
-                  {.m_PlatformUrl = Values.text("platform-url"),
-                   .m_ListInterval = Values.milliseconds("platform-poll-ms"),
-                   .m_LoadInterval = Values.milliseconds("load-poll-ms")}),
-      m_Orders(makeHttpEngineOrders(*m_Client, m_Engines)),
-      m_UsageDuty(m_Loop, *m_Store, DutyId{"usage-reports"},
-                  m_Members.self().m_Process, leaseOptions(Values)),
-      m_RoleDuty(m_Loop, *m_Store, roleDuty(Values), m_Members.self().m_Process,
-                 leaseOptions(Values)),
+    : m_Values(Values), m_Core(Values, ProcessRole::Steward, *this,
+                               {.m_EnginesPerModel = MostEnginesOfModel}),
+      m_Orders(makeHttpEngineOrders(*m_Core.m_Client, m_Core.m_Engines)),
+      m_UsageDuty(m_Loop, *m_Core.m_Store, DutyId{"usage-reports"},
+                  m_Core.m_Members.self().m_Process, leaseOptions(Values)),
+      m_RoleDuty(m_Loop, *m_Core.m_Store, roleDuty(Values),
+                 m_Core.m_Members.self().m_Process, leaseOptions(Values)),
       m_Sealer(
-          m_Loop, *m_Store, m_UsageDuty,
+          m_Loop, *m_Core.m_Store, m_UsageDuty,
           [this](const UsageReport &Report, std::function<void(bool)> Done) {
             report(Report, std::move(Done));
           },
           {.m_WindowLength = Seconds(Values.integer("usage-window-seconds")),
            .m_Grace = Values.milliseconds("usage-grace-ms")}),
-      m_Roles(m_Loop, *m_Store, m_RoleDuty, *m_Orders, m_Engines, m_Members,
-              m_Configuration,
+      m_Roles(m_Loop, *m_Core.m_Store, m_RoleDuty, *m_Orders, m_Core.m_Engines,
+              m_Core.m_Members, m_Core.m_Configuration,
               [this](const SenderId &Sender) { return gone(Sender); },
               {.m_Region = RegionId{Values.text("region")},
-               .m_Self = senderIdOf(m_Members.self())}),
+               .m_Self = senderIdOf(m_Core.m_Members.self())}),
       m_Tree(m_Loop, "steward", {}) {
-  m_Discovery.onHosts([this](std::vector<ListedProcess> Listed) {
-    m_Gossip.setListed(std::move(Listed));
-  });
-  m_Discovery.setLoadWanted([this] { return m_RoleDuty.held(); });
+  m_Core.m_Discovery.setLoadWanted([this] { return m_RoleDuty.held(); });
   m_UsageDuty.setEligible(
       [this] { return eligibleFor(DutyId{"usage-reports"}); });
   m_RoleDuty.setEligible([this] { return eligibleFor(roleDuty(m_Values)); });
@@ -166,9 +120,9 @@
 }
 
 auto StewardProcess::eligibleFor(const DutyId &Duty) const -> bool {
-  const auto &Self = m_Members.self();
+  const auto &Self = m_Core.m_Members.self();
   auto Stewards = std::vector<Member>{Self};
-  for (auto &Item : m_Members.live(m_Loop.now()))
+  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
     if (Item.m_Role == ProcessRole::Steward && !Item.m_Leaving)
       Stewards.push_back(std::move(Item));
   auto Ordered = rendezvousOrder("duty/" + Duty.text(), Stewards);
@@ -183,13 +137,14 @@
   auto Hash = Sender.text().rfind('#');
   auto Process = ProcessId{Sender.text().substr(0, Hash)};
   auto Incarnation = std::stoull(Sender.text().substr(Hash + 1));
-  const auto *Known = m_Members.findLive(Process, m_Loop.now());
+  const auto *Known = m_Core.m_Members.findLive(Process, m_Loop.now());
   // A host runs one steward: a later life of it proves the earlier one's end.
-  if (Process == m_Members.self().m_Process)
-    return Incarnation < m_Members.self().m_Incarnation;
+  if (Process == m_Core.m_Members.self().m_Process)
+    return Incarnation < m_Core.m_Members.self().m_Incarnation;
   if (Known != nullptr)
     return Known->m_Incarnation > Incarnation;
-  return !m_Gossip.listed().empty() && !m_Gossip.listed().contains(Process);
+  return !m_Core.m_Gossip.listed().empty() &&
+         !m_Core.m_Gossip.listed().contains(Process);
 }
 
 auto StewardProcess::report(const UsageReport &Report,
@@ -209,63 +164,22 @@
     Done(Result.m_Outcome == HttpOutcome::Complete &&
          Result.m_Status == StatusOk);
   };
-  m_Client->start(std::move(Call));
+  m_Core.m_Client->start(std::move(Call));
 }
 
 auto StewardProcess::addComponents() -> void {
-  addRpc();
-  addReaders();
+  m_Core.addPeers(m_Tree);
+  m_Core.addReaders(m_Tree);
   addDuty("usage-duty", m_UsageDuty, [this] { m_Sealer.step(); });
   addDuty("role-duty", m_RoleDuty, [this] { m_Roles.step(); });
-  m_Tree.onEscalation([this](const std::string &Name) {
-    logError("steward.failed", {{"component", Name}});
-    m_Failed = true;
-    m_Loop.stop();
-  });
-}
-
-auto StewardProcess::addRpc() -> void {
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "peer-server",
-      .m_Start =
-          [this] {
-            m_PeerServer.emplace(
-                m_Kj, *this, SocketAddress::parse(m_Values.text("rpc-listen")));
-            m_Members.self().m_Address = m_PeerServer->address().text();
-            logInfo("steward.listening", {{"rpc", m_Members.self().m_Address}});
-          },
-      .m_Reset = [this] { m_PeerServer.reset(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "gossip",
+      .m_Name = "start-message",
       .m_Start =
           [this] {
-            m_GossipTimer.emplace(m_Loop,
-                                  m_Values.milliseconds("gossip-interval-ms"),
-                                  [this] { m_Gossip.round(); });
+            logInfo("steward.listening",
+                    {{"rpc", m_Core.m_Members.self().m_Address}});
           },
-      .m_Reset = [this] { m_GossipTimer.reset(); },
-      .m_Stop =
-          [this](std::function<void()> Done) {
-            m_Members.self().m_Leaving = true;
-            m_Members.beat(m_Loop.now());
-            m_Gossip.announce(std::move(Done));
-          }}));
-}
-
-auto StewardProcess::addReaders() -> void {
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "configuration-reader",
-      .m_Start =
-          [this] {
-            m_ConfigTimer.emplace(m_Loop,
-                                  m_Values.milliseconds("config-poll-ms"),
-                                  [this] { readConfiguration(); });
-          },
-      .m_Reset = [this] { m_ConfigTimer.reset(); }}));
-  m_Tree.add(std::make_unique<FunctionComponent>(
-      FunctionComponentOptions{.m_Name = "discovery",
-                               .m_Start = [this] { m_Discovery.start(); },
-                               .m_Reset = [this] { m_Discovery.stop(); }}));
+      .m_Reset = [] {}}));
 }
 
 auto StewardProcess::addDuty(const char *Name, DutyLease &Duty,
@@ -286,47 +200,18 @@
           }}));
 }
 
-auto StewardProcess::readConfiguration() -> void {
-  if (m_Reading || !m_Gossip.readsStore())
-    return;
-  m_Reading = true;
-  m_ConfigurationStore.refresh([this](bool) { m_Reading = false; });
-}
-
-auto StewardProcess::shutDown() -> void {
-  if (std::exchange(m_ShuttingDown, true))
-    return;
-  m_Tree.stop([this] {
-    logInfo("steward.stopped", {});
-    m_Loop.stop();
-  });
-}
-
-auto StewardProcess::run() -> int {
-  m_Loop.onTermination([this] { shutDown(); });
-  m_Tree.start();
-  m_Loop.run();
-  return m_Failed ? EXIT_FAILURE : EXIT_SUCCESS;
-}
-
 } // namespace
 
 auto stewardSettings() -> Settings {
   auto Declared = commonSettings();
   auto Own = std::vector<Setting>{
-      {.m_Name = "lease-seconds",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "10",
-       .m_Help = "Term of a duty's lease, in seconds; the same everywhere.",
-       .m_Least = 2,
-       .m_Most = 120},
-      {.m_Name = "usage-grace-ms",
-       .m_Kind = SettingKind::Integer,
-       .m_Default = "20000",
-       .m_Help = "Wait after a usage window's end before it is closed, in "
-                 "milliseconds.",
-       .m_Least = 0,
-       .m_Most = 3'600'000},
+      integerSetting("lease-seconds", "10",
+                     "Term of a duty's lease, in seconds; the same everywhere.",
+                     2, 120),
+      integerSetting("usage-grace-ms", "20000",
+                     "Wait after a usage window's end before it is closed, in "
+                     "milliseconds.",
+                     0, 3'600'000),
   };
   Declared.insert(Declared.end(), Own.begin(), Own.end());
   return {"dotterel-steward",
--- a/tests/unit-Routing.cpp
+++ b/tests/unit-Routing.cpp
@@ -169,6 +169,23 @@
     CHECK(Engine.m_Id != Engines[0].m_Id);
 }
 
+TEST_CASE("routing: two gates run requests alone on different engines") {
+  auto Taken = std::set<BackendId>();
+  for (auto Parity : {0, 1}) {
+    auto Table = makeTable(6);
+    Table.setAloneOwner([Parity](const BackendId &Id) {
+      return (Id.text().back() - '0') % 2 == Parity;
+    });
+    auto Alone = Query;
+    Alone.m_Alone = true;
+    for (const auto &Engine : Table.candidates(Alone, Now))
+      CHECK(Taken.insert(Engine.m_Id).second);
+    // Others' engines are for other work all the same.
+    CHECK(Table.candidates(Query, Now).size() == 6);
+  }
+  CHECK(Taken.size() == 6);
+}
+
 TEST_CASE("routing: gates track a bounded share of a large fleet, nearest "
           "first, and together all of it") {
   auto Listed = std::vector<Backend>();
