--- a/tests/e2e-Faults.cpp
+++ b/tests/e2e-Faults.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <map>
 #include <string>
 
@@ -193,7 +194,7 @@
                .m_Body = "{}",
                .m_Headers = Headers});
     Test.call({.m_Method = "POST",
-               .m_Url = Url + Separator + "token=" + Key,
+               .m_Url = fmt::format("{}{}token={}", Url, Separator, Key),
                .m_Body = Key,
                .m_Headers = Headers});
   }
--- a/tests/fault-OrderSender.cpp
+++ b/tests/fault-OrderSender.cpp
@@ -61,7 +61,7 @@
       m_Held.push_back([this, Order, Done] { deliver(Order, Done); });
       return;
     }
-    deliver(Order, std::move(Done));
+    deliver(Order, Done);
   }
 
   auto readBack(const BackendId & /*Id*/,
@@ -85,8 +85,8 @@
   SendFault m_Next = SendFault::None;
 
 private:
-  auto deliver(const EngineOrder &Order, std::function<void(OrderAnswer)> Done)
-      -> void {
+  auto deliver(const EngineOrder &Order,
+               const std::function<void(OrderAnswer)> &Done) -> void {
     auto Fault = std::exchange(m_Next, SendFault::None);
     constexpr auto GiveUp = Seconds(2);
     auto Arrival = Fault == SendFault::Late ? Duration(Seconds(30))
--- a/tests/fault-Usage.cpp
+++ b/tests/fault-Usage.cpp
@@ -58,7 +58,7 @@
     m_Sealer = std::make_unique<WindowSealer>(
         Scheduler, m_Store, *m_Duty,
         [&Scheduler, &Target](const UsageReport &Report,
-                              std::function<void(bool)> Done) {
+                              const std::function<void(bool)> &Done) {
           auto Lost = Target.m_LoseReports > 0 && Target.m_LoseReports-- > 0;
           if (!Lost)
             Target.m_Reports.push_back(Report);
@@ -93,7 +93,7 @@
     m_Recorder = std::make_unique<UsageRecorder>(
         Scheduler, m_Store, IncarnationId{Name},
         [this, &Scheduler, &Replica](const UsageSegment &Segment,
-                                     std::function<void(bool)> Done) {
+                                     const std::function<void(bool)> &Done) {
           if (!m_CopiesArrive) {
             Scheduler.schedule(Milliseconds(10), [Done] { Done(false); });
             return;
