Cut off slow senders in a test; include what is used; one usage document

Read as a newcomer: sources relied on headers that others include; the token count of an answer was held twice. No behaviour changes but for the test.

--- a/include/dotterel/ctl/Table.h
+++ b/include/dotterel/ctl/Table.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_CTL_TABLE_H
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/fakes/FakePlatform.h
+++ b/include/dotterel/fakes/FakePlatform.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
--- a/include/dotterel/fakes/FakeRunner.h
+++ b/include/dotterel/fakes/FakeRunner.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
--- a/include/dotterel/fleet/Discovery.h
+++ b/include/dotterel/fleet/Discovery.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace dotterel {
 
--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -91,7 +91,6 @@
   std::string m_Text;
   std::string m_FinishReason;
   std::uint64_t m_PromptTokens = 0;
-  std::uint64_t m_CompletionTokens = 0;
   bool m_Started = false; ///< Whether the caller's stream has begun.
   bool m_MayHaveRun = false;
   bool m_Recorded = false; ///< Whether the usage has been counted.
--- a/include/dotterel/gate/EngineStream.h
+++ b/include/dotterel/gate/EngineStream.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace dotterel {
 
@@ -23,7 +24,6 @@
   std::string m_FinishReason; ///< Empty but in the last one.
   bool m_HasUsage = false;
   std::uint64_t m_PromptTokens = 0;
-  std::uint64_t m_CompletionTokens = 0;
 };
 
 /// Reads one attempt's stream.
--- a/include/dotterel/gate/LossInspector.h
+++ b/include/dotterel/gate/LossInspector.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/lease/DutyLease.h
+++ b/include/dotterel/lease/DutyLease.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace dotterel {
 
--- a/include/dotterel/load/LoadRun.h
+++ b/include/dotterel/load/LoadRun.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/rpc/Peer.h
+++ b/include/dotterel/rpc/Peer.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/store/KeyValueStore.h
+++ b/include/dotterel/store/KeyValueStore.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/supervision/Supervisor.h
+++ b/include/dotterel/supervision/Supervisor.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
--- a/include/dotterel/usage/WindowSealer.h
+++ b/include/dotterel/usage/WindowSealer.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/admission/WaitingQueue.cpp
+++ b/src/admission/WaitingQueue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/ctl/Command.cpp
+++ b/src/ctl/Command.cpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/ctl/Table.cpp
+++ b/src/ctl/Table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/fleet/Discovery.cpp
+++ b/src/fleet/Discovery.cpp
@@ -3,6 +3,8 @@
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
 
+#include <utility>
+
 namespace dotterel {
 
 namespace {
--- a/src/gate/CallerHandler.cpp
+++ b/src/gate/CallerHandler.cpp
@@ -5,6 +5,7 @@
 #include "dotterel/gate/ServiceCall.h"
 
 #include <algorithm>
+#include <cctype>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -4,6 +4,7 @@
 #include "dotterel/gate/Dispatcher.h"
 #include "dotterel/gate/LossInspector.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -37,6 +38,12 @@
   return "";
 }
 
+auto usageDocument(std::uint64_t Prompt, std::uint64_t Completion) -> Json {
+  return {{"prompt_tokens", Prompt},
+          {"completion_tokens", Completion},
+          {"total_tokens", Prompt + Completion}};
+}
+
 /// The figures that a choice was made by, for the log.
 auto describe(const std::vector<Candidate> &Engines, const Work &Request)
     -> std::string {
@@ -384,7 +391,6 @@
 }
 
 auto CompletionCall::complete() -> void {
-  m_CompletionTokens = m_Position;
   recordUsage([Self = shared_from_this()] {
     if (!Self->m_Ended)
       Self->deliver();
@@ -411,16 +417,13 @@
     auto &Exchange = *m_Input.m_Exchange;
     Exchange.write(chunk({}, m_FinishReason));
     if (m_Input.m_Completion.m_IncludeUsage)
-      Exchange.write(fmt::format(
-          "data: {}\n\n",
-          Json{{"id", "cmpl-" + m_Input.m_Request.text()},
-               {"model", m_Input.m_Completion.m_Model.text()},
-               {"choices", Json::array()},
-               {"usage",
-                {{"prompt_tokens", m_PromptTokens},
-                 {"completion_tokens", m_CompletionTokens},
-                 {"total_tokens", m_PromptTokens + m_CompletionTokens}}}}
-              .dump()));
+      Exchange.write(
+          fmt::format("data: {}\n\n",
+                      Json{{"id", "cmpl-" + m_Input.m_Request.text()},
+                           {"model", m_Input.m_Completion.m_Model.text()},
+                           {"choices", Json::array()},
+                           {"usage", usageDocument(m_PromptTokens, m_Position)}}
+                          .dump()));
     Exchange.write("data: [DONE]\n\n");
     Exchange.finish();
   } else {
@@ -438,7 +441,7 @@
       {{"engine", m_Engine},
        {"attempts", m_Attempts},
        {"prompt_tokens", m_PromptTokens},
-       {"completion_tokens", m_CompletionTokens},
+       {"completion_tokens", m_Position},
        {"took_ms", toMilliseconds(m_Services.m_Scheduler.now() - m_Arrived)}});
   finish();
 }
@@ -487,10 +490,7 @@
               {"object", Chat ? "chat.completion" : "text_completion"},
               {"model", m_Input.m_Completion.m_Model.text()},
               {"choices", Json::array({Choice})},
-              {"usage",
-               {{"prompt_tokens", m_PromptTokens},
-                {"completion_tokens", m_CompletionTokens},
-                {"total_tokens", m_PromptTokens + m_CompletionTokens}}}}
+              {"usage", usageDocument(m_PromptTokens, m_Position)}}
       .dump();
 }
 
--- a/src/gate/EngineStream.cpp
+++ b/src/gate/EngineStream.cpp
@@ -67,8 +67,6 @@
         Usage != Source.end() && Usage->is_object()) {
       Event.m_HasUsage = true;
       Event.m_PromptTokens = Usage->at("prompt_tokens").get<std::uint64_t>();
-      Event.m_CompletionTokens =
-          Usage->at("completion_tokens").get<std::uint64_t>();
     }
     const auto &Choices = Source.at("choices");
     if (!Choices.empty()) {
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -16,6 +16,7 @@
 #include <fmt/format.h>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/gate/Refusal.cpp
+++ b/src/gate/Refusal.cpp
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/gate/ServiceCall.cpp
+++ b/src/gate/ServiceCall.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/gate/ServiceCall.h"
 
+#include <cctype>
 #include <fmt/format.h>
 #include <utility>
 #include <xxhash.h>
--- a/src/io/EventLoop.cpp
+++ b/src/io/EventLoop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/load/LoadProcess.cpp
+++ b/src/load/LoadProcess.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <cmath>
 #include <tuple>
+#include <utility>
 #include <xxhash.h>
 
 namespace dotterel {
--- a/src/rpc/detail/PeerCodec.cpp
+++ b/src/rpc/detail/PeerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace dotterel::detail {
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -4,6 +4,7 @@
 #include "dotterel/io/SocketAddress.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstdio>
 #include <cstdlib>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <popt.h>
+#include <utility>
 
 namespace dotterel {
 
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace dotterel {
 
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -1,10 +1,16 @@
 #include "support/Cluster.h"
 
+#include "dotterel/io/SocketAddress.h"
+
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <set>
 #include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -43,8 +49,52 @@
   return {};
 }
 
+/// Sends bytes on a connection of their own and waits until it is closed.
+auto sendRaw(const std::string &Url, const std::string &Bytes) -> std::string {
+  auto Address =
+      SocketAddress::parse(Url.substr(std::string("http://").size()));
+  auto Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  auto Raw = Address.raw();
+  REQUIRE(::connect(Fd, reinterpret_cast<const sockaddr *>(&Raw), sizeof Raw) ==
+          0);
+  REQUIRE(::send(Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Bytes.size()));
+  auto Limit = timeval{.tv_sec = 30, .tv_usec = 0};
+  ::setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+  auto Answer = std::string();
+  auto Buffer = std::array<char, 1024>{};
+  auto Count = ssize_t{0};
+  while ((Count = ::recv(Fd, Buffer.data(), Buffer.size(), 0)) > 0)
+    Answer.append(Buffer.data(), static_cast<std::size_t>(Count));
+  ::close(Fd);
+  return Count == 0 || errno == ECONNRESET ? Answer : "still open";
+}
+
 } // namespace
 
+TEST_CASE(
+    "e2e: slow senders and what is no HTTP are cut off, and the gate goes "
+    "on serving") {
+  auto Test = Cluster({.m_Gates = 1,
+                       .m_Runners = 1,
+                       .m_Services = 0,
+                       .m_GateFlags = {"--idle-timeout-seconds=1"}});
+  auto Key = Test.grant("ghent");
+  for (const auto *Bytes :
+       {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Le",
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+        "Content-Length: 100\r\n\r\n{\"model\":",
+        "GARBAGE\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
+        "GET /healthz HTTP/1.1\r\nHost: a\r\nBad Header\r\n\r\n"}) {
+    CAPTURE(std::string(Bytes));
+    auto Answer = sendRaw(Test.m_GateUrls[0], Bytes);
+    CHECK(Answer != "still open");
+    CHECK(Answer.find("\"choices\"") == std::string::npos);
+    CHECK(Test.call(Test.chat(0, Key)).m_Status == 200);
+  }
+  CHECK(Test.seen(Test.m_RunnerUrls[0])["requests"].size() == 5);
+}
+
 TEST_CASE("e2e: completions whole and streamed, models, plain services, health "
           "and metrics") {
   auto Test = Cluster({});
