--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -80,13 +81,17 @@
                        .m_Services = 0,
                        .m_GateFlags = {"--idle-timeout-seconds=1"}});
   auto Key = Test.grant("ghent");
-  for (const auto *Bytes :
-       {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Le",
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
-        "Content-Length: 100\r\n\r\n{\"model\":",
-        "GARBAGE\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
-        "GET /healthz HTTP/1.1\r\nHost: a\r\nBad Header\r\n\r\n"}) {
-    CAPTURE(std::string(Bytes));
+  const auto Start =
+      std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n");
+  const auto Cases = std::vector<std::string>{
+      Start + "Content-Le",
+      Start + "Content-Length: 100\r\n\r\n{\"model\":",
+      "GARBAGE\r\n\r\n",
+      "GET / HTTP/9.9\r\n\r\n",
+      "GET /healthz HTTP/1.1\r\nHost: a\r\nBad Header\r\n\r\n",
+  };
+  for (const auto &Bytes : Cases) {
+    CAPTURE(Bytes);
     auto Answer = sendRaw(Test.m_GateUrls[0], Bytes);
     CHECK(Answer != "still open");
     CHECK(Answer.find("\"choices\"") == std::string::npos);
