Select serving processes in one place; look for candidates once; drop dead code

Cause: read again as a whole. The loop over live processes of a role that are not leaving stood in five places; a request that goes had its candidates worked out twice; asking whether a model is served built the list of all models for each request; four things were never used (a call's stall timeout, a peer call's added delay, OrderSender::busy, HttpServer::openExchanges).

Change: MemberTable::serving; the dispatcher hands on what the queue last asked about; a search in place of a list; the dead code is gone. A malformed peer address still fails the call's promise, now by evalLater.

Behaviour and tests unchanged.

--- a/include/dotterel/fleet/OrderSender.h
+++ b/include/dotterel/fleet/OrderSender.h
@@ -46,9 +46,6 @@
   /// An earlier order that is not settled is brought to its end first.
   auto pursue(EngineRole Role) -> void;
 
-  /// Whether a step is in progress.
-  [[nodiscard]] auto busy() const -> bool { return m_Busy; }
-
 private:
   struct Step {
     EngineRole m_Wanted = EngineRole::Mixed;
--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -40,8 +40,6 @@
   std::string m_Body;
   Duration m_Timeout = Seconds(10);
   Duration m_ConnectTimeout = Seconds(2);
-  /// Ends a call whose answer makes no progress for this long; zero: never.
-  Duration m_StallTimeout = Duration::zero();
   /// Uses a connection of its own, which libcurl therefore never re-sends on.
   bool m_OneConnection = false;
   std::size_t m_MaximumAnswerBytes = std::size_t{64} << 20U;
--- a/include/dotterel/io/HttpServer.h
+++ b/include/dotterel/io/HttpServer.h
@@ -88,9 +88,6 @@
   /// Closes the listening socket; open connections go on.
   auto stopListening() -> void;
 
-  /// Requests that have been handed over and not yet answered.
-  [[nodiscard]] auto openExchanges() const -> std::size_t;
-
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/include/dotterel/membership/MemberTable.h
+++ b/include/dotterel/membership/MemberTable.h
@@ -44,6 +44,11 @@
   /// Live processes other than the own one. Complexity: linear.
   [[nodiscard]] auto live(MonotonicTime Now) const -> std::vector<Member>;
 
+  /// Live processes of a role that are not leaving, other than the own one.
+  /// Complexity: linear.
+  [[nodiscard]] auto serving(ProcessRole Role, MonotonicTime Now) const
+      -> std::vector<Member>;
+
   /// The live process \p Process, if known. Complexity: logarithmic.
   [[nodiscard]] auto findLive(const ProcessId &Process, MonotonicTime Now) const
       -> const Member *;
--- a/include/dotterel/rpc/PeerRpc.h
+++ b/include/dotterel/rpc/PeerRpc.h
@@ -18,8 +18,6 @@
 struct PeerCallerOptions {
   /// A call without an answer by then fails and its connection is closed.
   Duration m_CallTimeout = Milliseconds(1500);
-  /// Added to each call before it leaves; stands in for distance in tests.
-  Duration m_AddedDelay = Duration::zero();
 };
 
 /// Makes peer calls over one kept connection per address.
--- a/src/gate/Dispatcher.cpp
+++ b/src/gate/Dispatcher.cpp
@@ -20,9 +20,12 @@
 auto Dispatcher::pump() -> void {
   expire();
   auto Now = m_Scheduler.now();
+  // The queue pops the item that it last asked about.
+  auto Engines = std::vector<Candidate>();
   auto Fits = [&](const Waiting &Item) {
     const auto &Query = m_Requests.at(Item.m_Request).m_Query;
-    if (!m_Engines.candidates(Query, Now).empty())
+    Engines = m_Engines.candidates(Query, Now);
+    if (!Engines.empty())
       return true;
     if (Query.m_Alone)
       m_Engines.reserve(Query);
@@ -30,7 +33,8 @@
   };
   while (auto Next = m_Queue.pop(Now, Fits)) {
     auto Request = std::move(m_Requests.extract(Next->m_Request).mapped());
-    Request.m_OnGo(m_Engines.candidates(Request.m_Query, Now));
+    // Moved out, since the call may let other requests go.
+    Request.m_OnGo(std::exchange(Engines, {}));
   }
 }
 
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -253,10 +253,7 @@
 
 auto GateProcess::replicaTarget() const -> std::string {
   const auto &Self = m_Core.m_Members.self();
-  auto Others = std::vector<Member>();
-  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
-    if (Item.m_Role == ProcessRole::Gate && !Item.m_Leaving)
-      Others.push_back(std::move(Item));
+  auto Others = m_Core.m_Members.serving(ProcessRole::Gate, m_Loop.now());
   if (Others.empty())
     return {};
   auto Ordered = rendezvousOrder("usage/" + Self.m_Process.text(), Others);
@@ -269,10 +266,8 @@
 
 auto GateProcess::ownsForAlone(const BackendId &Id) const -> bool {
   const auto &Self = m_Core.m_Members.self();
-  auto Gates = std::vector<Member>{Self};
-  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
-    if (Item.m_Role == ProcessRole::Gate && !Item.m_Leaving)
-      Gates.push_back(std::move(Item));
+  auto Gates = m_Core.m_Members.serving(ProcessRole::Gate, m_Loop.now());
+  Gates.push_back(Self);
   auto Ordered = rendezvousOrder("alone/" + Id.text(), Gates);
   return Ordered.front().m_Process == Self.m_Process;
 }
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -167,11 +167,6 @@
                    static_cast<long>(toMilliseconds(Call.m_Timeout)));
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(toMilliseconds(Call.m_ConnectTimeout)));
-  if (Call.m_StallTimeout > Duration::zero()) {
-    auto Stall = std::chrono::ceil<Seconds>(Call.m_StallTimeout).count();
-    curl_easy_setopt(Easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-    curl_easy_setopt(Easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(Stall));
-  }
   if (Call.m_OneConnection) {
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -49,7 +49,6 @@
   std::unique_ptr<FdWatcher> m_Watcher;
   std::optional<TimerId> m_RunTimer;
   std::optional<TimerId> m_TimeoutTimer;
-  std::size_t m_Open = 0;
   std::unordered_set<Exchange *> m_Exchanges;
 
 private:
@@ -143,8 +142,6 @@
       return answer();
     }
     m_State = State::Waiting;
-    ++m_Server->m_Open;
-    m_Counted = true;
     m_Server->m_Handler.handle(Self);
     if (m_State == State::Ready)
       return answer();
@@ -179,9 +176,6 @@
 
   auto close(bool Whole) -> void {
     m_Watcher.reset();
-    if (m_Counted)
-      --m_Server->m_Open;
-    m_Counted = false;
     m_State = State::Closed;
     auto Callback = std::exchange(m_OnDisconnect, nullptr);
     if (!Whole && Callback)
@@ -275,7 +269,6 @@
   bool m_Aborted = false;
   bool m_Suspended = false;
   bool m_TooLarge = false;
-  bool m_Counted = false;
   bool m_Pipelined = false;
   bool m_Gone = false;
   std::unique_ptr<FdWatcher> m_Watcher;
@@ -409,6 +402,4 @@
   m_Impl->m_ListenFd = -1;
 }
 
-auto HttpServer::openExchanges() const -> std::size_t { return m_Impl->m_Open; }
-
 } // namespace dotterel
--- a/src/ledger/ClaimBook.cpp
+++ b/src/ledger/ClaimBook.cpp
@@ -66,10 +66,8 @@
 }
 
 auto ClaimBook::writerOf(std::size_t Index) const -> std::string {
-  auto Candidates = std::vector<Member>{m_Members.self()};
-  for (auto &Candidate : m_Members.live(m_Scheduler.now()))
-    if (Candidate.m_Role == ProcessRole::Gate && !Candidate.m_Leaving)
-      Candidates.push_back(std::move(Candidate));
+  auto Candidates = m_Members.serving(ProcessRole::Gate, m_Scheduler.now());
+  Candidates.push_back(m_Members.self());
   auto Ordered =
       rendezvousOrder(fmt::format("claims/{:03}", Index), Candidates);
   const auto &Writer = Ordered.front();
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -30,13 +30,12 @@
 
 auto Gossip::relays() const -> std::vector<Member> {
   const auto &Self = m_Members.self();
-  auto Nearby = std::vector<Member>();
+  auto Nearby = m_Members.serving(ProcessRole::Gate, m_Scheduler.now());
+  std::erase_if(Nearby, [&Self](const Member &Item) {
+    return Item.m_Location.m_DataCentre != Self.m_Location.m_DataCentre;
+  });
   if (Self.m_Role == ProcessRole::Gate && !Self.m_Leaving)
     Nearby.push_back(Self);
-  for (auto &Other : m_Members.live(m_Scheduler.now()))
-    if (Other.m_Role == ProcessRole::Gate && !Other.m_Leaving &&
-        Other.m_Location.m_DataCentre == Self.m_Location.m_DataCentre)
-      Nearby.push_back(std::move(Other));
   auto Ordered =
       rendezvousOrder("relay/" + Self.m_Location.m_DataCentre.text(), Nearby);
   if (Ordered.size() > m_Options.m_RelaysPerDataCentre)
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -38,6 +38,15 @@
   return Live;
 }
 
+auto MemberTable::serving(ProcessRole Role, MonotonicTime Now) const
+    -> std::vector<Member> {
+  auto Serving = live(Now);
+  std::erase_if(Serving, [Role](const Member &Item) {
+    return Item.m_Role != Role || Item.m_Leaving;
+  });
+  return Serving;
+}
+
 auto MemberTable::findLive(const ProcessId &Process, MonotonicTime Now) const
     -> const Member * {
   auto Found = m_Entries.find(Process);
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -211,8 +211,11 @@
 }
 
 auto EngineTable::serves(const ModelId &Model) const -> bool {
-  auto All = models();
-  return std::find(All.begin(), All.end(), Model) != All.end();
+  return std::any_of(
+      m_Entries.begin(), m_Entries.end(), [&Model](const auto &Item) {
+        const auto &Models = Item.second.m_Backend.m_Models;
+        return std::find(Models.begin(), Models.end(), Model) != Models.end();
+      });
 }
 
 auto EngineTable::models() const -> std::vector<ModelId> {
--- a/src/rpc/PeerRpc.cpp
+++ b/src/rpc/PeerRpc.cpp
@@ -201,13 +201,14 @@
   auto call(const std::string &Address, Send Action,
             PeerCallback<Reply> Callback) -> void {
     auto Shared = std::make_shared<PeerCallback<Reply>>(std::move(Callback));
-    auto Work = departure()
-                    .then([this, Address] { return connected(Address); })
-                    .then([Action](std::shared_ptr<Connection> Peer) mutable {
-                      auto Client = Peer->bootstrap();
-                      auto Result = Action(Client);
-                      return Result.attach(kj::mv(Client), std::move(Peer));
-                    });
+    // Later, so that a malformed address fails the promise and not the caller.
+    auto Work = kj::evalLater([this, Address] {
+                  return connected(Address);
+                }).then([Action](std::shared_ptr<Connection> Peer) mutable {
+      auto Client = Peer->bootstrap();
+      auto Result = Action(Client);
+      return Result.attach(kj::mv(Client), std::move(Peer));
+    });
     auto Timeout = m_Loop.delay(m_Options.m_CallTimeout).then([]() -> Reply {
       throw KJ_EXCEPTION(OVERLOADED, "call timed out");
     });
@@ -224,12 +225,6 @@
                   }));
   }
 
-  auto departure() -> kj::Promise<void> {
-    if (m_Options.m_AddedDelay == Duration::zero())
-      return kj::READY_NOW;
-    return m_Loop.delay(m_Options.m_AddedDelay);
-  }
-
   auto connected(const std::string &Address)
       -> kj::Promise<std::shared_ptr<Connection>> {
     auto Found = m_Slots.find(Address);
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -122,10 +122,8 @@
 
 auto StewardProcess::eligibleFor(const DutyId &Duty) const -> bool {
   const auto &Self = m_Core.m_Members.self();
-  auto Stewards = std::vector<Member>{Self};
-  for (auto &Item : m_Core.m_Members.live(m_Loop.now()))
-    if (Item.m_Role == ProcessRole::Steward && !Item.m_Leaving)
-      Stewards.push_back(std::move(Item));
+  auto Stewards = m_Core.m_Members.serving(ProcessRole::Steward, m_Loop.now());
+  Stewards.push_back(Self);
   auto Ordered = rendezvousOrder("duty/" + Duty.text(), Stewards);
   auto End = Ordered.begin() +
              static_cast<std::ptrdiff_t>(std::min(Campaigners, Ordered.size()));
