Wait for a fresh load report before work goes to an engine that was unreachable

Its gate's log: attempts 2, 3 and 4 went to one engine within a millisecond, each refused a connection. The engine had died a moment before; its load report was still fresh, it was the only engine that the request had for itself, and a request with no untried engine in the choice forgot at once which ones it had tried.

Ruled out: the crash registry (verdicts were right), the loss inspector, the retry budget (unsent attempts are free of it).

Change: an engine that refuses connections or was found lost gets no work until it reports its load again or 2 s have passed, and is not reserved either. The choice prefers untried engines and falls back to tried ones only when no other is in reach; a busy one is waited for. An attempt that never connected does not count against the four. The two flags of a failed attempt became one kind.

New tests: "e2e: a request that finds its engine gone ...", three in unit-Routing.

--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -11,6 +11,7 @@
 #include "dotterel/gate/EngineStream.h"
 #include "dotterel/gate/GateServices.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -25,6 +26,14 @@
   HttpExchangePtr m_Exchange;
 };
 
+/// How an attempt on an engine failed.
+enum class AttemptFailure : std::uint8_t {
+  Unreachable, ///< No connection: no byte was sent.
+  Declined,    ///< The engine said that it has not begun.
+  Broken,      ///< The connection ended early; the engine may be lost.
+  Invalid,     ///< The stream stalled, or was not this request's.
+};
+
 /// One request's way: wait, run on an engine, and on a failure resume on
 /// another one where the answer stopped.
 ///
@@ -51,7 +60,7 @@
   auto onStall() -> void;
   auto onCallerLeft() -> void;
   auto endAttempt() -> void;
-  auto failAttempt(bool Sent, bool Inspect, const std::string &Reason) -> void;
+  auto failAttempt(AttemptFailure Kind, const std::string &Reason) -> void;
   auto retry(bool Sent, bool Lost) -> void;
   auto emit(const std::string &Text) -> void;
   auto complete() -> void;
@@ -86,6 +95,7 @@
 
   // Across attempts.
   std::uint32_t m_Attempts = 0;
+  std::uint32_t m_UnreachableAttempts = 0; ///< Of these, never connected.
   std::set<BackendId> m_Tried;
   std::uint64_t m_Position = 0;
   std::string m_Text;
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -35,6 +35,9 @@
   /// traffic does not grow with the fleet. Nearer ones go first; among equally
   /// near ones each gate takes others.
   std::size_t m_EnginesPerModel = 24;
+  /// Before a server that was unreachable and sends no load report is tried
+  /// again.
+  Duration m_UnreachablePause = Seconds(2);
   OutlierOptions m_Outliers;
 };
 
@@ -56,7 +59,8 @@
   std::vector<std::uint64_t> m_Pieces;
   bool m_CheapAllowed = true;
   bool m_Alone = false;
-  std::set<BackendId> m_Excluded; ///< Tried already.
+  /// Tried already: chosen again only when no other engine is in reach.
+  std::set<BackendId> m_Tried;
 };
 
 /// Known backend servers.
@@ -75,6 +79,10 @@
   auto updateLoad(const BackendId &Id, const EngineLoad &Load,
                   MonotonicTime Now) -> void;
 
+  /// Notes that a server could not be reached or was lost: it gets no work
+  /// until it reports its load again or a pause has passed.
+  auto markUnreachable(const BackendId &Id, MonotonicTime Now) -> void;
+
   /// Notes that a server leaves, whatever the list says.
   auto markLeaving(const BackendId &Id) -> void;
   [[nodiscard]] auto leaving() const -> std::vector<BackendId>;
@@ -87,7 +95,7 @@
 
   /// Keeps new work off one engine until \p Query's request, which must run
   /// alone, has begun there. Does nothing when one is kept already.
-  auto reserve(const EngineQuery &Query) -> void;
+  auto reserve(const EngineQuery &Query, MonotonicTime Now) -> void;
 
   /// Gives a reservation back.
   auto unreserve(const RequestId &Request) -> void;
@@ -134,6 +142,7 @@
     Backend m_Backend;
     std::optional<EngineLoad> m_Load;
     MonotonicTime m_ReportedAt;
+    MonotonicTime m_UnreachableUntil; ///< Epoch: it is not.
     std::map<AttemptId, FlightPlan> m_Flights;
     double m_OwnPrefill = 0;          ///< Tokens not yet prefilled.
     std::uint32_t m_StartedSince = 0; ///< Since the load report.
@@ -143,18 +152,23 @@
     PrefixIndex m_Prefixes;
   };
 
-  [[nodiscard]] auto accepts(const Entry &Item, const EngineQuery &Query) const
+  /// Whether the engine, busy or not, is in reach and would do.
+  [[nodiscard]] auto suits(const Entry &Item, const EngineQuery &Query,
+                           MonotonicTime Now) const -> bool;
+  /// Whether it takes the request now, but for the room in its batch.
+  [[nodiscard]] static auto accepts(const Entry &Item, const EngineQuery &Query)
       -> bool;
+  /// Engines that suit, without those that were tried unless no other does.
+  [[nodiscard]] auto suitable(const EngineQuery &Query, MonotonicTime Now) const
+      -> std::vector<const Entry *>;
   /// The listed servers that this gate keeps track of.
   [[nodiscard]] auto subset(const std::vector<Backend> &Listed) const
       -> std::vector<Backend>;
   /// Leaves only engines without any gate's work, if there is one.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
-  [[nodiscard]] auto ownsForAlone(const BackendId &Id) const -> bool {
-    return !m_AloneOwner || m_AloneOwner(Id);
-  }
-  /// Whether this gate owns any engine that would do for the request.
-  [[nodiscard]] auto ownsAny(const EngineQuery &Query) const -> bool;
+  /// Leaves only this gate's engines, if there are any. A busy engine of our
+  /// own is waited for rather than another gate's taken.
+  auto preferOwned(std::vector<const Entry *> &Engines) const -> void;
   [[nodiscard]] auto candidateOf(const Entry &Item, const EngineQuery &Query,
                                  MonotonicTime Now) const -> Candidate;
   [[nodiscard]] auto distance(const Backend &Server) const -> Duration;
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -123,7 +123,7 @@
       .m_CheapAllowed =
           m_Services.m_Configuration.current()->presetInForce().m_CheapServers,
       .m_Alone = Suspect,
-      .m_Excluded = m_Tried};
+      .m_Tried = m_Tried};
 }
 
 auto CompletionCall::wait() -> void {
@@ -231,7 +231,7 @@
   m_Stall.reset();
   if (m_Ended || !m_Call)
     return;
-  failAttempt(true, false, "no progress");
+  failAttempt(AttemptFailure::Invalid, "no progress");
 }
 
 auto CompletionCall::onStatus(unsigned Status) -> void {
@@ -242,8 +242,7 @@
     refuse(Refusal(RefusalCode::MalformedRequest, "the engine refused it"));
     return;
   }
-  // The engine refused: by its interface it has not begun.
-  failAttempt(false, false, fmt::format("status {}", Status));
+  failAttempt(AttemptFailure::Declined, fmt::format("status {}", Status));
 }
 
 auto CompletionCall::onData(std::string_view Data) -> void {
@@ -253,7 +252,7 @@
   try {
     m_Stream->feed(Data, [this](const EngineEvent &Event) { onEvent(Event); });
   } catch (const ProtocolError &Failure) {
-    failAttempt(true, false, Failure.what());
+    failAttempt(AttemptFailure::Invalid, Failure.what());
   }
 }
 
@@ -312,8 +311,9 @@
     complete();
     return;
   }
-  auto Sent = Result.m_Outcome != HttpOutcome::NotSent;
-  failAttempt(Sent, Sent,
+  failAttempt(Result.m_Outcome == HttpOutcome::NotSent
+                  ? AttemptFailure::Unreachable
+                  : AttemptFailure::Broken,
               Result.m_Outcome == HttpOutcome::Complete
                   ? "the answer ended without its end marker"
                   : Result.m_Detail);
@@ -330,29 +330,34 @@
   m_Services.m_Dispatcher.pumpSoon();
 }
 
-auto CompletionCall::failAttempt(bool Sent, bool Inspect,
-                                 const std::string &Reason) -> void {
+auto CompletionCall::failAttempt(AttemptFailure Kind, const std::string &Reason)
+    -> void {
+  auto Now = m_Services.m_Scheduler.now();
+  auto Sent = Kind == AttemptFailure::Broken || Kind == AttemptFailure::Invalid;
   m_MayHaveRun = m_MayHaveRun || Sent;
   m_Tried.insert(m_Engine);
   m_Services.m_Metrics.countBackendFailure();
-  m_Services.m_Engines.outliers().recordFailure(m_Engine,
-                                                m_Services.m_Scheduler.now());
+  m_Services.m_Engines.outliers().recordFailure(m_Engine, Now);
   m_Services.m_Decisions.record(m_Input.m_Request, "attempt.failed",
                                 {{"engine", m_Engine},
                                  {"attempt", m_Attempt},
                                  {"position", m_Position},
                                  {"reason", Reason}});
-  if (!Inspect) {
+  if (Kind == AttemptFailure::Unreachable) {
+    // The engine gets no work for a while, so that these are few.
+    m_Services.m_Engines.markUnreachable(m_Engine, Now);
+    ++m_UnreachableAttempts;
+  }
+  if (Kind != AttemptFailure::Broken) {
     endAttempt();
     retry(Sent, false);
     return;
   }
   // Inspected before the flight ends, so that its digest is among the running.
-  m_Services.m_Losses.inspect(m_Engine,
-                              [Self = shared_from_this(), Sent](bool Lost) {
-                                if (!Self->m_Ended)
-                                  Self->retry(Sent, Lost);
-                              });
+  m_Services.m_Losses.inspect(m_Engine, [Self = shared_from_this()](bool Lost) {
+    if (!Self->m_Ended)
+      Self->retry(true, Lost);
+  });
   endAttempt();
 }
 
@@ -362,7 +367,8 @@
                    fmt::format("digest {:016x}", m_Digest.number())));
     return;
   }
-  auto OutOfTries = m_Attempts >= m_Services.m_Limits.m_MostAttempts;
+  auto Counted = m_Attempts - m_UnreachableAttempts;
+  auto OutOfTries = Counted >= m_Services.m_Limits.m_MostAttempts;
   // What shared a lost server is not to blame, and what was not sent costs no
   // server anything: neither spends the budget.
   auto Free = Lost || !Sent;
@@ -375,11 +381,6 @@
                         : Refusal(RefusalCode::BackendUnreachable));
     return;
   }
-  // With few engines, one that was tried is better than none.
-  auto Remaining = query();
-  if (m_Services.m_Engines.candidates(Remaining, m_Services.m_Scheduler.now())
-          .empty())
-    m_Tried.clear();
   m_Services.m_Metrics.countRetry();
   wait();
 }
--- a/src/gate/Dispatcher.cpp
+++ b/src/gate/Dispatcher.cpp
@@ -28,7 +28,7 @@
     if (!Engines.empty())
       return true;
     if (Query.m_Alone)
-      m_Engines.reserve(Query);
+      m_Engines.reserve(Query, Now);
     return false;
   };
   while (auto Next = m_Queue.pop(Now, Fits)) {
--- a/src/gate/LossInspector.cpp
+++ b/src/gate/LossInspector.cpp
@@ -55,6 +55,7 @@
     Finish();
     return;
   }
+  m_Engines.markUnreachable(Id, m_Scheduler.now());
   const auto *Server = m_Engines.find(Id);
   logWarning("backend.lost",
              {{"backend", Id}, {"running", Item.m_Running.size()}});
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -82,10 +82,18 @@
     Item.m_Prefixes.clear();
   Item.m_Load = Load;
   Item.m_ReportedAt = Now;
+  Item.m_UnreachableUntil = MonotonicTime();
   Item.m_StartedSince = 0;
   Item.m_EndedSince = 0;
 }
 
+auto EngineTable::markUnreachable(const BackendId &Id, MonotonicTime Now)
+    -> void {
+  auto Found = m_Entries.find(Id);
+  if (Found != m_Entries.end())
+    Found->second.m_UnreachableUntil = Now + m_Options.m_UnreachablePause;
+}
+
 auto EngineTable::markLeaving(const BackendId &Id) -> void {
   if (m_Entries.contains(Id))
     m_Leaving.insert(Id);
@@ -95,60 +103,72 @@
   return {m_Leaving.begin(), m_Leaving.end()};
 }
 
-auto EngineTable::accepts(const Entry &Item, const EngineQuery &Query) const
-    -> bool {
+auto EngineTable::suits(const Entry &Item, const EngineQuery &Query,
+                        MonotonicTime Now) const -> bool {
   const auto &Server = Item.m_Backend;
-  if (!Server.m_Service.empty() || !Item.m_Load || Item.m_TakenAlone)
+  if (!Server.m_Service.empty() || !Item.m_Load ||
+      Now < Item.m_UnreachableUntil)
     return false;
   if (Server.m_Cheap && !Query.m_CheapAllowed)
     return false;
-  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id) ||
-      Query.m_Excluded.contains(Server.m_Id))
+  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id))
     return false;
-  if (!Item.m_ReservedFor.empty() && Item.m_ReservedFor != Query.m_Request)
+  return std::find(Server.m_Models.begin(), Server.m_Models.end(),
+                   Query.m_Model) != Server.m_Models.end();
+}
+
+auto EngineTable::accepts(const Entry &Item, const EngineQuery &Query) -> bool {
+  if (Item.m_TakenAlone)
     return false;
-  if (std::find(Server.m_Models.begin(), Server.m_Models.end(),
-                Query.m_Model) == Server.m_Models.end())
+  if (!Item.m_ReservedFor.empty() && Item.m_ReservedFor != Query.m_Request)
     return false;
   return !Query.m_Alone || Item.m_Flights.empty();
 }
 
+auto EngineTable::suitable(const EngineQuery &Query, MonotonicTime Now) const
+    -> std::vector<const Entry *> {
+  auto Untried = std::vector<const Entry *>();
+  auto Tried = std::vector<const Entry *>();
+  for (const auto &[Id, Item] : m_Entries)
+    if (suits(Item, Query, Now))
+      (Query.m_Tried.contains(Id) ? Tried : Untried).push_back(&Item);
+  auto Engines = std::move(Untried.empty() ? Tried : Untried);
+  if (Query.m_Alone)
+    preferOwned(Engines);
+  return Engines;
+}
+
 auto EngineTable::candidates(const EngineQuery &Query, MonotonicTime Now) const
     -> std::vector<Candidate> {
   auto Sound = std::vector<Candidate>();
   auto Ejected = std::vector<Candidate>();
   auto Pool = std::size_t{0};
   auto PoolEjected = std::size_t{0};
-  for (const auto &[Id, Item] : m_Entries) {
-    if (!accepts(Item, Query))
+  for (const auto *Item : suitable(Query, Now)) {
+    if (!accepts(*Item, Query))
       continue;
-    auto Out = m_Outliers.ejected(Id, Now);
+    auto Out = m_Outliers.ejected(Item->m_Backend.m_Id, Now);
     ++Pool;
     PoolEjected += Out ? 1 : 0;
-    auto Figures = candidateOf(Item, Query, Now);
+    auto Figures = candidateOf(*Item, Query, Now);
     if (Figures.m_Running >= Figures.m_Slots * m_Options.m_Overcommit)
       continue;
     (Out ? Ejected : Sound).push_back(std::move(Figures));
   }
   if (Pool > 0 && !m_Outliers.mayLeaveOut(PoolEjected, Pool))
     Sound.insert(Sound.end(), Ejected.begin(), Ejected.end());
-  if (!Query.m_Alone)
-    return Sound;
-  // A busy engine of our own is waited for rather than another gate's taken.
-  if (ownsAny(Query))
-    std::erase_if(Sound, [this](const Candidate &Engine) {
-      return !ownsForAlone(Engine.m_Id);
-    });
-  preferIdle(Sound);
+  if (Query.m_Alone)
+    preferIdle(Sound);
   return Sound;
 }
 
-auto EngineTable::ownsAny(const EngineQuery &Query) const -> bool {
-  auto Any = Query;
-  Any.m_Alone = false;
-  return std::any_of(m_Entries.begin(), m_Entries.end(), [&](const auto &Item) {
-    return accepts(Item.second, Any) && ownsForAlone(Item.first);
-  });
+auto EngineTable::preferOwned(std::vector<const Entry *> &Engines) const
+    -> void {
+  auto Foreign = [this](const Entry *Item) {
+    return m_AloneOwner && !m_AloneOwner(Item->m_Backend.m_Id);
+  };
+  if (!std::all_of(Engines.begin(), Engines.end(), Foreign))
+    std::erase_if(Engines, Foreign);
 }
 
 auto EngineTable::preferIdle(std::vector<Candidate> &Engines) -> void {
@@ -187,21 +207,21 @@
   return Duration::zero();
 }
 
-auto EngineTable::reserve(const EngineQuery &Query) -> void {
-  auto Any = Query;
-  Any.m_Alone = false;
-  Entry *Least = nullptr;
-  auto OnlyOwn = ownsAny(Query);
-  for (auto &[Id, Item] : m_Entries) {
-    if (Item.m_ReservedFor == Query.m_Request)
-      return;
-    if (!accepts(Item, Any) || (OnlyOwn && !ownsForAlone(Id)))
+auto EngineTable::reserve(const EngineQuery &Query, MonotonicTime Now) -> void {
+  auto Kept = [&](const auto &Item) {
+    return Item.second.m_ReservedFor == Query.m_Request;
+  };
+  if (std::any_of(m_Entries.begin(), m_Entries.end(), Kept))
+    return;
+  const Entry *Least = nullptr;
+  for (const auto *Item : suitable(Query, Now)) {
+    if (Item->m_TakenAlone || !Item->m_ReservedFor.empty())
       continue;
-    if (Least == nullptr || Item.m_Flights.size() < Least->m_Flights.size())
-      Least = &Item;
+    if (Least == nullptr || Item->m_Flights.size() < Least->m_Flights.size())
+      Least = Item;
   }
   if (Least != nullptr)
-    Least->m_ReservedFor = Query.m_Request;
+    m_Entries.at(Least->m_Backend.m_Id).m_ReservedFor = Query.m_Request;
 }
 
 auto EngineTable::unreserve(const RequestId &Request) -> void {
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -306,6 +306,29 @@
   CHECK(Answer.m_Body.find("\"execution\":\"ran\"") != std::string::npos);
 }
 
+TEST_CASE(
+    "e2e: a request that finds its engine gone waits for one to come, and "
+    "spends none of its attempts") {
+  // The load report stays fresh enough to choose the engine that is gone.
+  auto Test = Cluster(
+      {.m_Gates = 1,
+       .m_Runners = 1,
+       .m_GateFlags = {"--load-poll-ms=10000", "--platform-poll-ms=500"}});
+  auto Key = Test.grant("ghent");
+  CHECK(Test.call(Test.chat(0, Key)).m_Status == 200);
+  Test.m_Runners[0]->signal(SIGKILL);
+  Test.m_Runners[0]->wait();
+  auto Slot = Test.start(Test.chat(0, Key, {{"max_tokens", 20}}));
+  Test.waitFor("the failed attempt", [&] {
+    return Test.m_Gates[0]->log().find("event=attempt.failed") !=
+           std::string::npos;
+  });
+  Test.startRunner(0);
+  Test.publishBackends();
+  Test.waitFor("the answer", [&] { return Slot->m_Status != 0; });
+  CHECK(contentOf(*Slot) == expectedText(20));
+}
+
 TEST_CASE("e2e: a caller who leaves is cancelled at the engine") {
   auto Test = Cluster({.m_Gates = 1, .m_Runners = 1});
   auto Key = Test.grant("ghent");
--- a/tests/unit-Routing.cpp
+++ b/tests/unit-Routing.cpp
@@ -118,7 +118,7 @@
     CHECK(Engine.m_CachedTokens == 0);
 }
 
-TEST_CASE("routing: leaving, drained, excluded, ejected and full engines get "
+TEST_CASE("routing: leaving, drained, tried, ejected and full engines get "
           "nothing new") {
   auto Table = makeTable(6);
   Table.markLeaving(BackendId{"e0"});
@@ -127,12 +127,54 @@
     Table.outliers().recordFailure(BackendId{"e2"}, Now);
   Table.updateLoad(BackendId{"e3"}, load(10, 0), Now);
   auto Asked = Query;
-  Asked.m_Excluded = {BackendId{"e4"}};
+  Asked.m_Tried = {BackendId{"e4"}};
   auto Engines = Table.candidates(Asked, Now);
   REQUIRE(Engines.size() == 1);
   CHECK(Engines[0].m_Id == BackendId{"e5"});
 }
 
+TEST_CASE("routing: an unreachable engine gets nothing until it reports its "
+          "load, or a pause has passed") {
+  auto Table = makeTable(2);
+  Table.markUnreachable(BackendId{"e0"}, Now);
+  auto Engines = Table.candidates(Query, Now + Milliseconds(1900));
+  REQUIRE(Engines.size() == 1);
+  CHECK(Engines[0].m_Id == BackendId{"e1"});
+  CHECK(Table.candidates(Query, Now + Seconds(2)).size() == 2);
+  Table.markUnreachable(BackendId{"e0"}, Now);
+  Table.updateLoad(BackendId{"e0"}, load(0, 0), Now);
+  CHECK(Table.candidates(Query, Now).size() == 2);
+}
+
+TEST_CASE("routing: a tried engine is chosen again only when no other one is "
+          "in reach") {
+  auto Table = makeTable(2);
+  auto Asked = Query;
+  Asked.m_Tried = {BackendId{"e0"}};
+  Table.updateLoad(BackendId{"e1"}, load(10, 0), Now);
+  CHECK(Table.candidates(Asked, Now).empty());
+  Table.markUnreachable(BackendId{"e1"}, Now);
+  auto Engines = Table.candidates(Asked, Now);
+  REQUIRE(Engines.size() == 1);
+  CHECK(Engines[0].m_Id == BackendId{"e0"});
+}
+
+TEST_CASE("routing: no unreachable engine is kept for a request that must run "
+          "alone") {
+  auto Table = makeTable(2);
+  auto Alone = Query;
+  Alone.m_Alone = true;
+  Table.begin(BackendId{"e1"}, {.m_Attempt = AttemptId{"busy"}});
+  Table.markUnreachable(BackendId{"e0"}, Now);
+  Table.reserve(Alone, Now);
+  Table.updateLoad(BackendId{"e0"}, load(0, 0), Now);
+  auto Other = Query;
+  Other.m_Request = RequestId{"other"};
+  auto Engines = Table.candidates(Other, Now);
+  REQUIRE(Engines.size() == 1);
+  CHECK(Engines[0].m_Id == BackendId{"e0"});
+}
+
 TEST_CASE("routing: ejection leaves at least half of a pool in the choice") {
   auto Table = makeTable(4);
   for (auto Engine : {"e0", "e1", "e2"})
@@ -154,7 +196,7 @@
   for (auto Engine : {"e0", "e1"})
     Table.begin(BackendId{Engine}, {.m_Attempt = AttemptId{Engine}});
   CHECK(Table.candidates(Alone, Now).empty());
-  Table.reserve(Alone);
+  Table.reserve(Alone, Now);
   auto Other = Query;
   Other.m_Request = RequestId{"other"};
   CHECK(Table.candidates(Other, Now).size() == 1);
