--- a/include/dotterel/config/Configuration.h
+++ b/include/dotterel/config/Configuration.h
@@ -32,6 +32,10 @@
   PresetId m_Id;
   bool m_RoleChanges = true;  ///< Whether engines may change role.
   bool m_CheapServers = true; ///< Whether cheap backend servers take work.
+  /// Whether backend servers are started and stopped by the load.
+  bool m_ServerOrders = false;
+  /// Servers of each group that run in any case, where they are ordered.
+  std::uint32_t m_LeastServers = 1;
   std::uint32_t m_QueueLimit = 1000; ///< Waiting requests at each gate.
   Milliseconds m_InteractiveDeadline{5'000};
   Milliseconds m_StandardDeadline{60'000};
@@ -56,6 +60,8 @@
   std::map<RouteId, Route> m_Routes;
   /// Backend servers that get no new work, by operators' order.
   std::set<BackendId> m_Drained;
+  /// Backend servers that get no new work, since the planner stops them.
+  std::set<BackendId> m_Stopping;
   KeyTable m_Keys;
 
   /// \pre the configuration has been validated.
@@ -63,6 +69,10 @@
     return m_Presets.at(m_PresetInForce);
   }
 
+  /// Backend servers that get no new work, whoever ordered it.
+  /// Complexity: linear.
+  [[nodiscard]] auto withoutNewWork() const -> std::set<BackendId>;
+
   /// \throws ConfigurationError 202 naming the path and the reason.
   auto validate() const -> void;
 };
--- a/include/dotterel/config/ConfigurationStore.h
+++ b/include/dotterel/config/ConfigurationStore.h
@@ -13,7 +13,9 @@
 #include "dotterel/store/KeyValueStore.h"
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace dotterel {
 
@@ -32,6 +34,13 @@
   std::string m_Reason;
 };
 
+/// What must hold for a change to be stored.
+struct ChangeConditions {
+  ConfigRevision m_Expected; ///< The revision looked at; 0: any.
+  /// Further compare of the transaction, such as a duty's guard.
+  std::optional<StoreCompare> m_Guard;
+};
+
 /// The configuration records: `config/head` and `config/keys/<shard>`.
 class ConfigurationStore {
 public:
@@ -47,17 +56,17 @@
   /// Reads the newest configuration, changes it by \p Edit and stores it if no
   /// other change came between. An exception of class ConfigurationError from
   /// \p Edit rejects the change.
-  ///
-  /// \param Expected when not 0, the revision that the operator looked at.
+  /// A condition that does not hold makes it a conflict.
   auto change(std::function<void(Configuration &)> Edit,
-              ConfigRevision Expected, std::function<void(ChangeResult)> Done)
-      -> void;
+              const ChangeConditions &Conditions,
+              std::function<void(ChangeResult)> Done) -> void;
 
 private:
   auto readAll(std::function<void(StoreReply<RangeResult>)> Done) -> void;
-  auto applyHead(const std::string &Head, MonotonicTime SentAt,
-                 std::function<void(bool)> Done) -> void;
-  auto commitChange(const Configuration &Before, StoreRevision HeadRevision,
+  auto applyHead(const std::string &Head, StoreRevision Modified,
+                 MonotonicTime SentAt, std::function<void(bool)> Done) -> void;
+  auto commitChange(const Configuration &Before,
+                    std::vector<StoreCompare> Compares,
                     const std::function<void(Configuration &)> &Edit,
                     std::function<void(ChangeResult)> Done) -> void;
 
@@ -65,6 +74,10 @@
   KeyValueStore &m_Store;
   ConfigurationHolder &m_Holder;
   FreshnessTracker &m_Freshness;
+  // The newest head whose configuration was found in force: read again, it
+  // needs no parsing.
+  std::optional<StoreRevision> m_HeadModified;
+  ConfigRevision m_HeadRevision;
 };
 
 } // namespace dotterel
--- a/include/dotterel/fakes/FakePlatform.h
+++ b/include/dotterel/fakes/FakePlatform.h
@@ -35,7 +35,8 @@
   /// `cut`: names of processes whose calls to the store go unanswered. A
   /// process is named by a path prefix `/as/<name>`.
   std::set<std::string> m_Cut;
-  bool m_BackendOrdersDown = false; ///< `backend_orders_down`
+  bool m_BackendOrdersDown = false;    ///< `backend_orders_down`
+  std::int64_t m_LoseOrderAnswers = 0; ///< `lose_order_answers`: so many.
   /// `unavailable_data_centre`: cannot start cheap servers there.
   std::string m_UnavailableDataCentre;
 };
@@ -56,6 +57,12 @@
       -> void;
   auto handleLists(const HttpExchangePtr &Exchange) -> bool;
   auto handleOrders(const HttpExchangePtr &Exchange, const Json &Body) -> void;
+  auto answerOrders(const HttpExchangePtr &Exchange) const -> void;
+  /// Gives a server the state that an order names; the list shows it, with its
+  /// lag. \returns whether the server was to be had.
+  auto execute(const Json &Order) -> bool;
+  /// Seconds that servers have run, so far.
+  auto spending() -> Json;
   auto handleReports(const HttpExchangePtr &Exchange, const Json &Body) -> void;
   auto handleWeights(const HttpExchangePtr &Exchange) -> void;
   auto setFaults(const HttpExchangePtr &Exchange, const Json &Body) -> void;
@@ -71,6 +78,9 @@
   Json m_Backends = Json::array();
   Json m_Orders = Json::array();
   Json m_Reports = Json::array();
+  MonotonicTime m_SpentAt;
+  double m_StandardSeconds = 0;
+  double m_CheapSeconds = 0;
   /// Past states of the lists, oldest first.
   std::deque<std::pair<MonotonicTime, Json>> m_History;
   std::map<bool, std::pair<std::int64_t, std::int64_t>> m_Rates;
--- a/include/dotterel/fleet/Backend.h
+++ b/include/dotterel/fleet/Backend.h
@@ -35,6 +35,7 @@
   bool m_Cheap = false;         ///< May be reclaimed at any time.
   bool m_ChecksFencing = false; ///< Refuses orders with an old number.
   bool m_Leaving = false;       ///< Takes no new work.
+  bool m_Stopped = false;       ///< Does not run; then it is leaving as well.
 
   auto operator==(const Backend &) const -> bool = default;
 };
--- a/include/dotterel/fleet/HttpEngineOrders.h
+++ b/include/dotterel/fleet/HttpEngineOrders.h
@@ -7,7 +7,7 @@
 #ifndef DOTTEREL_FLEET_HTTPENGINEORDERS_H
 #define DOTTEREL_FLEET_HTTPENGINEORDERS_H
 
-#include "dotterel/fleet/EngineOrder.h"
+#include "dotterel/fleet/Order.h"
 #include "dotterel/io/HttpClient.h"
 #include "dotterel/routing/EngineTable.h"
 
@@ -17,7 +17,7 @@
 
 /// Orders to the engines in \p Engines; both arguments must outlive it.
 auto makeHttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
-    -> std::unique_ptr<EngineOrders>;
+    -> std::unique_ptr<OrderChannel>;
 
 } // namespace dotterel
 
--- a/include/dotterel/fleet/OrderSender.h
+++ b/include/dotterel/fleet/OrderSender.h
@@ -1,8 +1,9 @@
-//===- OrderSender.h - Gives orders to one engine ---------------*- C++ -*-===//
+//===- OrderSender.h - Orders about one server -----------------*- C++ -*-===//
 ///
 /// \file
-/// The protocol by which an engine never gets conflicting orders, also from a
-/// sender that was paused, and also when it ignores fencing numbers.
+/// The protocol by which an engine, or the platform, never gets conflicting
+/// orders, also from a sender that was paused, and also when it ignores fencing
+/// numbers.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef DOTTEREL_FLEET_ORDERSENDER_H
@@ -18,13 +19,14 @@
 namespace dotterel {
 
 struct OrderSenderOptions {
-  BackendId m_Engine;
+  BackendId m_Target;
+  std::string m_Key; ///< Of the record in the store.
   bool m_ChecksFencing = false;
   SenderId m_Self;
 };
 
-/// Gives orders to one engine, one at a time:
-/// 1. read the engine's state and the record
+/// Gives orders about one backend server, one at a time:
+/// 1. read the target's state and the record
 /// 2. intend: write the order, and the own name as a sender of it, in a
 ///    transaction that fails when the duty has passed on
 /// 3. check the clock, send
@@ -36,20 +38,26 @@
 public:
   /// \p Gone says whether a sender's process is known to have ended.
   OrderSender(KeyValueStore &Store, const DutyLease &Duty,
-              EngineOrders &Engines, std::function<bool(const SenderId &)> Gone,
+              OrderChannel &Channel, std::function<bool(const SenderId &)> Gone,
               const OrderSenderOptions &Options);
   OrderSender(const OrderSender &) = delete;
   auto operator=(const OrderSender &) -> OrderSender & = delete;
   ~OrderSender() { *m_Alive = false; }
 
-  /// Works towards \p Role, if the duty is held and no step is in progress.
+  /// Works towards \p Wanted, if the duty is held and no step is in progress.
   /// An earlier order that is not settled is brought to its end first.
-  auto pursue(EngineRole Role) -> void;
+  auto pursue(const Directive &Wanted) -> void;
+
+  /// Whether, at the newest look, \p Wanted was in force by a settled order or
+  /// without any, so that no other order can be under way.
+  [[nodiscard]] auto reached(const Directive &Wanted) const -> bool {
+    return m_Reached == Wanted;
+  }
 
 private:
   struct Step {
-    EngineRole m_Wanted = EngineRole::Mixed;
-    EngineState m_State;
+    Directive m_Wanted;
+    TargetState m_State;
     OrderRecord m_Record;
     StoreRevision m_Revision; ///< Of the record.
   };
@@ -67,10 +75,11 @@
 
   KeyValueStore &m_Store;
   const DutyLease &m_Duty;
-  EngineOrders &m_Engines;
+  OrderChannel &m_Channel;
   std::function<bool(const SenderId &)> m_Gone;
   OrderSenderOptions m_Options;
   bool m_Busy = false;
+  Directive m_Reached; ///< Empty: none.
   std::uint64_t m_LastOrder = 0;
   // Own copies of the newest order. They live and end with this process, like
   // its name among the record's senders.
--- a/include/dotterel/membership/HostList.h
+++ b/include/dotterel/membership/HostList.h
@@ -30,6 +30,9 @@
 /// The id of the process with this role on a host.
 auto processIdOf(const HostId &Host, ProcessRole Role) -> ProcessId;
 
+/// Whether the id is a gate's.
+auto isGate(const ProcessId &Process) -> bool;
+
 } // namespace dotterel
 
 #endif // DOTTEREL_MEMBERSHIP_HOSTLIST_H
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -107,13 +107,17 @@
     m_AloneOwner = std::move(Owner);
   }
 
-  /// Backend servers drained by operators' order, in place of those before.
+  /// Backend servers drained by an operator's or the planner's order, in place
+  /// of those before.
   auto setDrained(const std::set<BackendId> &Drained) -> void {
     m_Drained = Drained;
   }
 
   /// Whether any engine, busy or not, serves \p Model.
   [[nodiscard]] auto serves(const ModelId &Model) const -> bool;
+  /// Requests on the engines in use, as a part of their slots; 1 without any.
+  /// Complexity: linear.
+  [[nodiscard]] auto utilisation() const -> double;
   [[nodiscard]] auto models() const -> std::vector<ModelId>;
 
   /// A backend server of a plain service, in turn; nothing when none is left.
@@ -133,6 +137,8 @@
   [[nodiscard]] auto find(const BackendId &Id) const -> const Backend *;
   [[nodiscard]] auto load(const BackendId &Id) const
       -> std::optional<EngineLoad>;
+  /// When the newest load report came; the clock's epoch if there is none.
+  [[nodiscard]] auto reportedAt(const BackendId &Id) const -> MonotonicTime;
   [[nodiscard]] auto all() const -> std::vector<Backend>;
   [[nodiscard]] auto inFlight(const BackendId &Id) const -> std::size_t;
   [[nodiscard]] auto outliers() -> OutlierDetector & { return m_Outliers; }
@@ -164,6 +170,8 @@
   /// The listed servers that this gate keeps track of.
   [[nodiscard]] auto subset(const std::vector<Backend> &Listed) const
       -> std::vector<Backend>;
+  /// Requests on the engine by its report and what this gate did since.
+  [[nodiscard]] static auto runningNow(const Entry &Item) -> std::int64_t;
   /// Leaves only engines without any gate's work, if there is one.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
   /// Leaves only this gate's engines, if there are any. A busy engine of our
--- a/include/dotterel/steward/RoleKeeper.h
+++ b/include/dotterel/steward/RoleKeeper.h
@@ -30,7 +30,7 @@
 class RoleKeeper {
 public:
   RoleKeeper(Scheduler &Scheduler, KeyValueStore &Store, const DutyLease &Duty,
-             EngineOrders &Orders, const EngineTable &Engines,
+             OrderChannel &Orders, const EngineTable &Engines,
              const MemberTable &Members, ConfigurationHolder &Configuration,
              std::function<bool(const SenderId &)> Gone,
              const RoleKeeperOptions &Options);
@@ -46,7 +46,7 @@
   Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
   const DutyLease &m_Duty;
-  EngineOrders &m_Orders;
+  OrderChannel &m_Orders;
   const EngineTable &m_Engines;
   const MemberTable &m_Members;
   ConfigurationHolder &m_Configuration;
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -17,6 +17,8 @@
 auto presetToJson(const Preset &Value) -> Json {
   return {{"role_changes", Value.m_RoleChanges},
           {"cheap_servers", Value.m_CheapServers},
+          {"server_orders", Value.m_ServerOrders},
+          {"least_servers", Value.m_LeastServers},
           {"queue_limit", Value.m_QueueLimit},
           {"interactive_deadline_ms", Value.m_InteractiveDeadline.count()},
           {"standard_deadline_ms", Value.m_StandardDeadline.count()},
@@ -27,6 +29,8 @@
   return {.m_Id = PresetId{Id},
           .m_RoleChanges = Source.at("role_changes").get<bool>(),
           .m_CheapServers = Source.at("cheap_servers").get<bool>(),
+          .m_ServerOrders = Source.value("server_orders", false),
+          .m_LeastServers = Source.value("least_servers", 1U),
           .m_QueueLimit = Source.at("queue_limit").get<std::uint32_t>(),
           .m_InteractiveDeadline = Milliseconds(
               Source.at("interactive_deadline_ms").get<std::int64_t>()),
@@ -75,6 +79,8 @@
   checkDuration(Path + ".interactive_deadline_ms", Value.m_InteractiveDeadline);
   checkDuration(Path + ".standard_deadline_ms", Value.m_StandardDeadline);
   checkDuration(Path + ".batch_deadline_ms", Value.m_BatchDeadline);
+  if (Value.m_LeastServers == 0)
+    throw ConfigurationError(202, Path + ".least_servers: must be at least 1");
   if (Value.m_QueueLimit == 0)
     throw ConfigurationError(202, Path + ".queue_limit: must be at least 1");
 }
@@ -104,6 +110,8 @@
     Value.m_Routes[RouteId{Id}] = routeFromJson(Id, Item);
   for (const auto &Item : Source.at("drained"))
     Value.m_Drained.insert(BackendId{Item.get<std::string>()});
+  for (const auto &Item : Source.value("stopping", Json::array()))
+    Value.m_Stopping.insert(BackendId{Item.get<std::string>()});
   return Value;
 }
 
@@ -125,6 +133,12 @@
     validateRoute(Item);
 }
 
+auto Configuration::withoutNewWork() const -> std::set<BackendId> {
+  auto Servers = m_Drained;
+  Servers.insert(m_Stopping.begin(), m_Stopping.end());
+  return Servers;
+}
+
 auto initialConfiguration() -> Configuration {
   auto Value = Configuration();
   auto Id = PresetId{"ordinary"};
@@ -140,14 +154,18 @@
   auto Routes = Json::object();
   for (const auto &[Id, Item] : Value.m_Routes)
     Routes[Id.text()] = routeToJson(Item);
-  auto Drained = Json::array();
-  for (const auto &Id : Value.m_Drained)
-    Drained.push_back(Id.text());
+  auto Names = [](const std::set<BackendId> &Ids) {
+    auto List = Json::array();
+    for (const auto &Id : Ids)
+      List.push_back(Id.text());
+    return List;
+  };
   auto Digests = Json::array();
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
     Digests.push_back(Value.m_Keys.digest(Shard));
   return Json{{"revision", Value.m_Revision.number()},
-              {"drained", Drained},
+              {"drained", Names(Value.m_Drained)},
+              {"stopping", Names(Value.m_Stopping)},
               {"preset_in_force", Value.m_PresetInForce.text()},
               {"presets", Presets},
               {"routes", Routes},
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -54,27 +54,36 @@
 
 auto ConfigurationStore::refresh(std::function<void(bool)> Done) -> void {
   auto SentAt = m_Scheduler.now();
-  m_Store.read(
-      KeyRange::single(HeadKey),
-      [this, SentAt, Done = std::move(Done)](const auto &Reply) mutable {
-        if (!Reply) {
-          m_Freshness.recordOwnFailure(SentAt);
-          Done(false);
-          return;
-        }
-        auto Head = Reply->m_Values.empty() ? encodeHead(initialConfiguration())
-                                            : Reply->m_Values.front().m_Value;
-        try {
-          applyHead(Head, SentAt, std::move(Done));
-        } catch (const ConfigurationError &Failure) {
-          logError("config.unreadable", {{"reason", Failure.what()}});
-          Done(false);
-        }
-      });
+  m_Store.read(KeyRange::single(HeadKey), [this, SentAt,
+                                           Done = std::move(Done)](
+                                              const auto &Reply) mutable {
+    if (!Reply) {
+      m_Freshness.recordOwnFailure(SentAt);
+      Done(false);
+      return;
+    }
+    auto Modified = Reply->m_Values.empty()
+                        ? StoreRevision()
+                        : Reply->m_Values.front().m_Modified;
+    // Nearly every read finds the head that is in force.
+    if (Modified == m_HeadModified && m_HeadRevision == m_Holder.revision()) {
+      m_Freshness.recordOwnRead(SentAt);
+      Done(true);
+      return;
+    }
+    auto Head = Reply->m_Values.empty() ? encodeHead(initialConfiguration())
+                                        : Reply->m_Values.front().m_Value;
+    try {
+      applyHead(Head, Modified, SentAt, std::move(Done));
+    } catch (const ConfigurationError &Failure) {
+      logError("config.unreadable", {{"reason", Failure.what()}});
+      Done(false);
+    }
+  });
 }
 
 auto ConfigurationStore::applyHead(const std::string &Head,
-                                   MonotonicTime SentAt,
+                                   StoreRevision Modified, MonotonicTime SentAt,
                                    std::function<void(bool)> Done) -> void {
   auto Stored = headRevision(Head);
   auto Known = m_Holder.current();
@@ -84,6 +93,8 @@
     return;
   }
   if (Known && Stored == Known->m_Revision) {
+    m_HeadModified = Modified;
+    m_HeadRevision = Stored;
     m_Freshness.recordOwnRead(SentAt);
     Done(true);
     return;
@@ -115,10 +126,10 @@
 }
 
 auto ConfigurationStore::change(std::function<void(Configuration &)> Edit,
-                                ConfigRevision Expected,
+                                const ChangeConditions &Conditions,
                                 std::function<void(ChangeResult)> Done)
     -> void {
-  readAll([this, Edit = std::move(Edit), Expected,
+  readAll([this, Edit = std::move(Edit), Conditions,
            Done = std::move(Done)](const auto &Reply) {
     if (!Reply) {
       Done({.m_Kind = ChangeResult::Kind::StoreDown,
@@ -133,6 +144,7 @@
               .m_Reason = "the configuration changed while it was read"});
         return;
       }
+      auto Expected = Conditions.m_Expected;
       if (Expected != ConfigRevision{} && Before->m_Revision != Expected) {
         Done({.m_Kind = ChangeResult::Kind::Conflict,
               .m_Revision = Before->m_Revision,
@@ -141,7 +153,11 @@
                                       Before->m_PresetInForce.text())});
         return;
       }
-      commitChange(*Before, HeadRevision, Edit, Done);
+      auto Compares = std::vector<StoreCompare>{
+          {.m_Key = HeadKey, .m_Modified = HeadRevision}};
+      if (Conditions.m_Guard)
+        Compares.push_back(*Conditions.m_Guard);
+      commitChange(*Before, std::move(Compares), Edit, Done);
     } catch (const ConfigurationError &Failure) {
       Done(
           {.m_Kind = ChangeResult::Kind::Rejected, .m_Reason = Failure.what()});
@@ -150,7 +166,7 @@
 }
 
 auto ConfigurationStore::commitChange(
-    const Configuration &Before, StoreRevision HeadRevision,
+    const Configuration &Before, std::vector<StoreCompare> Compares,
     const std::function<void(Configuration &)> &Edit,
     std::function<void(ChangeResult)> Done) -> void {
   auto After = Before;
@@ -158,8 +174,7 @@
   After.m_Revision = ConfigRevision{Before.m_Revision.number() + 1};
   After.validate();
   auto Transaction = StoreTransaction();
-  Transaction.m_Compares.push_back(
-      {.m_Key = HeadKey, .m_Modified = HeadRevision});
+  Transaction.m_Compares = std::move(Compares);
   Transaction.m_Writes.push_back(
       {.m_Key = HeadKey, .m_Value = encodeHead(After)});
   for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
--- a/src/ctl/Command.cpp
+++ b/src/ctl/Command.cpp
@@ -220,11 +220,12 @@
 }
 
 auto printPresets(const Json &Body) -> void {
-  auto Rows = Table(
-      {"PRESET", "IN FORCE", "ROLE CHANGES", "CHEAP SERVERS", "QUEUE LIMIT"});
+  auto Rows = Table({"PRESET", "IN FORCE", "ROLE CHANGES", "CHEAP SERVERS",
+                     "SERVER ORDERS", "LEAST SERVERS", "QUEUE LIMIT"});
   for (const auto &[Id, Item] : Body.at("presets").items())
     Rows.add({Id, Id == Body.at("preset_in_force") ? "yes" : "",
               text(Item.at("role_changes")), text(Item.at("cheap_servers")),
+              text(Item.at("server_orders")), text(Item.at("least_servers")),
               text(Item.at("queue_limit"))});
   fmt::print("{}", Rows.text());
 }
@@ -312,9 +313,9 @@
        "creates or replaces a preset",
        "POST",
        "/admin/v1/presets",
-       {"id", "role-changes", "cheap-servers", "queue-limit",
-        "interactive-deadline-ms", "standard-deadline-ms", "batch-deadline-ms",
-        "expected-revision"},
+       {"id", "role-changes", "cheap-servers", "server-orders", "least-servers",
+        "queue-limit", "interactive-deadline-ms", "standard-deadline-ms",
+        "batch-deadline-ms", "expected-revision"},
        {"id"},
        true},
       {"preset switch",
@@ -419,6 +420,7 @@
       Text("key", "A key."),
       Text("digest", "Digest of a key or of a request."),
       Number("weight", "Weight of an organisation in fair queueing."),
+      Number("least-servers", "Servers of each group that run in any case."),
       Number("queue-limit", "Waiting requests at each gate."),
       Number("interactive-deadline-ms", "Deadline of interactive work."),
       Number("standard-deadline-ms", "Deadline of standard work."),
@@ -428,6 +430,8 @@
              "Refuses the change when another revision is in force."),
       Switch("role-changes", "Whether engines may change role."),
       Switch("cheap-servers", "Whether cheap backend servers take work."),
+      Switch("server-orders",
+             "Whether backend servers are started and stopped by the load."),
       Switch("open", "Whether a route needs no key."),
       Switch("idempotent", "Whether calls of a route may be repeated."),
       Switch("drain", "false gives a drained server work again."),
--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -100,6 +100,8 @@
       setFaults(Exchange, Body);
     else if (Request.m_Path == "/platform/v1/orders")
       handleOrders(Exchange, Body);
+    else if (Request.m_Path == "/platform/v1/spending")
+      Exchange->respond(jsonReply(200, spending()));
     else if (Request.m_Path == "/platform/v1/usage")
       handleReports(Exchange, Body);
     else if (Request.m_Path.starts_with("/platform/v1/weights/"))
@@ -199,6 +201,7 @@
     return false;
   auto Name = std::string(Hosts ? "hosts" : "backends");
   if (Request.m_Method == "PUT") {
+    spending();
     (Hosts ? m_Hosts : m_Backends) = Json::parse(Request.m_Body).at(Name);
     publish();
   }
@@ -208,28 +211,66 @@
 
 auto FakePlatform::handleOrders(const HttpExchangePtr &Exchange,
                                 const Json &Body) -> void {
-  if (Exchange->request().m_Method == "GET") {
-    Exchange->respond(jsonReply(200, {{"orders", m_Orders}}));
-    return;
-  }
   if (m_Faults.m_BackendOrdersDown) {
     Exchange->respond(jsonReply(503, {{"error", "unavailable"}}));
     return;
   }
+  if (Exchange->request().m_Method == "GET") {
+    answerOrders(Exchange);
+    return;
+  }
   m_Orders.push_back(Body);
-  // An order names a backend server and the state it shall have; the list
-  // shows it, with its lag.
+  // What ran until now is paid for.
+  spending();
+  auto Accepted = execute(Body);
+  publish();
+  if (m_Faults.m_LoseOrderAnswers > 0) {
+    --m_Faults.m_LoseOrderAnswers;
+    return;
+  }
+  Exchange->respond(Accepted ? jsonReply(200, {{"accepted", Body.at("order")}})
+                             : jsonReply(409, {{"error", "not to be had"}}));
+}
+
+auto FakePlatform::answerOrders(const HttpExchangePtr &Exchange) const -> void {
+  auto Asked = findHeader(Exchange->request().m_Query, "backend");
+  if (!Asked) {
+    Exchange->respond(jsonReply(200, {{"orders", m_Orders}}));
+    return;
+  }
+  for (const auto &Item : m_Backends)
+    if (Item.at("id") == *Asked) {
+      Exchange->respond(
+          jsonReply(200, {{"state", Item.value("state", "running")},
+                          {"last_order", Item.value("last_order", "")}}));
+      return;
+    }
+  Exchange->respond(jsonReply(404, {{"error", "no such backend server"}}));
+}
+
+auto FakePlatform::execute(const Json &Order) -> bool {
   for (auto &Item : m_Backends) {
-    if (Item.at("id") != Body.at("backend"))
+    if (Item.at("id") != Order.at("backend"))
       continue;
-    auto Blocked = Item.value("cheap", false) &&
-                   Body.at("state") == "running" &&
-                   Item.at("data_centre") == m_Faults.m_UnavailableDataCentre;
-    if (!Blocked)
-      Item["state"] = Body.at("state");
+    if (Item.value("cheap", false) && Order.at("state") == "running" &&
+        Item.at("data_centre") == m_Faults.m_UnavailableDataCentre)
+      return false;
+    Item["state"] = Order.at("state");
+    Item["last_order"] = Order.at("order");
+    return true;
   }
-  publish();
-  Exchange->respond(jsonReply(200, {{"accepted", true}}));
+  return false;
+}
+
+auto FakePlatform::spending() -> Json {
+  auto Now = m_Scheduler.now();
+  auto Span = std::chrono::duration<double>(Now - m_SpentAt).count();
+  m_SpentAt = Now;
+  for (const auto &Item : m_Backends)
+    if (Item.value("state", "running") != "stopped")
+      (Item.value("cheap", false) ? m_CheapSeconds : m_StandardSeconds) += Span;
+  return {{"standard_server_seconds", m_StandardSeconds},
+          {"cheap_server_seconds", m_CheapSeconds}};
 }
 
 auto FakePlatform::handleReports(const HttpExchangePtr &Exchange,
@@ -272,6 +313,7 @@
   F.m_Cut = Body.value("cut", F.m_Cut);
   F.m_BackendOrdersDown =
       Body.value("backend_orders_down", F.m_BackendOrdersDown);
+  F.m_LoseOrderAnswers = Body.value("lose_order_answers", F.m_LoseOrderAnswers);
   F.m_UnavailableDataCentre =
       Body.value("unavailable_data_centre", F.m_UnavailableDataCentre);
   Exchange->respond(jsonReply(200, {{"store_writes", m_Store.writes()},
--- a/src/fleet/Backend.cpp
+++ b/src/fleet/Backend.cpp
@@ -23,7 +23,8 @@
       .m_Url = Item.at("url").get<std::string>(),
       .m_Cheap = Item.value("cheap", false),
       .m_ChecksFencing = Item.value("checks_fencing", false),
-      .m_Leaving = Item.value("state", "running") != "running"};
+      .m_Leaving = Item.value("state", "running") != "running",
+      .m_Stopped = Item.value("state", "running") == "stopped"};
   for (const auto &Model : Item.value("models", Json::array()))
     Value.m_Models.emplace_back(Model.get<std::string>());
   return Value;
--- a/src/fleet/HttpEngineOrders.cpp
+++ b/src/fleet/HttpEngineOrders.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/fleet/HttpEngineOrders.h"
 
+#include "dotterel/fleet/detail/OrderCall.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -7,27 +9,12 @@
 
 namespace {
 
-constexpr auto OrderTimeout = Seconds(2);
-constexpr auto StatusOk = 200U;
-constexpr auto StatusConflict = 409U;
-
-auto answerOf(const HttpCallResult &Result) -> OrderAnswer {
-  if (Result.m_Outcome == HttpOutcome::NotSent)
-    return OrderAnswer::NotSent;
-  if (Result.m_Outcome != HttpOutcome::Complete)
-    return OrderAnswer::Unknown;
-  if (Result.m_Status == StatusOk)
-    return OrderAnswer::Accepted;
-  return Result.m_Status == StatusConflict ? OrderAnswer::Refused
-                                           : OrderAnswer::Unknown;
-}
-
-auto stateOf(const HttpCallResult &Result) -> std::optional<EngineState> {
-  if (Result.m_Outcome != HttpOutcome::Complete || Result.m_Status != StatusOk)
+auto stateOf(const HttpCallResult &Result) -> std::optional<TargetState> {
+  if (!detail::answered(Result))
     return std::nullopt;
   try {
     auto Body = nlohmann::json::parse(Result.m_Body);
-    return EngineState{
+    return TargetState{
         .m_Incarnation = Body.at("incarnation").get<std::string>(),
         .m_LastOrder =
             OrderId{Body.at("last_order").value("order", std::string())}};
@@ -36,29 +23,25 @@
   }
 }
 
-class HttpEngineOrders final : public EngineOrders {
+class HttpEngineOrders final : public OrderChannel {
 public:
   HttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
       : m_Client(Client), m_Engines(Engines) {}
 
-  auto send(const BackendId &Engine, const EngineOrder &Order,
+  auto send(const BackendId &Engine, const BackendOrder &Order,
             std::function<void(OrderAnswer)> Done) -> void override {
     auto Call = callTo(Engine);
-    Call.m_Method = "POST";
-    Call.m_Headers = {
-        {.m_Name = "Content-Type", .m_Value = "application/json"}};
-    Call.m_Body = nlohmann::json{{"order", Order.m_Id.text()},
-                                 {"role", roleName(Order.m_Role)},
-                                 {"fencing", Order.m_Fencing.number()}}
-                      .dump();
-    Call.m_OnDone = [Done = std::move(Done)](const HttpCallResult &Result) {
-      Done(answerOf(Result));
-    };
+    detail::carryOrder(Call,
+                       nlohmann::json{{"order", Order.m_Id.text()},
+                                      {"role", Order.m_Directive.text()},
+                                      {"fencing", Order.m_Fencing.number()}}
+                           .dump(),
+                       std::move(Done));
     m_Client.start(std::move(Call));
   }
 
   auto readBack(const BackendId &Engine,
-                std::function<void(std::optional<EngineState>)> Done)
+                std::function<void(std::optional<TargetState>)> Done)
       -> void override {
     auto Call = callTo(Engine);
     Call.m_OnDone = [Done = std::move(Done)](const HttpCallResult &Result) {
@@ -70,14 +53,10 @@
 private:
   auto callTo(const BackendId &Engine) const -> HttpCall {
     const auto *Server = m_Engines.find(Engine);
-    auto Call = HttpCall();
     // An unlisted engine has no address; the call then fails as not sent.
-    Call.m_Url = (Server != nullptr ? Server->m_Url : std::string("http://")) +
-                 "/orders";
-    Call.m_Timeout = OrderTimeout;
-    // A copy that libcurl sent by itself would not be counted.
-    Call.m_OneConnection = true;
-    return Call;
+    return detail::orderCall(
+        (Server != nullptr ? Server->m_Url : std::string("http://")) +
+        "/orders");
   }
 
   HttpClient &m_Client;
@@ -87,7 +66,7 @@
 } // namespace
 
 auto makeHttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
-    -> std::unique_ptr<EngineOrders> {
+    -> std::unique_ptr<OrderChannel> {
   return std::make_unique<HttpEngineOrders>(Client, Engines);
 }
 
--- a/src/fleet/OrderRecord.cpp
+++ b/src/fleet/OrderRecord.cpp
@@ -11,7 +11,7 @@
   for (const auto &Sender : Value.m_Senders)
     Senders.push_back(Sender.text());
   return nlohmann::json{{"order", Value.m_Order.text()},
-                        {"role", roleName(Value.m_Role)},
+                        {"directive", Value.m_Directive.text()},
                         {"incarnation", Value.m_Incarnation},
                         {"done", Value.m_Done},
                         {"senders", Senders}}
@@ -23,7 +23,7 @@
     auto Source = nlohmann::json::parse(Document);
     auto Value = OrderRecord{
         .m_Order = OrderId{Source.at("order").get<std::string>()},
-        .m_Role = parseRole(Source.at("role").get<std::string>()),
+        .m_Directive = Directive{Source.at("directive").get<std::string>()},
         .m_Incarnation = Source.at("incarnation").get<std::string>(),
         .m_Done = Source.at("done").get<bool>()};
     for (const auto &Sender : Source.at("senders"))
@@ -34,8 +34,4 @@
   }
 }
 
-auto orderKey(const BackendId &Engine) -> std::string {
-  return "orders/" + Engine.text();
-}
-
 } // namespace dotterel
--- a/src/fleet/OrderSender.cpp
+++ b/src/fleet/OrderSender.cpp
@@ -15,20 +15,21 @@
 } // namespace
 
 OrderSender::OrderSender(KeyValueStore &Store, const DutyLease &Duty,
-                         EngineOrders &Engines,
+                         OrderChannel &Channel,
                          std::function<bool(const SenderId &)> Gone,
                          const OrderSenderOptions &Options)
-    : m_Store(Store), m_Duty(Duty), m_Engines(Engines), m_Gone(std::move(Gone)),
+    : m_Store(Store), m_Duty(Duty), m_Channel(Channel), m_Gone(std::move(Gone)),
       m_Options(Options) {}
 
-auto OrderSender::pursue(EngineRole Role) -> void {
+auto OrderSender::pursue(const Directive &Wanted) -> void {
   if (m_Busy || !m_Duty.held())
     return;
   m_Busy = true;
-  auto Current = std::make_shared<Step>(Step{.m_Wanted = Role});
-  m_Engines.readBack(m_Options.m_Engine,
+  m_Reached = {};
+  auto Current = std::make_shared<Step>(Step{.m_Wanted = Wanted});
+  m_Channel.readBack(m_Options.m_Target,
                      [this, Alive = m_Alive,
-                      Current](const std::optional<EngineState> &State) {
+                      Current](const std::optional<TargetState> &State) {
                        if (!*Alive)
                          return;
                        if (!State) {
@@ -41,27 +42,27 @@
 }
 
 auto OrderSender::readRecord(const StepPtr &Current) -> void {
-  m_Store.read(KeyRange::single(orderKey(m_Options.m_Engine)),
-               [this, Alive = m_Alive, Current](const auto &Reply) {
-                 if (!*Alive)
-                   return;
-                 if (!Reply) {
-                   finish();
-                   return;
-                 }
-                 try {
-                   if (!Reply->m_Values.empty()) {
-                     const auto &Item = Reply->m_Values.front();
-                     Current->m_Record = decodeOrderRecord(Item.m_Value);
-                     Current->m_Revision = Item.m_Modified;
-                   }
-                   decide(Current);
-                 } catch (const ProtocolError &Failure) {
-                   logError("order.unreadable", {{"engine", m_Options.m_Engine},
-                                                 {"reason", Failure.what()}});
-                   finish();
-                 }
-               });
+  m_Store.read(KeyRange::single(m_Options.m_Key), [this, Alive = m_Alive,
+                                                   Current](const auto &Reply) {
+    if (!*Alive)
+      return;
+    if (!Reply) {
+      finish();
+      return;
+    }
+    try {
+      if (!Reply->m_Values.empty()) {
+        const auto &Item = Reply->m_Values.front();
+        Current->m_Record = decodeOrderRecord(Item.m_Value);
+        Current->m_Revision = Item.m_Modified;
+      }
+      decide(Current);
+    } catch (const ProtocolError &Failure) {
+      logError("order.unreadable",
+               {{"backend", m_Options.m_Target}, {"reason", Failure.what()}});
+      finish();
+    }
+  });
 }
 
 auto OrderSender::dropSettledSenders(Step &Current) -> void {
@@ -89,7 +90,9 @@
   dropSettledSenders(*Current);
   auto Replaced = Record.m_Incarnation != Current->m_State.m_Incarnation;
   auto Pending = !Record.m_Order.empty() && !Record.m_Done && !Replaced;
-  auto Different = Record.m_Role != Current->m_Wanted;
+  const auto &InForce = Current->m_State.m_InForce;
+  auto Undone = Record.m_Done && InForce && *InForce != Current->m_Wanted;
+  auto Different = Undone || Record.m_Directive != Current->m_Wanted;
   auto MayReplace = Record.settled() || m_Options.m_ChecksFencing;
   if (Pending && (!Different || !MayReplace)) {
     // Repeated under its own id, whatever is wanted by now: it may have been
@@ -97,12 +100,17 @@
     intend(Current);
     return;
   }
-  if (!Pending && !Different && !Replaced && !Record.m_Order.empty()) {
+  auto Unordered = Record.m_Order.empty();
+  auto Reached = Unordered ? InForce && *InForce == Current->m_Wanted
+                           : !Pending && !Different && !Replaced;
+  if (Reached) {
+    if (Record.settled())
+      m_Reached = Current->m_Wanted;
     finish();
     return;
   }
   if (!MayReplace) {
-    logWarning("order.blocked", {{"engine", m_Options.m_Engine},
+    logWarning("order.blocked", {{"backend", m_Options.m_Target},
                                  {"order", Record.m_Order},
                                  {"senders", Record.m_Senders.size()}});
     finish();
@@ -110,7 +118,7 @@
   }
   Record.m_Order =
       OrderId{fmt::format("{}.{}", m_Duty.fencing().number(), ++m_LastOrder)};
-  Record.m_Role = Current->m_Wanted;
+  Record.m_Directive = Current->m_Wanted;
   Record.m_Incarnation = Current->m_State.m_Incarnation;
   Record.m_Done = false;
   // Copies of an older order are refused by their lower number.
@@ -140,9 +148,9 @@
     finish();
     return;
   }
-  logInfo("order.sent", {{"engine", m_Options.m_Engine},
+  logInfo("order.sent", {{"backend", m_Options.m_Target},
                          {"order", Record.m_Order},
-                         {"role", roleName(Record.m_Role)},
+                         {"directive", Record.m_Directive},
                          {"fencing", Fencing}});
   if (m_SentOrder != Record.m_Order) {
     m_SentOrder = Record.m_Order;
@@ -151,9 +159,10 @@
   }
   ++m_Sent;
   ++m_Unanswered;
-  auto Order = EngineOrder{
-      .m_Id = Record.m_Order, .m_Role = Record.m_Role, .m_Fencing = Fencing};
-  m_Engines.send(m_Options.m_Engine, Order,
+  auto Order = BackendOrder{.m_Id = Record.m_Order,
+                            .m_Directive = Record.m_Directive,
+                            .m_Fencing = Fencing};
+  m_Channel.send(m_Options.m_Target, Order,
                  [this, Alive = m_Alive, Order](OrderAnswer Answer) {
                    if (!*Alive)
                      return;
@@ -175,7 +184,7 @@
     return;
   }
   m_Store.read(
-      KeyRange::single(orderKey(m_Options.m_Engine)),
+      KeyRange::single(m_Options.m_Key),
       [this, Alive = m_Alive, Order, Accepted, Tries](const auto &Reply) {
         if (!*Alive)
           return;
@@ -208,7 +217,7 @@
 auto OrderSender::write(const OrderRecord &Record, StoreRevision Revision,
                         bool Guarded, StoreCallback<TransactionResult> Done)
     -> void {
-  auto Key = orderKey(m_Options.m_Engine);
+  const auto &Key = m_Options.m_Key;
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back({.m_Key = Key, .m_Modified = Revision});
   if (Guarded)
--- a/src/gate/AdminHandler.cpp
+++ b/src/gate/AdminHandler.cpp
@@ -77,6 +77,8 @@
       .m_Id = PresetId{member<std::string>(Body, "id")},
       .m_RoleChanges = member(Body, "role_changes", Defaults.m_RoleChanges),
       .m_CheapServers = member(Body, "cheap_servers", Defaults.m_CheapServers),
+      .m_ServerOrders = member(Body, "server_orders", Defaults.m_ServerOrders),
+      .m_LeastServers = member(Body, "least_servers", Defaults.m_LeastServers),
       .m_QueueLimit = member(Body, "queue_limit", Defaults.m_QueueLimit),
       .m_InteractiveDeadline = milliseconds(Body, "interactive_deadline_ms",
                                             Defaults.m_InteractiveDeadline),
@@ -162,7 +164,7 @@
                           const Json &Extra) -> void {
   auto Expected =
       ConfigRevision{member<std::uint64_t>(Body, "expected_revision", 0)};
-  m_Store.change(std::move(Edit), Expected,
+  m_Store.change(std::move(Edit), {.m_Expected = Expected},
                  [Exchange, Extra](const ChangeResult &Result) {
                    auto [Status, Code] = statusOf(Result.m_Kind);
                    logInfo("operator.change", {{"result", Code},
@@ -330,6 +332,7 @@
         {"service", Server.m_Service},
         {"cheap", Server.m_Cheap},
         {"leaving", Server.m_Leaving},
+        {"stopped", Server.m_Stopped},
         {"in_flight", m_Services.m_Engines.inFlight(Server.m_Id)},
         {"ejected", m_Services.m_Engines.outliers().ejected(Server.m_Id, Now)}};
     if (auto Load = m_Services.m_Engines.load(Server.m_Id)) {
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -152,7 +152,8 @@
               [this] { m_Core.m_Gossip.announce([] {}); }),
       m_Tree(m_Loop, "gate", {}) {
   m_Core.m_Configuration.onChange([this] {
-    m_Core.m_Engines.setDrained(m_Core.m_Configuration.current()->m_Drained);
+    m_Core.m_Engines.setDrained(
+        m_Core.m_Configuration.current()->withoutNewWork());
     m_Callers.onConfigurationChange();
   });
   m_Core.m_Gossip.setLeavingBackends(
--- a/src/membership/HostList.cpp
+++ b/src/membership/HostList.cpp
@@ -11,6 +11,10 @@
                    (Role == ProcessRole::Gate ? "/gate" : "/steward")};
 }
 
+auto isGate(const ProcessId &Process) -> bool {
+  return Process.text().ends_with("/gate");
+}
+
 auto parseHostList(const std::string &Document) -> std::vector<ListedProcess> {
   try {
     auto Result = std::vector<ListedProcess>();
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -20,8 +20,12 @@
                                                m_Options.m_CachedPieces)});
     else
       Found->second.m_Backend = Server;
-    if (Server.m_Leaving)
+    // A stop ends what peers have said of the server's leaving; its next start
+    // begins without it.
+    if (Server.m_Leaving && !Server.m_Stopped)
       m_Leaving.insert(Server.m_Id);
+    else if (Server.m_Stopped)
+      m_Leaving.erase(Server.m_Id);
   }
   std::erase_if(m_Entries, [&](const auto &Item) {
     // A server that still runs our work stays known until that has ended.
@@ -35,6 +39,7 @@
 auto EngineTable::subset(const std::vector<Backend> &Listed) const
     -> std::vector<Backend> {
   struct Ranked {
+    bool m_Stopped = false;
     Duration m_Distance;
     std::uint64_t m_Weight = 0;
     const Backend *m_Server = nullptr;
@@ -50,7 +55,8 @@
     }
     const auto &Id = Server.m_Id.text();
     auto Item =
-        Ranked{.m_Distance = distance(Server),
+        Ranked{.m_Stopped = Server.m_Stopped,
+               .m_Distance = distance(Server),
                .m_Weight = XXH3_64bits_withSeed(Id.data(), Id.size(), Seed),
                .m_Server = &Server};
     for (const auto &Model : Server.m_Models)
@@ -58,11 +64,12 @@
   }
   auto Taken = std::set<BackendId>();
   for (auto &[Model, Servers] : Models) {
-    std::sort(Servers.begin(), Servers.end(),
-              [](const Ranked &Left, const Ranked &Right) {
-                return std::tie(Left.m_Distance, Left.m_Weight) <
-                       std::tie(Right.m_Distance, Right.m_Weight);
-              });
+    std::sort(
+        Servers.begin(), Servers.end(),
+        [](const Ranked &Left, const Ranked &Right) {
+          return std::tie(Left.m_Stopped, Left.m_Distance, Left.m_Weight) <
+                 std::tie(Right.m_Stopped, Right.m_Distance, Right.m_Weight);
+        });
     if (Servers.size() > m_Options.m_EnginesPerModel)
       Servers.resize(m_Options.m_EnginesPerModel);
     for (const auto &Item : Servers)
@@ -106,7 +113,7 @@
 auto EngineTable::suits(const Entry &Item, const EngineQuery &Query,
                         MonotonicTime Now) const -> bool {
   const auto &Server = Item.m_Backend;
-  if (!Server.m_Service.empty() || !Item.m_Load ||
+  if (!Server.m_Service.empty() || !Item.m_Load || Server.m_Stopped ||
       Now < Item.m_UnreachableUntil)
     return false;
   if (Server.m_Cheap && !Query.m_CheapAllowed)
@@ -185,8 +192,7 @@
   auto Worked = Age * Load.m_PrefillTokensPerSecond;
   auto Reported =
       std::max(0.0, static_cast<double>(Load.m_QueuedPrefillTokens) - Worked);
-  auto Running = static_cast<std::int64_t>(Load.m_Running) +
-                 Item.m_StartedSince - Item.m_EndedSince;
+  auto Running = runningNow(Item);
   auto Own = static_cast<std::int64_t>(Item.m_Flights.size());
   return {.m_Id = Item.m_Backend.m_Id,
           .m_OwnInFlight = static_cast<std::uint32_t>(Own),
@@ -238,6 +244,24 @@
       });
 }
 
+auto EngineTable::utilisation() const -> double {
+  auto Running = 0.0;
+  auto Slots = 0.0;
+  for (const auto &[Id, Item] : m_Entries) {
+    if (!Item.m_Load || Item.m_Backend.m_Leaving)
+      continue;
+    auto Own = static_cast<std::int64_t>(Item.m_Flights.size());
+    Running += static_cast<double>(std::max(runningNow(Item), Own));
+    Slots += Item.m_Load->m_Slots;
+  }
+  return Slots > 0 ? Running / Slots : 1.0;
+}
+
+auto EngineTable::runningNow(const Entry &Item) -> std::int64_t {
+  return static_cast<std::int64_t>(Item.m_Load->m_Running) +
+         Item.m_StartedSince - Item.m_EndedSince;
+}
+
 auto EngineTable::models() const -> std::vector<ModelId> {
   auto Names = std::set<ModelId>();
   for (const auto &[Id, Item] : m_Entries)
@@ -253,9 +277,9 @@
   auto Out = std::vector<Backend>();
   for (const auto &[Id, Item] : m_Entries) {
     const auto &Server = Item.m_Backend;
-    if (Server.m_Service != Service || m_Leaving.contains(Id) ||
-        m_Drained.contains(Id) || Excluded.contains(Id) ||
-        (Server.m_Cheap && !CheapAllowed))
+    if (Server.m_Service != Service || Server.m_Stopped ||
+        m_Leaving.contains(Id) || m_Drained.contains(Id) ||
+        Excluded.contains(Id) || (Server.m_Cheap && !CheapAllowed))
       continue;
     (m_Outliers.ejected(Id, Now) ? Out : Sound).push_back(Server);
   }
@@ -334,6 +358,12 @@
   return Found == m_Entries.end() ? std::nullopt : Found->second.m_Load;
 }
 
+auto EngineTable::reportedAt(const BackendId &Id) const -> MonotonicTime {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end() ? MonotonicTime()
+                                  : Found->second.m_ReportedAt;
+}
+
 auto EngineTable::all() const -> std::vector<Backend> {
   auto Servers = std::vector<Backend>();
   for (const auto &[Id, Item] : m_Entries)
--- a/src/steward/RoleKeeper.cpp
+++ b/src/steward/RoleKeeper.cpp
@@ -7,7 +7,7 @@
 namespace dotterel {
 
 RoleKeeper::RoleKeeper(Scheduler &Scheduler, KeyValueStore &Store,
-                       const DutyLease &Duty, EngineOrders &Orders,
+                       const DutyLease &Duty, OrderChannel &Orders,
                        const EngineTable &Engines, const MemberTable &Members,
                        ConfigurationHolder &Configuration,
                        std::function<bool(const SenderId &)> Gone,
@@ -60,7 +60,8 @@
     const auto *Server = m_Engines.find(Engine);
     Slot = std::make_unique<OrderSender>(
         m_Store, m_Duty, m_Orders, m_Gone,
-        OrderSenderOptions{.m_Engine = Engine,
+        OrderSenderOptions{.m_Target = Engine,
+                           .m_Key = "orders/" + Engine.text(),
                            .m_ChecksFencing =
                                Server != nullptr && Server->m_ChecksFencing,
                            .m_Self = m_Options.m_Self});
@@ -84,7 +85,7 @@
     if (Engine.m_Role == Wanted->second)
       m_Wanted.erase(Wanted);
     else
-      senderOf(Engine.m_Id).pursue(Wanted->second);
+      senderOf(Engine.m_Id).pursue(Directive{roleName(Wanted->second)});
   }
   // One engine of the group at a time.
   if (!m_Wanted.empty())
@@ -102,7 +103,7 @@
                            {"prefill_tokens_per_second", Demand.m_Prefill},
                            {"decode_tokens_per_second", Demand.m_Decode}});
   m_Wanted[Change->m_Engine] = Change->m_To;
-  senderOf(Change->m_Engine).pursue(Change->m_To);
+  senderOf(Change->m_Engine).pursue(Directive{roleName(Change->m_To)});
 }
 
 } // namespace dotterel
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -2,10 +2,14 @@
 
 #include "dotterel/base/Log.h"
 #include "dotterel/fleet/HttpEngineOrders.h"
+#include "dotterel/fleet/HttpPlatformOrders.h"
+#include "dotterel/lease/Campaigners.h"
 #include "dotterel/lease/DutyLease.h"
+#include "dotterel/membership/HostList.h"
 #include "dotterel/process/ProcessCore.h"
 #include "dotterel/settings/CommonSettings.h"
 #include "dotterel/steward/RoleKeeper.h"
+#include "dotterel/steward/ServerKeeper.h"
 #include "dotterel/supervision/FunctionComponent.h"
 #include "dotterel/usage/WindowSealer.h"
 
@@ -20,8 +24,6 @@
 namespace {
 
 constexpr auto StepInterval = Milliseconds(500);
-/// Stewards that campaign for one duty.
-constexpr auto Campaigners = std::size_t{3};
 /// A duty's holder looks after all engines of its region.
 constexpr auto MostEnginesOfModel = std::size_t{10'000};
 constexpr auto ReportTimeout = Seconds(5);
@@ -56,19 +58,23 @@
   auto addComponents() -> void;
   auto addDuty(const char *Name, DutyLease &Duty, std::function<void()> Step)
       -> void;
-  auto eligibleFor(const DutyId &Duty) const -> bool;
+  auto eligibleFor(const DutyId &Duty, DutyScope Scope) const -> bool;
   auto gone(const SenderId &Sender) const -> bool;
+  auto inForce(ConfigRevision Revision) const -> bool;
   auto report(const UsageReport &Report, std::function<void(bool)> Done)
       -> void;
 
   const Settings &m_Values;
   ProcessCore m_Core;
   EventLoop &m_Loop = m_Core.m_Loop;
-  std::unique_ptr<EngineOrders> m_Orders;
+  std::unique_ptr<OrderChannel> m_Orders;
+  std::unique_ptr<OrderChannel> m_PlatformOrders;
   DutyLease m_UsageDuty;
   DutyLease m_RoleDuty;
+  DutyLease m_ServerDuty;
   WindowSealer m_Sealer;
   RoleKeeper m_Roles;
+  ServerKeeper m_Servers;
   std::map<std::string, std::unique_ptr<RepeatingTimer>> m_DutyTimers;
   Supervisor m_Tree;
 };
@@ -87,19 +93,38 @@
   return DutyId{"engine-roles/" + Values.text("region")};
 }
 
+auto serverDuty(const Settings &Values) -> DutyId {
+  return DutyId{"backend-servers/" + Values.text("region")};
+}
+
 auto senderIdOf(const Member &Self) -> SenderId {
   return SenderId{
       fmt::format("{}#{}", Self.m_Process.text(), Self.m_Incarnation)};
 }
 
+auto serverKeeperOptions(const Settings &Values, const Member &Self)
+    -> ServerKeeperOptions {
+  return {.m_Region = RegionId{Values.text("region")},
+          .m_Self = senderIdOf(Self),
+          .m_Planner = {.m_Lead = Values.milliseconds("server-lead-ms"),
+                        .m_StopPatience =
+                            Values.milliseconds("server-stop-patience-ms")},
+          .m_Drain = {.m_ReportLag = Values.milliseconds("load-report-lag-ms")},
+          .m_StartLimit = Values.milliseconds("server-start-limit-ms")};
+}
+
 StewardProcess::StewardProcess(const Settings &Values)
     : m_Values(Values), m_Core(Values, ProcessRole::Steward, *this,
                                {.m_EnginesPerModel = MostEnginesOfModel}),
       m_Orders(makeHttpEngineOrders(*m_Core.m_Client, m_Core.m_Engines)),
+      m_PlatformOrders(makeHttpPlatformOrders(
+          *m_Core.m_Client, m_Core.m_Engines, Values.text("platform-url"))),
       m_UsageDuty(m_Loop, *m_Core.m_Store, DutyId{"usage-reports"},
                   m_Core.m_Members.self().m_Process, leaseOptions(Values)),
       m_RoleDuty(m_Loop, *m_Core.m_Store, roleDuty(Values),
                  m_Core.m_Members.self().m_Process, leaseOptions(Values)),
+      m_ServerDuty(m_Loop, *m_Core.m_Store, serverDuty(Values),
+                   m_Core.m_Members.self().m_Process, leaseOptions(Values)),
       m_Sealer(
           m_Loop, *m_Core.m_Store, m_UsageDuty,
           [this](const UsageReport &Report, std::function<void(bool)> Done) {
@@ -112,24 +137,36 @@
               [this](const SenderId &Sender) { return gone(Sender); },
               {.m_Region = RegionId{Values.text("region")},
                .m_Self = senderIdOf(m_Core.m_Members.self())}),
+      m_Servers(
+          {.m_Scheduler = m_Loop,
+           .m_Store = *m_Core.m_Store,
+           .m_Duty = m_ServerDuty,
+           .m_Platform = *m_PlatformOrders,
+           .m_Engines = m_Core.m_Engines,
+           .m_Configuration = m_Core.m_Configuration,
+           .m_ConfigurationStore = m_Core.m_ConfigurationStore,
+           .m_InForce =
+               [this](ConfigRevision Revision) { return inForce(Revision); },
+           .m_Gone = [this](const SenderId &Sender) { return gone(Sender); }},
+          serverKeeperOptions(Values, m_Core.m_Members.self())),
       m_Tree(m_Loop, "steward", {}) {
-  m_Core.m_Discovery.setLoadWanted([this] { return m_RoleDuty.held(); });
-  m_UsageDuty.setEligible(
-      [this] { return eligibleFor(DutyId{"usage-reports"}); });
-  m_RoleDuty.setEligible([this] { return eligibleFor(roleDuty(m_Values)); });
+  m_Core.m_Discovery.setLoadWanted(
+      [this] { return m_RoleDuty.held() || m_ServerDuty.held(); });
+  m_UsageDuty.setEligible([this] {
+    return eligibleFor(DutyId{"usage-reports"}, DutyScope::Everywhere);
+  });
+  m_RoleDuty.setEligible(
+      [this] { return eligibleFor(roleDuty(m_Values), DutyScope::Region); });
+  m_ServerDuty.setEligible(
+      [this] { return eligibleFor(serverDuty(m_Values), DutyScope::Region); });
   addComponents();
 }
 
-auto StewardProcess::eligibleFor(const DutyId &Duty) const -> bool {
-  const auto &Self = m_Core.m_Members.self();
-  auto Stewards = m_Core.m_Members.serving(ProcessRole::Steward, m_Loop.now());
-  Stewards.push_back(Self);
-  auto Ordered = rendezvousOrder("duty/" + Duty.text(), Stewards);
-  auto End = Ordered.begin() +
-             static_cast<std::ptrdiff_t>(std::min(Campaigners, Ordered.size()));
-  return std::any_of(Ordered.begin(), End, [&](const Member &Item) {
-    return Item.m_Process == Self.m_Process;
-  });
+auto StewardProcess::eligibleFor(const DutyId &Duty, DutyScope Scope) const
+    -> bool {
+  return campaigns(
+      Duty, Scope, m_Core.m_Members.self(),
+      m_Core.m_Members.serving(ProcessRole::Steward, m_Loop.now()));
 }
 
 auto StewardProcess::gone(const SenderId &Sender) const -> bool {
@@ -146,6 +183,23 @@
          !m_Core.m_Gossip.listed().contains(Process);
 }
 
+auto StewardProcess::inForce(ConfigRevision Revision) const -> bool {
+  auto Has = [&](const Member *Gate) {
+    return Gate != nullptr && Gate->m_ConfigRevision >= Revision;
+  };
+  auto Now = m_Loop.now();
+  // A gate that leaves still serves; one that is listed and silent may.
+  for (const auto &Item : m_Core.m_Members.live(Now))
+    if (Item.m_Role == ProcessRole::Gate && !Has(&Item))
+      return false;
+  const auto &Listed = m_Core.m_Gossip.listed();
+  return !Listed.empty() &&
+         std::all_of(Listed.begin(), Listed.end(), [&](const auto &Process) {
+           return !isGate(Process) ||
+                  Has(m_Core.m_Members.findLive(Process, Now));
+         });
+}
+
 auto StewardProcess::report(const UsageReport &Report,
                             std::function<void(bool)> Done) -> void {
   auto Call = HttpCall();
@@ -171,6 +225,7 @@
   m_Core.addReaders(m_Tree);
   addDuty("usage-duty", m_UsageDuty, [this] { m_Sealer.step(); });
   addDuty("role-duty", m_RoleDuty, [this] { m_Roles.step(); });
+  addDuty("server-duty", m_ServerDuty, [this] { m_Servers.step(); });
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "start-message",
       .m_Start =
@@ -211,10 +266,27 @@
                      "Wait after a usage window's end before it is closed, in "
                      "milliseconds.",
                      0, 3'600'000),
+      integerSetting("server-lead-ms", "60000",
+                     "How far ahead of the load backend servers are ordered, "
+                     "in milliseconds.",
+                     0, 3'600'000),
+      integerSetting("server-stop-patience-ms", "120000",
+                     "How long fewer backend servers must suffice before one "
+                     "is drained, in milliseconds.",
+                     0, 86'400'000),
+      integerSetting("server-start-limit-ms", "120000",
+                     "Time for a backend server to start before another one is "
+                     "ordered, in milliseconds.",
+                     1000, 3'600'000),
+      integerSetting("load-report-lag-ms", "3000",
+                     "By how much engines' load reports lag at most, in "
+                     "milliseconds.",
+                     0, 60'000),
   };
   Declared.insert(Declared.end(), Own.begin(), Own.end());
   return {"dotterel-steward",
-          "Holds duties that need one holder: usage reports, engine roles.",
+          "Holds duties that need one holder: usage reports, engine roles, "
+          "backend servers.",
           std::move(Declared)};
 }
 
--- a/tests/fault-OrderSender.cpp
+++ b/tests/fault-OrderSender.cpp
@@ -1,6 +1,7 @@
 #include "support/FaultyStore.h"
 
 #include "dotterel/base/Random.h"
+#include "dotterel/fleet/Backend.h"
 #include "dotterel/fleet/OrderSender.h"
 
 #include <array>
@@ -17,14 +18,18 @@
 
 constexpr auto Term = Seconds(10);
 
+auto directive(EngineRole Role) -> Directive {
+  return Directive{roleName(Role)};
+}
+
 /// An engine that notes every order it executes, in order of arrival.
 struct Engine {
   bool m_ChecksFencing = false;
   std::uint64_t m_Highest = 0;
   std::string m_Incarnation = "1";
-  std::vector<EngineOrder> m_Executed;
+  std::vector<BackendOrder> m_Executed;
 
-  auto receive(const EngineOrder &Order) -> bool {
+  auto receive(const BackendOrder &Order) -> bool {
     if (m_ChecksFencing && Order.m_Fencing.number() < m_Highest)
       return false;
     m_Highest = std::max(m_Highest, Order.m_Fencing.number());
@@ -50,12 +55,12 @@
 
 /// One steward's way to the engine. Frozen, it holds the next order back as a
 /// process that was paused between its clock check and the send.
-class Orders final : public EngineOrders {
+class Orders final : public OrderChannel {
 public:
   Orders(VirtualScheduler &Scheduler, Engine &Target)
       : m_Scheduler(Scheduler), m_Target(Target) {}
 
-  auto send(const BackendId & /*Id*/, const EngineOrder &Order,
+  auto send(const BackendId & /*Id*/, const BackendOrder &Order,
             std::function<void(OrderAnswer)> Done) -> void override {
     if (m_Frozen) {
       m_Held.push_back([this, Order, Done] { deliver(Order, Done); });
@@ -65,10 +70,10 @@
   }
 
   auto readBack(const BackendId & /*Id*/,
-                std::function<void(std::optional<EngineState>)> Done)
+                std::function<void(std::optional<TargetState>)> Done)
       -> void override {
     m_Scheduler.schedule(Milliseconds(1), [this, Done = std::move(Done)] {
-      auto State = EngineState{.m_Incarnation = m_Target.m_Incarnation};
+      auto State = TargetState{.m_Incarnation = m_Target.m_Incarnation};
       if (!m_Target.m_Executed.empty())
         State.m_LastOrder = m_Target.m_Executed.back().m_Id;
       Done(State);
@@ -85,7 +90,7 @@
   SendFault m_Next = SendFault::None;
 
 private:
-  auto deliver(const EngineOrder &Order,
+  auto deliver(const BackendOrder &Order,
                const std::function<void(OrderAnswer)> &Done) -> void {
     auto Fault = std::exchange(m_Next, SendFault::None);
     constexpr auto GiveUp = Seconds(2);
@@ -116,7 +121,8 @@
         m_Sender(std::make_unique<OrderSender>(
             m_Store, *m_Duty, m_Orders,
             [&Gone](const SenderId &Sender) { return Gone.contains(Sender); },
-            OrderSenderOptions{.m_Engine = BackendId{"e"},
+            OrderSenderOptions{.m_Target = BackendId{"e"},
+                               .m_Key = "orders/e",
                                .m_ChecksFencing = Target.m_ChecksFencing,
                                .m_Self = SenderId{Name}})) {}
 
@@ -147,7 +153,7 @@
   auto pursue(Steward &Target, EngineRole Role, Duration Span) -> void {
     for (auto Left = Span; Left > Duration::zero(); Left -= Milliseconds(500)) {
       if (Target.m_Sender)
-        Target.m_Sender->pursue(Role);
+        Target.m_Sender->pursue(directive(Role));
       m_Scheduler.advance(Milliseconds(500));
     }
   }
@@ -167,8 +173,10 @@
   Test.pursue(A, EngineRole::Decode, Seconds(5));
   Test.pursue(A, EngineRole::Prefill, Seconds(5));
   REQUIRE(Test.m_Engine.m_Executed.size() == 2);
-  CHECK(Test.m_Engine.m_Executed[0].m_Role == EngineRole::Decode);
-  CHECK(Test.m_Engine.m_Executed[1].m_Role == EngineRole::Prefill);
+  CHECK(Test.m_Engine.m_Executed[0].m_Directive ==
+        directive(EngineRole::Decode));
+  CHECK(Test.m_Engine.m_Executed[1].m_Directive ==
+        directive(EngineRole::Prefill));
   CHECK(Test.m_Engine.m_Executed[0].m_Fencing <
         Test.m_Engine.m_Executed[1].m_Fencing);
 }
@@ -195,7 +203,8 @@
     // Once A's copy has been dealt with, B's own order goes through.
     REQUIRE_FALSE(Test.m_Engine.m_Executed.empty());
     if (ChecksFencing)
-      CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+      CHECK(Test.m_Engine.m_Executed.back().m_Directive ==
+            directive(EngineRole::Prefill));
   }
 }
 
@@ -212,10 +221,11 @@
   auto &B = Test.steward("b");
   Test.pursue(B, EngineRole::Prefill, Seconds(20));
   for (const auto &Order : Test.m_Engine.m_Executed)
-    CHECK(Order.m_Role == EngineRole::Decode);
+    CHECK(Order.m_Directive == directive(EngineRole::Decode));
   Test.m_Gone.insert(SenderId{"a"});
   Test.pursue(B, EngineRole::Prefill, Seconds(5));
-  CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+  CHECK(Test.m_Engine.m_Executed.back().m_Directive ==
+        directive(EngineRole::Prefill));
 }
 
 TEST_CASE("orders: a replaced engine takes a new order whatever the old one "
@@ -231,7 +241,8 @@
   auto &B = Test.steward("b");
   Test.pursue(B, EngineRole::Prefill, Seconds(5));
   REQUIRE_FALSE(Test.m_Engine.m_Executed.empty());
-  CHECK(Test.m_Engine.m_Executed.back().m_Role == EngineRole::Prefill);
+  CHECK(Test.m_Engine.m_Executed.back().m_Directive ==
+        directive(EngineRole::Prefill));
 }
 
 TEST_CASE("orders: every fault at every step, in pairs, with a change of "
