Judge engines by own work and the mean of others'; experiments; admission by price

The load tool gained classes with their own targets, a ramp, and a skew of the largest organisation towards one gate; the stand-in engine honours priorities as engines do.

A gate added to an old report what it had started and ended since the report came: the report's own requests had long ended. Change: own requests are counted as they are; other gates' as the newest report less own ones, drawn towards its mean the older it is (`load-report-lag-ms`, now of both processes).

The queues went into files of their own over one class that holds the lines.

Tests: e2e "no service server can be reached" was red in 4 of 7 runs today. Cause: it waited until gate 0 had the new list and then asked gate 1, which reads the list for itself. It now waits for both; the check is unchanged. New: unit-WaitingQueue for the priced queue, unit-Routing for old reports, fault-ServerKeeper for a reclaimed server and for a drain stored after the duty has passed on; the mutations of these turn red.

--- a/bench/Decisions.cpp
+++ b/bench/Decisions.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/admission/WaitingQueue.h"
 #include "dotterel/auth/KeyDigest.h"
 #include "dotterel/config/Configuration.h"
+#include "dotterel/fleet/ServerPlanner.h"
 #include "dotterel/gate/Credentials.h"
 #include "dotterel/gate/EngineStream.h"
 #include "dotterel/ledger/ClaimLog.h"
@@ -174,6 +175,43 @@
     ->Unit(benchmark::kMicrosecond);
 
 /// Judging and applying a claim, with so many remembered.
+/// Servers of one region, a fifth of them stopped, under \p Load each.
+auto makeServers(std::size_t Count, double Load) -> std::vector<GroupServer> {
+  auto Servers = std::vector<GroupServer>();
+  for (auto Index = std::size_t{0}; Index < Count; ++Index) {
+    auto Stopped = Index % 5 == 0;
+    Servers.push_back(
+        {.m_Id = BackendId{fmt::format("engine-{:05}", Index)},
+         .m_DataCentre = DataCentreId{fmt::format("dc{}", Index % 3)},
+         .m_Cheap = Index % 3 == 0,
+         .m_State = Stopped ? ServerState::Stopped : ServerState::Running,
+         .m_Load = Stopped ? 0 : Load});
+  }
+  return Servers;
+}
+
+/// A look at the servers in a lull, with one to drain.
+auto planServers(benchmark::State &State) -> void {
+  auto Servers = makeServers(static_cast<std::size_t>(State.range(0)), 0.6);
+  auto Planner = ServerPlanner({});
+  auto Now = MonotonicTime(Seconds(1));
+  for (auto _ : State)
+    benchmark::DoNotOptimize(
+        Planner.plan(Servers, {}, Now += Milliseconds(500)));
+}
+BENCHMARK(planServers)->Arg(10)->Arg(190)->Arg(1900);
+
+/// A surge that needs every stopped server at once.
+auto planSurge(benchmark::State &State) -> void {
+  auto Servers = makeServers(static_cast<std::size_t>(State.range(0)), 1.0);
+  for (auto _ : State) {
+    auto Planner = ServerPlanner({});
+    benchmark::DoNotOptimize(
+        Planner.plan(Servers, {}, MonotonicTime(Seconds(1))));
+  }
+}
+BENCHMARK(planSurge)->Arg(10)->Arg(190)->Arg(1900);
+
 auto claimEntry(benchmark::State &State) -> void {
   auto Before = heapBytes();
   auto Log = ClaimLog();
--- a/include/dotterel/admission/WaitingQueue.h
+++ b/include/dotterel/admission/WaitingQueue.h
@@ -55,18 +55,22 @@
   [[nodiscard]] virtual auto size() const -> std::size_t = 0;
 };
 
-struct FairQueueOptions {
+struct WaitingQueueOptions {
   /// A request gains one class for each such wait, so that long work arrives.
   Duration m_AgingPeriod = Seconds(20);
+  /// Utilisation of the engines, 1 when all are full; asked for by `priced`.
+  std::function<double()> m_Utilisation;
 };
 
 /// Names accepted by makeWaitingQueue().
 auto waitingQueueNames() -> std::vector<std::string>;
 
 /// `fair`: by class with aging, then by the organisation's tokens served in
-/// relation to its weight. `fifo`: by arrival; the baseline.
-/// \throws SettingsError 101 when \p Name is neither.
-auto makeWaitingQueue(const std::string &Name, const FairQueueOptions &Options)
+/// relation to its weight. `fifo`: by arrival; the baseline. `priced`: by class
+/// with aging, then by what organisations can pay for the engines' time.
+/// \throws SettingsError 101 for any other name.
+auto makeWaitingQueue(const std::string &Name,
+                      const WaitingQueueOptions &Options)
     -> std::unique_ptr<WaitingQueue>;
 
 } // namespace dotterel
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -38,6 +38,13 @@
   /// Before a server that was unreachable and sends no load report is tried
   /// again.
   Duration m_UnreachablePause = Seconds(2);
+  /// By how much engines' load reports lag.
+  Duration m_ReportLag = Duration::zero();
+  /// How long the number of requests on an engine stays alike: about as long
+  /// as a request. Older figures say little but in the mean.
+  Duration m_LoadMemory = Seconds(1);
+  /// Time over which other gates' requests on an engine are averaged.
+  Duration m_MeanTime = Seconds(3);
   OutlierOptions m_Outliers;
 };
 
@@ -117,7 +124,7 @@
   [[nodiscard]] auto serves(const ModelId &Model) const -> bool;
   /// Requests on the engines in use, as a part of their slots; 1 without any.
   /// Complexity: linear.
-  [[nodiscard]] auto utilisation() const -> double;
+  [[nodiscard]] auto utilisation(MonotonicTime Now) const -> double;
   [[nodiscard]] auto models() const -> std::vector<ModelId>;
 
   /// A backend server of a plain service, in turn; nothing when none is left.
@@ -150,9 +157,9 @@
     MonotonicTime m_ReportedAt;
     MonotonicTime m_UnreachableUntil; ///< Epoch: it is not.
     std::map<AttemptId, FlightPlan> m_Flights;
-    double m_OwnPrefill = 0;          ///< Tokens not yet prefilled.
-    std::uint32_t m_StartedSince = 0; ///< Since the load report.
-    std::uint32_t m_EndedSince = 0;
+    double m_OwnPrefill = 0; ///< Tokens not yet prefilled.
+    double m_Others = 0;     ///< Other gates' requests, by the newest report.
+    double m_OthersMean = 0; ///< And in the mean of the reports.
     bool m_TakenAlone = false;
     RequestId m_ReservedFor; ///< Empty: for anyone.
     PrefixIndex m_Prefixes;
@@ -170,8 +177,12 @@
   /// The listed servers that this gate keeps track of.
   [[nodiscard]] auto subset(const std::vector<Backend> &Listed) const
       -> std::vector<Backend>;
-  /// Requests on the engine by its report and what this gate did since.
-  [[nodiscard]] static auto runningNow(const Entry &Item) -> std::int64_t;
+  auto observeOthers(Entry &Item, const EngineLoad &Load, MonotonicTime Now)
+      -> void;
+  /// Requests to expect on the engine: this gate's own, which it knows, and
+  /// the other gates', between the newest report and the mean by its age.
+  [[nodiscard]] auto runningNow(const Entry &Item, MonotonicTime Now) const
+      -> double;
   /// Leaves only engines without any gate's work, if there is one.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
   /// Leaves only this gate's engines, if there are any. A busy engine of our
--- /dev/null
+++ b/src/admission/detail/OrganisationLines.cpp
@@ -0,0 +1,60 @@
+#include "dotterel/admission/detail/OrganisationLines.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel::detail {
+
+auto OrganisationLines::push(Waiting Item) -> void {
+  auto Class = static_cast<std::size_t>(Item.m_Class);
+  ++m_Size;
+  m_Organisations[Item.m_Organisation][Class].push_back(std::move(Item));
+}
+
+auto OrganisationLines::heads(MonotonicTime Now) const
+    -> std::vector<LineHead> {
+  auto Result = std::vector<LineHead>();
+  for (const auto &[Id, Classes] : m_Organisations)
+    for (auto Class = std::size_t{0}; Class < ClassCount; ++Class) {
+      if (Classes[Class].empty())
+        continue;
+      const auto &Front = Classes[Class].front();
+      auto Rank = static_cast<std::int64_t>(Class) -
+                  (Now - Front.m_Since) / m_AgingPeriod;
+      Result.push_back({.m_Organisation = Id,
+                        .m_Class = Class,
+                        .m_Rank = std::max<std::int64_t>(Rank, 0),
+                        .m_Front = &Front});
+    }
+  return Result;
+}
+
+auto OrganisationLines::pop(const LineHead &Head) -> Waiting {
+  auto Found = m_Organisations.find(Head.m_Organisation);
+  auto &Line = Found->second[Head.m_Class];
+  auto Item = std::move(Line.front());
+  Line.pop_front();
+  --m_Size;
+  if (std::all_of(Found->second.begin(), Found->second.end(),
+                  [](const auto &Other) { return Other.empty(); }))
+    m_Organisations.erase(Found);
+  return Item;
+}
+
+auto OrganisationLines::extractAll(
+    const std::function<bool(const Waiting &)> &Matches)
+    -> std::vector<Waiting> {
+  auto Taken = std::vector<Waiting>();
+  for (auto &[Id, Classes] : m_Organisations)
+    for (auto &Line : Classes)
+      for (auto &Item : extract(Line, Matches))
+        Taken.push_back(std::move(Item));
+  m_Size -= Taken.size();
+  std::erase_if(m_Organisations, [](const auto &Item) {
+    return std::all_of(Item.second.begin(), Item.second.end(),
+                       [](const auto &Line) { return Line.empty(); });
+  });
+  return Taken;
+}
+
+} // namespace dotterel::detail
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/fakes/FakeRunner.h"
 
+#include "dotterel/config/Configuration.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
@@ -32,6 +34,14 @@
   return Prompt;
 }
 
+/// The class that the caller of the engine asks for; standard without one.
+auto classOf(const HttpRequest &Request) -> WorkClass {
+  auto Name = findHeader(Request.m_Headers, "x-priority").value_or("standard");
+  if (Name == "interactive")
+    return WorkClass::Interactive;
+  return Name == "batch" ? WorkClass::Batch : WorkClass::Standard;
+}
+
 } // namespace
 
 struct FakeRunner::Stream {
@@ -39,6 +49,7 @@
   std::string m_Id;
   std::string m_Model;
   bool m_Chat = false;
+  WorkClass m_Class = WorkClass::Standard;
   std::vector<std::uint64_t> m_Pieces;
   std::uint64_t m_PromptTokens = 0;
   std::uint64_t m_Position = 0;
@@ -165,7 +176,14 @@
     ++m_Cancelled;
     drop(Item);
   });
-  m_Waiting.push_back(Item);
+  Item->m_Class = classOf(Exchange->request());
+  // Engines honour priorities: more urgent work passes what waits.
+  auto Place =
+      std::upper_bound(m_Waiting.begin(), m_Waiting.end(), Item,
+                       [](const StreamPtr &Left, const StreamPtr &Right) {
+                         return Left->m_Class < Right->m_Class;
+                       });
+  m_Waiting.insert(Place, Item);
   admit();
 }
 
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -103,8 +103,13 @@
 }
 
 GateProcess::GateProcess(const Settings &Values)
-    : m_Values(Values), m_Core(Values, ProcessRole::Gate, *this, {}),
-      m_Queue(makeWaitingQueue(Values.text("waiting-queue"), {})),
+    : m_Values(Values),
+      m_Core(Values, ProcessRole::Gate, *this,
+             {.m_ReportLag = Values.milliseconds("load-report-lag-ms")}),
+      m_Queue(makeWaitingQueue(
+          Values.text("waiting-queue"),
+          {.m_Utilisation =
+               [this] { return m_Core.m_Engines.utilisation(m_Loop.now()); }})),
       m_Routing(makeRoutingPolicy(Values.text("routing-policy"))),
       m_Dispatcher(m_Loop, m_Core.m_Engines, *m_Queue),
       m_Losses(m_Loop, *m_Core.m_Client, m_Core.m_Engines, m_Core.m_Crashes,
--- a/src/load/LoadProcess.cpp
+++ b/src/load/LoadProcess.cpp
@@ -27,6 +27,11 @@
   return Parts;
 }
 
+auto percent(std::int64_t Value) -> double {
+  constexpr auto Whole = 100.0;
+  return static_cast<double>(Value) / Whole;
+}
+
 auto optionsFrom(const Settings &Values) -> LoadOptions {
   return {.m_Urls = split(Values.text("urls")),
           .m_Keys = split(Values.text("keys")),
@@ -38,6 +43,8 @@
               static_cast<std::uint64_t>(Values.integer("prompt-tokens")),
           .m_AnswerTokens =
               static_cast<std::uint64_t>(Values.integer("answer-tokens")),
+          .m_RampFactor = percent(Values.integer("ramp-percent")),
+          .m_Skew = percent(Values.integer("skew-percent")),
           .m_SwingPeriod = Seconds(Values.integer("swing-seconds")),
           .m_Model = Values.text("model")};
 }
@@ -71,6 +78,7 @@
   return {{"sent", Figures.m_Sent},
           {"whole", Figures.m_Whole},
           {"in_time", Figures.m_InTime},
+          {"in_time_share", Figures.inTimeShare()},
           {"refused", Figures.m_Refused},
           {"broken", Figures.m_Broken},
           {"first_token_p50_ms", quantile(Figures.m_FirstToken, Median)},
@@ -85,6 +93,8 @@
   Target.add(row(Name, Result.m_All));
   for (const auto &[Organisation, Figures] : Result.m_Organisations)
     Target.add(row(fmt::format("{} org {}", Name, Organisation), Figures));
+  for (const auto &[Class, Figures] : Result.m_Classes)
+    Target.add(row(fmt::format("{} {}", Name, Class), Figures));
 }
 
 auto printJson(const LoadResult &Result, const LoadResult *Compared) -> void {
@@ -92,6 +102,8 @@
                                  {"worst_served", Result.worstServed()}};
   for (const auto &[Name, Figures] : Result.m_Organisations)
     Document["organisations"][Name] = toJson(Figures);
+  for (const auto &[Name, Figures] : Result.m_Classes)
+    Document["classes"][Name] = toJson(Figures);
   if (Compared != nullptr)
     Document["compared"] = toJson(Compared->m_All);
   fmt::print("{}\n", Document.dump(2));
@@ -143,6 +155,13 @@
                       100'000),
        integerSetting("answer-tokens", "20", "Mean tokens of an answer.", 1,
                       10'000),
+       integerSetting("ramp-percent", "100",
+                      "The rate at the end, in percent of that at the start.",
+                      1, 10'000),
+       integerSetting("skew-percent", "0",
+                      "Part of the largest organisation's requests that go to "
+                      "the first gate beyond its share, in percent.",
+                      0, 100),
        integerSetting("swing-seconds", "0",
                       "Period of the mix's swing, in seconds; 0: none.", 0,
                       600),
--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -27,6 +27,7 @@
   MonotonicTime m_Due;
   MonotonicTime m_LastToken;
   std::string m_Organisation;
+  const LoadClass *m_Class = nullptr;
   std::uint64_t m_Expected = 0;
   std::uint64_t m_Tokens = 0;
   bool m_End = false;
@@ -68,12 +69,35 @@
   return *Middle;
 }
 
+auto defaultLoadClasses() -> std::vector<LoadClass> {
+  constexpr auto FirstTokenTarget = Milliseconds(1200);
+  return {{.m_Name = "interactive",
+           .m_Share = 0.4,
+           .m_Length = 0.25,
+           .m_FirstToken = FirstTokenTarget,
+           .m_Whole = Seconds(5)},
+          {.m_Name = "standard",
+           .m_Share = 0.5,
+           .m_Length = 1,
+           .m_FirstToken = FirstTokenTarget,
+           .m_Whole = Seconds(60)},
+          {.m_Name = "batch",
+           .m_Share = 0.1,
+           .m_Length = 4,
+           .m_FirstToken = Seconds(60),
+           .m_Whole = Seconds(120)}};
+}
+
+auto LoadFigures::inTimeShare() const -> double {
+  return m_Sent == 0
+             ? 1.0
+             : static_cast<double>(m_InTime) / static_cast<double>(m_Sent);
+}
+
 auto LoadResult::worstServed() const -> double {
   auto Worst = 1.0;
   for (const auto &[Name, Figures] : m_Organisations)
-    if (Figures.m_Sent > 0)
-      Worst = std::min(Worst, static_cast<double>(Figures.m_InTime) /
-                                  static_cast<double>(Figures.m_Sent));
+    Worst = std::min(Worst, Figures.inTimeShare());
   return Worst;
 }
 
@@ -89,7 +113,7 @@
 }
 
 auto LoadRun::scheduleNext() -> void {
-  auto Gap = -std::log(1 - m_Random.unit()) / m_Options.m_RequestsPerSecond;
+  auto Gap = -std::log(1 - m_Random.unit()) / rate();
   m_NextDue += Duration(static_cast<std::int64_t>(Gap * 1e6));
   if (m_NextDue - m_Start > m_Options.m_Length) {
     m_AllSent = true;
@@ -102,9 +126,17 @@
   });
 }
 
-auto LoadRun::lengths() -> std::pair<std::uint64_t, std::uint64_t> {
-  auto Prompt = static_cast<double>(m_Options.m_PromptTokens);
-  auto Answer = static_cast<double>(m_Options.m_AnswerTokens);
+auto LoadRun::rate() const -> double {
+  auto Passed = std::chrono::duration<double>(m_NextDue - m_Start).count() /
+                std::chrono::duration<double>(m_Options.m_Length).count();
+  return m_Options.m_RequestsPerSecond *
+         (1 + (m_Options.m_RampFactor - 1) * Passed);
+}
+
+auto LoadRun::lengths(const LoadClass &Class)
+    -> std::pair<std::uint64_t, std::uint64_t> {
+  auto Prompt = static_cast<double>(m_Options.m_PromptTokens) * Class.m_Length;
+  auto Answer = static_cast<double>(m_Options.m_AnswerTokens) * Class.m_Length;
   if (m_Options.m_SwingPeriod > Duration::zero()) {
     auto Phase = std::chrono::duration<double>(m_NextDue - m_Start).count() /
                  std::chrono::duration<double>(m_Options.m_SwingPeriod).count();
@@ -129,21 +161,39 @@
   return Index;
 }
 
+auto LoadRun::pickClass() -> const LoadClass & {
+  auto Drawn = m_Random.unit();
+  for (const auto &Class : m_Options.m_Classes) {
+    if (Drawn < Class.m_Share)
+      return Class;
+    Drawn -= Class.m_Share;
+  }
+  return m_Options.m_Classes.back();
+}
+
+auto LoadRun::pickUrl(std::size_t Organisation) -> const std::string & {
+  if (Organisation == 0 && m_Random.unit() < m_Options.m_Skew)
+    return m_Options.m_Urls.front();
+  return m_Options.m_Urls[m_Random.below(m_Options.m_Urls.size())];
+}
+
 auto LoadRun::send(MonotonicTime Due) -> void {
-  auto [Prompt, Answer] = lengths();
+  const auto &Class = pickClass();
+  auto [Prompt, Answer] = lengths(Class);
   auto Organisation = pickOrganisation();
   auto Item = std::make_shared<Sending>();
   Item->m_Due = Due;
   Item->m_Organisation = fmt::format("{}", Organisation);
+  Item->m_Class = &Class;
   Item->m_Expected = Answer;
   auto Text = m_Random.hex();
   Text.resize(Prompt * BytesPerToken, 'p');
   auto Call = HttpCall();
   Call.m_Method = "POST";
-  Call.m_Url = m_Options.m_Urls[m_Random.below(m_Options.m_Urls.size())] +
-               "/v1/chat/completions";
+  Call.m_Url = pickUrl(Organisation) + "/v1/chat/completions";
   Call.m_Headers = {{.m_Name = "Authorization",
                      .m_Value = "Bearer " + m_Options.m_Keys[Organisation]},
+                    {.m_Name = "x-priority", .m_Value = Class.m_Name},
                     {.m_Name = "Content-Type", .m_Value = "application/json"}};
   Call.m_Body =
       nlohmann::json{{"model", m_Options.m_Model},
@@ -167,12 +217,14 @@
   auto Whole = Reply.m_Outcome == HttpOutcome::Complete &&
                Reply.m_Status == StatusOk && Item.m_End &&
                Item.m_Tokens == Item.m_Expected;
-  auto InTime =
-      Whole && Item.m_FirstToken <= milliseconds(m_Options.m_FirstTokenTarget);
+  auto InTime = Whole &&
+                Item.m_FirstToken <= milliseconds(Item.m_Class->m_FirstToken) &&
+                Total <= milliseconds(Item.m_Class->m_Whole);
   auto Refused =
       Reply.m_Outcome == HttpOutcome::Complete && Reply.m_Status != StatusOk;
   for (auto *Target :
-       {&m_Result.m_All, &m_Result.m_Organisations[Item.m_Organisation]}) {
+       {&m_Result.m_All, &m_Result.m_Organisations[Item.m_Organisation],
+        &m_Result.m_Classes[Item.m_Class->m_Name]}) {
     ++Target->m_Sent;
     Target->m_Whole += Whole ? 1 : 0;
     Target->m_InTime += InTime ? 1 : 0;
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -9,6 +9,14 @@
 
 namespace dotterel {
 
+namespace {
+
+auto ratio(Duration Span, Duration Unit) -> double {
+  return static_cast<double>(Span.count()) / static_cast<double>(Unit.count());
+}
+
+} // namespace
+
 auto EngineTable::updateList(const std::vector<Backend> &Listed) -> void {
   auto Present = std::set<BackendId>();
   for (const auto &Server : subset(Listed)) {
@@ -85,13 +93,27 @@
   if (Found == m_Entries.end())
     return;
   auto &Item = Found->second;
-  if (Item.m_Load && Item.m_Load->m_Incarnation != Load.m_Incarnation)
+  if (Item.m_Load && Item.m_Load->m_Incarnation != Load.m_Incarnation) {
     Item.m_Prefixes.clear();
+    Item.m_Load.reset();
+  }
+  observeOthers(Item, Load, Now);
   Item.m_Load = Load;
   Item.m_ReportedAt = Now;
   Item.m_UnreachableUntil = MonotonicTime();
-  Item.m_StartedSince = 0;
-  Item.m_EndedSince = 0;
+}
+
+auto EngineTable::observeOthers(Entry &Item, const EngineLoad &Load,
+                                MonotonicTime Now) -> void {
+  // Own requests are those of now and not of the report's time, which is not
+  // known: in the mean that makes no difference.
+  Item.m_Others = static_cast<double>(Load.m_Running) -
+                  static_cast<double>(Item.m_Flights.size());
+  auto Weight =
+      Item.m_Load
+          ? 1 - std::exp(-ratio(Now - Item.m_ReportedAt, m_Options.m_MeanTime))
+          : 1.0;
+  Item.m_OthersMean += Weight * (Item.m_Others - Item.m_OthersMean);
 }
 
 auto EngineTable::markUnreachable(const BackendId &Id, MonotonicTime Now)
@@ -192,11 +214,10 @@
   auto Worked = Age * Load.m_PrefillTokensPerSecond;
   auto Reported =
       std::max(0.0, static_cast<double>(Load.m_QueuedPrefillTokens) - Worked);
-  auto Running = runningNow(Item);
-  auto Own = static_cast<std::int64_t>(Item.m_Flights.size());
   return {.m_Id = Item.m_Backend.m_Id,
-          .m_OwnInFlight = static_cast<std::uint32_t>(Own),
-          .m_Running = static_cast<std::uint32_t>(std::max(Running, Own)),
+          .m_OwnInFlight = static_cast<std::uint32_t>(Item.m_Flights.size()),
+          .m_Running =
+              static_cast<std::uint32_t>(std::lround(runningNow(Item, Now))),
           .m_Slots = Load.m_Slots,
           .m_QueuedPrefillTokens = std::max(Reported, Item.m_OwnPrefill),
           .m_PrefillTokensPerSecond = Load.m_PrefillTokensPerSecond,
@@ -244,22 +265,25 @@
       });
 }
 
-auto EngineTable::utilisation() const -> double {
+auto EngineTable::utilisation(MonotonicTime Now) const -> double {
   auto Running = 0.0;
   auto Slots = 0.0;
   for (const auto &[Id, Item] : m_Entries) {
     if (!Item.m_Load || Item.m_Backend.m_Leaving)
       continue;
-    auto Own = static_cast<std::int64_t>(Item.m_Flights.size());
-    Running += static_cast<double>(std::max(runningNow(Item), Own));
+    Running += runningNow(Item, Now);
     Slots += Item.m_Load->m_Slots;
   }
   return Slots > 0 ? Running / Slots : 1.0;
 }
 
-auto EngineTable::runningNow(const Entry &Item) -> std::int64_t {
-  return static_cast<std::int64_t>(Item.m_Load->m_Running) +
-         Item.m_StartedSince - Item.m_EndedSince;
+auto EngineTable::runningNow(const Entry &Item, MonotonicTime Now) const
+    -> double {
+  auto Age = Now - Item.m_ReportedAt + m_Options.m_ReportLag;
+  auto Likeness = std::exp(-ratio(Age, m_Options.m_LoadMemory));
+  auto Others =
+      Item.m_OthersMean + Likeness * (Item.m_Others - Item.m_OthersMean);
+  return static_cast<double>(Item.m_Flights.size()) + std::max(0.0, Others);
 }
 
 auto EngineTable::models() const -> std::vector<ModelId> {
@@ -304,7 +328,6 @@
   unreserve(Flight.m_Request);
   Item.m_Flights[Flight.m_Attempt] = Flight;
   Item.m_OwnPrefill += static_cast<double>(Flight.m_Work.m_PrefillTokens);
-  ++Item.m_StartedSince;
   Item.m_TakenAlone = Item.m_TakenAlone || Flight.m_Alone;
   Item.m_Prefixes.touch(Flight.m_Pieces);
 }
@@ -334,7 +357,6 @@
   if (Flight->second.m_Alone)
     Item.m_TakenAlone = false;
   Item.m_Flights.erase(Flight);
-  ++Item.m_EndedSince;
 }
 
 auto EngineTable::runningOn(const BackendId &Id) const
--- a/src/settings/CommonSettings.cpp
+++ b/src/settings/CommonSettings.cpp
@@ -49,6 +49,10 @@
           "load-poll-ms", "500",
           "Pause between load reports of an engine, in milliseconds.", 20,
           10'000),
+      integerSetting("load-report-lag-ms", "3000",
+                     "By how much engines' load reports lag at most, in "
+                     "milliseconds.",
+                     0, 60'000),
       integerSetting("freshness-bound-ms", "4000",
                      "Age of the evidence of a read of the store beyond which "
                      "keyed work is refused, in milliseconds.",
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -278,10 +278,6 @@
                      "Time for a backend server to start before another one is "
                      "ordered, in milliseconds.",
                      1000, 3'600'000),
-      integerSetting("load-report-lag-ms", "3000",
-                     "By how much engines' load reports lag at most, in "
-                     "milliseconds.",
-                     0, 60'000),
   };
   Declared.insert(Declared.end(), Own.begin(), Own.end());
   return {"dotterel-steward",
--- a/tests/e2e-Faults.cpp
+++ b/tests/e2e-Faults.cpp
@@ -159,10 +159,12 @@
   Test.m_ServiceUrls[0] = "http://127.0.0.1:1";
   Test.publishBackends();
   auto Identity = Test.identity();
-  Test.waitFor("the new list", [&] {
-    return Test.call(Test.service(0, Key, "/filings/1", Test.identity()))
-               .error() == "backend_unreachable/not_run";
-  });
+  // Each gate reads the list for itself.
+  for (auto Gate = std::size_t{0}; Gate < 2; ++Gate)
+    Test.waitFor("the new list", [&] {
+      return Test.call(Test.service(Gate, Key, "/filings/1", Test.identity()))
+                 .error() == "backend_unreachable/not_run";
+    });
   CHECK(Test.call(Test.service(1, Key, "/filings/1", Identity)).error() ==
         "backend_unreachable/not_run");
   Test.m_ServiceUrls[0] = Good;
--- a/tests/fault-ServerKeeper.cpp
+++ b/tests/fault-ServerKeeper.cpp
@@ -391,6 +391,45 @@
   CHECK_FALSE(Test.conflicted());
 }
 
+TEST_CASE("server orders: a server that the platform reclaimed is ordered "
+          "anew") {
+  auto Test = World(6);
+  Test.steward("a");
+  Test.run(Seconds(200), 4);
+  Test.run(Seconds(60), 40);
+  REQUIRE(Test.m_Platform.running() == 6);
+  for (auto &[Id, Item] : Test.m_Platform.m_Servers)
+    if (Item.m_Executed.size() >= 2) {
+      Item.m_State = Directive{"stopped"};
+      Item.m_Ends.clear();
+    }
+  REQUIRE(Test.m_Platform.running() < 6);
+  Test.run(Seconds(30), 40);
+  CHECK(Test.m_Platform.running() == 6);
+  CHECK_FALSE(Test.conflicted());
+}
+
+TEST_CASE("server orders: a drain that a holder stores after the duty has "
+          "passed on has no effect") {
+  auto Test = World(6);
+  auto &A = Test.steward("a");
+  Test.run(Seconds(5), 4);
+  // A decides on a drain, and is paused before it reads the configuration.
+  A.m_Store.pause();
+  Test.run(Seconds(30), 4);
+  auto &B = Test.steward("b");
+  Test.run(Seconds(30), 4);
+  REQUIRE(B.m_Duty->held());
+  REQUIRE_FALSE(A.m_Duty->held());
+  B.kill();
+  Test.run(Seconds(1), 4);
+  auto Before = Test.m_Gates[0]->m_Holder.revision();
+  A.m_Keeper.reset();
+  A.m_Store.resume();
+  Test.run(Seconds(3), 4);
+  CHECK(Test.m_Gates[0]->m_Holder.revision() == Before);
+}
+
 TEST_CASE("server orders: every fault at every step, with a change of holder, "
           "neither conflicts nor cuts") {
   constexpr auto StoreFaults =
--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -11,7 +11,10 @@
 #include "VirtualScheduler.h"
 #include "dotterel/store/StoreModel.h"
 
+#include <functional>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace dotterel::test {
 
@@ -36,6 +39,16 @@
   /// Fails every call from now on in this way.
   auto setOutage(StoreFault Fault) -> void { m_Outage = Fault; }
 
+  /// Holds every call back, as a process that is paused before it sends.
+  auto pause() -> void { m_Paused = true; }
+
+  /// Sends the calls that were held back.
+  auto resume() -> void {
+    m_Paused = false;
+    for (auto &Call : std::exchange(m_Held, {}))
+      Call();
+  }
+
   [[nodiscard]] auto calls() const -> std::uint64_t { return m_Calls; }
 
   auto read(KeyRange Range, StoreCallback<RangeResult> Callback)
@@ -68,6 +81,11 @@
 private:
   template <typename Answer, typename Effect>
   auto run(Effect Action, StoreCallback<Answer> Callback) -> void {
+    if (m_Paused) {
+      m_Held.push_back(
+          [this, Action, Callback] { run<Answer>(Action, Callback); });
+      return;
+    }
     auto Fault = m_Outage;
     ++m_Calls;
     if (auto Found = m_Faults.find(m_Calls); Found != m_Faults.end())
@@ -105,6 +123,8 @@
   std::map<std::uint64_t, StoreFault> m_Faults;
   StoreFault m_Outage = StoreFault::None;
   std::uint64_t m_Calls = 0;
+  bool m_Paused = false;
+  std::vector<std::function<void()>> m_Held;
 };
 
 } // namespace dotterel::test
--- a/tests/unit-Routing.cpp
+++ b/tests/unit-Routing.cpp
@@ -133,6 +133,34 @@
   CHECK(Engines[0].m_Id == BackendId{"e5"});
 }
 
+TEST_CASE("routing: old reports count in the mean, fresh ones as they are, own "
+          "requests always") {
+  struct Case {
+    Duration m_Lag;
+    std::uint32_t m_Least;
+    std::uint32_t m_Most;
+  };
+  // Others have 2 and 6 requests there in turn; the newest report says 6.
+  for (auto Item : {Case{Duration::zero(), 6, 6}, Case{Seconds(5), 3, 5}}) {
+    auto Table =
+        EngineTable({.m_Region = RegionId{"r"}}, {.m_ReportLag = Item.m_Lag});
+    Table.updateList({engine(0)});
+    auto At = Now;
+    for (auto Round = 0; Round < 40; ++Round) {
+      At += Milliseconds(500);
+      Table.updateLoad(BackendId{"e0"}, load(Round % 2 == 0 ? 2 : 6, 0), At);
+    }
+    auto Running = Table.candidates(Query, At).at(0).m_Running;
+    CHECK(Running >= Item.m_Least);
+    CHECK(Running <= Item.m_Most);
+    Table.begin(BackendId{"e0"}, {.m_Attempt = AttemptId{"a"}});
+    Table.begin(BackendId{"e0"}, {.m_Attempt = AttemptId{"b"}});
+    CHECK(Table.candidates(Query, At).at(0).m_Running == Running + 2);
+    Table.end(BackendId{"e0"}, AttemptId{"a"});
+    CHECK(Table.candidates(Query, At).at(0).m_Running == Running + 1);
+  }
+}
+
 TEST_CASE("routing: an unreachable engine gets nothing until it reports its "
           "load, or a pause has passed") {
   auto Table = makeTable(2);
--- a/tests/unit-WaitingQueue.cpp
+++ b/tests/unit-WaitingQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <map>
+#include <set>
 
 using namespace dotterel;
 
@@ -114,3 +115,60 @@
     CHECK_FALSE(Queue->pop(Start, anything).has_value());
   }
 }
+
+TEST_CASE("queue: priced, what two organisations earn alike they spend alike, "
+          "however much one has waiting") {
+  auto Queue =
+      makeWaitingQueue("priced", {.m_Utilisation = [] { return 1.0; }});
+  for (auto Number = 0; Number < 200; ++Number)
+    Queue->push(item("l" + std::to_string(Number), "large"));
+  CHECK(served(*Queue, 100)["large"] == 100);
+  for (auto Number = 0; Number < 10; ++Number)
+    Queue->push(item("s" + std::to_string(Number), "small"));
+  CHECK(served(*Queue, 20)["small"] == 10);
+}
+
+TEST_CASE(
+    "queue: priced, beyond full engines some requests that cannot pay are "
+    "held back, and none below") {
+  for (auto Full : {false, true}) {
+    auto Queue = makeWaitingQueue(
+        "priced", {.m_Utilisation = [Full] { return Full ? 2.0 : 0.5; }});
+    constexpr auto Requests = 400;
+    for (auto Number = 0; Number < Requests; ++Number)
+      Queue->push(item("r" + std::to_string(Number), "only"));
+    auto Served = served(*Queue, Requests)["only"];
+    CAPTURE(Full);
+    CHECK((Served == Requests) == !Full);
+    CHECK(Served > 0);
+    // A refusal is for the moment only: more go with each further look.
+    auto Left = Queue->size();
+    served(*Queue, Requests);
+    CHECK((Left == 0 || Queue->size() < Left));
+  }
+}
+
+TEST_CASE(
+    "queue: every kind gives each request once, and withdraws and expires "
+    "what it should") {
+  for (const auto &Name : waitingQueueNames()) {
+    CAPTURE(Name);
+    auto Queue = makeWaitingQueue(Name, {.m_Utilisation = [] { return 0.0; }});
+    for (auto Number = 0; Number < 30; ++Number) {
+      auto Next =
+          item("r" + std::to_string(Number), "o" + std::to_string(Number % 4));
+      if (Number % 3 == 0)
+        Next.m_Deadline = Start + Seconds(1);
+      Queue->push(Next);
+    }
+    Queue->remove(RequestId{"r1"});
+    Queue->remove(RequestId{"r1"});
+    CHECK(Queue->size() == 29);
+    CHECK(Queue->expire(Start + Seconds(1)).size() == 10);
+    auto Seen = std::set<RequestId>();
+    while (auto Next = Queue->pop(Start, anything))
+      CHECK(Seen.insert(Next->m_Request).second);
+    CHECK(Seen.size() == 19);
+    CHECK(Queue->size() == 0);
+  }
+}
