--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_GATE_COMPLETIONCALL_H
 #define DOTTEREL_GATE_COMPLETIONCALL_H
 
+#include "dotterel/gate/CompletionFormat.h"
 #include "dotterel/gate/CompletionRequest.h"
 #include "dotterel/gate/EngineStream.h"
 #include "dotterel/gate/GateServices.h"
@@ -72,15 +73,11 @@
   [[nodiscard]] auto query() const -> EngineQuery;
   [[nodiscard]] auto deadline() const -> MonotonicTime;
   [[nodiscard]] auto executed() const -> Execution;
-  [[nodiscard]] auto tokenChunk(const std::string &Text) const -> std::string;
-  [[nodiscard]] auto chunk(const std::string &Text,
-                           const std::string &FinishReason) const
-      -> std::string;
-  [[nodiscard]] auto wholeAnswer() const -> std::string;
 
   GateServices &m_Services;
   CompletionInput m_Input;
   std::function<void()> m_OnEnd;
+  CompletionFormat m_Format;
   RequestDigest m_Digest;
   std::vector<std::uint64_t> m_Pieces;
   MonotonicTime m_Arrived;
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -6,15 +6,12 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace dotterel {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr auto StatusOk = 200U;
 
 auto seconds(Duration Span) -> double {
@@ -38,12 +35,6 @@
   return "";
 }
 
-auto usageDocument(std::uint64_t Prompt, std::uint64_t Completion) -> Json {
-  return {{"prompt_tokens", Prompt},
-          {"completion_tokens", Completion},
-          {"total_tokens", Prompt + Completion}};
-}
-
 /// The figures that a choice was made by, for the log.
 auto describe(const std::vector<Candidate> &Engines, const Work &Request)
     -> std::string {
@@ -67,6 +58,8 @@
                                std::function<void()> OnEnd)
     : m_Services(Services), m_Input(std::move(Input)),
       m_OnEnd(std::move(OnEnd)),
+      m_Format(m_Input.m_Request, m_Input.m_Completion.m_Model,
+               m_Input.m_Completion.m_Shape),
       m_Digest(digestRequest(m_Input.m_Completion.m_Model,
                              m_Input.m_Completion.m_Prompt)),
       m_Pieces(pieceDigests(m_Input.m_Completion.m_Prompt)),
@@ -294,7 +287,7 @@
     refuse(Refusal(RefusalCode::SlowReader));
     return;
   }
-  m_Input.m_Exchange->write(tokenChunk(Text));
+  m_Input.m_Exchange->write(m_Format.token(Text));
 }
 
 auto CompletionCall::onDone(const HttpCallResult &Result) -> void {
@@ -412,19 +405,15 @@
 }
 
 auto CompletionCall::deliver() -> void {
+  auto Usage =
+      AnswerUsage{.m_Prompt = m_PromptTokens, .m_Completion = m_Position};
   if (m_Input.m_Completion.m_Stream) {
     if (!m_Started)
       emit({});
     auto &Exchange = *m_Input.m_Exchange;
-    Exchange.write(chunk({}, m_FinishReason));
+    Exchange.write(m_Format.last(m_FinishReason));
     if (m_Input.m_Completion.m_IncludeUsage)
-      Exchange.write(
-          fmt::format("data: {}\n\n",
-                      Json{{"id", "cmpl-" + m_Input.m_Request.text()},
-                           {"model", m_Input.m_Completion.m_Model.text()},
-                           {"choices", Json::array()},
-                           {"usage", usageDocument(m_PromptTokens, m_Position)}}
-                          .dump()));
+      Exchange.write(m_Format.usage(Usage));
     Exchange.write("data: [DONE]\n\n");
     Exchange.finish();
   } else {
@@ -434,7 +423,7 @@
                         .m_Value = "application/json"},
                        {.m_Name = "x-request-id",
                         .m_Value = m_Input.m_Request.text()}},
-         .m_Body = wholeAnswer()});
+         .m_Body = m_Format.whole(m_Text, m_FinishReason, Usage)});
   }
   m_Services.m_Metrics.countAnswer("completion");
   m_Services.m_Decisions.record(
@@ -447,54 +436,6 @@
   finish();
 }
 
-auto CompletionCall::tokenChunk(const std::string &Text) const -> std::string {
-  // Put together by hand: this runs for every token of every stream. Only the
-  // token and the model's name need escapes.
-  auto Chat = m_Input.m_Completion.m_Shape == CompletionShape::Chat;
-  return fmt::format(
-      R"(data: {{"choices":[{{"index":0,{}{}{},"finish_reason":null}}],)"
-      R"("id":"cmpl-{}","model":{},"object":"{}"}})"
-      "\n\n",
-      Chat ? R"("delta":{"content":)" : R"("text":)", Json(Text).dump(),
-      Chat ? "}" : "", m_Input.m_Request.text(),
-      Json(m_Input.m_Completion.m_Model.text()).dump(),
-      Chat ? "chat.completion.chunk" : "text_completion");
-}
-
-auto CompletionCall::chunk(const std::string &Text,
-                           const std::string &FinishReason) const
-    -> std::string {
-  auto Chat = m_Input.m_Completion.m_Shape == CompletionShape::Chat;
-  auto Choice = Json{{"index", 0}};
-  if (Chat)
-    Choice["delta"] = Text.empty() ? Json::object() : Json{{"content", Text}};
-  else
-    Choice["text"] = Text;
-  Choice["finish_reason"] =
-      FinishReason.empty() ? Json(nullptr) : Json(FinishReason);
-  auto Event =
-      Json{{"id", "cmpl-" + m_Input.m_Request.text()},
-           {"object", Chat ? "chat.completion.chunk" : "text_completion"},
-           {"model", m_Input.m_Completion.m_Model.text()},
-           {"choices", Json::array({Choice})}};
-  return fmt::format("data: {}\n\n", Event.dump());
-}
-
-auto CompletionCall::wholeAnswer() const -> std::string {
-  auto Chat = m_Input.m_Completion.m_Shape == CompletionShape::Chat;
-  auto Choice = Json{{"index", 0}, {"finish_reason", m_FinishReason}};
-  if (Chat)
-    Choice["message"] = {{"role", "assistant"}, {"content", m_Text}};
-  else
-    Choice["text"] = m_Text;
-  return Json{{"id", "cmpl-" + m_Input.m_Request.text()},
-              {"object", Chat ? "chat.completion" : "text_completion"},
-              {"model", m_Input.m_Completion.m_Model.text()},
-              {"choices", Json::array({Choice})},
-              {"usage", usageDocument(m_PromptTokens, m_Position)}}
-      .dump();
-}
-
 auto CompletionCall::refuse(const Refusal &Reason) -> void {
   if (m_Ended)
     return;
--- a/tests/e2e-Faults.cpp
+++ b/tests/e2e-Faults.cpp
@@ -5,7 +5,6 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <map>
-#include <set>
 #include <string>
 
 using namespace dotterel;
@@ -429,18 +428,12 @@
   for (const auto &Slot : Slots)
     CHECK(whole(*Slot));
   for (const auto &Url : Test.m_RunnerUrls) {
-    auto Left = std::set<std::string>();
-    auto Last = std::string();
     auto Fencing = std::uint64_t{0};
-    auto Seen = Test.seen(Url);
-    for (const auto &Order : Seen.at("orders")) {
-      auto Id = Order.at("order").get<std::string>();
+    auto Orders = Test.seen(Url).at("orders").get<std::vector<Json>>();
+    for (const auto &Order : Orders) {
       CHECK(Order.at("fencing").get<std::uint64_t>() > Fencing);
       Fencing = Order.at("fencing").get<std::uint64_t>();
-      // An order that comes back after another one conflicts with it.
-      if (Id != Last)
-        CHECK(Left.insert(Id).second);
-      Last = Id;
     }
+    CHECK_FALSE(ordersConflict(Orders));
   }
 }
--- a/tests/e2e-Fleet.cpp
+++ b/tests/e2e-Fleet.cpp
@@ -6,7 +6,6 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <map>
-#include <set>
 #include <string>
 
 using namespace dotterel;
@@ -123,15 +122,7 @@
   Clients.checkAllWhole();
   for (const auto &Item : platformOrders(Test)) {
     CAPTURE(Item.first);
-    auto Left = std::set<std::string>();
-    auto Last = std::string();
-    for (const auto &Order : Item.second) {
-      auto Id = Order.at("order").get<std::string>();
-      // An order that comes back after another one conflicts with it.
-      if (Id != Last)
-        CHECK(Left.insert(Id).second);
-      Last = Id;
-    }
+    CHECK_FALSE(ordersConflict(Item.second));
   }
 }
 
--- a/tests/fault-OrderSender.cpp
+++ b/tests/fault-OrderSender.cpp
@@ -1,3 +1,4 @@
+#include "support/FaultyOrders.h"
 #include "support/FaultyStore.h"
 
 #include "dotterel/base/Random.h"
@@ -23,13 +24,14 @@
 }
 
 /// An engine that notes every order it executes, in order of arrival.
-struct Engine {
+struct Engine final : OrderTarget {
   bool m_ChecksFencing = false;
   std::uint64_t m_Highest = 0;
   std::string m_Incarnation = "1";
   std::vector<BackendOrder> m_Executed;
 
-  auto receive(const BackendOrder &Order) -> bool {
+  auto receive(const BackendId & /*Id*/, const BackendOrder &Order)
+      -> bool override {
     if (m_ChecksFencing && Order.m_Fencing.number() < m_Highest)
       return false;
     m_Highest = std::max(m_Highest, Order.m_Fencing.number());
@@ -37,78 +39,12 @@
     return true;
   }
 
-  /// An order that came back after a different one conflicts with it.
-  [[nodiscard]] auto conflicted() const -> bool {
-    auto Left = std::set<OrderId>();
-    for (auto Index = std::size_t{1}; Index < m_Executed.size(); ++Index) {
-      if (m_Executed[Index].m_Id == m_Executed[Index - 1].m_Id)
-        continue;
-      Left.insert(m_Executed[Index - 1].m_Id);
-      if (Left.contains(m_Executed[Index].m_Id))
-        return true;
-    }
-    return false;
-  }
-};
-
-enum class SendFault : std::uint8_t { None, LoseOrder, LoseAnswer, Late };
-
-/// One steward's way to the engine. Frozen, it holds the next order back as a
-/// process that was paused between its clock check and the send.
-class Orders final : public OrderChannel {
-public:
-  Orders(VirtualScheduler &Scheduler, Engine &Target)
-      : m_Scheduler(Scheduler), m_Target(Target) {}
-
-  auto send(const BackendId & /*Id*/, const BackendOrder &Order,
-            std::function<void(OrderAnswer)> Done) -> void override {
-    if (m_Frozen) {
-      m_Held.push_back([this, Order, Done] { deliver(Order, Done); });
-      return;
-    }
-    deliver(Order, Done);
+  auto stateOf(const BackendId & /*Id*/) -> TargetState override {
+    auto State = TargetState{.m_Incarnation = m_Incarnation};
+    if (!m_Executed.empty())
+      State.m_LastOrder = m_Executed.back().m_Id;
+    return State;
   }
-
-  auto readBack(const BackendId & /*Id*/,
-                std::function<void(std::optional<TargetState>)> Done)
-      -> void override {
-    m_Scheduler.schedule(Milliseconds(1), [this, Done = std::move(Done)] {
-      auto State = TargetState{.m_Incarnation = m_Target.m_Incarnation};
-      if (!m_Target.m_Executed.empty())
-        State.m_LastOrder = m_Target.m_Executed.back().m_Id;
-      Done(State);
-    });
-  }
-
-  auto thaw() -> void {
-    m_Frozen = false;
-    for (auto &Item : std::exchange(m_Held, {}))
-      Item();
-  }
-
-  bool m_Frozen = false;
-  SendFault m_Next = SendFault::None;
-
-private:
-  auto deliver(const BackendOrder &Order,
-               const std::function<void(OrderAnswer)> &Done) -> void {
-    auto Fault = std::exchange(m_Next, SendFault::None);
-    constexpr auto GiveUp = Seconds(2);
-    auto Arrival = Fault == SendFault::Late ? Duration(Seconds(30))
-                                            : Duration(Milliseconds(1));
-    if (Fault != SendFault::LoseOrder)
-      m_Scheduler.schedule(Arrival, [this, Order, Done, Fault] {
-        auto Taken = m_Target.receive(Order);
-        if (Fault == SendFault::None)
-          Done(Taken ? OrderAnswer::Accepted : OrderAnswer::Refused);
-      });
-    if (Fault != SendFault::None)
-      m_Scheduler.schedule(GiveUp, [Done] { Done(OrderAnswer::Unknown); });
-  }
-
-  VirtualScheduler &m_Scheduler;
-  Engine &m_Target;
-  std::vector<std::function<void()>> m_Held;
 };
 
 struct Steward {
@@ -132,7 +68,7 @@
   }
 
   FaultyStore m_Store;
-  Orders m_Orders;
+  FaultyOrders m_Orders;
   std::unique_ptr<DutyLease> m_Duty;
   std::unique_ptr<OrderSender> m_Sender;
 };
@@ -199,7 +135,7 @@
     A.m_Store.setOutage(StoreFault::None);
     Test.pursue(B, EngineRole::Prefill, Seconds(20));
     CAPTURE(ChecksFencing);
-    CHECK_FALSE(Test.m_Engine.conflicted());
+    CHECK_FALSE(conflicted(Test.m_Engine.m_Executed));
     // Once A's copy has been dealt with, B's own order goes through.
     REQUIRE_FALSE(Test.m_Engine.m_Executed.empty());
     if (ChecksFencing)
@@ -275,7 +211,7 @@
             CAPTURE(Step);
             CAPTURE(static_cast<int>(Sent));
             CAPTURE(Kill);
-            CHECK_FALSE(Test.m_Engine.conflicted());
+            CHECK_FALSE(conflicted(Test.m_Engine.m_Executed));
           }
 }
 
@@ -317,7 +253,7 @@
       }
       Test.m_Scheduler.advance(Milliseconds(Source.below(4000)));
     }
-    RC_ASSERT(!Test.m_Engine.conflicted());
+    RC_ASSERT(!conflicted(Test.m_Engine.m_Executed));
   });
   CHECK(Passed);
 }
--- a/tests/fault-ServerKeeper.cpp
+++ b/tests/fault-ServerKeeper.cpp
@@ -1,3 +1,4 @@
+#include "support/FaultyOrders.h"
 #include "support/FaultyStore.h"
 
 #include "dotterel/base/Random.h"
@@ -28,26 +29,15 @@
   Directive m_State{"running"};
   std::vector<BackendOrder> m_Executed;
   std::vector<MonotonicTime> m_Ends; ///< Of the requests on it.
-
-  [[nodiscard]] auto conflicted() const -> bool {
-    auto Left = std::set<OrderId>();
-    for (auto Index = std::size_t{1}; Index < m_Executed.size(); ++Index) {
-      if (m_Executed[Index].m_Id == m_Executed[Index - 1].m_Id)
-        continue;
-      Left.insert(m_Executed[Index - 1].m_Id);
-      if (Left.contains(m_Executed[Index].m_Id))
-        return true;
-    }
-    return false;
-  }
 };
 
 /// The platform: executes whatever order reaches it, from whomever.
-struct Platform {
+struct Platform final : OrderTarget {
   std::map<BackendId, Server> m_Servers;
   int m_Cut = 0; ///< Requests on servers that an order stopped.
 
-  auto receive(const BackendId &Id, const BackendOrder &Order) -> void {
+  auto receive(const BackendId &Id, const BackendOrder &Order)
+      -> bool override {
     auto &Target = m_Servers.at(Id);
     Target.m_Executed.push_back(Order);
     Target.m_State = Order.m_Directive;
@@ -55,6 +45,16 @@
       m_Cut += static_cast<int>(Target.m_Ends.size());
       Target.m_Ends.clear();
     }
+    return true;
+  }
+
+  auto stateOf(const BackendId &Id) -> TargetState override {
+    const auto &Asked = m_Servers.at(Id);
+    auto State =
+        TargetState{.m_Incarnation = "platform", .m_InForce = Asked.m_State};
+    if (!Asked.m_Executed.empty())
+      State.m_LastOrder = Asked.m_Executed.back().m_Id;
+    return State;
   }
 
   [[nodiscard]] auto running() const -> std::size_t {
@@ -65,71 +65,6 @@
   }
 };
 
-enum class SendFault : std::uint8_t { None, LoseOrder, LoseAnswer, Late };
-
-/// One steward's way to the platform. Frozen, it holds orders back as a process
-/// that was paused between its clock check and the send.
-class PlatformOrders final : public OrderChannel {
-public:
-  PlatformOrders(VirtualScheduler &Scheduler, Platform &Target)
-      : m_Scheduler(Scheduler), m_Target(Target) {}
-
-  auto send(const BackendId &Id, const BackendOrder &Order,
-            std::function<void(OrderAnswer)> Done) -> void override {
-    if (m_Frozen)
-      m_Held.push_back([this, Id, Order, Done] { deliver(Id, Order, Done); });
-    else
-      deliver(Id, Order, Done);
-  }
-
-  auto readBack(const BackendId &Id,
-                std::function<void(std::optional<TargetState>)> Done)
-      -> void override {
-    m_Scheduler.schedule(Milliseconds(1), [this, Id, Done = std::move(Done)] {
-      const auto &Asked = m_Target.m_Servers.at(Id);
-      auto State =
-          TargetState{.m_Incarnation = "platform", .m_InForce = Asked.m_State};
-      if (!Asked.m_Executed.empty())
-        State.m_LastOrder = Asked.m_Executed.back().m_Id;
-      Done(State);
-    });
-  }
-
-  auto thaw() -> void {
-    m_Frozen = false;
-    for (auto &Item : std::exchange(m_Held, {}))
-      Item();
-  }
-
-  bool m_Frozen = false;
-  SendFault m_Next = SendFault::None;
-  int m_OnWire = 0; ///< Copies that the platform has not read yet.
-
-private:
-  auto deliver(const BackendId &Id, const BackendOrder &Order,
-               const std::function<void(OrderAnswer)> &Done) -> void {
-    auto Fault = std::exchange(m_Next, SendFault::None);
-    constexpr auto GiveUp = Seconds(2);
-    auto Arrival = Fault == SendFault::Late ? Duration(Seconds(30))
-                                            : Duration(Milliseconds(1));
-    if (Fault != SendFault::LoseOrder) {
-      ++m_OnWire;
-      m_Scheduler.schedule(Arrival, [this, Id, Order, Done, Fault] {
-        --m_OnWire;
-        m_Target.receive(Id, Order);
-        if (Fault == SendFault::None)
-          Done(OrderAnswer::Accepted);
-      });
-    }
-    if (Fault != SendFault::None)
-      m_Scheduler.schedule(GiveUp, [Done] { Done(OrderAnswer::Unknown); });
-  }
-
-  VirtualScheduler &m_Scheduler;
-  Platform &m_Target;
-  std::vector<std::function<void()>> m_Held;
-};
-
 /// A process's view of the configuration.
 struct Reader {
   Reader(VirtualScheduler &Scheduler, StoreModel &Model)
@@ -189,7 +124,7 @@
   Reader m_Reader;
   FaultyStore m_Store; ///< For the duty, the orders and the changes only.
   ConfigurationStore m_Changes;
-  PlatformOrders m_Orders;
+  FaultyOrders m_Orders;
   EngineTable m_Engines;
   std::unique_ptr<DutyLease> m_Duty;
   std::unique_ptr<ServerKeeper> m_Keeper;
@@ -247,9 +182,10 @@
   }
 
   [[nodiscard]] auto conflicted() const -> bool {
-    return std::any_of(
-        m_Platform.m_Servers.begin(), m_Platform.m_Servers.end(),
-        [](const auto &Item) { return Item.second.conflicted(); });
+    return std::any_of(m_Platform.m_Servers.begin(), m_Platform.m_Servers.end(),
+                       [](const auto &Item) {
+                         return test::conflicted(Item.second.m_Executed);
+                       });
   }
 
   VirtualScheduler m_Scheduler;
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -117,6 +118,18 @@
   return Error.value("code", "") + "/" + Error.value("execution", "");
 }
 
+auto ordersConflict(const std::vector<Json> &Orders) -> bool {
+  auto Left = std::set<std::string>();
+  auto Last = std::string();
+  for (const auto &Order : Orders) {
+    auto Id = Order.at("order").get<std::string>();
+    if (Id != Last && !Left.insert(Id).second)
+      return true;
+    Last = Id;
+  }
+  return false;
+}
+
 Cluster::Cluster(const ClusterOptions &Options) : m_Options(Options) {
   m_Platform = std::make_unique<Process>(
       "dotterel-fakes", std::vector<std::string>{"--kind=platform"});
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -85,6 +85,10 @@
   std::vector<std::string> m_StewardFlags;
 };
 
+/// Whether among orders that a target received, in this order, one came back
+/// after a different one: then the two conflict.
+auto ordersConflict(const std::vector<Json> &Orders) -> bool;
+
 /// A small installation: gates in three data centres, stand-ins behind them.
 class Cluster {
 public:
--- a/tests/unit-DemandForecast.cpp
+++ b/tests/unit-DemandForecast.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("forecast: a swing within seconds moves it little") {
   auto Forecast = DemandForecast({});
   constexpr auto Period = 20.0;
-  feed(Forecast, Seconds(600), [Period](double At) {
+  feed(Forecast, Seconds(600), [](double At) {
     return std::fmod(At, Period) < Period / 2 ? 4.0 : 8.0;
   });
   // Never beyond the highest load by more than half a swing.
