Take draining servers back under a preset that orders none

Cause, seen when the code was read again: a switch of presets in the middle of a drain left the server without new work for as long as the preset stayed, and no operator's order could undo it.

Change: under such a preset the holder pursues "running" for what is draining, so that an order to stop that may be under way is settled first, and then releases it.

--- a/include/dotterel/steward/ServerKeeper.h
+++ b/include/dotterel/steward/ServerKeeper.h
@@ -71,8 +71,8 @@
   ~ServerKeeper() { *m_Alive = false; }
 
   /// Plans, and goes on with drains and orders. To be called at short
-  /// intervals; does nothing unless the duty is held and the preset in force
-  /// orders servers.
+  /// intervals; does nothing unless the duty is held. Under a preset that
+  /// orders no servers it only takes back what is draining.
   auto step() -> void;
 
 private:
@@ -90,6 +90,8 @@
   /// Whether most of the group's running servers report: not right after the
   /// duty was taken over, nor cut off from the engines.
   [[nodiscard]] auto loadKnown(const std::vector<Backend> &Group) const -> bool;
+  /// Gives draining servers work again, when the preset orders none.
+  auto takeBack(const std::vector<Backend> &Servers) -> void;
   auto stopIdle(const Backend &Server) -> void;
   auto carryOut() -> void;
   /// Stores which servers get no new work, in one change.
--- a/src/steward/ServerKeeper.cpp
+++ b/src/steward/ServerKeeper.cpp
@@ -70,8 +70,7 @@
 
 auto ServerKeeper::step() -> void {
   const auto &Configuration = m_Services.m_Configuration.current();
-  if (!m_Services.m_Duty.held() || !Configuration ||
-      !Configuration->presetInForce().m_ServerOrders) {
+  if (!m_Services.m_Duty.held() || !Configuration) {
     m_Pursuits.clear();
     m_Planners.clear();
     return;
@@ -84,6 +83,12 @@
   update(Servers);
   if (m_Changing)
     return;
+  if (!Configuration->presetInForce().m_ServerOrders) {
+    m_Planners.clear();
+    takeBack(Servers);
+    carryOut();
+    return;
+  }
   planGroups(Servers);
   if (!m_Changing)
     for (const auto &Server : Servers)
@@ -91,6 +96,15 @@
   carryOut();
 }
 
+auto ServerKeeper::takeBack(const std::vector<Backend> &Servers) -> void {
+  std::erase_if(m_Pursuits, [](const auto &Item) {
+    return Item.second.m_Wanted == Directive{StoppedState};
+  });
+  for (const auto &Server : Servers)
+    if (stateOf(Server) == ServerState::Draining)
+      pursue(Server.m_Id, RunningState);
+}
+
 auto ServerKeeper::update(const std::vector<Backend> &Servers) -> void {
   auto Now = m_Services.m_Scheduler.now();
   auto Started = std::set<BackendId>();
--- a/tests/fault-ServerKeeper.cpp
+++ b/tests/fault-ServerKeeper.cpp
@@ -327,6 +327,26 @@
   CHECK_FALSE(Test.conflicted());
 }
 
+TEST_CASE("server orders: a preset that orders no servers takes a draining one "
+          "back, and stops none") {
+  auto Test = World(6);
+  Test.steward("a");
+  // A drain that one gate does not hear of goes on.
+  Test.m_Gates[1]->m_Store.setOutage(StoreFault::Refuse);
+  Test.run(Seconds(40), 4);
+  REQUIRE(Test.m_Gates[0]->m_Holder.current()->m_Stopping.size() == 1);
+  Test.m_Gates[0]->m_Configuration.change(
+      [](Configuration &Target) {
+        Target.m_Presets.at(Target.m_PresetInForce).m_ServerOrders = false;
+      },
+      {}, [](const auto &) {});
+  Test.m_Gates[1]->m_Store.setOutage(StoreFault::None);
+  Test.run(Seconds(60), 4);
+  CHECK(Test.m_Gates[0]->m_Holder.current()->m_Stopping.empty());
+  CHECK(Test.m_Platform.running() == 6);
+  CHECK(Test.m_Platform.m_Cut == 0);
+}
+
 TEST_CASE("server orders: a server that the platform reclaimed is ordered "
           "anew") {
   auto Test = World(6);
