--- a/include/dotterel/fleet/Order.h
+++ b/include/dotterel/fleet/Order.h
@@ -1,5 +1,4 @@
-//===- Order.h - Orders and their channel ------------------------*- C++
-//-*-===//
+//===- Order.h - Orders and their channel -----------------------*- C++ -*-===//
 ///
 /// \file
 /// What a steward orders about a backend server, and how orders reach the
--- a/include/dotterel/fleet/OrderSender.h
+++ b/include/dotterel/fleet/OrderSender.h
@@ -1,4 +1,4 @@
-//===- OrderSender.h - Orders about one server -----------------*- C++ -*-===//
+//===- OrderSender.h - Orders about one server ------------------*- C++ -*-===//
 ///
 /// \file
 /// The protocol by which an engine, or the platform, never gets conflicting
--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -1,21 +1,20 @@
 #include "dotterel/fakes/FakePlatform.h"
 
+#include "dotterel/fakes/detail/JsonReply.h"
 #include "dotterel/store/HttpStore.h"
 
 #include <utility>
 
 namespace dotterel {
 
+using detail::jsonReply;
+
 namespace {
 
 using Json = nlohmann::json;
 
 constexpr auto MostHistory = std::size_t{1000};
 
-auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
-  return jsonResponse(Status, Body.dump());
-}
-
 auto number(const Json &Source, const char *Name) -> std::uint64_t {
   if (!Source.contains(Name))
     return 0;
@@ -114,7 +113,7 @@
 }
 
 auto FakePlatform::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
-  return jsonReply(413, {{"error", "too large"}});
+  return detail::tooLarge();
 }
 
 auto FakePlatform::overLimit(bool Write) -> bool {
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/fakes/FakeRunner.h"
 
 #include "dotterel/config/Configuration.h"
+#include "dotterel/fakes/detail/JsonReply.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -8,6 +9,8 @@
 
 namespace dotterel {
 
+using detail::jsonReply;
+
 namespace {
 
 using Json = nlohmann::json;
@@ -15,10 +18,6 @@
 constexpr auto LoadInterval = Milliseconds(50);
 constexpr auto MostSeen = std::size_t{5000};
 
-auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
-  return jsonResponse(Status, Body.dump());
-}
-
 auto span(double Seconds) -> Duration {
   return Duration(static_cast<std::int64_t>(Seconds * 1e6));
 }
@@ -104,7 +103,7 @@
 }
 
 auto FakeRunner::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
-  return jsonReply(413, {{"error", "too large"}});
+  return detail::tooLarge();
 }
 
 auto FakeRunner::speed(EngineRole Favoured) const -> double {
--- a/src/fakes/FakeService.cpp
+++ b/src/fakes/FakeService.cpp
@@ -1,19 +1,19 @@
 #include "dotterel/fakes/FakeService.h"
 
+#include "dotterel/fakes/detail/JsonReply.h"
+
 #include <utility>
 
 namespace dotterel {
 
+using detail::jsonReply;
+
 namespace {
 
 using Json = nlohmann::json;
 
 constexpr auto MostSeen = std::size_t{5000};
 
-auto jsonReply(unsigned Status, const Json &Body) -> HttpResponse {
-  return jsonResponse(Status, Body.dump());
-}
-
 auto take(std::int64_t &Count) -> bool {
   if (Count == 0)
     return false;
@@ -48,7 +48,7 @@
 }
 
 auto FakeService::bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse {
-  return jsonReply(413, {{"error", "too large"}});
+  return detail::tooLarge();
 }
 
 auto FakeService::execute(const HttpExchangePtr &Exchange) -> void {
