--- /dev/null
+++ b/apps/dotterel-host.cpp
@@ -0,0 +1,66 @@
+#include "dotterel/base/Log.h"
+#include "dotterel/host/HostProcess.h"
+#include "dotterel/io/PooledHttpClient.h"
+#include "dotterel/settings/Settings.h"
+#include "platform/CallerEdge.h"
+#include "platform/EngineTransport.h"
+#include "platform/NodeSettings.h"
+#include "platform/PlatformFleetCalls.h"
+#include "platform/PlatformRecords.h"
+#include "platform/PlatformStore.h"
+
+namespace {
+
+using namespace dotterel;
+
+auto declaredSettings() -> Settings {
+  return {"dotterel-host",
+          "Serves callers on the platform: one process on each host.",
+          {{.m_Name = "platform-settings",
+            .m_Default = platform::nodeSettingsPath(),
+            .m_Help = "The platform's settings file."},
+           {.m_Name = "metrics-listen",
+            .m_Help = "Address for metrics, IP:PORT. Empty: none."},
+           {.m_Name = "log-level",
+            .m_Kind = SettingKind::Choice,
+            .m_Default = "info",
+            .m_Help = "Lowest level of lines that are logged.",
+            .m_Choices = {"debug", "info", "warning", "error"}}}};
+}
+
+auto runHost(const Settings &Values) -> int {
+  setLogLevel(Values.text("log-level"));
+  const auto &Path = Values.text("platform-settings");
+  auto Node = platform::readNodeSettings(Path);
+  auto Loop = EventLoop();
+  auto Client = makePooledHttpClient(Loop, {});
+  auto Store = platform::PlatformStore(*Client,
+                                       {.m_Address = Node.m_StoreAddress});
+  auto Transport = platform::EngineTransport(*Client);
+  auto Fleet = platform::PlatformFleetCalls(
+      *Client, {.m_Address = Node.m_FleetAddress,
+                .m_Holder = Node.m_Location.m_Host});
+  auto Records = platform::PlatformRecords();
+  auto Host = HostProcess(
+      Loop,
+      {.m_Store = Store,
+       .m_Watch = Store,
+       .m_Transport = Transport,
+       .m_Fleet = Fleet,
+       .m_Records = Records,
+       .m_ReadSettings = [Path] { return platform::readNodeSettings(Path); }},
+      {.m_Settings = Node,
+       .m_MetricsAddress = Values.text("metrics-listen")});
+  auto Callers = platform::CallerEdge([&Host](CallerExchangePtr Exchange) {
+    Host.serve(std::move(Exchange));
+  });
+  auto Readiness = platform::ReadinessEdge([&Host] { return Host.ready(); });
+  return Host.run(Callers, Readiness);
+}
+
+} // namespace
+
+auto main(int ArgumentCount, char **Arguments) -> int {
+  auto Declared = declaredSettings();
+  return dotterel::runProgram(Declared, ArgumentCount, Arguments, &runHost);
+}
--- /dev/null
+++ b/include/dotterel/host/FleetDuty.h
@@ -0,0 +1,96 @@
+//===- FleetDuty.h - The one holder's work on the fleet ---------*- C++ -*-===//
+///
+/// \file
+/// Usage reports, server orders and stage orders, by one host at a time.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_HOST_FLEETDUTY_H
+#define DOTTEREL_HOST_FLEETDUTY_H
+
+#include "dotterel/base/Random.h"
+#include "dotterel/host/HostSettings.h"
+#include "dotterel/lease/DutyLease.h"
+#include "dotterel/serving/BackendDirectory.h"
+#include "dotterel/serving/FleetCalls.h"
+#include "dotterel/serving/FleetPlanner.h"
+#include "dotterel/usage/WindowSealer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace dotterel {
+
+struct FleetDutyOptions {
+  ServiceBounds m_Bounds;
+  HostId m_Host;
+  /// Time after a window's end for the hosts to write their counts.
+  Duration m_UsageGrace = Milliseconds(2500);
+  Duration m_StepInterval = Milliseconds(1000);
+  /// Pause before an order that was not accepted is given again.
+  Duration m_OrderRetry = Milliseconds(2000);
+  FleetPlannerOptions m_Planner;
+};
+
+/// What the duty decides from.
+struct FleetDutyInputs {
+  const BackendDirectory &m_Directory;
+  /// Null before the first configuration.
+  std::function<const ServingConfiguration *()> m_Configuration;
+};
+
+/// The fleet duty of one host. It acts only while the host holds the lease.
+///
+/// \invariant All calls of one holding bear the same fencing number, which is
+/// higher than that of any holding before.
+/// \invariant A number that the platform has refused is not used again.
+class FleetDuty {
+public:
+  FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
+            FleetDutyInputs Inputs, const FleetDutyOptions &Options);
+  FleetDuty(const FleetDuty &) = delete;
+  auto operator=(const FleetDuty &) -> FleetDuty & = delete;
+  ~FleetDuty();
+
+  auto start() -> void;
+
+  /// Stops acting. The lease is left to lapse: given up at once it could come
+  /// back within the time in which holders must not take turns.
+  auto stop() -> void;
+
+  [[nodiscard]] auto held() const -> bool { return m_Lease.held(); }
+
+private:
+  auto step() -> void;
+  auto orderServers() -> void;
+  auto orderStages() -> void;
+  auto send(const ServerOrder &Order) -> void;
+  auto send(const StageOrder &Order) -> void;
+  auto mayAct() const -> bool;
+  auto refusedFor(FencingNumber Number, const char *Matter) -> void;
+
+  struct Given {
+    std::uint32_t m_Count = 0;
+    bool m_Accepted = false;
+    MonotonicTime m_At;
+  };
+
+  Scheduler &m_Scheduler;
+  FleetCalls &m_Calls;
+  FleetDutyInputs m_Inputs;
+  FleetDutyOptions m_Options;
+  DutyLease m_Lease;
+  WindowSealer m_Sealer;
+  FleetPlanner m_Planner;
+  std::map<std::string, Given> m_ServerOrders; ///< Of this holding.
+  std::map<BackendId, Given> m_StageOrders;    ///< Of this holding.
+  FencingNumber m_Holding;
+  FencingNumber m_Refused;
+  std::optional<RepeatingTimer> m_Timer;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_HOST_FLEETDUTY_H
--- a/include/dotterel/io/EventLoop.h
+++ b/include/dotterel/io/EventLoop.h
@@ -41,6 +41,9 @@
   /// Calls \p Callback on SIGTERM and SIGINT.
   auto onTermination(std::function<void()> Callback) -> void;
 
+  /// Calls \p Callback on SIGHUP.
+  auto onReload(std::function<void()> Callback) -> void;
+
   [[nodiscard]] auto raw() const -> struct ev_loop * { return m_Loop; }
 
 private:
@@ -55,7 +58,9 @@
   std::uint64_t m_LastTimer = 0;
   ev_signal m_Terminate{};
   ev_signal m_Interrupt{};
+  ev_signal m_HangUp{};
   std::function<void()> m_OnTermination;
+  std::function<void()> m_OnReload;
 };
 
 /// Watches one file descriptor while it lives.
--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -31,6 +31,9 @@
   HttpHeaders m_Headers;
   std::string m_Body; ///< Empty when the call had an onData receiver.
   std::string m_Detail;
+  /// Whether the connection had carried an earlier call. A peer may have closed
+  /// it before it read this one.
+  bool m_Reused = false;
 };
 
 struct HttpCall {
@@ -42,6 +45,9 @@
   Duration m_ConnectTimeout = Seconds(2);
   /// Uses a connection of its own, which libcurl therefore never re-sends on.
   bool m_OneConnection = false;
+  /// A header that the answer must repeat. An answer with another value belongs
+  /// to an earlier call and is skipped. Unused when the name is empty.
+  HttpHeader m_Echo;
   std::size_t m_MaximumAnswerBytes = std::size_t{64} << 20U;
   /// Called once before the first onData, with the answer's status.
   std::function<void(unsigned, const HttpHeaders &)> m_OnHeaders;
--- a/include/dotterel/io/HttpMessage.h
+++ b/include/dotterel/io/HttpMessage.h
@@ -32,6 +32,8 @@
 struct HttpRequest {
   std::string m_Method;
   std::string m_Path;
+  /// Path and query as received; empty where the server does not keep it.
+  std::string m_Target;
   HttpHeaders m_Query;
   HttpHeaders m_Headers;
   std::string m_Body;
--- /dev/null
+++ b/include/dotterel/serving/FleetCalls.h
@@ -0,0 +1,49 @@
+//===- FleetCalls.h - Orders and reports to the platform --------*- C++ -*-===//
+///
+/// \file
+/// The calls that only the holder of the fleet duty makes.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_SERVING_FLEETCALLS_H
+#define DOTTEREL_SERVING_FLEETCALLS_H
+
+#include "dotterel/fleet/Order.h"
+#include "dotterel/serving/BackendRecord.h"
+#include "dotterel/usage/WindowSealer.h"
+
+#include <functional>
+
+namespace dotterel {
+
+/// So many servers of a service in a data centre.
+struct ServerOrder {
+  ServiceId m_Service;
+  DataCentreId m_DataCentre;
+  std::uint32_t m_Count = 0;
+  bool m_Reclaimable = false; ///< Of the kind that may be taken away.
+
+  auto operator==(const ServerOrder &) const -> bool = default;
+};
+
+/// Another stage for an engine.
+struct StageOrder {
+  BackendId m_Backend;
+  std::string m_Address;
+  EngineStage m_Stage = EngineStage::Decode;
+};
+
+class FleetCalls {
+public:
+  virtual ~FleetCalls() = default;
+
+  virtual auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
+                            std::function<void(OrderAnswer)> Done) -> void = 0;
+  virtual auto orderStage(const StageOrder &Order, FencingNumber Fencing,
+                          std::function<void(OrderAnswer)> Done) -> void = 0;
+  virtual auto reportUsage(const UsageReport &Report,
+                           std::function<void(OrderAnswer)> Done) -> void = 0;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_SERVING_FLEETCALLS_H
--- /dev/null
+++ b/include/dotterel/serving/LoadBook.h
@@ -0,0 +1,69 @@
+//===- LoadBook.h - Load of backend servers ---------------------*- C++ -*-===//
+///
+/// \file
+/// What this host has under way at each server, and what the servers say.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_SERVING_LOADBOOK_H
+#define DOTTEREL_SERVING_LOADBOOK_H
+
+#include "dotterel/base/Ids.h"
+#include "dotterel/base/Units.h"
+#include "dotterel/serving/BackendTransport.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace dotterel {
+
+struct LoadBookOptions {
+  /// Time in which a server's own statement loses half of its weight.
+  Duration m_ReportHalfLife = Milliseconds(400);
+};
+
+/// Load by server. Figures of other hosts are estimates from what servers say
+/// with their answers.
+class LoadBook {
+public:
+  explicit LoadBook(const LoadBookOptions &Options) : m_Options(Options) {}
+
+  /// An attempt begins, with so many prompt tokens to be read there.
+  auto begin(const BackendId &Backend, double PrefillTokens) -> void;
+  /// The attempt's prompt has been read.
+  auto prefillDone(const BackendId &Backend, double PrefillTokens) -> void;
+  auto end(const BackendId &Backend) -> void;
+  auto report(const BackendId &Backend, const LoadReport &Load,
+              MonotonicTime Now) -> void;
+  auto forget(const BackendId &Backend) -> void;
+
+  /// Own attempts under way.
+  [[nodiscard]] auto own(const BackendId &Backend) const -> double;
+  /// Prompt tokens of own attempts that have not been read.
+  [[nodiscard]] auto ownTokens(const BackendId &Backend) const -> double;
+  /// Attempts of other hosts, running or waiting.
+  [[nodiscard]] auto others(const BackendId &Backend, MonotonicTime Now) const
+      -> double;
+  /// Attempts of all hosts that wait at the server.
+  [[nodiscard]] auto waiting(const BackendId &Backend, MonotonicTime Now) const
+      -> double;
+
+private:
+  struct Entry {
+    double m_Own = 0;
+    double m_Tokens = 0;
+    double m_Others = 0;
+    double m_Waiting = 0;
+    MonotonicTime m_ReportedAt;
+    bool m_Reported = false;
+  };
+
+  [[nodiscard]] auto weight(const Entry &Current, MonotonicTime Now) const
+      -> double;
+
+  LoadBookOptions m_Options;
+  std::unordered_map<BackendId, Entry> m_Entries;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_SERVING_LOADBOOK_H
--- /dev/null
+++ b/src/host/FleetDuty.cpp
@@ -0,0 +1,174 @@
+#include "dotterel/host/FleetDuty.h"
+
+#include "dotterel/base/Log.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+/// Added to the term within which holders must not take turns, so that a lease
+/// that lapses never comes back to its old holder within that term.
+constexpr auto TermReserve = Seconds(1);
+/// Bounds the drift between the clocks of holder and store over one term.
+constexpr auto LeaseMargin = Milliseconds(1000);
+constexpr auto RenewInterval = Milliseconds(1000);
+constexpr auto CampaignInterval = Milliseconds(2000);
+
+auto leaseOptions(const ServiceBounds &Bounds) -> DutyLeaseOptions {
+  return {.m_Term = std::chrono::ceil<Seconds>(Bounds.m_DutyTerm) + TermReserve,
+          .m_Margin = LeaseMargin,
+          .m_RenewInterval = RenewInterval,
+          .m_CampaignInterval = CampaignInterval};
+}
+
+auto orderKey(const ServerOrder &Order) -> std::string {
+  return fmt::format("{}/{}/{}", Order.m_Service.text(),
+                     Order.m_DataCentre.text(),
+                     Order.m_Reclaimable ? "reclaimable" : "ordinary");
+}
+
+auto nameOf(OrderAnswer Answer) -> const char * {
+  switch (Answer) {
+  case OrderAnswer::Accepted:
+    return "accepted";
+  case OrderAnswer::Refused:
+    return "refused";
+  case OrderAnswer::NotSent:
+    return "not_sent";
+  case OrderAnswer::Unknown:
+    return "unknown";
+  }
+  return "";
+}
+
+} // namespace
+
+FleetDuty::FleetDuty(Scheduler &Scheduler, KeyValueStore &Store,
+                     FleetCalls &Calls, FleetDutyInputs Inputs,
+                     const FleetDutyOptions &Options)
+    : m_Scheduler(Scheduler), m_Calls(Calls), m_Inputs(std::move(Inputs)),
+      m_Options(Options),
+      m_Lease(Scheduler, Store, DutyId{"fleet"},
+              ProcessId{Options.m_Host.text()},
+              leaseOptions(Options.m_Bounds)),
+      m_Sealer(Scheduler, Store, m_Lease,
+               [this](const UsageReport &Report,
+                      const std::function<void(bool)> &Done) {
+                 m_Calls.reportUsage(
+                     Report, [this, Done, Alive = m_Alive,
+                              Number = Report.m_Fencing](OrderAnswer Answer) {
+                       if (!*Alive)
+                         return;
+                       if (Answer == OrderAnswer::Refused)
+                         refusedFor(Number, "usage");
+                       Done(Answer == OrderAnswer::Accepted);
+                     });
+               },
+               {.m_WindowLength = std::chrono::duration_cast<Seconds>(
+                    Options.m_Bounds.m_UsageWindow),
+                .m_Grace = Options.m_UsageGrace}),
+      m_Planner(Options.m_Planner) {}
+
+FleetDuty::~FleetDuty() { *m_Alive = false; }
+
+auto FleetDuty::start() -> void {
+  m_Lease.start();
+  m_Timer.emplace(m_Scheduler, m_Options.m_StepInterval, [this] { step(); });
+}
+
+auto FleetDuty::stop() -> void { m_Timer.reset(); }
+
+auto FleetDuty::mayAct() const -> bool {
+  return m_Lease.held() && m_Lease.fencing() != m_Refused;
+}
+
+auto FleetDuty::refusedFor(FencingNumber Number, const char *Matter) -> void {
+  logWarning("duty.refused", {{"fencing", Number}, {"matter", Matter}});
+  m_Refused = Number;
+}
+
+auto FleetDuty::step() -> void {
+  if (!mayAct())
+    return;
+  if (m_Holding != m_Lease.fencing()) {
+    m_Holding = m_Lease.fencing();
+    m_ServerOrders.clear();
+    m_StageOrders.clear();
+  }
+  m_Sealer.step();
+  if (m_Inputs.m_Configuration() == nullptr)
+    return;
+  orderServers();
+  orderStages();
+}
+
+auto FleetDuty::orderServers() -> void {
+  auto Now = m_Scheduler.now();
+  for (const auto &Order : m_Planner.servers(*m_Inputs.m_Configuration())) {
+    auto &Last = m_ServerOrders[orderKey(Order)];
+    auto Settled = Last.m_Accepted && Last.m_Count == Order.m_Count;
+    if (Settled || (Last.m_At != MonotonicTime() &&
+                    Now - Last.m_At < m_Options.m_OrderRetry))
+      continue;
+    Last = {.m_Count = Order.m_Count, .m_At = Now};
+    send(Order);
+  }
+}
+
+auto FleetDuty::send(const ServerOrder &Order) -> void {
+  auto Number = m_Lease.fencing();
+  m_Calls.orderServers(
+      Order, Number,
+      [this, Alive = m_Alive, Order, Number](OrderAnswer Answer) {
+        if (!*Alive)
+          return;
+        logInfo("fleet.ordered", {{"service", Order.m_Service},
+                                  {"data_centre", Order.m_DataCentre},
+                                  {"count", Order.m_Count},
+                                  {"reclaimable", Order.m_Reclaimable},
+                                  {"fencing", Number},
+                                  {"answer", nameOf(Answer)}});
+        // Servers that can be reclaimed are also refused when none are to be
+        // had at the moment.
+        if (Answer == OrderAnswer::Refused && !Order.m_Reclaimable)
+          refusedFor(Number, "servers");
+        auto &Last = m_ServerOrders[orderKey(Order)];
+        if (Answer == OrderAnswer::Accepted && Last.m_Count == Order.m_Count)
+          Last.m_Accepted = true;
+      });
+}
+
+auto FleetDuty::orderStages() -> void {
+  auto Now = m_Scheduler.now();
+  auto Orders = m_Planner.stages(*m_Inputs.m_Configuration(),
+                                 m_Inputs.m_Directory);
+  for (const auto &Order : Orders) {
+    auto &Last = m_StageOrders[Order.m_Backend];
+    if (Last.m_At != MonotonicTime() &&
+        Now - Last.m_At < m_Options.m_OrderRetry)
+      continue;
+    Last.m_At = Now;
+    send(Order);
+  }
+}
+
+auto FleetDuty::send(const StageOrder &Order) -> void {
+  auto Number = m_Lease.fencing();
+  m_Calls.orderStage(
+      Order, Number,
+      [this, Alive = m_Alive, Order, Number](OrderAnswer Answer) {
+        if (!*Alive)
+          return;
+        logInfo("fleet.stage-ordered",
+                {{"backend", Order.m_Backend},
+                 {"stage", Order.m_Stage == EngineStage::Prefill ? "prefill"
+                                                                 : "decode"},
+                 {"fencing", Number},
+                 {"answer", nameOf(Answer)}});
+      });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/host/HostProcess.cpp
@@ -0,0 +1,308 @@
+#include "dotterel/host/HostProcess.h"
+
+#include "dotterel/base/Errors.h"
+#include "dotterel/base/Log.h"
+#include "dotterel/supervision/FunctionComponent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto TickInterval = Milliseconds(500);
+constexpr auto DrainInterval = Milliseconds(100);
+/// Connections still arrive until the balancer has asked twice in vain, once a
+/// second each, and a little longer for those on their way.
+constexpr auto BalancerLag = Milliseconds(2600);
+/// Left of the grace at the end, for the exit itself.
+constexpr auto ExitReserve = Milliseconds(400);
+/// Share of the promised bound after which keyed work stops: a watch may be
+/// deaf for a second, and the answer itself takes time.
+constexpr auto EvidenceShare = 0.7;
+/// Share of the evidence bound after which the host asks for no more work.
+constexpr auto ReadyShare = 0.9;
+/// Waits of the configuration's watch, as a share of the evidence bound.
+constexpr auto WatchShare = 0.28;
+/// Pause between looks at the servers' entries, which change all the time, as
+/// a share of the promised drain bound.
+constexpr auto BackendPauseShare = 0.16;
+/// Descriptors for files, the store, the platform and backend servers.
+constexpr auto ReservedDescriptors = 700U;
+constexpr auto MostConnections = 3000U;
+
+auto scaled(Duration Value, double Share) -> Duration {
+  return std::chrono::duration_cast<Duration>(Value * Share);
+}
+
+auto evidenceBound(const ServiceBounds &Bounds) -> Duration {
+  return scaled(Bounds.m_KeyWithdrawal, EvidenceShare);
+}
+
+auto coreOptions(const HostSettings &Settings) -> ServingCoreOptions {
+  const auto &Bounds = Settings.m_Bounds;
+  auto Options = ServingCoreOptions();
+  Options.m_EvidenceBound = evidenceBound(Bounds);
+  Options.m_RequireEvidence = Bounds.m_StrictWithdrawal;
+  Options.m_Retries.m_Window = Bounds.m_RetryWindow;
+  Options.m_Retries.m_Ratio = Bounds.m_RetryRatio;
+  return Options;
+}
+
+auto usageOptions(const ServiceBounds &Bounds) -> UsageRecorderOptions {
+  auto Length = std::chrono::duration_cast<Seconds>(Bounds.m_UsageWindow);
+  return {.m_Writer = {.m_WindowLength = Length}, .m_FlushInterval = Length};
+}
+
+/// Serves the metrics as text at any path.
+class MetricsHandler final : public HttpHandler {
+public:
+  explicit MetricsHandler(const ServingMetrics &Metrics) : m_Metrics(Metrics) {}
+
+  auto handle(HttpExchangePtr Exchange) -> void override {
+    Exchange->respond(
+        {.m_Headers = {{.m_Name = "Content-Type",
+                        .m_Value = "text/plain; version=0.0.4"}},
+         .m_Body = m_Metrics.text()});
+  }
+  auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
+    return {.m_Status = 413};
+  }
+
+private:
+  const ServingMetrics &m_Metrics;
+};
+
+} // namespace
+
+HostProcess::HostProcess(EventLoop &Loop, const HostPorts &Ports,
+                         const HostOptions &Options)
+    : m_Loop(Loop), m_Ports(Ports), m_Options(Options), m_Random(systemSeed()),
+      m_Log(Loop, {}), m_Time(Loop, {}),
+      m_Distance(Options.m_Settings.m_Location, Options.m_Settings.m_Regions),
+      m_Core(
+          Loop, m_Random, Ports.m_Transport, m_Distance, m_Metrics,
+          [this](const OrganisationId &Organisation) {
+            m_Usage.record({.m_Organisation = Organisation}, {.m_Requests = 1},
+                           [] {});
+          },
+          coreOptions(Options.m_Settings)),
+      m_ConfigurationMirror(
+          Loop, Ports.m_Store, Ports.m_Watch, m_Random,
+          {.m_Prefix = Ports.m_Records.configurationKey(),
+           .m_Wait =
+               scaled(evidenceBound(Options.m_Settings.m_Bounds), WatchShare)}),
+      m_BackendMirror(
+          Loop, Ports.m_Store, Ports.m_Watch, m_Random,
+          {.m_Prefix = Ports.m_Records.backendPrefix(),
+           .m_Pause =
+               scaled(Options.m_Settings.m_Bounds.m_Drain, BackendPauseShare)}),
+      m_Usage(
+          m_Time, Ports.m_Store, IncarnationId{m_Random.hex()},
+          // Hosts keep no copies for each other: counts go to the store.
+          [](const UsageSegment &, const std::function<void(bool)> &Done) {
+            Done(true);
+          },
+          usageOptions(Options.m_Settings.m_Bounds)),
+      m_Duty(m_Time, Ports.m_Store, Ports.m_Fleet,
+             {.m_Directory = m_Core.directory(),
+              .m_Configuration = [this] { return m_Core.configuration(); }},
+             {.m_Bounds = Options.m_Settings.m_Bounds,
+              .m_Host = Options.m_Settings.m_Location.m_Host}),
+      m_Tree(Loop, "host", {}) {
+  m_ConfigurationMirror.onChange(
+      [this](const KeyChange &Change) { takeConfiguration(Change); });
+  m_ConfigurationMirror.onEvidence(
+      [this](MonotonicTime SentAt) { m_Core.recordEvidence(SentAt); });
+  m_ConfigurationMirror.onReachable([](bool Reachable) {
+    logWarning(Reachable ? "store.regained" : "store.lost", {});
+  });
+  m_BackendMirror.onChange(
+      [this](const KeyChange &Change) { takeBackend(Change); });
+}
+
+HostProcess::~HostProcess() = default;
+
+auto HostProcess::takeConfiguration(const KeyChange &Change) -> void {
+  if (Change.m_Key != m_Ports.m_Records.configurationKey() || !Change.m_Value)
+    return;
+  try {
+    if (!m_Core.apply(m_Ports.m_Records.configuration(*Change.m_Value)))
+      return;
+  } catch (const ConfigurationError &Failure) {
+    // The one in force stays.
+    logError("config.unreadable",
+             {{"revision", Change.m_Revision}, {"reason", Failure.what()}});
+    return;
+  }
+  if (m_CallerServer)
+    m_CallerServer->setLimits(m_Core.configuration()->m_Limits);
+}
+
+auto HostProcess::takeBackend(const KeyChange &Change) -> void {
+  auto Id = m_Ports.m_Records.backendOf(Change.m_Key);
+  if (!Change.m_Value) {
+    m_Core.directory().remove(Id);
+    return;
+  }
+  try {
+    m_Core.directory().put(
+        m_Ports.m_Records.backend(Change.m_Key, *Change.m_Value));
+  } catch (const ProtocolError &Failure) {
+    logWarning("backend.unreadable",
+               {{"backend", Id}, {"reason", Failure.what()}});
+    m_Core.directory().remove(Id);
+  }
+}
+
+auto HostProcess::serve(CallerExchangePtr Exchange) -> void {
+  m_Core.serve(std::move(Exchange));
+}
+
+auto HostProcess::ready() const -> bool {
+  auto Bound = scaled(evidenceBound(m_Options.m_Settings.m_Bounds), ReadyShare);
+  return !m_DrainSince && m_Core.configuration() != nullptr &&
+         m_Core.evidenceAge() < Bound;
+}
+
+auto HostProcess::tick() -> void {
+  auto Age = m_Core.evidenceAge();
+  if (Age != Duration::max())
+    m_Metrics.setEvidenceAge(std::chrono::duration<double>(Age).count());
+  m_Metrics.setActive(static_cast<double>(m_Core.active()));
+  m_Metrics.setDutyHeld(m_Duty.held());
+  m_Metrics.setLogLinesDropped(static_cast<double>(m_Log.dropped()));
+}
+
+auto HostProcess::reload() -> void {
+  try {
+    auto Settings = m_Ports.m_ReadSettings();
+    auto Changed = !(Settings == m_Options.m_Settings);
+    logInfo("host.reloaded", {{"changed", Changed}});
+    m_Options.m_Settings = std::move(Settings);
+  } catch (const SettingsError &Failure) {
+    // What is in force stays.
+    logError("host.reload-failed", {{"reason", Failure.what()}});
+  }
+}
+
+auto HostProcess::buildTree(HttpHandler &Callers, HttpHandler &Readiness)
+    -> void {
+  const auto &Settings = m_Options.m_Settings;
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "mirrors",
+      .m_Start =
+          [this] {
+            m_ConfigurationMirror.start();
+            m_BackendMirror.start();
+          },
+      .m_Reset = [] {}}));
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "usage",
+      .m_Start = [] {},
+      .m_Reset = [] {},
+      .m_Stop =
+          [this](std::function<void()> Done) {
+            m_Usage.flush();
+            m_Usage.drain(std::move(Done));
+          }}));
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "fleet-duty",
+      .m_Start = [this] { m_Duty.start(); },
+      .m_Reset = [this] { m_Duty.stop(); }}));
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "readiness-server",
+      .m_Start =
+          [this, &Readiness, Address = Settings.m_ReadinessAddress] {
+            m_ReadinessServer.emplace(
+                m_Loop, Readiness,
+                StrictHttpServerOptions{.m_Address =
+                                            SocketAddress::parse(Address)});
+          },
+      .m_Reset = [this] { m_ReadinessServer.reset(); }}));
+  if (!m_Options.m_MetricsAddress.empty()) {
+    m_MetricsHandler = std::make_unique<MetricsHandler>(m_Metrics);
+    m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+        .m_Name = "metrics-server",
+        .m_Start =
+            [this] {
+              m_MetricsServer.emplace(
+                  m_Loop, *m_MetricsHandler,
+                  StrictHttpServerOptions{.m_Address = SocketAddress::parse(
+                                              m_Options.m_MetricsAddress)});
+            },
+        .m_Reset = [this] { m_MetricsServer.reset(); }}));
+  }
+  auto Reserved = std::min(ReservedDescriptors, Settings.m_MaximumDescriptors / 2);
+  auto Connections =
+      std::min(MostConnections, Settings.m_MaximumDescriptors - Reserved);
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "caller-server",
+      .m_Start =
+          [this, &Callers, Connections,
+           Address = Settings.m_CallerAddress] {
+            m_CallerServer.emplace(
+                m_Loop, Callers,
+                StrictHttpServerOptions{.m_Address =
+                                            SocketAddress::parse(Address),
+                                        .m_MaximumConnections = Connections});
+          },
+      .m_Reset = [this] { m_CallerServer.reset(); },
+      .m_Stop = [this](std::function<void()> Done) { drain(std::move(Done)); }}));
+}
+
+auto HostProcess::drain(std::function<void()> Done) -> void {
+  m_DrainSince = m_Loop.now();
+  // Nothing is ordered or reported by a host that is about to go.
+  m_Duty.stop();
+  m_CallerServer->closeAfterAnswers();
+  logInfo("host.draining", {{"active", m_Core.active()}});
+  m_DrainTimer.emplace(m_Loop, DrainInterval,
+                       [this, Done = std::move(Done)] { finishDrain(Done); });
+}
+
+auto HostProcess::finishDrain(const std::function<void()> &Done) -> void {
+  auto Since = m_Loop.now() - *m_DrainSince;
+  if (Since < BalancerLag)
+    return;
+  m_CallerServer->closeIdle();
+  auto Over = Since >= m_Options.m_Settings.m_Bounds.m_ShutdownGrace -
+                           ExitReserve;
+  if (m_CallerServer->busyConnections() > 0 && !Over)
+    return;
+  logInfo("host.drained", {{"unfinished", m_Core.active()}});
+  // The callback runs inside this timer, and its owner may end the process.
+  auto Finish = Done;
+  m_Loop.schedule(DrainInterval, Finish);
+  m_DrainTimer.reset();
+}
+
+auto HostProcess::run(HttpHandler &Callers, HttpHandler &Readiness) -> int {
+  buildTree(Callers, Readiness);
+  m_Tree.onEscalation([this](const std::string &Reason) {
+    logError("host.failed", {{"reason", Reason}});
+    m_Failed = true;
+    m_Loop.stop();
+  });
+  auto Stopping = false;
+  m_Loop.onTermination([this, &Stopping] {
+    if (std::exchange(Stopping, true))
+      return;
+    logInfo("host.stopping", {});
+    m_Tree.stop([this] { m_Loop.stop(); });
+  });
+  m_Loop.onReload([this] { reload(); });
+  m_TickTimer.emplace(m_Loop, TickInterval, [this] { tick(); });
+  const auto &Settings = m_Options.m_Settings;
+  logInfo("host.starting", {{"host", Settings.m_Location.m_Host},
+                            {"data_centre", Settings.m_Location.m_DataCentre},
+                            {"callers", Settings.m_CallerAddress},
+                            {"store", Settings.m_StoreAddress}});
+  m_Tree.start();
+  m_Loop.run();
+  logInfo("host.stopped", {{"failed", m_Failed}});
+  return m_Failed ? 1 : 0;
+}
+
+} // namespace dotterel
--- a/src/io/EventLoop.cpp
+++ b/src/io/EventLoop.cpp
@@ -31,6 +31,8 @@
     ev_signal_stop(m_Loop, &m_Terminate);
     ev_signal_stop(m_Loop, &m_Interrupt);
   }
+  if (m_OnReload)
+    ev_signal_stop(m_Loop, &m_HangUp);
   ev_loop_destroy(m_Loop);
 }
 
@@ -86,6 +88,13 @@
   ev_signal_start(m_Loop, &m_Interrupt);
 }
 
+auto EventLoop::onReload(std::function<void()> Callback) -> void {
+  m_OnReload = std::move(Callback);
+  ev_signal_init(&m_HangUp, &EventLoop::onSignal, SIGHUP);
+  m_HangUp.data = this;
+  ev_signal_start(m_Loop, &m_HangUp);
+}
+
 auto EventLoop::onTimer(struct ev_loop * /*Loop*/, ev_timer *Watcher,
                         int /*Events*/) -> void {
   auto *Entry = static_cast<TimerEntry *>(Watcher->data);
@@ -96,7 +105,11 @@
 
 auto EventLoop::onSignal(struct ev_loop * /*Loop*/, ev_signal *Watcher,
                          int /*Events*/) -> void {
-  static_cast<EventLoop *>(Watcher->data)->m_OnTermination();
+  auto &Self = *static_cast<EventLoop *>(Watcher->data);
+  if (Watcher->signum == SIGHUP)
+    Self.m_OnReload();
+  else
+    Self.m_OnTermination();
 }
 
 FdWatcher::FdWatcher(EventLoop &Loop, int Fd, int Events,
--- /dev/null
+++ b/src/serving/RetryWindow.cpp
@@ -0,0 +1,32 @@
+#include "dotterel/serving/RetryWindow.h"
+
+namespace dotterel {
+
+auto RetryWindow::expire(Counts &Current, MonotonicTime Now) const -> void {
+  auto Start = Now - m_Options.m_Window;
+  while (!Current.m_Requests.empty() && Current.m_Requests.front() <= Start)
+    Current.m_Requests.pop_front();
+  while (!Current.m_Extra.empty() && Current.m_Extra.front() <= Start)
+    Current.m_Extra.pop_front();
+}
+
+auto RetryWindow::recordRequest(const ServiceId &Service, MonotonicTime Now)
+    -> void {
+  auto &Current = m_Services[Service];
+  expire(Current, Now);
+  Current.m_Requests.push_back(Now);
+}
+
+auto RetryWindow::take(const ServiceId &Service, MonotonicTime Now) -> bool {
+  auto &Current = m_Services[Service];
+  expire(Current, Now);
+  auto Room = m_Options.m_Allowance +
+              m_Options.m_Ratio * m_Options.m_UsedShare *
+                  static_cast<double>(Current.m_Requests.size());
+  if (static_cast<double>(Current.m_Extra.size()) + 1 > Room)
+    return false;
+  Current.m_Extra.push_back(Now);
+  return true;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/serving/ServedRequest.cpp
@@ -0,0 +1,472 @@
+#include "dotterel/serving/ServedRequest.h"
+
+#include "dotterel/base/Log.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto FirstServerError = 500U;
+/// The lowest rank that engines know.
+constexpr auto LowestRank = 9U;
+
+auto successful(unsigned Status) -> bool {
+  return Status >= 200 && Status < 300;
+}
+
+} // namespace
+
+ServedRequest::ServedRequest(ServingContext &Context,
+                             CallerExchangePtr Exchange, RequestTerms Terms,
+                             std::function<void()> Ended)
+    : m_Context(Context), m_Exchange(std::move(Exchange)),
+      m_Terms(std::move(Terms)), m_Ended(std::move(Ended)),
+      m_ArrivedAt(Context.m_Scheduler.now()) {
+  auto Limit = m_Terms.m_Route->m_Timeout;
+  if (auto Left = m_Exchange->request().m_TimeLeft)
+    Limit = std::min(Limit, *Left);
+  m_Deadline = m_ArrivedAt + Limit;
+}
+
+ServedRequest::~ServedRequest() {
+  if (m_Timer)
+    m_Context.m_Scheduler.cancel(*m_Timer);
+  m_Exchange->onDisconnect(nullptr);
+  dropAttempt();
+}
+
+auto ServedRequest::start() -> void {
+  m_Context.m_Retries.recordRequest(m_Terms.m_Service->m_Id, m_ArrivedAt);
+  m_Exchange->onDisconnect([this] { callerLeft(); });
+  m_Timer = m_Context.m_Scheduler.schedule(
+      m_Deadline - m_ArrivedAt + m_Context.m_Options.m_ExpirySlack, [this] {
+        m_Timer.reset();
+        expire();
+      });
+  place();
+}
+
+auto ServedRequest::timeLeft() const -> Duration {
+  return m_Deadline - m_Context.m_Scheduler.now();
+}
+
+auto ServedRequest::returnTime(Duration Wanted) -> Duration {
+  const auto &Options = m_Context.m_Options;
+  auto Most = std::chrono::duration_cast<Duration>(timeLeft() *
+                                                   Options.m_ReturnShare);
+  Most = std::max(Most, Options.m_ShortestReturn);
+  auto Chosen = std::clamp(Wanted, Options.m_ShortestReturn, Most);
+  // Spread, so that callers refused together do not return together.
+  constexpr auto Least = 0.7;
+  return std::chrono::duration_cast<Duration>(
+      Chosen * (Least + (1 - Least) * m_Context.m_Random.unit()));
+}
+
+auto ServedRequest::place() -> void {
+  if (++m_Placements > m_Context.m_Options.m_MostPlacements) {
+    refuse(RefusalCode::BackendUnreachable, "no server could be reached",
+           returnTime(m_Context.m_Options.m_ShortestReturn));
+    return;
+  }
+  auto Prompt = m_Terms.m_Service->m_Engine && m_Exchange->request().m_Prompt;
+  if (Prompt)
+    placePrompt();
+  else
+    placePlain();
+}
+
+auto ServedRequest::placePlain() -> void {
+  const auto *Target = m_Context.m_ServerChoice.choose(
+      m_Context.view(), m_Terms.m_Service->m_Id, m_Excluded,
+      m_Context.m_Scheduler.now());
+  if (Target == nullptr) {
+    refuse(RefusalCode::NoBackend, "no server of the service is registered",
+           returnTime(timeLeft()));
+    return;
+  }
+  send(*Target, AttemptPurpose::Serve, 0, {});
+}
+
+auto ServedRequest::placePrompt() -> void {
+  const auto &Prompt = *m_Exchange->request().m_Prompt;
+  auto Plan = m_Context.m_Placement.plan(
+      m_Context.view(), m_Context.m_Caches, m_Context.m_Speed,
+      *m_Terms.m_Service, Prompt, m_Excluded, m_Context.m_Scheduler.now());
+  if (!Plan.possible()) {
+    refuse(RefusalCode::NoBackend, "no engine of the service is registered",
+           returnTime(timeLeft()));
+    return;
+  }
+  m_Estimate = Plan.m_Estimate;
+  auto Feasible = std::chrono::duration_cast<Duration>(
+      timeLeft() * m_Context.m_Options.m_FeasibleShare);
+  if (!m_Streaming && Plan.m_Estimate > Feasible) {
+    refuse(RefusalCode::QueueFull,
+           fmt::format("the first event is expected after {} ms, {} ms are left",
+                       toMilliseconds(Plan.m_Estimate),
+                       toMilliseconds(timeLeft())),
+           returnTime(Plan.m_Estimate - Feasible));
+    return;
+  }
+  // A stream that goes on is not read apart again: its engine reads what it
+  // lacks.
+  if (Plan.m_Prefill != nullptr && !m_Streaming) {
+    send(*Plan.m_Prefill, AttemptPurpose::Prefill, Plan.m_NewTokens,
+         Plan.m_FetchFrom);
+    return;
+  }
+  const auto *Target = Plan.m_Serve;
+  if (Target == nullptr)
+    Target = m_Context.m_Placement.chooseDecode(
+        m_Context.view(), m_Context.m_Speed, *m_Terms.m_Service,
+        *Plan.m_Prefill, m_Excluded, m_Context.m_Scheduler.now());
+  if (Target == nullptr) {
+    refuse(RefusalCode::NoBackend, "no engine generates",
+           returnTime(timeLeft()));
+    return;
+  }
+  send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom);
+}
+
+auto ServedRequest::send(const BackendRecord &Target, AttemptPurpose Purpose,
+                         double Tokens, const std::string &FetchFrom) -> void {
+  // The first prefill is free of the budget, and so is the first arrival.
+  auto Free = Purpose == AttemptPurpose::Prefill ? m_Prefills == 0
+                                                 : m_Arrivals == 0;
+  if (!Free && !std::exchange(m_Prepaid, false) &&
+      !m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
+                                         m_Context.m_Scheduler.now())) {
+    if (m_Streaming) {
+      finish("cut", "no retry is left in the budget");
+      return;
+    }
+    refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
+           "no retry is left in the budget", returnTime(timeLeft()));
+    return;
+  }
+  ++(Purpose == AttemptPurpose::Prefill ? m_Prefills : m_Arrivals);
+  const auto &Request = m_Exchange->request();
+  auto Sent = BackendAttempt{
+      .m_Request = &Request,
+      .m_Backend = Target.m_Id,
+      .m_Address = Target.m_Address,
+      .m_Purpose = Purpose,
+      .m_TimeLeft = timeLeft(),
+      .m_Organisation = m_Terms.m_Organisation,
+      .m_FetchFrom = FetchFrom,
+      .m_ResumeAfter = m_Events.lastId().empty() ? Request.m_ResumeAfter
+                                                 : m_Events.lastId()};
+  if (m_Terms.m_Service->m_Engine)
+    Sent.m_Rank = std::min(LowestRank, m_Terms.m_Priority);
+  auto Current = Attempt{.m_Backend = Target.m_Id,
+                         .m_Address = Target.m_Address,
+                         .m_DataCentre = Target.m_DataCentre,
+                         .m_Purpose = Purpose,
+                         .m_Tokens = Tokens,
+                         .m_Since = m_Context.m_Scheduler.now()};
+  if (Purpose == AttemptPurpose::Serve) {
+    Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
+    Current.m_HadCache = Sent.m_Cache.has_value();
+  }
+  m_Context.m_Loads.begin(Target.m_Id, Tokens);
+  Current.m_Id = m_Context.m_Transport.send(
+      Sent, m_Terms.m_Route->m_Kind == RequestKind::Stream, *this);
+  m_Attempt = Current;
+}
+
+auto ServedRequest::countRun() -> void {
+  if (std::exchange(m_Counted, true) || m_Terms.m_Organisation.empty())
+    return;
+  m_Context.m_CountUsage(m_Terms.m_Organisation);
+}
+
+auto ServedRequest::onBegin(const AnswerHead &Head,
+                            const std::optional<LoadReport> &Load) -> void {
+  auto Now = m_Context.m_Scheduler.now();
+  m_Context.m_Loads.prefillDone(m_Attempt->m_Backend, m_Attempt->m_Tokens);
+  if (Load)
+    m_Context.m_Loads.report(m_Attempt->m_Backend, *Load, Now);
+  m_Attempt->m_Tokens = 0;
+  // A stream that goes on keeps the head of its first server.
+  if (!std::exchange(m_Streaming, true))
+    m_Exchange->beginStream(Head);
+}
+
+auto ServedRequest::onData(std::string_view Data) -> void {
+  if (!std::exchange(m_FirstSeen, true)) {
+    countRun();
+    m_Context.m_Metrics.observeFirstAnswer(
+        m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
+    m_Trail += fmt::format(
+        " first={}ms",
+        toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt));
+    if (m_Exchange->request().m_Prompt && m_Terms.m_Service->m_Engine)
+      m_Context.m_Caches.touch(m_Attempt->m_Backend,
+                               m_Terms.m_Service->m_Engine->m_CacheCapacity,
+                               *m_Exchange->request().m_Prompt);
+  }
+  forward(Data);
+}
+
+auto ServedRequest::forward(std::string_view Data) -> void {
+  if (m_Terms.m_Route->m_Resumable)
+    m_Exchange->write(m_Events.feed(Data));
+  else
+    m_Exchange->write(Data);
+  if (!m_Done &&
+      m_Exchange->backlog() > m_Context.m_Options.m_MostBacklogBytes) {
+    dropAttempt();
+    finish("cut", "the caller does not take the answer");
+  }
+}
+
+auto ServedRequest::settleAttempt(const AttemptResult &Result) -> Attempt {
+  auto Ended = *m_Attempt;
+  m_Attempt.reset();
+  auto Now = m_Context.m_Scheduler.now();
+  m_Context.m_Loads.prefillDone(Ended.m_Backend, Ended.m_Tokens);
+  m_Context.m_Loads.end(Ended.m_Backend);
+  if (Result.m_Load)
+    m_Context.m_Loads.report(Ended.m_Backend, *Result.m_Load, Now);
+  m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_End);
+  m_Trail += fmt::format(" {}@{}:{}:{}:{}ms", nameOf(Ended.m_Purpose),
+                         Ended.m_Backend.text(), nameOf(Result.m_End),
+                         Result.m_Head.m_Status,
+                         toMilliseconds(Now - Ended.m_Since));
+  switch (Result.m_End) {
+  case AttemptEnd::Whole:
+    if (Result.m_Head.m_Status < FirstServerError)
+      m_Context.m_Health.recordSuccess(Ended.m_Backend);
+    else
+      m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
+    break;
+  case AttemptEnd::NotExecuted:
+    break;
+  case AttemptEnd::NotSent:
+  case AttemptEnd::Broken:
+  case AttemptEnd::TimedOut:
+  case AttemptEnd::WrongServer:
+    // A connection that its server closed while idle tells of no fault.
+    if (!Result.m_ReusedConnection)
+      m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
+    break;
+  }
+  return Ended;
+}
+
+auto ServedRequest::onEnd(AttemptResult Result) -> void {
+  auto Ended = settleAttempt(Result);
+  if (Ended.m_Purpose == AttemptPurpose::Prefill)
+    prefillEnded(Ended, Result);
+  else
+    serveEnded(Ended, std::move(Result));
+}
+
+auto ServedRequest::prefillEnded(const Attempt &Ended,
+                                 const AttemptResult &Result) -> void {
+  if (Result.m_End == AttemptEnd::Whole && Result.m_Cache) {
+    const auto &Prompt = *m_Exchange->request().m_Prompt;
+    m_Context.m_Speed.record(Ended.m_Tokens,
+                             m_Context.m_Scheduler.now() - Ended.m_Since);
+    m_Context.m_Caches.touch(Ended.m_Backend,
+                             m_Terms.m_Service->m_Engine->m_CacheCapacity,
+                             Prompt);
+    m_Cache = Result.m_Cache;
+    decodeElsewhere(Ended);
+    return;
+  }
+  // A prompt that was read is no run of the request.
+  m_Excluded.insert(Ended.m_Backend);
+  if (timeLeft() <= Duration::zero()) {
+    expire();
+    return;
+  }
+  place();
+}
+
+auto ServedRequest::decodeElsewhere(const Attempt &Reader) -> void {
+  auto Record = BackendRecord{.m_Id = Reader.m_Backend,
+                              .m_DataCentre = Reader.m_DataCentre};
+  const auto *Target = m_Context.m_Placement.chooseDecode(
+      m_Context.view(), m_Context.m_Speed, *m_Terms.m_Service, Record,
+      m_Excluded, m_Context.m_Scheduler.now());
+  if (Target == nullptr) {
+    refuse(RefusalCode::NoBackend, "no engine generates",
+           returnTime(timeLeft()));
+    return;
+  }
+  send(*Target, AttemptPurpose::Serve, 0, {});
+}
+
+auto ServedRequest::serveEnded(const Attempt &Ended, AttemptResult Result)
+    -> void {
+  switch (Result.m_End) {
+  case AttemptEnd::Whole:
+    answered(Ended, std::move(Result));
+    return;
+  case AttemptEnd::NotSent:
+  case AttemptEnd::NotExecuted:
+  case AttemptEnd::WrongServer:
+    // A prompt read elsewhere may have gone meanwhile; its engine may be sound.
+    if (!Ended.m_HadCache || Result.m_End != AttemptEnd::NotExecuted)
+      m_Excluded.insert(Ended.m_Backend);
+    retryUnrun(Result);
+    return;
+  case AttemptEnd::Broken:
+  case AttemptEnd::TimedOut:
+    ++m_Runs;
+    retryAfterFailure(Ended, Result);
+    return;
+  }
+}
+
+auto ServedRequest::mayRepeat() const -> bool {
+  return m_Terms.m_Route->repeatable() &&
+         m_Runs < m_Terms.m_Route->m_MaximumAttempts &&
+         timeLeft() > Duration::zero();
+}
+
+auto ServedRequest::answered(const Attempt &Ended, AttemptResult Result)
+    -> void {
+  auto Status = Result.m_Head.m_Status;
+  if (m_Streaming) {
+    if (!successful(Status)) {
+      // Another server's failure cannot follow a begun answer.
+      finish("cut", fmt::format("status {} after the first event", Status));
+      return;
+    }
+    if (m_Terms.m_Route->m_Resumable && !m_Events.rest().empty())
+      m_Exchange->write(m_Events.rest());
+    m_Context.m_Metrics.observeWhole(
+        m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
+    m_Exchange->finish();
+    finish("served", {});
+    return;
+  }
+  countRun();
+  ++m_Runs;
+  if (Status >= FirstServerError && mayRepeat() &&
+      m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
+                               m_Context.m_Scheduler.now())) {
+    m_Excluded.insert(Ended.m_Backend);
+    m_Prepaid = true;
+    place();
+    return;
+  }
+  m_Context.m_Metrics.observeWhole(
+      m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
+  m_Exchange->answer(Result.m_Head, std::move(Result.m_Body));
+  finish(successful(Status) ? "served" : "server_failure",
+         fmt::format("status {}", Status));
+}
+
+auto ServedRequest::retryUnrun(const AttemptResult &Result) -> void {
+  if (timeLeft() <= Duration::zero()) {
+    expire();
+    return;
+  }
+  if (Result.m_End == AttemptEnd::NotSent)
+    // Nothing arrived anywhere.
+    m_Arrivals -= std::min(m_Arrivals, 1U);
+  place();
+}
+
+auto ServedRequest::retryAfterFailure(const Attempt &Ended,
+                                      const AttemptResult &Result) -> void {
+  if (mayRepeat()) {
+    m_Events.dropRest();
+    // A connection that was closed while idle says nothing about its server.
+    if (!Result.m_ReusedConnection)
+      m_Excluded.insert(Ended.m_Backend);
+    place();
+    return;
+  }
+  if (m_Streaming) {
+    finish("cut", Result.m_Detail);
+    return;
+  }
+  refuse(Result.m_End == AttemptEnd::TimedOut ? RefusalCode::DeadlineExceeded
+                                              : RefusalCode::BackendFailed,
+         Result.m_Detail);
+}
+
+auto ServedRequest::refuse(RefusalCode Code, std::string Detail,
+                           std::optional<Duration> RetryAfter) -> void {
+  if (m_Done)
+    return;
+  if (m_Streaming) {
+    finish("cut", Detail);
+    return;
+  }
+  auto Ran = m_Runs > 0 ? Execution::MayHaveRun : Execution::NotRun;
+  m_Exchange->refuse(Refusal(Code, Ran, Detail), RetryAfter);
+  if (RetryAfter)
+    Detail += fmt::format("; return after {} ms", toMilliseconds(*RetryAfter));
+  finish(std::string(shapeOf(Code).m_Name), Detail);
+}
+
+auto ServedRequest::dropAttempt() -> void {
+  if (m_Cache) {
+    m_Context.m_Transport.release(*m_Cache);
+    m_Cache.reset();
+  }
+  if (!m_Attempt)
+    return;
+  auto Dropped = *m_Attempt;
+  m_Attempt.reset();
+  m_Context.m_Loads.prefillDone(Dropped.m_Backend, Dropped.m_Tokens);
+  m_Context.m_Loads.end(Dropped.m_Backend);
+  m_Context.m_Transport.cancel(Dropped.m_Id);
+  m_Trail += fmt::format(
+      " {}@{}:dropped:{}ms", nameOf(Dropped.m_Purpose),
+      Dropped.m_Backend.text(),
+      toMilliseconds(m_Context.m_Scheduler.now() - Dropped.m_Since));
+}
+
+auto ServedRequest::callerLeft() -> void {
+  dropAttempt();
+  finish("caller_left", {});
+}
+
+auto ServedRequest::expire() -> void {
+  if (m_Done)
+    return;
+  if (m_Attempt && m_Attempt->m_Purpose == AttemptPurpose::Serve)
+    ++m_Runs;
+  dropAttempt();
+  refuse(RefusalCode::DeadlineExceeded, "the time of the request is over");
+}
+
+auto ServedRequest::finish(const std::string &Outcome,
+                           const std::string &Detail) -> void {
+  if (std::exchange(m_Done, true))
+    return;
+  if (m_Timer)
+    m_Context.m_Scheduler.cancel(*m_Timer);
+  m_Timer.reset();
+  m_Exchange->onDisconnect(nullptr);
+  dropAttempt();
+  if (Outcome == "cut")
+    m_Exchange->abort();
+  m_Context.m_Metrics.countRequest(m_Terms.m_Route->m_Kind, Outcome);
+  auto Good = Outcome == "served" || Outcome == "caller_left";
+  logEvent(Good ? LogLevel::Info : LogLevel::Warning, "request.ended",
+           {{"request", m_Exchange->request().m_Id},
+            {"route", m_Terms.m_Route->m_Id},
+            {"organisation", m_Terms.m_Organisation},
+            {"config", m_Terms.m_Configuration->m_Revision},
+            {"outcome", Outcome},
+            {"detail", Detail},
+            {"ms", toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt)},
+            {"allowed_ms", toMilliseconds(m_Deadline - m_ArrivedAt)},
+            {"estimate_ms", toMilliseconds(m_Estimate)},
+            {"attempts", m_Trail}});
+  // The owner destroys this request on the loop's next turn.
+  m_Ended();
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/serving/ServerChoice.cpp
@@ -0,0 +1,55 @@
+#include "dotterel/serving/ServerChoice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dotterel {
+
+auto candidates(const ChoiceView &View, const ServiceId &Service,
+                const std::set<BackendId> &Excluded, MonotonicTime Now)
+    -> std::vector<const BackendRecord *> {
+  const auto &Usable = View.m_Directory.usable(Service);
+  auto Ejected = static_cast<std::size_t>(
+      std::count_if(Usable.begin(), Usable.end(), [&](const auto *Item) {
+        return View.m_Health.ejected(Item->m_Id, Now);
+      }));
+  auto LeaveOut = View.m_Health.mayLeaveOut(Ejected, Usable.size());
+  auto Result = std::vector<const BackendRecord *>();
+  for (const auto *Item : Usable)
+    if (!Excluded.contains(Item->m_Id) &&
+        !(LeaveOut && View.m_Health.ejected(Item->m_Id, Now)))
+      Result.push_back(Item);
+  return Result;
+}
+
+auto ServerChoice::choose(const ChoiceView &View, const ServiceId &Service,
+                          const std::set<BackendId> &Excluded,
+                          MonotonicTime Now) const -> const BackendRecord * {
+  const BackendRecord *Best = nullptr;
+  auto BestCost = std::numeric_limits<double>::max();
+  auto Work = static_cast<double>(m_Options.m_WorkTime.count());
+  for (const auto *Item : candidates(View, Service, Excluded, Now)) {
+    auto Requests = View.m_Loads.own(Item->m_Id) +
+                    View.m_Loads.others(Item->m_Id, Now);
+    auto Slots = std::max(1.0, static_cast<double>(Item->m_Slots));
+    // Work in slots slows its neighbours little; work beyond them waits.
+    auto Cost = Work * (Requests / Slots);
+    if (Requests >= Slots)
+      Cost += Work * (Requests - Slots + 1) / Slots;
+    auto Near = View.m_Distance.to(Item->m_DataCentre);
+    if (Near == Nearness::Region)
+      Cost += static_cast<double>(m_Options.m_RegionPenalty.count());
+    if (Near == Nearness::Remote)
+      Cost += static_cast<double>(m_Options.m_RemotePenalty.count());
+    // Ties are broken by chance, so that hosts do not follow each other.
+    constexpr auto Jitter = 0.05;
+    Cost += Work * Jitter * View.m_Random.unit();
+    if (Cost < BestCost) {
+      BestCost = Cost;
+      Best = Item;
+    }
+  }
+  return Best;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/serving/ServingCore.cpp
@@ -0,0 +1,163 @@
+#include "dotterel/serving/ServingCore.h"
+
+#include "dotterel/base/Log.h"
+
+#include <utility>
+
+namespace dotterel {
+
+namespace {
+
+/// When to come back to a host that has no configuration, or no evidence of it:
+/// the store is asked again within this time.
+constexpr auto ReturnWhenReady = Milliseconds(500);
+
+} // namespace
+
+ServingCore::ServingCore(Scheduler &Scheduler, Random &Random,
+                         BackendTransport &Transport, const Distance &Distance,
+                         ServingMetrics &Metrics,
+                         std::function<void(const OrganisationId &)> CountUsage,
+                         const ServingCoreOptions &Options)
+    : m_Scheduler(Scheduler), m_Options(Options), m_Loads(Options.m_Loads),
+      m_Health(Options.m_Outliers), m_Speed(Options.m_Speed),
+      m_Retries(Options.m_Retries),
+      m_Freshness({.m_Bound = Options.m_EvidenceBound}),
+      m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
+      m_Random(Random), m_Metrics(Metrics),
+      m_Context{.m_Scheduler = Scheduler,
+                .m_Random = Random,
+                .m_Transport = Transport,
+                .m_Directory = m_Directory,
+                .m_Loads = m_Loads,
+                .m_Health = m_Health,
+                .m_Distance = Distance,
+                .m_Caches = m_Caches,
+                .m_Speed = m_Speed,
+                .m_Retries = m_Retries,
+                .m_Metrics = Metrics,
+                .m_ServerChoice = m_ServerChoice,
+                .m_Placement = m_Placement,
+                .m_Options = Options.m_Requests,
+                .m_CountUsage = std::move(CountUsage)} {
+  m_Directory.onForget([this](const BackendId &Id) {
+    m_Loads.forget(Id);
+    m_Health.forget(Id);
+    m_Caches.forget(Id);
+  });
+}
+
+ServingCore::~ServingCore() { *m_Alive = false; }
+
+auto ServingCore::apply(ServingConfiguration Configuration) -> bool {
+  if (m_Configuration &&
+      Configuration.m_Revision <= m_Configuration->m_Revision)
+    return false;
+  auto Before = m_Configuration ? m_Configuration->m_Revision.number() : 0;
+  m_Configuration =
+      std::make_shared<const ServingConfiguration>(std::move(Configuration));
+  m_Routes.emplace(*m_Configuration);
+  logInfo("config.applied", {{"revision", m_Configuration->m_Revision},
+                             {"before", Before},
+                             {"routes", m_Configuration->m_Routes.size()},
+                             {"keys", m_Configuration->m_Keys.size()}});
+  m_Metrics.setConfigRevision(
+      static_cast<double>(m_Configuration->m_Revision.number()));
+  return true;
+}
+
+auto ServingCore::evidenceAge() const -> Duration {
+  return m_Freshness.age(m_Scheduler.now());
+}
+
+auto ServingCore::refuse(const CallerExchangePtr &Exchange, RefusalCode Code,
+                         const char *Detail,
+                         std::optional<Duration> RetryAfter) -> void {
+  auto Age = evidenceAge();
+  logWarning(
+      "request.refused",
+      {{"request", Exchange->request().m_Id},
+       {"outcome", shapeOf(Code).m_Name},
+       {"detail", Detail},
+       {"config", m_Configuration ? m_Configuration->m_Revision
+                                  : ConfigRevision{}},
+       {"evidence_age_ms",
+        Age == Duration::max() ? std::int64_t{-1} : toMilliseconds(Age)}});
+  Exchange->refuse(Refusal(Code, Execution::NotRun, Detail), RetryAfter);
+}
+
+auto ServingCore::chooseService(const ServingRoute &Route)
+    -> const ServiceSpec * {
+  auto Total = 0.0;
+  for (const auto &Share : Route.m_Shares)
+    Total += Share.m_Weight;
+  auto Point = m_Random.unit() * Total;
+  for (const auto &Share : Route.m_Shares) {
+    Point -= Share.m_Weight;
+    if (Point >= 0 && &Share != &Route.m_Shares.back())
+      continue;
+    auto Found = m_Configuration->m_Services.find(Share.m_Service);
+    return Found == m_Configuration->m_Services.end() ? nullptr
+                                                      : &Found->second;
+  }
+  return nullptr;
+}
+
+auto ServingCore::serve(CallerExchangePtr Exchange) -> void {
+  if (!m_Configuration) {
+    refuse(Exchange, RefusalCode::NotReady, "", ReturnWhenReady);
+    return;
+  }
+  const auto &Request = Exchange->request();
+  const auto *Route = m_Routes->find(Request.m_Host, Request.m_Path);
+  if (Route == nullptr) {
+    refuse(Exchange, RefusalCode::UnknownRoute, "", std::nullopt);
+    return;
+  }
+  auto Terms = RequestTerms{.m_Configuration = m_Configuration,
+                            .m_Route = Route,
+                            .m_Priority = Route->m_Priority};
+  if (m_Configuration->m_KeysRequired && !Route->m_Public) {
+    if (Request.m_Key.empty()) {
+      refuse(Exchange, RefusalCode::KeyMissing, "", std::nullopt);
+      return;
+    }
+    if (m_Options.m_RequireEvidence &&
+        evidenceAge() > m_Options.m_EvidenceBound) {
+      refuse(Exchange, RefusalCode::ConfigurationStale, "", ReturnWhenReady);
+      return;
+    }
+    auto Holder = m_Configuration->m_Keys.find(Request.m_Key);
+    if (Holder == m_Configuration->m_Keys.end()) {
+      refuse(Exchange, RefusalCode::KeyUnknown, "", std::nullopt);
+      return;
+    }
+    Terms.m_Organisation = Holder->second.m_Organisation;
+    Terms.m_Priority = Holder->second.m_Priority.value_or(Route->m_Priority);
+  }
+  Terms.m_Service = chooseService(*Route);
+  if (Terms.m_Service == nullptr) {
+    refuse(Exchange, RefusalCode::NoBackend, "the route's service is unknown",
+           ReturnWhenReady);
+    return;
+  }
+  auto Id = ++m_LastRequest;
+  auto Created = std::make_unique<ServedRequest>(
+      m_Context, std::move(Exchange), std::move(Terms),
+      [this, Id] { retire(Id); });
+  auto &Current = *Created;
+  m_Requests.emplace(Id, std::move(Created));
+  Current.start();
+}
+
+auto ServingCore::retire(std::uint64_t Id) -> void {
+  auto Found = m_Requests.find(Id);
+  if (Found == m_Requests.end())
+    return;
+  // The request may be on the stack.
+  auto Ended = std::shared_ptr<ServedRequest>(std::move(Found->second));
+  m_Requests.erase(Found);
+  m_Scheduler.schedule(Duration::zero(), [Ended] {});
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/src/serving/ServingMetrics.cpp
@@ -0,0 +1,159 @@
+#include "dotterel/serving/ServingMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace dotterel {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+auto counters(Registry &Target, const char *Name, const char *Help)
+    -> Family<Counter> & {
+  return BuildCounter().Name(Name).Help(Help).Register(Target);
+}
+
+auto gauge(Registry &Target, const char *Name, const char *Help) -> Gauge & {
+  return BuildGauge().Name(Name).Help(Help).Register(Target).Add({});
+}
+
+/// From below one network round trip to the longest time-outs in use.
+const auto LatencyBuckets = Histogram::BucketBoundaries{
+    0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.2, 2, 3, 5};
+
+auto seconds(Duration Value) -> double {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
+auto nameOf(RequestKind Kind) -> const char * {
+  switch (Kind) {
+  case RequestKind::Safe:
+    return "safe";
+  case RequestKind::Unsafe:
+    return "unsafe";
+  case RequestKind::Stream:
+    return "stream";
+  }
+  return "";
+}
+
+auto nameOf(AttemptPurpose Purpose) -> const char * {
+  return Purpose == AttemptPurpose::Serve ? "serve" : "prefill";
+}
+
+auto nameOf(AttemptEnd End) -> const char * {
+  switch (End) {
+  case AttemptEnd::Whole:
+    return "whole";
+  case AttemptEnd::NotSent:
+    return "not_sent";
+  case AttemptEnd::NotExecuted:
+    return "not_executed";
+  case AttemptEnd::WrongServer:
+    return "wrong_server";
+  case AttemptEnd::Broken:
+    return "broken";
+  case AttemptEnd::TimedOut:
+    return "timed_out";
+  }
+  return "";
+}
+
+struct ServingMetrics::Impl {
+  Registry m_Registry;
+  Family<Counter> &m_Requests =
+      counters(m_Registry, "dotterel_serving_requests_total",
+               "Requests that ended, by kind and outcome.");
+  Family<Counter> &m_Attempts =
+      counters(m_Registry, "dotterel_serving_attempts_total",
+               "Attempts at backend servers, by purpose and end.");
+  Family<Histogram> &m_FirstAnswer =
+      BuildHistogram()
+          .Name("dotterel_serving_first_answer_seconds")
+          .Help("Time to the first byte of a server's answer, by kind.")
+          .Register(m_Registry);
+  Family<Histogram> &m_Whole =
+      BuildHistogram()
+          .Name("dotterel_serving_whole_answer_seconds")
+          .Help("Time to the end of a whole answer, by kind.")
+          .Register(m_Registry);
+  Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
+                          "Requests being handled.");
+  Gauge &m_ConfigRevision =
+      gauge(m_Registry, "dotterel_serving_config_revision",
+            "Revision of the configuration in force.");
+  Gauge &m_EvidenceAge =
+      gauge(m_Registry, "dotterel_serving_evidence_age_seconds",
+            "Age of the newest answer of the store on the configuration.");
+  Gauge &m_DutyHeld = gauge(m_Registry, "dotterel_serving_duty_held",
+                            "Whether this host holds the fleet duty.");
+  Gauge &m_LinesDropped =
+      gauge(m_Registry, "dotterel_serving_log_lines_dropped",
+            "Log lines dropped since the start, since their reader was slow "
+            "or their rate over its bound.");
+};
+
+ServingMetrics::ServingMetrics() : m_Impl(std::make_unique<Impl>()) {}
+ServingMetrics::~ServingMetrics() = default;
+
+auto ServingMetrics::countRequest(RequestKind Kind, const std::string &Outcome)
+    -> void {
+  m_Impl->m_Requests.Add({{"kind", nameOf(Kind)}, {"outcome", Outcome}})
+      .Increment();
+}
+
+auto ServingMetrics::countAttempt(AttemptPurpose Purpose, AttemptEnd End)
+    -> void {
+  m_Impl->m_Attempts.Add({{"purpose", nameOf(Purpose)}, {"end", nameOf(End)}})
+      .Increment();
+}
+
+auto ServingMetrics::observeFirstAnswer(RequestKind Kind, Duration Value)
+    -> void {
+  m_Impl->m_FirstAnswer.Add({{"kind", nameOf(Kind)}}, LatencyBuckets)
+      .Observe(seconds(Value));
+}
+
+auto ServingMetrics::observeWhole(RequestKind Kind, Duration Value) -> void {
+  m_Impl->m_Whole.Add({{"kind", nameOf(Kind)}}, LatencyBuckets)
+      .Observe(seconds(Value));
+}
+
+auto ServingMetrics::setActive(double Count) -> void {
+  m_Impl->m_Active.Set(Count);
+}
+
+auto ServingMetrics::setConfigRevision(double Revision) -> void {
+  m_Impl->m_ConfigRevision.Set(Revision);
+}
+
+auto ServingMetrics::setEvidenceAge(double Seconds) -> void {
+  m_Impl->m_EvidenceAge.Set(Seconds);
+}
+
+auto ServingMetrics::setDutyHeld(bool Held) -> void {
+  m_Impl->m_DutyHeld.Set(Held ? 1 : 0);
+}
+
+auto ServingMetrics::setLogLinesDropped(double Count) -> void {
+  m_Impl->m_LinesDropped.Set(Count);
+}
+
+auto ServingMetrics::text() const -> std::string {
+  return prometheus::TextSerializer().Serialize(m_Impl->m_Registry.Collect());
+}
+
+} // namespace dotterel
