Mend the idle pool: an address's entry could go while it was searched

Ruled out: requests that outlive their attempts (traced by reading each path). Change: the entry is looked up anew; a call that cannot begin can be cancelled.

--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -141,6 +141,8 @@
   std::map<std::string, std::deque<Link *>> m_Idle; ///< Newest use last.
   std::unordered_map<std::uint64_t, Link *> m_Active;
   std::vector<std::unique_ptr<Link>> m_Retired;
+  /// Calls that could not begin and whose owners are told on the next turn.
+  std::unordered_map<std::uint64_t, TimerId> m_Failing;
   std::uint64_t m_LastId = 0;
   RepeatingTimer m_Sweep;
 };
@@ -324,19 +326,18 @@
 }
 
 auto PooledClient::takeIdle(const std::string &Address) -> Link * {
-  auto Found = m_Idle.find(Address);
-  if (Found == m_Idle.end())
-    return nullptr;
   auto Now = m_Loop.now();
-  auto &Links = Found->second;
-  while (!Links.empty()) {
-    auto *Newest = Links.back();
-    Links.pop_back();
+  // Dropping a link may remove the address's entry, so it is looked up anew.
+  while (true) {
+    auto Found = m_Idle.find(Address);
+    if (Found == m_Idle.end() || Found->second.empty())
+      return nullptr;
+    auto *Newest = Found->second.back();
+    Found->second.pop_back();
     if (Newest->idleUntil() > Now)
       return Newest;
     Newest->drop();
   }
-  return nullptr;
 }
 
 auto PooledClient::start(HttpCall Call) -> HttpCallId {
@@ -351,11 +352,14 @@
       Chosen = Created.get();
       m_Links.emplace(Chosen, std::move(Created));
     } catch (const Error &Failure) {
-      m_Loop.schedule(Duration::zero(), [Done = std::move(Call.m_OnDone),
-                                         Text = std::string(Failure.what())] {
-        if (Done)
-          Done({.m_Outcome = HttpOutcome::NotSent, .m_Detail = Text});
-      });
+      auto Timer = m_Loop.schedule(
+          Duration::zero(), [this, Id, Done = std::move(Call.m_OnDone),
+                             Text = std::string(Failure.what())] {
+            m_Failing.erase(Id.number());
+            if (Done)
+              Done({.m_Outcome = HttpOutcome::NotSent, .m_Detail = Text});
+          });
+      m_Failing.emplace(Id.number(), Timer);
       return Id;
     }
   }
@@ -366,6 +370,12 @@
 }
 
 auto PooledClient::cancel(HttpCallId Call) -> void {
+  if (auto Failing = m_Failing.find(Call.number());
+      Failing != m_Failing.end()) {
+    m_Loop.cancel(Failing->second);
+    m_Failing.erase(Failing);
+    return;
+  }
   auto Found = m_Active.find(Call.number());
   if (Found == m_Active.end())
     return;
