--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -21,6 +21,17 @@
             .m_Help = "The platform's settings file."},
            {.m_Name = "metrics-listen",
             .m_Help = "Address for metrics, IP:PORT. Empty: none."},
+           integerSetting("fleet-percent", "100",
+                          "Servers ordered, in percent of the most allowed.", 1,
+                          100),
+           integerSetting("ordinary-percent", "50",
+                          "Ordered servers that cannot be reclaimed, in "
+                          "percent.",
+                          0, 100),
+           integerSetting("prefill-percent", "50",
+                          "Engines of a data centre that read prompts for "
+                          "others, in percent.",
+                          0, 90),
            {.m_Name = "log-level",
             .m_Kind = SettingKind::Choice,
             .m_Default = "info",
@@ -28,6 +39,16 @@
             .m_Choices = {"debug", "info", "warning", "error"}}}};
 }
 
+auto plannerOptions(const Settings &Values) -> FleetPlannerOptions {
+  constexpr auto Percent = 0.01;
+  auto Share = [&Values](const char *Name) {
+    return Percent * static_cast<double>(Values.integer(Name));
+  };
+  return {.m_OrdinaryShare = Share("ordinary-percent"),
+          .m_FleetShare = Share("fleet-percent"),
+          .m_PrefillShare = Share("prefill-percent")};
+}
+
 auto runHost(const Settings &Values) -> int {
   setLogLevel(Values.text("log-level"));
   const auto &Path = Values.text("platform-settings");
@@ -50,7 +71,8 @@
        .m_Records = Records,
        .m_ReadSettings = [Path] { return platform::readNodeSettings(Path); }},
       {.m_Settings = Node,
-       .m_MetricsAddress = Values.text("metrics-listen")});
+       .m_MetricsAddress = Values.text("metrics-listen"),
+       .m_Planner = plannerOptions(Values)});
   auto Callers = platform::CallerEdge([&Host](CallerExchangePtr Exchange) {
     Host.serve(std::move(Exchange));
   });
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -60,6 +60,7 @@
 struct HostOptions {
   HostSettings m_Settings;
   std::string m_MetricsAddress; ///< IP:PORT; empty: no metrics are served.
+  FleetPlannerOptions m_Planner;
 };
 
 /// One host of the system.
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -17,9 +17,6 @@
 namespace dotterel {
 
 struct EnginePlacementOptions {
-  /// Prompts of so many new tokens or fewer are read where they run, unless
-  /// those engines are busy: a hand-over costs more than it saves.
-  std::uint64_t m_InPlaceTokens = 2000;
   /// Time of a hand-over beside the transfer of the KV cache: a second call.
   Duration m_HandOver = Milliseconds(12);
   /// Added for an engine in another data centre of the region.
@@ -28,13 +25,16 @@
   /// billed.
   Duration m_RemotePenalty = Milliseconds(180);
   /// Time that one running request adds to the next token of an engine.
-  Duration m_SlotDelay = Milliseconds(6);
-  /// Share of a part's tokens that is charged when the part is fetched from
-  /// another engine in place of being read.
-  double m_FetchShare = 0.15;
+  Duration m_SlotDelay = std::chrono::microseconds(1500);
+  /// Share of a part's tokens that is charged at its home when this host has
+  /// not had it read there: others most likely have.
+  double m_HomeShare = 0.1;
+  /// Share of a part's tokens that is charged when another engine fetches it
+  /// from its home: the transfer, and what a second copy drives out of caches.
+  double m_CopyShare = 1.0;
   /// Weight of the slower reading that a prompt in place causes to the streams
   /// of its engine.
-  double m_InPlaceDisturbance = 1.0;
+  double m_InPlaceDisturbance = 0.3;
 };
 
 /// Where a prompt goes.
@@ -52,9 +52,10 @@
 
 /// Chooses engines by the expected time to the first event.
 ///
-/// Parts have a home among the engines that read prompts in this data centre,
-/// by rendezvous hashing, the same on every host. Another engine is taken where
-/// the home's queue costs more than fetching the part from it.
+/// Shared parts have one home among all engines that read prompts, by rendezvous
+/// hashing, the same on every host: the caches of one data centre do not hold
+/// all parts in use. Another engine is taken where the home's queue costs more
+/// than fetching the part from it.
 class EnginePlacement {
 public:
   explicit EnginePlacement(const EnginePlacementOptions &Options)
@@ -78,7 +79,8 @@
 
 private:
   struct Reading {
-    double m_NewTokens = 0;
+    double m_NewTokens = 0; ///< Expected to be read.
+    double m_Charged = 0;   ///< With what a second copy costs.
     std::string m_FetchFrom;
   };
 
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -102,6 +102,8 @@
     DataCentreId m_DataCentre;
     AttemptPurpose m_Purpose = AttemptPurpose::Serve;
     double m_Tokens = 0; ///< Prompt tokens still to be read.
+    double m_Planned = 0; ///< Prompt tokens that were expected to be read.
+    bool m_Fetched = false; ///< Whether cached parts were to be fetched.
     MonotonicTime m_Since;
     bool m_HadCache = false;
   };
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -109,7 +109,8 @@
              {.m_Directory = m_Core.directory(),
               .m_Configuration = [this] { return m_Core.configuration(); }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
-              .m_Host = Options.m_Settings.m_Location.m_Host}),
+              .m_Host = Options.m_Settings.m_Location.m_Host,
+              .m_Planner = Options.m_Planner}),
       m_Tree(Loop, "host", {}) {
   m_ConfigurationMirror.onChange(
       [this](const KeyChange &Change) { takeConfiguration(Change); });
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -46,16 +46,15 @@
   Shared = std::min(Shared, Total);
   auto Held = std::min(
       Total, static_cast<double>(Caches.match(Engine.m_Id, Prompt)));
-  auto Result = Reading{.m_NewTokens = Total - Held};
-  if (Home == nullptr || Held >= Shared)
-    return Result;
   auto Missing = Shared - Held;
-  // Other hosts have most likely had the shared parts read at their home.
-  auto Charged = Missing * m_Options.m_FetchShare;
-  Result.m_NewTokens = Total - Shared + Charged;
-  if (Home->m_Id != Engine.m_Id)
-    Result.m_FetchFrom = Home->m_Address;
-  return Result;
+  if (Home == nullptr || Missing <= 0)
+    return {.m_NewTokens = Total - Held, .m_Charged = Total - Held};
+  auto Expected = Total - Shared + Missing * m_Options.m_HomeShare;
+  if (Home->m_Id == Engine.m_Id)
+    return {.m_NewTokens = Expected, .m_Charged = Expected};
+  return {.m_NewTokens = Expected,
+          .m_Charged = Total - Shared + Missing * m_Options.m_CopyShare,
+          .m_FetchFrom = Home->m_Address};
 }
 
 auto EnginePlacement::distanceCost(const ChoiceView &View,
@@ -113,16 +112,12 @@
                            MonotonicTime Now) const -> EnginePlan {
   auto Engines = candidates(View, Service.m_Id, Excluded, Now);
   auto Readers = std::vector<const BackendRecord *>();
-  auto LocalReaders = std::vector<const BackendRecord *>();
   for (const auto *Engine : Engines) {
     if (Engine->m_Stage != EngineStage::Prefill)
       continue;
     Readers.push_back(Engine);
-    if (View.m_Distance.to(Engine->m_DataCentre) == Nearness::DataCentre)
-      LocalReaders.push_back(Engine);
   }
-  const auto *Home = homeOf(Prompt, LocalReaders.empty() ? Readers
-                                                         : LocalReaders);
+  const auto *Home = homeOf(Prompt, Readers);
   auto Decoders = std::any_of(Engines.begin(), Engines.end(),
                               [](const auto *Engine) {
                                 return Engine->m_Stage == EngineStage::Decode;
@@ -135,7 +130,7 @@
     auto Read = reading(*Engine, Home, Caches, Prompt);
     auto Rate = Apart ? Speed.apart() : Speed.inPlace();
     auto Queue = queueTokens(View, Speed, *Engine, Now);
-    auto Cost = asDuration((Queue + Read.m_NewTokens) / Rate) +
+    auto Cost = asDuration((Queue + Read.m_Charged) / Rate) +
                 distanceCost(View, *Engine);
     if (Apart) {
       Cost += m_Options.m_HandOver +
@@ -144,8 +139,8 @@
     } else {
       auto Running = View.m_Loads.own(Engine->m_Id) +
                      View.m_Loads.others(Engine->m_Id, Now);
-      Cost += asDuration(
-          Running * static_cast<double>(toMilliseconds(m_Options.m_SlotDelay)));
+      Cost += std::chrono::duration_cast<Duration>(Running *
+                                                   m_Options.m_SlotDelay);
       Cost += asDuration(m_Options.m_InPlaceDisturbance * Read.m_NewTokens /
                          Rate);
     }
@@ -175,9 +170,9 @@
     auto Running = View.m_Loads.own(Engine->m_Id) +
                    View.m_Loads.others(Engine->m_Id, Now);
     auto Queue = queueTokens(View, Speed, *Engine, Now);
-    auto Cost = asDuration(Queue / Speed.inPlace() +
-                           Running * static_cast<double>(
-                                         toMilliseconds(m_Options.m_SlotDelay)));
+    auto Cost = asDuration(Queue / Speed.inPlace()) +
+                std::chrono::duration_cast<Duration>(Running *
+                                                     m_Options.m_SlotDelay);
     auto Slots = std::max(1.0, static_cast<double>(Engine->m_Slots));
     // A full batch makes a request wait for a whole answer of another.
     if (Running >= Slots)
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -167,6 +167,8 @@
                          .m_DataCentre = Target.m_DataCentre,
                          .m_Purpose = Purpose,
                          .m_Tokens = Tokens,
+                         .m_Planned = Tokens,
+                         .m_Fetched = !FetchFrom.empty(),
                          .m_Since = m_Context.m_Scheduler.now()};
   if (Purpose == AttemptPurpose::Serve) {
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
@@ -233,10 +235,11 @@
   if (Result.m_Load)
     m_Context.m_Loads.report(Ended.m_Backend, *Result.m_Load, Now);
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_End);
-  m_Trail += fmt::format(" {}@{}:{}:{}:{}ms", nameOf(Ended.m_Purpose),
-                         Ended.m_Backend.text(), nameOf(Result.m_End),
-                         Result.m_Head.m_Status,
-                         toMilliseconds(Now - Ended.m_Since));
+  m_Trail += fmt::format(
+      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
+      Ended.m_Backend.text(), nameOf(Result.m_End), Result.m_Head.m_Status,
+      toMilliseconds(Now - Ended.m_Since), Ended.m_Planned,
+      Ended.m_Fetched ? ":fetched" : "");
   switch (Result.m_End) {
   case AttemptEnd::Whole:
     if (Result.m_Head.m_Status < FirstServerError)
@@ -245,7 +248,7 @@
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
     break;
   case AttemptEnd::NotExecuted:
-    break;
+    // Full, or changing its role: others are likely to be better.
   case AttemptEnd::NotSent:
   case AttemptEnd::Broken:
   case AttemptEnd::TimedOut:
