--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -25,8 +25,9 @@
 struct FleetDutyOptions {
   ServiceBounds m_Bounds;
   HostId m_Host;
-  /// Time after a window's end for the hosts to write their counts.
-  Duration m_UsageGrace = Milliseconds(2500);
+  /// Share of the time in which a window's report is due that hosts have for
+  /// writing their counts; the rest is for the report and its repetition.
+  double m_UsageGraceShare = 0.72;
   Duration m_StepInterval = Milliseconds(1000);
   /// Pause before an order that was not accepted is given again.
   Duration m_OrderRetry = Milliseconds(2000);
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -69,7 +69,8 @@
                },
                {.m_WindowLength = std::chrono::duration_cast<Seconds>(
                     Options.m_Bounds.m_UsageWindow),
-                .m_Grace = Options.m_UsageGrace}),
+                .m_Grace = std::chrono::duration_cast<Duration>(
+                    Options.m_Bounds.m_UsageDue * Options.m_UsageGraceShare)}),
       m_Planner(Options.m_Planner) {}
 
 FleetDuty::~FleetDuty() { *m_Alive = false; }
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -24,10 +24,10 @@
 /// Share of the evidence bound after which the host asks for no more work.
 constexpr auto ReadyShare = 0.9;
 /// Waits of the configuration's watch, as a share of the evidence bound.
-constexpr auto WatchShare = 0.28;
+constexpr auto WatchShare = 0.4;
 /// Pause between looks at the servers' entries, which change all the time, as
 /// a share of the promised drain bound.
-constexpr auto BackendPauseShare = 0.16;
+constexpr auto BackendPauseShare = 0.25;
 /// Descriptors for files, the store, the platform and backend servers.
 constexpr auto ReservedDescriptors = 700U;
 constexpr auto MostConnections = 3000U;
