Let hosts tell each other their loads and what engines have read

Cause: a host saw a ninth of the queue at a part's home and misjudged it. Change: datagrams inside a data centre, sums between data centres by one relay.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/base/Log.h"
 #include "dotterel/host/HostProcess.h"
 #include "dotterel/io/PooledHttpClient.h"
+#include "dotterel/io/UdpPort.h"
 #include "dotterel/settings/Settings.h"
 #include "platform/CallerEdge.h"
 #include "platform/EngineTransport.h"
@@ -61,6 +62,7 @@
   auto Fleet = platform::PlatformFleetCalls(
       *Client, {.m_Address = Node.m_FleetAddress,
                 .m_Holder = Node.m_Location.m_Host});
+  auto Datagrams = UdpPort(Loop, SocketAddress::parse(Node.m_PeerAddress));
   auto Records = platform::PlatformRecords();
   auto Host = HostProcess(
       Loop,
@@ -68,6 +70,7 @@
        .m_Watch = Store,
        .m_Transport = Transport,
        .m_Fleet = Fleet,
+       .m_Datagrams = Datagrams,
        .m_Records = Records,
        .m_ReadSettings = [Path] { return platform::readNodeSettings(Path); }},
       {.m_Settings = Node,
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -14,6 +14,7 @@
 #include "dotterel/io/EventLoop.h"
 #include "dotterel/io/LogOutput.h"
 #include "dotterel/io/StrictHttpServer.h"
+#include "dotterel/peers/LoadExchange.h"
 #include "dotterel/serving/ServingCore.h"
 #include "dotterel/store/KeyspaceMirror.h"
 #include "dotterel/supervision/Supervisor.h"
@@ -52,6 +53,7 @@
   StoreWatch &m_Watch;
   BackendTransport &m_Transport;
   FleetCalls &m_Fleet;
+  DatagramPort &m_Datagrams;
   const RecordReader &m_Records;
   /// Reads the settings anew. \throws SettingsError 101.
   std::function<HostSettings()> m_ReadSettings;
@@ -84,6 +86,7 @@
   auto buildTree(HttpHandler &Callers, HttpHandler &Readiness) -> void;
   auto takeConfiguration(const KeyChange &Change) -> void;
   auto takeBackend(const KeyChange &Change) -> void;
+  auto receive(const std::string &Address, std::string_view Bytes) -> void;
   auto reload() -> void;
   auto tick() -> void;
   auto drain(std::function<void()> Done) -> void;
@@ -98,6 +101,8 @@
   Distance m_Distance;
   ServingMetrics m_Metrics;
   ServingCore m_Core;
+  HostRegistry m_Hosts;
+  LoadExchange m_Exchange;
   KeyspaceMirror m_ConfigurationMirror;
   KeyspaceMirror m_BackendMirror;
   UsageRecorder m_Usage;
--- a/include/dotterel/io/SocketAddress.h
+++ b/include/dotterel/io/SocketAddress.h
@@ -18,6 +18,7 @@
 class SocketAddress {
 public:
   SocketAddress() = default;
+  explicit SocketAddress(const sockaddr_in &Raw) : m_Address(Raw) {}
 
   /// \throws ProtocolError 301 when \p Text is not `IP:PORT`.
   static auto parse(std::string_view Text) -> SocketAddress;
--- a/include/dotterel/serving/LoadBook.h
+++ b/include/dotterel/serving/LoadBook.h
@@ -10,15 +10,21 @@
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/BackendTransport.h"
+#include "dotterel/serving/EngineLoad.h"
 
+#include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace dotterel {
 
 struct LoadBookOptions {
   /// Time in which a server's own statement loses half of its weight.
   Duration m_ReportHalfLife = Milliseconds(400);
+  /// What a peer said counts for so long.
+  Duration m_PeerLapse = Milliseconds(800);
 };
 
 /// Load by server. Figures of other hosts are estimates from what servers say
@@ -34,8 +40,15 @@
   auto end(const BackendId &Backend) -> void;
   auto report(const BackendId &Backend, const LoadReport &Load,
               MonotonicTime Now) -> void;
+  /// What another origin (a host, or a data centre) has under way, at
+  /// \p Now; replaces what it said before.
+  auto setPeer(const std::string &Origin, const std::vector<EngineLoad> &Loads,
+               MonotonicTime Now) -> void;
   auto forget(const BackendId &Backend) -> void;
 
+  /// What this host has under way, for the others.
+  [[nodiscard]] auto summary() const -> std::vector<EngineLoad>;
+
   /// Own attempts under way.
   [[nodiscard]] auto own(const BackendId &Backend) const -> double;
   /// Prompt tokens of own attempts that have not been read.
@@ -43,6 +56,11 @@
   /// Attempts of other hosts, running or waiting.
   [[nodiscard]] auto others(const BackendId &Backend, MonotonicTime Now) const
       -> double;
+  /// Prompt tokens of other hosts' attempts that have not been read; empty when
+  /// no other host has spoken of late.
+  [[nodiscard]] auto othersTokens(const BackendId &Backend,
+                                  MonotonicTime Now) const
+      -> std::optional<double>;
   /// Attempts of all hosts that wait at the server.
   [[nodiscard]] auto waiting(const BackendId &Backend, MonotonicTime Now) const
       -> double;
@@ -60,8 +78,14 @@
   [[nodiscard]] auto weight(const Entry &Current, MonotonicTime Now) const
       -> double;
 
+  struct Peer {
+    MonotonicTime m_At;
+    std::unordered_map<BackendId, EngineLoad> m_Loads;
+  };
+
   LoadBookOptions m_Options;
   std::unordered_map<BackendId, Entry> m_Entries;
+  std::map<std::string, Peer> m_Peers;
 };
 
 } // namespace dotterel
--- a/include/dotterel/serving/PartCache.h
+++ b/include/dotterel/serving/PartCache.h
@@ -24,7 +24,7 @@
   explicit PartCache(TokenCount Capacity) : m_Capacity(Capacity.number()) {}
 
   /// Notes that the engine has read this prompt.
-  auto touch(const PromptShape &Prompt) -> void;
+  auto touch(const std::vector<PromptPart> &Parts) -> void;
 
   /// Leading tokens of \p Prompt that the engine is believed to hold: a part
   /// counts only behind parts that are held too.
@@ -47,8 +47,8 @@
 public:
   /// \p Capacity bounds what is believed of an engine not seen before.
   auto touch(const BackendId &Engine, TokenCount Capacity,
-             const PromptShape &Prompt) -> void {
-    m_Caches.try_emplace(Engine, Capacity).first->second.touch(Prompt);
+             const std::vector<PromptPart> &Parts) -> void {
+    m_Caches.try_emplace(Engine, Capacity).first->second.touch(Parts);
   }
   [[nodiscard]] auto match(const BackendId &Engine,
                            const PromptShape &Prompt) const -> std::uint64_t {
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -34,6 +34,8 @@
   /// Callers return within this share of their time; later ones give up.
   double m_ReturnShare = 0.3;
   Duration m_ShortestReturn = Milliseconds(100);
+  /// Prompts of so many tokens are told to other hosts when they were read.
+  TokenCount m_ToldTokens{1024};
 };
 
 /// What requests share on a host.
@@ -54,6 +56,8 @@
   ServedRequestOptions m_Options;
   /// A request of the organisation began to run.
   std::function<void(const OrganisationId &)> m_CountUsage;
+  /// Prompts that engines have read, for the other hosts.
+  std::vector<PromptRead> m_Reads;
 
   [[nodiscard]] auto view() const -> ChoiceView {
     return {.m_Directory = m_Directory,
@@ -129,6 +133,7 @@
   auto expire() -> void;
   auto dropAttempt() -> void;
   auto countRun() -> void;
+  auto noteRead(const BackendId &Engine) -> void;
   auto forward(std::string_view Data) -> void;
   [[nodiscard]] auto timeLeft() const -> Duration;
   [[nodiscard]] auto returnTime(Duration Wanted) -> Duration;
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -54,6 +54,12 @@
 
   auto serve(CallerExchangePtr Exchange) -> void;
 
+  /// What this host has under way, and the prompts read since the call before.
+  auto takeLoads() -> LoadSummary;
+
+  /// What another host, or another data centre, has under way.
+  auto applyLoads(const std::string &Origin, const LoadSummary &Loads) -> void;
+
   [[nodiscard]] auto directory() -> BackendDirectory & { return m_Directory; }
   /// Null before the first configuration.
   [[nodiscard]] auto configuration() const -> const ServingConfiguration * {
--- /dev/null
+++ b/schema/HostExchange.capnp
@@ -0,0 +1,51 @@
+@0xd3f1a6b2c7e84915;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("dotterel::schema");
+
+# One datagram between two hosts.
+struct HostMessage {
+  sender @0 :Text;
+  dataCentre @1 :Text;
+  union {
+    loads @2 :LoadSummary;
+    question @3 :Question;
+    reply @4 :Reply;
+  }
+}
+
+# What a host, or all hosts of a data centre, have under way.
+struct LoadSummary {
+  wholeDataCentre @0 :Bool;
+  engines @1 :List(EngineLoad);
+  reads @2 :List(PromptRead);  # since the sender's message before
+
+  struct EngineLoad {
+    engine @0 :Text;
+    requests @1 :Float32;
+    unreadTokens @2 :Float32;
+  }
+
+  # A prompt that an engine has read.
+  struct PromptRead {
+    engine @0 :Text;
+    parts @1 :List(Part);
+  }
+
+  struct Part {
+    id @0 :Text;
+    tokens @1 :UInt32;
+  }
+}
+
+# Asks a relay how new its copy of the store is.
+struct Question {
+  sentAt @0 :UInt64;  # on the asker's clock, echoed by the reply
+}
+
+struct Reply {
+  sentAt @0 :UInt64;
+  evidenceAgeMs @1 :UInt32;
+  configRevision @2 :UInt64;
+  backendsDigest @3 :UInt64;
+}
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -88,6 +88,18 @@
                            [] {});
           },
           coreOptions(Options.m_Settings)),
+      m_Hosts(Loop, Ports.m_Store, Ports.m_Watch, m_Random,
+              {.m_Host = Options.m_Settings.m_Location.m_Host,
+               .m_DataCentre = Options.m_Settings.m_Location.m_DataCentre,
+               .m_Address = Ports.m_Datagrams.address()},
+              {}),
+      m_Exchange(
+          Loop, Ports.m_Datagrams, m_Hosts,
+          [this] { return m_Core.takeLoads(); },
+          [this](const std::string &Origin, const LoadSummary &Loads) {
+            m_Core.applyLoads(Origin, Loads);
+          },
+          {}),
       m_ConfigurationMirror(
           Loop, Ports.m_Store, Ports.m_Watch, m_Random,
           {.m_Prefix = Ports.m_Records.configurationKey(),
@@ -121,10 +133,24 @@
   });
   m_BackendMirror.onChange(
       [this](const KeyChange &Change) { takeBackend(Change); });
+  Ports.m_Datagrams.onReceive(
+      [this](const std::string &Address, std::string_view Bytes) {
+        receive(Address, Bytes);
+      });
 }
 
 HostProcess::~HostProcess() = default;
 
+auto HostProcess::receive(const std::string &Address, std::string_view Bytes)
+    -> void {
+  try {
+    m_Exchange.receive(decodeHostMessage(Bytes), Address, Bytes);
+  } catch (const ProtocolError &Failure) {
+    logWarning("peer.unreadable",
+               {{"address", Address}, {"reason", Failure.what()}});
+  }
+}
+
 auto HostProcess::takeConfiguration(const KeyChange &Change) -> void {
   if (Change.m_Key != m_Ports.m_Records.configurationKey() || !Change.m_Value)
     return;
@@ -199,6 +225,14 @@
             m_BackendMirror.start();
           },
       .m_Reset = [] {}}));
+  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
+      .m_Name = "peers",
+      .m_Start =
+          [this] {
+            m_Hosts.start();
+            m_Exchange.start();
+          },
+      .m_Reset = [this] { m_Hosts.leave(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "usage",
       .m_Start = [] {},
--- a/src/io/Socket.cpp
+++ b/src/io/Socket.cpp
@@ -2,8 +2,6 @@
 
 #include "dotterel/base/Errors.h"
 
-#include <arpa/inet.h>
-#include <array>
 #include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
@@ -76,10 +74,7 @@
   auto Raw = sockaddr_in{};
   auto Size = socklen_t{sizeof(Raw)};
   ::getsockname(Listener.fd(), reinterpret_cast<sockaddr *>(&Raw), &Size);
-  auto Text = std::array<char, INET_ADDRSTRLEN>();
-  ::inet_ntop(AF_INET, &Raw.sin_addr, Text.data(), Text.size());
-  return SocketAddress::parse(
-      fmt::format("{}:{}", Text.data(), ntohs(Raw.sin_port)));
+  return SocketAddress(Raw);
 }
 
 auto beginConnect(const SocketAddress &Address) -> Socket {
--- /dev/null
+++ b/src/peers/HostMessage.cpp
@@ -0,0 +1,134 @@
+#include "dotterel/peers/HostMessage.h"
+
+#include "HostExchange.capnp.h"
+#include "dotterel/base/Errors.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace dotterel {
+
+namespace {
+
+auto encodeLoads(const LoadSummary &Loads,
+                 schema::LoadSummary::Builder Target) -> void {
+  Target.setWholeDataCentre(Loads.m_WholeDataCentre);
+  auto Engines =
+      Target.initEngines(static_cast<unsigned>(Loads.m_Engines.size()));
+  auto Index = 0U;
+  for (const auto &Item : Loads.m_Engines) {
+    auto Entry = Engines[Index++];
+    Entry.setEngine(Item.m_Engine.text());
+    Entry.setRequests(static_cast<float>(Item.m_Requests));
+    Entry.setUnreadTokens(static_cast<float>(Item.m_UnreadTokens));
+  }
+  auto Reads = Target.initReads(static_cast<unsigned>(Loads.m_Reads.size()));
+  Index = 0;
+  for (const auto &Item : Loads.m_Reads) {
+    auto Entry = Reads[Index++];
+    Entry.setEngine(Item.m_Engine.text());
+    auto Parts = Entry.initParts(static_cast<unsigned>(Item.m_Parts.size()));
+    auto Position = 0U;
+    for (const auto &Part : Item.m_Parts) {
+      Parts[Position].setId(Part.m_Id);
+      Parts[Position++].setTokens(
+          static_cast<std::uint32_t>(Part.m_Tokens.number()));
+    }
+  }
+}
+
+auto decodeLoads(schema::LoadSummary::Reader Source) -> LoadSummary {
+  auto Loads =
+      LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre()};
+  for (auto Item : Source.getEngines())
+    Loads.m_Engines.push_back({.m_Engine = BackendId{Item.getEngine().cStr()},
+                               .m_Requests = Item.getRequests(),
+                               .m_UnreadTokens = Item.getUnreadTokens()});
+  for (auto Item : Source.getReads()) {
+    auto Read = PromptRead{.m_Engine = BackendId{Item.getEngine().cStr()}};
+    for (auto Part : Item.getParts())
+      Read.m_Parts.push_back({.m_Id = Part.getId().cStr(),
+                              .m_Tokens = TokenCount{Part.getTokens()}});
+    Loads.m_Reads.push_back(std::move(Read));
+  }
+  return Loads;
+}
+
+auto toMicroseconds(MonotonicTime Time) -> std::uint64_t {
+  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
+}
+
+auto fromMicroseconds(std::uint64_t Count) -> MonotonicTime {
+  return MonotonicTime(Duration(static_cast<Duration::rep>(Count)));
+}
+
+auto encodeReply(const RelayReply &Reply, schema::Reply::Builder Target)
+    -> void {
+  Target.setSentAt(toMicroseconds(Reply.m_SentAt));
+  Target.setEvidenceAgeMs(
+      static_cast<std::uint32_t>(toMilliseconds(Reply.m_EvidenceAge)));
+  Target.setConfigRevision(Reply.m_Config.number());
+  Target.setBackendsDigest(Reply.m_BackendsDigest);
+}
+
+auto decodeReply(schema::Reply::Reader Source) -> RelayReply {
+  // Rounded up, so that evidence never looks newer than it is.
+  return {.m_SentAt = fromMicroseconds(Source.getSentAt()),
+          .m_EvidenceAge = Milliseconds(Source.getEvidenceAgeMs() + 1),
+          .m_Config = ConfigRevision{Source.getConfigRevision()},
+          .m_BackendsDigest = Source.getBackendsDigest()};
+}
+
+} // namespace
+
+auto encodeHostMessage(const HostMessage &Message) -> std::string {
+  auto Builder = capnp::MallocMessageBuilder();
+  auto Root = Builder.initRoot<schema::HostMessage>();
+  Root.setSender(Message.m_Sender.text());
+  Root.setDataCentre(Message.m_DataCentre.text());
+  if (const auto *Loads = std::get_if<LoadSummary>(&Message.m_Content))
+    encodeLoads(*Loads, Root.initLoads());
+  else if (const auto *Question =
+               std::get_if<RelayQuestion>(&Message.m_Content))
+    Root.initQuestion().setSentAt(toMicroseconds(Question->m_SentAt));
+  else
+    encodeReply(std::get<RelayReply>(Message.m_Content), Root.initReply());
+  auto Output = kj::VectorOutputStream();
+  capnp::writePackedMessage(Output, Builder);
+  auto Bytes = Output.getArray();
+  return {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()};
+}
+
+auto decodeHostMessage(std::string_view Bytes) -> HostMessage {
+  try {
+    auto Input = kj::ArrayInputStream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte *>(Bytes.data()),
+                     Bytes.size()));
+    auto Reader = capnp::PackedMessageReader(Input);
+    auto Root = Reader.getRoot<schema::HostMessage>();
+    auto Message =
+        HostMessage{.m_Sender = HostId{Root.getSender().cStr()},
+                    .m_DataCentre = DataCentreId{Root.getDataCentre().cStr()}};
+    switch (Root.which()) {
+    case schema::HostMessage::LOADS:
+      Message.m_Content = decodeLoads(Root.getLoads());
+      break;
+    case schema::HostMessage::QUESTION:
+      Message.m_Content = RelayQuestion{
+          .m_SentAt = fromMicroseconds(Root.getQuestion().getSentAt())};
+      break;
+    case schema::HostMessage::REPLY:
+      Message.m_Content = decodeReply(Root.getReply());
+      break;
+    default:
+      throw ProtocolError(301, "a host's message of an unknown kind");
+    }
+    return Message;
+  } catch (const kj::Exception &Failure) {
+    throw ProtocolError(301, Failure.getDescription().cStr());
+  }
+}
+
+} // namespace dotterel
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -76,6 +76,8 @@
                                   const BackendRecord &Engine,
                                   MonotonicTime Now) const -> double {
   auto Tokens = View.m_Loads.ownTokens(Engine.m_Id);
+  if (auto Others = View.m_Loads.othersTokens(Engine.m_Id, Now))
+    return Tokens + *Others;
   // At a reader every other request is a prompt; at a generating engine only
   // those that wait are.
   auto Prompts = Engine.m_Stage == EngineStage::Prefill
--- a/src/serving/LoadBook.cpp
+++ b/src/serving/LoadBook.cpp
@@ -35,6 +35,26 @@
   Current.m_Reported = true;
 }
 
+auto LoadBook::setPeer(const std::string &Origin,
+                       const std::vector<EngineLoad> &Loads, MonotonicTime Now)
+    -> void {
+  auto &Current = m_Peers[Origin];
+  Current.m_At = Now;
+  Current.m_Loads.clear();
+  for (const auto &Item : Loads)
+    Current.m_Loads.emplace(Item.m_Engine, Item);
+}
+
+auto LoadBook::summary() const -> std::vector<EngineLoad> {
+  auto Result = std::vector<EngineLoad>();
+  for (const auto &[Id, Current] : m_Entries)
+    if (Current.m_Own > 0)
+      Result.push_back({.m_Engine = Id,
+                        .m_Requests = Current.m_Own,
+                        .m_UnreadTokens = Current.m_Tokens});
+  return Result;
+}
+
 auto LoadBook::forget(const BackendId &Backend) -> void {
   m_Entries.erase(Backend);
 }
@@ -58,8 +78,34 @@
   return std::exp2(-Age / HalfLife);
 }
 
+auto LoadBook::othersTokens(const BackendId &Backend, MonotonicTime Now) const
+    -> std::optional<double> {
+  auto Sum = std::optional<double>();
+  for (const auto &[Origin, Current] : m_Peers) {
+    if (Now - Current.m_At > m_Options.m_PeerLapse)
+      continue;
+    Sum = Sum.value_or(0);
+    if (auto Found = Current.m_Loads.find(Backend);
+        Found != Current.m_Loads.end())
+      *Sum += Found->second.m_UnreadTokens;
+  }
+  return Sum;
+}
+
 auto LoadBook::others(const BackendId &Backend, MonotonicTime Now) const
     -> double {
+  auto Told = false;
+  auto Sum = 0.0;
+  for (const auto &[Origin, Current] : m_Peers) {
+    if (Now - Current.m_At > m_Options.m_PeerLapse)
+      continue;
+    Told = true;
+    if (auto Found = Current.m_Loads.find(Backend);
+        Found != Current.m_Loads.end())
+      Sum += Found->second.m_Requests;
+  }
+  if (Told)
+    return Sum;
   auto Found = m_Entries.find(Backend);
   if (Found == m_Entries.end())
     return 0;
--- a/src/serving/PartCache.cpp
+++ b/src/serving/PartCache.cpp
@@ -2,11 +2,10 @@
 
 namespace dotterel {
 
-auto PartCache::touch(const PromptShape &Prompt) -> void {
+auto PartCache::touch(const std::vector<PromptPart> &Parts) -> void {
   // From the last part to the first, so that the first ones stay longest:
   // without them the others are of no use.
-  for (auto Part = Prompt.m_Parts.rbegin(); Part != Prompt.m_Parts.rend();
-       ++Part) {
+  for (auto Part = Parts.rbegin(); Part != Parts.rend(); ++Part) {
     if (auto Found = m_Positions.find(Part->m_Id); Found != m_Positions.end()) {
       m_Order.splice(m_Order.begin(), m_Order, Found->second);
       continue;
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -186,6 +186,18 @@
   m_Context.m_CountUsage(m_Terms.m_Organisation);
 }
 
+auto ServedRequest::noteRead(const BackendId &Engine) -> void {
+  const auto &Prompt = m_Exchange->request().m_Prompt;
+  if (!Prompt || !m_Terms.m_Service->m_Engine)
+    return;
+  m_Context.m_Caches.touch(Engine, m_Terms.m_Service->m_Engine->m_CacheCapacity,
+                           Prompt->m_Parts);
+  // Short prompts are cheaper to read again than to tell of.
+  if (Prompt->m_PromptTokens >= m_Context.m_Options.m_ToldTokens)
+    m_Context.m_Reads.push_back(
+        {.m_Engine = Engine, .m_Parts = Prompt->m_Parts});
+}
+
 auto ServedRequest::onBegin(const AnswerHead &Head,
                             const std::optional<LoadReport> &Load) -> void {
   auto Now = m_Context.m_Scheduler.now();
@@ -206,10 +218,7 @@
     m_Trail += fmt::format(
         " first={}ms",
         toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt));
-    if (m_Exchange->request().m_Prompt && m_Terms.m_Service->m_Engine)
-      m_Context.m_Caches.touch(m_Attempt->m_Backend,
-                               m_Terms.m_Service->m_Engine->m_CacheCapacity,
-                               *m_Exchange->request().m_Prompt);
+    noteRead(m_Attempt->m_Backend);
   }
   forward(Data);
 }
@@ -272,12 +281,9 @@
 auto ServedRequest::prefillEnded(const Attempt &Ended,
                                  const AttemptResult &Result) -> void {
   if (Result.m_End == AttemptEnd::Whole && Result.m_Cache) {
-    const auto &Prompt = *m_Exchange->request().m_Prompt;
     m_Context.m_Speed.record(Ended.m_Tokens,
                              m_Context.m_Scheduler.now() - Ended.m_Since);
-    m_Context.m_Caches.touch(Ended.m_Backend,
-                             m_Terms.m_Service->m_Engine->m_CacheCapacity,
-                             Prompt);
+    noteRead(Ended.m_Backend);
     m_Cache = Result.m_Cache;
     decodeElsewhere(Ended);
     return;
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -66,6 +66,26 @@
   return true;
 }
 
+auto ServingCore::takeLoads() -> LoadSummary {
+  return {.m_Engines = m_Loads.summary(),
+          .m_Reads = std::exchange(m_Context.m_Reads, {})};
+}
+
+auto ServingCore::applyLoads(const std::string &Origin,
+                             const LoadSummary &Loads) -> void {
+  m_Loads.setPeer(Origin, Loads.m_Engines, m_Scheduler.now());
+  for (const auto &Read : Loads.m_Reads) {
+    const auto *Engine = m_Directory.find(Read.m_Engine);
+    if (Engine == nullptr || !m_Configuration)
+      continue;
+    auto Service = m_Configuration->m_Services.find(Engine->m_Service);
+    if (Service != m_Configuration->m_Services.end() &&
+        Service->second.m_Engine)
+      m_Caches.touch(Read.m_Engine, Service->second.m_Engine->m_CacheCapacity,
+                     Read.m_Parts);
+  }
+}
+
 auto ServingCore::evidenceAge() const -> Duration {
   return m_Freshness.age(m_Scheduler.now());
 }
