--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -31,6 +31,9 @@
   Duration m_StepInterval = Milliseconds(1000);
   /// Pause before an order that was not accepted is given again.
   Duration m_OrderRetry = Milliseconds(2000);
+  /// Added to an engine's role change before it is ordered again: the list of
+  /// servers lags.
+  Duration m_StageReserve = Milliseconds(2000);
   FleetPlannerOptions m_Planner;
 };
 
@@ -39,6 +42,8 @@
   const BackendDirectory &m_Directory;
   /// Null before the first configuration.
   std::function<const ServingConfiguration *()> m_Configuration;
+  /// Whether this host has no request in progress.
+  std::function<bool()> m_Idle;
 };
 
 /// The fleet duty of one host. It acts only while the host holds the lease.
@@ -66,6 +71,7 @@
   auto step() -> void;
   auto orderServers() -> void;
   auto orderStages() -> void;
+  [[nodiscard]] auto due(const ServerOrder &Order, MonotonicTime Now) -> bool;
   auto send(const ServerOrder &Order) -> void;
   auto send(const StageOrder &Order) -> void;
   auto mayAct() const -> bool;
@@ -74,6 +80,7 @@
   struct Given {
     std::uint32_t m_Count = 0;
     bool m_Accepted = false;
+    bool m_Pending = false;
     MonotonicTime m_At;
   };
 
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -10,21 +10,36 @@
 #include "dotterel/serving/BackendDirectory.h"
 #include "dotterel/serving/FleetCalls.h"
 
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace dotterel {
 
 struct FleetPlannerOptions {
-  /// Share of a data centre's servers that are of the ordinary kind.
-  double m_OrdinaryShare = 0.5;
+  /// Share of a data centre's servers that are of the ordinary kind, as long as
+  /// the other kind is to be had.
+  double m_OrdinaryShare = 0.34;
   /// Share of the largest allowed number that is ordered.
   double m_FleetShare = 1.0;
   /// Share of a data centre's engines that read prompts for the others.
   double m_PrefillShare = 0.5;
+  /// Ordered servers that are not there so long after their start time are
+  /// taken for not to be had.
+  Duration m_StartReserve = Milliseconds(3000);
+  /// Pause before reclaimable servers are asked for again: a data centre that
+  /// was reclaimed has none for a while.
+  Duration m_ReturnInterval = Milliseconds(10000);
+  /// Share of the missing reclaimable servers that is asked for at a time:
+  /// ordinary ones make room for them before they have started.
+  double m_ReturnStep = 0.34;
 };
 
-/// Plans from the configuration and the registered servers alone, so that a new
-/// holder of the duty comes to the same plan.
+/// Plans from the configuration and the registered servers, with a memory of
+/// what was not to be had.
+///
+/// \invariant The orders of a data centre add up to the same number whatever is
+/// reclaimed.
 class FleetPlanner {
 public:
   explicit FleetPlanner(const FleetPlannerOptions &Options)
@@ -32,16 +47,32 @@
 
   /// The wanted numbers of servers, for each elastic service, data centre and
   /// kind.
-  [[nodiscard]] auto servers(const ServingConfiguration &Configuration) const
-      -> std::vector<ServerOrder>;
+  [[nodiscard]] auto servers(const ServingConfiguration &Configuration,
+                             const BackendDirectory &Directory,
+                             MonotonicTime Now) -> std::vector<ServerOrder>;
 
-  /// Engines that should change their stage, at most one in a data centre.
+  /// Engines that should change their stage: one in a data centre, or as many
+  /// as it takes when \p Idle says that no work can be held up.
   [[nodiscard]] auto stages(const ServingConfiguration &Configuration,
-                            const BackendDirectory &Directory) const
+                            const BackendDirectory &Directory, bool Idle) const
       -> std::vector<StageOrder>;
 
 private:
+  struct Supply {
+    std::uint32_t m_Wanted = 0; ///< Reclaimable servers asked for.
+    MonotonicTime m_Since;      ///< Of the newest change.
+    bool m_Known = false;
+  };
+  struct Present {
+    std::uint32_t m_Usable = 0;
+    std::uint32_t m_Leaving = 0;
+  };
+
+  auto supply(Supply &Current, std::uint32_t Most, const Present &There,
+              Duration StartTime, MonotonicTime Now) const -> void;
+
   FleetPlannerOptions m_Options;
+  std::map<std::pair<ServiceId, DataCentreId>, Supply> m_Supplies;
 };
 
 } // namespace dotterel
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Log.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -106,21 +107,44 @@
   orderStages();
 }
 
+auto FleetDuty::due(const ServerOrder &Order, MonotonicTime Now) -> bool {
+  auto &Last = m_ServerOrders[orderKey(Order)];
+  if (Last.m_Pending || (Last.m_Accepted && Last.m_Count == Order.m_Count))
+    return false;
+  return Last.m_Count != Order.m_Count || Last.m_At == MonotonicTime() ||
+         Now - Last.m_At >= m_Options.m_OrderRetry;
+}
+
 auto FleetDuty::orderServers() -> void {
   auto Now = m_Scheduler.now();
-  for (const auto &Order : m_Planner.servers(*m_Inputs.m_Configuration())) {
-    auto &Last = m_ServerOrders[orderKey(Order)];
-    auto Settled = Last.m_Accepted && Last.m_Count == Order.m_Count;
-    if (Settled || (Last.m_At != MonotonicTime() &&
-                    Now - Last.m_At < m_Options.m_OrderRetry))
+  auto Orders = m_Planner.servers(*m_Inputs.m_Configuration(),
+                                  m_Inputs.m_Directory, Now);
+  // Both kinds of a data centre share one bound: the number that falls is
+  // ordered, and accepted, before the other one rises.
+  for (auto Index = std::size_t{0}; Index < Orders.size(); ++Index) {
+    const auto &Order = Orders[Index];
+    if (!due(Order, Now))
       continue;
-    Last = {.m_Count = Order.m_Count, .m_At = Now};
-    send(Order);
+    auto Rises = Order.m_Count > m_ServerOrders[orderKey(Order)].m_Count;
+    auto Waits = std::any_of(
+        Orders.begin(), Orders.end(), [&](const ServerOrder &Other) {
+          if (Other.m_Service != Order.m_Service ||
+              Other.m_DataCentre != Order.m_DataCentre ||
+              Other.m_Reclaimable == Order.m_Reclaimable)
+            return false;
+          const auto &Given = m_ServerOrders[orderKey(Other)];
+          return Given.m_Pending || (Rises && Other.m_Count < Given.m_Count);
+        });
+    if (!Waits)
+      send(Order);
   }
 }
 
 auto FleetDuty::send(const ServerOrder &Order) -> void {
   auto Number = m_Lease.fencing();
+  m_ServerOrders[orderKey(Order)] = {.m_Count = Order.m_Count,
+                                     .m_Pending = true,
+                                     .m_At = m_Scheduler.now()};
   m_Calls.orderServers(
       Order, Number,
       [this, Alive = m_Alive, Order, Number](OrderAnswer Answer) {
@@ -137,19 +161,24 @@
         if (Answer == OrderAnswer::Refused && !Order.m_Reclaimable)
           refusedFor(Number, "servers");
         auto &Last = m_ServerOrders[orderKey(Order)];
-        if (Answer == OrderAnswer::Accepted && Last.m_Count == Order.m_Count)
-          Last.m_Accepted = true;
+        Last.m_Pending = false;
+        Last.m_Accepted = Answer == OrderAnswer::Accepted;
       });
 }
 
 auto FleetDuty::orderStages() -> void {
   auto Now = m_Scheduler.now();
-  auto Orders = m_Planner.stages(*m_Inputs.m_Configuration(),
-                                 m_Inputs.m_Directory);
+  const auto &Configuration = *m_Inputs.m_Configuration();
+  auto Orders = m_Planner.stages(Configuration, m_Inputs.m_Directory,
+                                 m_Inputs.m_Idle());
   for (const auto &Order : Orders) {
     auto &Last = m_StageOrders[Order.m_Backend];
-    if (Last.m_At != MonotonicTime() &&
-        Now - Last.m_At < m_Options.m_OrderRetry)
+    const auto *Engine = m_Inputs.m_Directory.find(Order.m_Backend);
+    auto Pause = m_Options.m_StageReserve;
+    if (auto Service = Configuration.m_Services.find(Engine->m_Service);
+        Service != Configuration.m_Services.end() && Service->second.m_Engine)
+      Pause += Service->second.m_Engine->m_RoleChangeTime;
+    if (Last.m_At != MonotonicTime() && Now - Last.m_At < Pause)
       continue;
     Last.m_At = Now;
     send(Order);
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -1,34 +1,96 @@
 #include "dotterel/serving/FleetPlanner.h"
 
+#include "dotterel/base/Log.h"
+
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace dotterel {
 
-auto FleetPlanner::servers(const ServingConfiguration &Configuration) const
-    -> std::vector<ServerOrder> {
+namespace {
+
+auto part(std::uint32_t Whole, double Share) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::lround(Whole * Share));
+}
+
+/// Engines of one data centre that have \p From and should get another stage:
+/// of the kind, ordinary or reclaimable, that has more of them, so that a
+/// reclaim leaves both stages.
+auto nextToChange(const std::vector<const BackendRecord *> &Members,
+                  EngineStage From) -> const BackendRecord * {
+  auto Count = [&](bool Reclaimable) {
+    return std::count_if(Members.begin(), Members.end(), [&](const auto *Item) {
+      return Item->m_Stage == From && Item->m_Reclaimable == Reclaimable;
+    });
+  };
+  auto Kind = Count(true) > Count(false);
+  auto Found =
+      std::find_if(Members.begin(), Members.end(), [&](const auto *Item) {
+        return Item->m_Stage == From && Item->m_Reclaimable == Kind;
+      });
+  return Found == Members.end() ? nullptr : *Found;
+}
+
+} // namespace
+
+auto FleetPlanner::supply(Supply &Current, std::uint32_t Most,
+                          const Present &There, Duration StartTime,
+                          MonotonicTime Now) const -> void {
+  if (!std::exchange(Current.m_Known, true)) {
+    Current = {.m_Wanted = Most, .m_Since = Now, .m_Known = true};
+    return;
+  }
+  auto Settled = Now - Current.m_Since > StartTime + m_Options.m_StartReserve;
+  auto Notice = There.m_Leaving > 0;
+  if (There.m_Usable < Current.m_Wanted && (Settled || Notice)) {
+    Current.m_Wanted = There.m_Usable;
+    Current.m_Since = Now;
+    return;
+  }
+  if (Current.m_Wanted < Most && !Notice &&
+      Now - Current.m_Since > m_Options.m_ReturnInterval) {
+    auto Step = std::max(1U, part(Most, m_Options.m_ReturnStep));
+    Current.m_Wanted = std::min(Most, Current.m_Wanted + Step);
+    Current.m_Since = Now;
+  }
+}
+
+auto FleetPlanner::servers(const ServingConfiguration &Configuration,
+                           const BackendDirectory &Directory,
+                           MonotonicTime Now) -> std::vector<ServerOrder> {
   auto Orders = std::vector<ServerOrder>();
   for (const auto &[Id, Service] : Configuration.m_Services) {
     if (!Service.m_Bounds)
       continue;
     const auto &Bounds = *Service.m_Bounds;
+    auto There = std::map<DataCentreId, Present>();
+    for (const auto &[Backend, Record] : Directory.all())
+      if (Record.m_Service == Id && Record.m_Reclaimable)
+        ++(Record.m_Draining ? There[Record.m_DataCentre].m_Leaving
+                             : There[Record.m_DataCentre].m_Usable);
     for (const auto &[DataCentre, Price] : Bounds.m_Prices) {
-      auto Total = std::clamp(
-          static_cast<std::uint32_t>(
-              std::lround(Bounds.m_Most * m_Options.m_FleetShare)),
-          Bounds.m_Least, Bounds.m_Most);
-      auto Ordinary = std::clamp(
-          static_cast<std::uint32_t>(
-              std::ceil(Total * m_Options.m_OrdinaryShare)),
-          std::min(1U, Total), Total);
+      auto Total = std::clamp(part(Bounds.m_Most, m_Options.m_FleetShare),
+                              std::max(1U, Bounds.m_Least), Bounds.m_Most);
+      auto Ordinary =
+          std::clamp(part(Total, m_Options.m_OrdinaryShare), 1U, Total);
+      auto Most = Bounds.m_ReclaimablePrice > 0 ? Total - Ordinary : 0U;
+      auto &Current = m_Supplies[{Id, DataCentre}];
+      auto Before = Current.m_Wanted;
+      supply(Current, Most, There[DataCentre], Bounds.m_StartTime, Now);
+      if (Before != Current.m_Wanted)
+        logInfo("fleet.supply", {{"service", Id},
+                                 {"data_centre", DataCentre},
+                                 {"reclaimable", Current.m_Wanted},
+                                 {"before", Before},
+                                 {"usable", There[DataCentre].m_Usable},
+                                 {"leaving", There[DataCentre].m_Leaving}});
       Orders.push_back({.m_Service = Id,
                         .m_DataCentre = DataCentre,
-                        .m_Count = Ordinary});
+                        .m_Count = Total - Current.m_Wanted});
       if (Bounds.m_ReclaimablePrice > 0)
         Orders.push_back({.m_Service = Id,
                           .m_DataCentre = DataCentre,
-                          .m_Count = Total - Ordinary,
+                          .m_Count = Current.m_Wanted,
                           .m_Reclaimable = true});
     }
   }
@@ -36,7 +98,7 @@
 }
 
 auto FleetPlanner::stages(const ServingConfiguration &Configuration,
-                          const BackendDirectory &Directory) const
+                          const BackendDirectory &Directory, bool Idle) const
     -> std::vector<StageOrder> {
   auto Orders = std::vector<StageOrder>();
   for (const auto &[Id, Service] : Configuration.m_Services) {
@@ -46,24 +108,26 @@
     for (const auto *Engine : Directory.usable(Id))
       if (Engine->m_Stage != EngineStage::None)
         Engines[Engine->m_DataCentre].push_back(Engine);
-    for (const auto &[DataCentre, Members] : Engines) {
+    for (auto &[DataCentre, Members] : Engines) {
       auto Wanted = std::lround(static_cast<double>(Members.size()) *
                                 m_Options.m_PrefillShare);
       auto Present = std::count_if(
           Members.begin(), Members.end(), [](const auto *Engine) {
             return Engine->m_Stage == EngineStage::Prefill;
           });
-      if (Present == Wanted || Members.size() < 2)
-        continue;
       auto From = Present < Wanted ? EngineStage::Decode : EngineStage::Prefill;
       auto To = Present < Wanted ? EngineStage::Prefill : EngineStage::Decode;
-      auto Chosen = std::find_if(
-          Members.begin(), Members.end(),
-          [From](const auto *Engine) { return Engine->m_Stage == From; });
-      if (Chosen != Members.end())
-        Orders.push_back({.m_Backend = (*Chosen)->m_Id,
-                          .m_Address = (*Chosen)->m_Address,
+      auto Missing = std::abs(Wanted - Present);
+      for (auto Step = 0L; Step < (Idle ? Missing : std::min(1L, Missing));
+           ++Step) {
+        const auto *Chosen = nextToChange(Members, From);
+        if (Chosen == nullptr)
+          break;
+        Orders.push_back({.m_Backend = Chosen->m_Id,
+                          .m_Address = Chosen->m_Address,
                           .m_Stage = To});
+        std::erase(Members, Chosen);
+      }
     }
   }
   return Orders;
