--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -24,6 +24,9 @@
   double m_FleetShare = 1.0;
   /// Share of a data centre's engines that read prompts for the others.
   double m_PrefillShare = 0.5;
+  /// Share of a data centre's engines by which the stages may be off the plan
+  /// under load: a change takes an engine away for seconds.
+  double m_StageSlack = 0.2;
   /// Ordered servers that are not there so long after their start time are
   /// taken for not to be had.
   Duration m_StartReserve = Milliseconds(3000);
--- a/include/dotterel/serving/LoadBook.h
+++ b/include/dotterel/serving/LoadBook.h
@@ -23,6 +23,10 @@
 struct LoadBookOptions {
   /// Time in which a server's own statement loses half of its weight.
   Duration m_ReportHalfLife = Milliseconds(400);
+  /// A server that refused work is left out for so long, and twice as long
+  /// after each further refusal, up to the longest time.
+  Duration m_FirstAvoidance = Milliseconds(200);
+  Duration m_LongestAvoidance = Milliseconds(1600);
   /// What a peer said counts for so long.
   Duration m_PeerLapse = Milliseconds(800);
 };
@@ -38,6 +42,13 @@
   /// The attempt's prompt has been read.
   auto prefillDone(const BackendId &Backend, double PrefillTokens) -> void;
   auto end(const BackendId &Backend) -> void;
+  /// The server refused work: it is full, starts, or changes its stage. Its low
+  /// load would else draw all work to it.
+  auto refused(const BackendId &Backend, MonotonicTime Now) -> void;
+  /// The server took work.
+  auto accepted(const BackendId &Backend) -> void;
+  [[nodiscard]] auto avoided(const BackendId &Backend, MonotonicTime Now) const
+      -> bool;
   auto report(const BackendId &Backend, const LoadReport &Load,
               MonotonicTime Now) -> void;
   /// What another origin (a host, or a data centre) has under way, at
@@ -73,6 +84,8 @@
     double m_Waiting = 0;
     MonotonicTime m_ReportedAt;
     bool m_Reported = false;
+    MonotonicTime m_AvoidedUntil;
+    std::uint32_t m_Refusals = 0; ///< In a row.
   };
 
   [[nodiscard]] auto weight(const Entry &Current, MonotonicTime Now) const
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -109,7 +109,7 @@
     double m_Planned = 0; ///< Prompt tokens that were expected to be read.
     bool m_Fetched = false; ///< Whether cached parts were to be fetched.
     MonotonicTime m_Since;
-    bool m_HadCache = false;
+    std::optional<CacheHandle> m_Cache; ///< That it was to take.
   };
 
   auto place() -> void;
@@ -122,7 +122,7 @@
   auto prefillEnded(const Attempt &Ended, const AttemptResult &Result) -> void;
   auto serveEnded(const Attempt &Ended, AttemptResult Result) -> void;
   auto answered(const Attempt &Ended, AttemptResult Result) -> void;
-  auto retryUnrun(const AttemptResult &Result) -> void;
+  auto retryUnrun(const Attempt &Ended, const AttemptResult &Result) -> void;
   auto retryAfterFailure(const Attempt &Ended, const AttemptResult &Result)
       -> void;
   [[nodiscard]] auto mayRepeat() const -> bool;
@@ -147,6 +147,8 @@
   std::optional<TimerId> m_Timer;
   std::optional<Attempt> m_Attempt;
   std::optional<CacheHandle> m_Cache; ///< Read elsewhere and not yet taken.
+  Attempt m_Reader;                   ///< That has read it.
+  bool m_CacheTried = false; ///< Whether it was offered to a second engine.
   std::set<BackendId> m_Excluded;
   std::uint32_t m_Placements = 0;
   std::uint32_t m_Runs = 0;     ///< Attempts that may have run the request.
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -118,6 +118,9 @@
       auto From = Present < Wanted ? EngineStage::Decode : EngineStage::Prefill;
       auto To = Present < Wanted ? EngineStage::Prefill : EngineStage::Decode;
       auto Missing = std::abs(Wanted - Present);
+      auto Slack = static_cast<double>(Members.size()) * m_Options.m_StageSlack;
+      if (!Idle && static_cast<double>(Missing) <= std::max(1.0, Slack))
+        continue;
       for (auto Step = 0L; Step < (Idle ? Missing : std::min(1L, Missing));
            ++Step) {
         const auto *Chosen = nextToChange(Members, From);
--- a/src/serving/LoadBook.cpp
+++ b/src/serving/LoadBook.cpp
@@ -25,6 +25,32 @@
     Found->second.m_Own = std::max(0.0, Found->second.m_Own - 1);
 }
 
+auto LoadBook::refused(const BackendId &Backend, MonotonicTime Now) -> void {
+  auto &Current = m_Entries[Backend];
+  // Refusals of requests that were sent together count as one.
+  if (Now < Current.m_AvoidedUntil)
+    return;
+  constexpr auto MostDoublings = 10U;
+  auto Doublings = std::min(Current.m_Refusals++, MostDoublings);
+  auto Span = m_Options.m_FirstAvoidance * (std::int64_t{1} << Doublings);
+  Current.m_AvoidedUntil =
+      Now + std::min<Duration>(Span, m_Options.m_LongestAvoidance);
+}
+
+auto LoadBook::accepted(const BackendId &Backend) -> void {
+  auto Found = m_Entries.find(Backend);
+  if (Found == m_Entries.end())
+    return;
+  Found->second.m_Refusals = 0;
+  Found->second.m_AvoidedUntil = MonotonicTime();
+}
+
+auto LoadBook::avoided(const BackendId &Backend, MonotonicTime Now) const
+    -> bool {
+  auto Found = m_Entries.find(Backend);
+  return Found != m_Entries.end() && Now < Found->second.m_AvoidedUntil;
+}
+
 auto LoadBook::report(const BackendId &Backend, const LoadReport &Load,
                       MonotonicTime Now) -> void {
   auto &Current = m_Entries[Backend];
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -172,7 +172,7 @@
                          .m_Since = m_Context.m_Scheduler.now()};
   if (Purpose == AttemptPurpose::Serve) {
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
-    Current.m_HadCache = Sent.m_Cache.has_value();
+    Current.m_Cache = Sent.m_Cache;
   }
   m_Context.m_Loads.begin(Target.m_Id, Tokens);
   Current.m_Id = m_Context.m_Transport.send(
@@ -251,17 +251,19 @@
       Ended.m_Fetched ? ":fetched" : "");
   switch (Result.m_End) {
   case AttemptEnd::Whole:
+    m_Context.m_Loads.accepted(Ended.m_Backend);
     if (Result.m_Head.m_Status < FirstServerError)
       m_Context.m_Health.recordSuccess(Ended.m_Backend);
     else
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
     break;
   case AttemptEnd::NotExecuted:
-    // Full, or changing its role: others are likely to be better.
+  case AttemptEnd::WrongServer:
+    m_Context.m_Loads.refused(Ended.m_Backend, Now);
+    break;
   case AttemptEnd::NotSent:
   case AttemptEnd::Broken:
   case AttemptEnd::TimedOut:
-  case AttemptEnd::WrongServer:
     // A connection that its server closed while idle tells of no fault.
     if (!Result.m_ReusedConnection)
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
@@ -285,7 +287,8 @@
                              m_Context.m_Scheduler.now() - Ended.m_Since);
     noteRead(Ended.m_Backend);
     m_Cache = Result.m_Cache;
-    decodeElsewhere(Ended);
+    m_Reader = Ended;
+    decodeElsewhere(m_Reader);
     return;
   }
   // A prompt that was read is no run of the request.
@@ -320,10 +323,8 @@
   case AttemptEnd::NotSent:
   case AttemptEnd::NotExecuted:
   case AttemptEnd::WrongServer:
-    // A prompt read elsewhere may have gone meanwhile; its engine may be sound.
-    if (!Ended.m_HadCache || Result.m_End != AttemptEnd::NotExecuted)
-      m_Excluded.insert(Ended.m_Backend);
-    retryUnrun(Result);
+    m_Excluded.insert(Ended.m_Backend);
+    retryUnrun(Ended, Result);
     return;
   case AttemptEnd::Broken:
   case AttemptEnd::TimedOut:
@@ -373,7 +374,8 @@
          fmt::format("status {}", Status));
 }
 
-auto ServedRequest::retryUnrun(const AttemptResult &Result) -> void {
+auto ServedRequest::retryUnrun(const Attempt &Ended,
+                               const AttemptResult &Result) -> void {
   if (timeLeft() <= Duration::zero()) {
     expire();
     return;
@@ -381,6 +383,14 @@
   if (Result.m_End == AttemptEnd::NotSent)
     // Nothing arrived anywhere.
     m_Arrivals -= std::min(m_Arrivals, 1U);
+  // A prompt that was read is still there when its taker was full; when it is
+  // not, the second taker says so.
+  if (Ended.m_Cache && !std::exchange(m_CacheTried, true)) {
+    m_Cache = Ended.m_Cache;
+    decodeElsewhere(m_Reader);
+    return;
+  }
+  m_CacheTried = false;
   place();
 }
 
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -15,11 +15,14 @@
       }));
   auto LeaveOut = View.m_Health.mayLeaveOut(Ejected, Usable.size());
   auto Result = std::vector<const BackendRecord *>();
-  for (const auto *Item : Usable)
-    if (!Excluded.contains(Item->m_Id) &&
-        !(LeaveOut && View.m_Health.ejected(Item->m_Id, Now)))
-      Result.push_back(Item);
-  return Result;
+  auto Avoided = std::vector<const BackendRecord *>();
+  for (const auto *Item : Usable) {
+    if (Excluded.contains(Item->m_Id) ||
+        (LeaveOut && View.m_Health.ejected(Item->m_Id, Now)))
+      continue;
+    (View.m_Loads.avoided(Item->m_Id, Now) ? Avoided : Result).push_back(Item);
+  }
+  return Result.empty() ? Avoided : Result;
 }
 
 auto ServerChoice::choose(const ChoiceView &View, const ServiceId &Service,
