--- a/include/dotterel/serving/RetryWindow.h
+++ b/include/dotterel/serving/RetryWindow.h
@@ -38,6 +38,9 @@
 
   auto recordRequest(const ServiceId &Service, MonotonicTime Now) -> void;
 
+  /// Notes an extra attempt that was made without asking.
+  auto charge(const ServiceId &Service, MonotonicTime Now) -> void;
+
   /// Takes one extra attempt when there is room. \returns whether there was.
   auto take(const ServiceId &Service, MonotonicTime Now) -> bool;
 
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -119,6 +119,7 @@
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
   auto settleAttempt(const AttemptResult &Result) -> Attempt;
+  [[nodiscard]] auto payFor(AttemptPurpose Purpose) -> bool;
   auto prefillEnded(const Attempt &Ended, const AttemptResult &Result) -> void;
   auto serveEnded(const Attempt &Ended, AttemptResult Result) -> void;
   auto answered(const Attempt &Ended, AttemptResult Result) -> void;
@@ -152,8 +153,10 @@
   std::set<BackendId> m_Excluded;
   std::uint32_t m_Placements = 0;
   std::uint32_t m_Runs = 0;     ///< Attempts that may have run the request.
-  std::uint32_t m_Arrivals = 0; ///< Attempts that count against the budget.
-  std::uint32_t m_Prefills = 0;
+  /// Attempts that count against the budget: all but one accepted prefill. The
+  /// first is free.
+  std::uint32_t m_Arrivals = 0;
+  bool m_PrefillAccepted = false;
   bool m_Prepaid = false; ///< The next attempt was charged to the budget.
   bool m_Streaming = false;
   bool m_FirstSeen = false;
--- a/src/serving/RetryWindow.cpp
+++ b/src/serving/RetryWindow.cpp
@@ -17,6 +17,12 @@
   Current.m_Requests.push_back(Now);
 }
 
+auto RetryWindow::charge(const ServiceId &Service, MonotonicTime Now) -> void {
+  auto &Current = m_Services[Service];
+  expire(Current, Now);
+  Current.m_Extra.push_back(Now);
+}
+
 auto RetryWindow::take(const ServiceId &Service, MonotonicTime Now) -> bool {
   auto &Current = m_Services[Service];
   expire(Current, Now);
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -132,23 +132,25 @@
   send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom);
 }
 
+auto ServedRequest::payFor(AttemptPurpose Purpose) -> bool {
+  // Whether a first prefill counts is known once its engine has answered.
+  if (Purpose == AttemptPurpose::Prefill && !m_PrefillAccepted)
+    return true;
+  auto Free = m_Arrivals == 0 || std::exchange(m_Prepaid, false);
+  if (!Free && !m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
+                                         m_Context.m_Scheduler.now()))
+    return false;
+  ++m_Arrivals;
+  return true;
+}
+
 auto ServedRequest::send(const BackendRecord &Target, AttemptPurpose Purpose,
                          double Tokens, const std::string &FetchFrom) -> void {
-  // The first prefill is free of the budget, and so is the first arrival.
-  auto Free = Purpose == AttemptPurpose::Prefill ? m_Prefills == 0
-                                                 : m_Arrivals == 0;
-  if (!Free && !std::exchange(m_Prepaid, false) &&
-      !m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
-                                         m_Context.m_Scheduler.now())) {
-    if (m_Streaming) {
-      finish("cut", "no retry is left in the budget");
-      return;
-    }
+  if (!payFor(Purpose)) {
     refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
            "no retry is left in the budget", returnTime(timeLeft()));
     return;
   }
-  ++(Purpose == AttemptPurpose::Prefill ? m_Prefills : m_Arrivals);
   const auto &Request = m_Exchange->request();
   auto Sent = BackendAttempt{
       .m_Request = &Request,
@@ -286,11 +288,17 @@
     m_Context.m_Speed.record(Ended.m_Tokens,
                              m_Context.m_Scheduler.now() - Ended.m_Since);
     noteRead(Ended.m_Backend);
+    m_PrefillAccepted = true;
     m_Cache = Result.m_Cache;
     m_Reader = Ended;
     decodeElsewhere(m_Reader);
     return;
   }
+  // A prefill that its engine rejected counts like any other attempt.
+  if (!m_PrefillAccepted && Result.m_End != AttemptEnd::NotSent &&
+      m_Arrivals++ > 0)
+    m_Context.m_Retries.charge(m_Terms.m_Service->m_Id,
+                               m_Context.m_Scheduler.now());
   // A prompt that was read is no run of the request.
   m_Excluded.insert(Ended.m_Backend);
   if (timeLeft() <= Duration::zero()) {
