Let two hosts of a data centre watch the store for the others

A relay that was behind replayed an older write of a server whose removal a faster relay had passed on. Ruled out: a stale list (the store answers linearizably), a server's own write (no other data centre saw it).

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -44,6 +44,8 @@
   std::function<const ServingConfiguration *()> m_Configuration;
   /// Whether this host has no request in progress.
   std::function<bool()> m_Idle;
+  /// Whether this host may campaign for the duty.
+  std::function<bool()> m_Eligible;
 };
 
 /// The fleet duty of one host. It acts only while the host holds the lease.
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -15,6 +15,7 @@
 #include "dotterel/io/LogOutput.h"
 #include "dotterel/io/StrictHttpServer.h"
 #include "dotterel/peers/LoadExchange.h"
+#include "dotterel/peers/StoreRelay.h"
 #include "dotterel/serving/ServingCore.h"
 #include "dotterel/store/KeyspaceMirror.h"
 #include "dotterel/supervision/Supervisor.h"
@@ -84,6 +85,8 @@
 
 private:
   auto buildTree(HttpHandler &Callers, HttpHandler &Readiness) -> void;
+  [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
+  [[nodiscard]] auto mayCampaign() const -> bool;
   auto takeConfiguration(const KeyChange &Change) -> void;
   auto takeBackend(const KeyChange &Change) -> void;
   auto receive(const std::string &Address, std::string_view Bytes) -> void;
@@ -103,6 +106,7 @@
   ServingCore m_Core;
   HostRegistry m_Hosts;
   LoadExchange m_Exchange;
+  StoreRelay m_Relay;
   KeyspaceMirror m_ConfigurationMirror;
   KeyspaceMirror m_BackendMirror;
   UsageRecorder m_Usage;
--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -10,6 +10,7 @@
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/EngineLoad.h"
+#include "dotterel/store/StoreWatch.h"
 
 #include <string>
 #include <string_view>
@@ -33,7 +34,7 @@
 struct HostMessage {
   HostId m_Sender;
   DataCentreId m_DataCentre;
-  std::variant<LoadSummary, RelayQuestion, RelayReply> m_Content;
+  std::variant<LoadSummary, RelayQuestion, RelayReply, KeyChange> m_Content;
 };
 
 auto encodeHostMessage(const HostMessage &Message) -> std::string;
--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -55,6 +55,10 @@
   auto receive(const HostMessage &Message, const std::string &Address,
                std::string_view Bytes) -> void;
 
+  /// Hosts of the own data centre, this one included, that were heard of late,
+  /// by name.
+  [[nodiscard]] auto present() const -> std::vector<HostId>;
+
 private:
   struct Heard {
     MonotonicTime m_At;
--- /dev/null
+++ b/include/dotterel/peers/StoreRelay.h
@@ -0,0 +1,81 @@
+//===- StoreRelay.h - Few hosts read the store for the others ---*- C++ -*-===//
+///
+/// \file
+/// In each data centre two hosts watch the store; the others learn from them.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_PEERS_STORERELAY_H
+#define DOTTEREL_PEERS_STORERELAY_H
+
+#include "dotterel/peers/LoadExchange.h"
+
+#include <functional>
+#include <optional>
+
+namespace dotterel {
+
+struct StoreRelayOptions {
+  /// Hosts of a data centre that watch the store themselves.
+  std::size_t m_Relays = 2;
+  /// Pause between questions to a relay.
+  Duration m_AskInterval = Milliseconds(500);
+  /// Without evidence for so long, a host watches the store itself.
+  Duration m_FallBackAfter = Milliseconds(1600);
+  /// Replies in a row that show other servers than ours before all are read: a
+  /// change that was passed on may still be on its way.
+  std::uint32_t m_MismatchesAllowed = 1;
+};
+
+/// The host's own state, and what is to be done with it.
+struct StoreRelayHooks {
+  std::function<Duration()> m_EvidenceAge;
+  std::function<ConfigRevision()> m_Config;
+  std::function<std::uint64_t()> m_BackendsDigest;
+  std::function<void(MonotonicTime)> m_OnEvidence;
+  std::function<void()> m_RefreshConfiguration;
+  std::function<void()> m_RefreshBackends;
+  std::function<void(const KeyChange &)> m_OnBackendChange;
+  /// Gets whether this host is to follow relays rather than watch the store.
+  std::function<void(bool)> m_OnFollow;
+};
+
+/// Evidence travels in answers to questions and is dated from before the
+/// question was sent, so that no delay, pause or repetition makes it look newer
+/// than it is. It counts only for a host that holds the relay's configuration.
+class StoreRelay {
+public:
+  StoreRelay(Scheduler &Scheduler, DatagramPort &Port,
+             const HostRegistry &Registry, const LoadExchange &Exchange,
+             StoreRelayHooks Hooks, const StoreRelayOptions &Options);
+
+  auto start() -> void;
+
+  /// Takes a question, a reply or a change that came from \p Address.
+  auto receive(const HostMessage &Message, const std::string &Address) -> void;
+
+  /// Tells the data centre of a change that this host has seen in the store.
+  auto passOn(const KeyChange &Change) -> void;
+
+  [[nodiscard]] auto following() const -> bool { return m_Following; }
+
+private:
+  auto step() -> void;
+  auto reply(const RelayQuestion &Question, const std::string &Address) -> void;
+  auto take(const RelayReply &Reply) -> void;
+  [[nodiscard]] auto message(decltype(HostMessage::m_Content) Content) const
+      -> std::string;
+
+  Scheduler &m_Scheduler;
+  DatagramPort &m_Port;
+  const HostRegistry &m_Registry;
+  const LoadExchange &m_Exchange;
+  StoreRelayHooks m_Hooks;
+  StoreRelayOptions m_Options;
+  bool m_Following = false;
+  std::uint32_t m_Mismatches = 0;
+  std::optional<RepeatingTimer> m_Timer;
+};
+
+} // namespace dotterel
+
+#endif // DOTTEREL_PEERS_STORERELAY_H
--- a/include/dotterel/serving/BackendDirectory.h
+++ b/include/dotterel/serving/BackendDirectory.h
@@ -26,8 +26,12 @@
     m_OnForget = std::move(Callback);
   }
 
-  auto put(BackendRecord Record) -> void;
-  auto remove(const BackendId &Id) -> void;
+  /// \returns whether this changes what is known.
+  auto put(BackendRecord Record) -> bool;
+  auto remove(const BackendId &Id) -> bool;
+
+  /// Equal for equal records, in whatever order they came.
+  [[nodiscard]] auto digest() const -> std::uint64_t { return m_Digest; }
 
   /// The registered server, also while it drains; null when there is none.
   [[nodiscard]] auto find(const BackendId &Id) const -> const BackendRecord *;
@@ -44,6 +48,7 @@
   auto index() -> void;
 
   std::map<BackendId, BackendRecord> m_Records;
+  std::uint64_t m_Digest = 0;
   std::map<ServiceId, std::vector<const BackendRecord *>> m_Usable;
   std::function<void(const BackendId &)> m_OnForget;
 };
--- a/include/dotterel/store/KeyspaceMirror.h
+++ b/include/dotterel/store/KeyspaceMirror.h
@@ -16,7 +16,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace dotterel {
@@ -29,8 +28,12 @@
   /// Pause between the starts of two watches, so that busy keys cost a bounded
   /// number of calls.
   Duration m_Pause = Milliseconds(0);
-  /// Pause after a failed call; twice this much at the most, by chance.
+  /// Pause after a failed call, doubled after each further one up to the
+  /// longest; half as much again by chance.
   Duration m_RetryDelay = Milliseconds(150);
+  Duration m_LongestRetryDelay = Milliseconds(900);
+  /// Removed keys that are remembered; the oldest removals are forgotten.
+  std::size_t m_MostRemoved = 4096;
   /// Keys that are missing after an outage are kept for so long: their owners
   /// write them again.
   Duration m_HoldAfterOutage = Milliseconds(2200);
@@ -68,6 +71,16 @@
 
   auto start() -> void;
 
+  /// Stops watching when \p Following: another process passes changes on by
+  /// apply(). Reads all keys anew when the watching begins again.
+  auto follow(bool Following) -> void;
+
+  /// Reads all keys once, unless a call is under way.
+  auto refresh() -> void;
+
+  /// Takes a change that another process has seen.
+  auto apply(const KeyChange &Change) -> void;
+
 private:
   struct Entry {
     StoreRevision m_Revision;
@@ -81,7 +94,7 @@
   auto put(const std::string &Key, const std::string &Value,
            StoreRevision Revision) -> void;
   auto remove(const std::string &Key, StoreRevision Revision) -> void;
-  auto drop(const std::string &Key) -> void;
+  auto drop(const std::string &Key, StoreRevision Revision) -> void;
   auto answered(MonotonicTime SentAt) -> void;
   auto failed(void (KeyspaceMirror::*Step)()) -> void;
   auto again(Duration Delay, void (KeyspaceMirror::*Step)()) -> void;
@@ -93,9 +106,16 @@
   Random &m_Random;
   KeyspaceMirrorOptions m_Options;
   std::map<std::string, Entry> m_Entries;
-  std::set<std::string> m_Missing; ///< Held although the store lacks them.
+  /// Held although the store lacks them, with the revision of that.
+  std::map<std::string, StoreRevision> m_Missing;
+  /// Removed keys, so that an older write that arrives late does not bring them
+  /// back.
+  std::map<std::string, StoreRevision> m_Removed;
   StoreRevision m_Revision;
   bool m_Reachable = true;
+  bool m_Following = false;
+  bool m_Calling = false;
+  std::uint32_t m_Failures = 0; ///< In a row.
   std::optional<MonotonicTime> m_HoldUntil;
   std::optional<TimerId> m_Timer;
   std::optional<TimerId> m_HoldTimer;
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -11,9 +11,18 @@
     loads @2 :LoadSummary;
     question @3 :Question;
     reply @4 :Reply;
+    change @5 :RecordChange;
   }
 }
 
+# A record of the store that a relay has seen change.
+struct RecordChange {
+  key @0 :Text;
+  value @1 :Data;
+  removed @2 :Bool;
+  revision @3 :UInt64;
+}
+
 # What a host, or all hosts of a data centre, have under way.
 struct LoadSummary {
   wholeDataCentre @0 :Bool;
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -20,6 +20,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ae6b785c40999730);
+CAPNP_DECLARE_SCHEMA(b2db77a7950567e9);
 CAPNP_DECLARE_SCHEMA(94f45e54ef8555bc);
 CAPNP_DECLARE_SCHEMA(adbb1ab576a33d54);
 CAPNP_DECLARE_SCHEMA(c448cf29b7a33d18);
@@ -43,6 +44,7 @@
     LOADS,
     QUESTION,
     REPLY,
+    CHANGE,
   };
 
   struct _capnpPrivate {
@@ -53,6 +55,21 @@
   };
 };
 
+struct RecordChange {
+  RecordChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b2db77a7950567e9, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadSummary {
   LoadSummary() = delete;
 
@@ -184,6 +201,10 @@
   inline bool hasReply() const;
   inline  ::dotterel::schema::Reply::Reader getReply() const;
 
+  inline bool isChange() const;
+  inline bool hasChange() const;
+  inline  ::dotterel::schema::RecordChange::Reader getChange() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -251,6 +272,14 @@
   inline void adoptReply(::capnp::Orphan< ::dotterel::schema::Reply>&& value);
   inline ::capnp::Orphan< ::dotterel::schema::Reply> disownReply();
 
+  inline bool isChange();
+  inline bool hasChange();
+  inline  ::dotterel::schema::RecordChange::Builder getChange();
+  inline void setChange( ::dotterel::schema::RecordChange::Reader value);
+  inline  ::dotterel::schema::RecordChange::Builder initChange();
+  inline void adoptChange(::capnp::Orphan< ::dotterel::schema::RecordChange>&& value);
+  inline ::capnp::Orphan< ::dotterel::schema::RecordChange> disownChange();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -277,6 +306,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class RecordChange::Reader {
+public:
+  typedef RecordChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline bool getRemoved() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RecordChange::Builder {
+public:
+  typedef RecordChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RecordChange::Pipeline {
+public:
+  typedef RecordChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadSummary::Reader {
 public:
   typedef LoadSummary Reads;
@@ -1049,6 +1179,156 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool HostMessage::Reader::isChange() const {
+  return which() == HostMessage::CHANGE;
+}
+inline bool HostMessage::Builder::isChange() {
+  return which() == HostMessage::CHANGE;
+}
+inline bool HostMessage::Reader::hasChange() const {
+  if (which() != HostMessage::CHANGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostMessage::Builder::hasChange() {
+  if (which() != HostMessage::CHANGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::dotterel::schema::RecordChange::Reader HostMessage::Reader::getChange() const {
+  KJ_IREQUIRE((which() == HostMessage::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterel::schema::RecordChange::Builder HostMessage::Builder::getChange() {
+  KJ_IREQUIRE((which() == HostMessage::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::setChange( ::dotterel::schema::RecordChange::Reader value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::dotterel::schema::RecordChange::Builder HostMessage::Builder::initChange() {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGE);
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::adoptChange(
+    ::capnp::Orphan< ::dotterel::schema::RecordChange>&& value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::dotterel::schema::RecordChange> HostMessage::Builder::disownChange() {
+  KJ_IREQUIRE((which() == HostMessage::CHANGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::RecordChange>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RecordChange::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordChange::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RecordChange::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RecordChange::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordChange::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RecordChange::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordChange::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RecordChange::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RecordChange::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordChange::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RecordChange::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RecordChange::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RecordChange::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RecordChange::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RecordChange::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RecordChange::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool RecordChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RecordChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RecordChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RecordChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadSummary::Reader::getWholeDataCentre() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -77,6 +77,7 @@
 FleetDuty::~FleetDuty() { *m_Alive = false; }
 
 auto FleetDuty::start() -> void {
+  m_Lease.setEligible(m_Inputs.m_Eligible);
   m_Lease.start();
   m_Timer.emplace(m_Scheduler, m_Options.m_StepInterval, [this] { step(); });
 }
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace dotterel {
 
@@ -25,6 +26,11 @@
 constexpr auto ReadyShare = 0.9;
 /// Waits of the configuration's watch, as a share of the evidence bound.
 constexpr auto WatchShare = 0.4;
+/// Share of the evidence bound without evidence from relays after which a host
+/// reads the store itself: leaves time for a read.
+constexpr auto FallBackShare = 0.65;
+/// Hosts of the whole installation that campaign for the fleet duty.
+constexpr auto Campaigners = std::size_t{4};
 /// Pause between looks at the servers' entries, which change all the time, as
 /// a share of the promised drain bound.
 constexpr auto BackendPauseShare = 0.25;
@@ -100,6 +106,10 @@
             m_Core.applyLoads(Origin, Loads);
           },
           {}),
+      m_Relay(Loop, Ports.m_Datagrams, m_Hosts, m_Exchange, relayHooks(),
+              {.m_FallBackAfter = scaled(
+                   evidenceBound(Options.m_Settings.m_Bounds),
+                   FallBackShare)}),
       m_ConfigurationMirror(
           Loop, Ports.m_Store, Ports.m_Watch, m_Random,
           {.m_Prefix = Ports.m_Records.configurationKey(),
@@ -120,7 +130,8 @@
       m_Duty(m_Time, Ports.m_Store, Ports.m_Fleet,
              {.m_Directory = m_Core.directory(),
               .m_Configuration = [this] { return m_Core.configuration(); },
-              .m_Idle = [this] { return m_Core.active() == 0; }},
+              .m_Idle = [this] { return m_Core.active() == 0; },
+              .m_Eligible = [this] { return mayCampaign(); }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
               .m_Planner = Options.m_Planner}),
@@ -142,10 +153,50 @@
 
 HostProcess::~HostProcess() = default;
 
+auto HostProcess::relayHooks() -> StoreRelayHooks {
+  return {.m_EvidenceAge = [this] { return m_Core.evidenceAge(); },
+          .m_Config =
+              [this] {
+                const auto *Current = m_Core.configuration();
+                return Current ? Current->m_Revision : ConfigRevision{};
+              },
+          .m_BackendsDigest = [this] { return m_Core.directory().digest(); },
+          .m_OnEvidence =
+              [this](MonotonicTime At) { m_Core.recordEvidence(At); },
+          .m_RefreshConfiguration = [this] { m_ConfigurationMirror.refresh(); },
+          .m_RefreshBackends = [this] { m_BackendMirror.refresh(); },
+          .m_OnBackendChange =
+              [this](const KeyChange &Change) {
+                m_BackendMirror.apply(Change);
+              },
+          .m_OnFollow =
+              [this](bool Following) {
+                m_ConfigurationMirror.follow(Following);
+                m_BackendMirror.follow(Following);
+              }};
+}
+
+auto HostProcess::mayCampaign() const -> bool {
+  // The same order on every host; those that are gone leave the registry.
+  auto Rank = [](const HostId &Host) {
+    return XXH3_64bits(Host.text().data(), Host.text().size());
+  };
+  const auto &Others = m_Hosts.others();
+  auto Own = Rank(m_Hosts.self().m_Host);
+  return static_cast<std::size_t>(std::count_if(
+             Others.begin(), Others.end(), [&](const auto &Item) {
+               return Rank(Item.first) < Own;
+             })) < Campaigners;
+}
+
 auto HostProcess::receive(const std::string &Address, std::string_view Bytes)
     -> void {
   try {
-    m_Exchange.receive(decodeHostMessage(Bytes), Address, Bytes);
+    auto Message = decodeHostMessage(Bytes);
+    if (std::holds_alternative<LoadSummary>(Message.m_Content))
+      m_Exchange.receive(Message, Address, Bytes);
+    else
+      m_Relay.receive(Message, Address);
   } catch (const ProtocolError &Failure) {
     logWarning("peer.unreadable",
                {{"address", Address}, {"reason", Failure.what()}});
@@ -170,18 +221,19 @@
 
 auto HostProcess::takeBackend(const KeyChange &Change) -> void {
   auto Id = m_Ports.m_Records.backendOf(Change.m_Key);
-  if (!Change.m_Value) {
-    m_Core.directory().remove(Id);
-    return;
-  }
+  auto Changed = false;
   try {
-    m_Core.directory().put(
-        m_Ports.m_Records.backend(Change.m_Key, *Change.m_Value));
+    Changed = Change.m_Value
+                  ? m_Core.directory().put(m_Ports.m_Records.backend(
+                        Change.m_Key, *Change.m_Value))
+                  : m_Core.directory().remove(Id);
   } catch (const ProtocolError &Failure) {
     logWarning("backend.unreadable",
                {{"backend", Id}, {"reason", Failure.what()}});
-    m_Core.directory().remove(Id);
+    Changed = m_Core.directory().remove(Id);
   }
+  if (Changed)
+    m_Relay.passOn(Change);
 }
 
 auto HostProcess::serve(CallerExchangePtr Exchange) -> void {
@@ -232,6 +284,7 @@
           [this] {
             m_Hosts.start();
             m_Exchange.start();
+            m_Relay.start();
           },
       .m_Reset = [this] { m_Hosts.leave(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -64,6 +64,27 @@
   return MonotonicTime(Duration(static_cast<Duration::rep>(Count)));
 }
 
+auto encodeChange(const KeyChange &Change,
+                  schema::RecordChange::Builder Target) -> void {
+  Target.setKey(Change.m_Key);
+  Target.setRemoved(!Change.m_Value.has_value());
+  Target.setRevision(Change.m_Revision.number());
+  if (Change.m_Value)
+    Target.setValue(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(Change.m_Value->data()),
+        Change.m_Value->size()));
+}
+
+auto decodeChange(schema::RecordChange::Reader Source) -> KeyChange {
+  auto Change = KeyChange{.m_Key = Source.getKey().cStr(),
+                          .m_Revision = StoreRevision{Source.getRevision()}};
+  auto Value = Source.getValue();
+  if (!Source.getRemoved())
+    Change.m_Value = std::string(reinterpret_cast<const char *>(Value.begin()),
+                                 Value.size());
+  return Change;
+}
+
 auto encodeReply(const RelayReply &Reply, schema::Reply::Builder Target)
     -> void {
   Target.setSentAt(toMicroseconds(Reply.m_SentAt));
@@ -93,8 +114,10 @@
   else if (const auto *Question =
                std::get_if<RelayQuestion>(&Message.m_Content))
     Root.initQuestion().setSentAt(toMicroseconds(Question->m_SentAt));
+  else if (const auto *Reply = std::get_if<RelayReply>(&Message.m_Content))
+    encodeReply(*Reply, Root.initReply());
   else
-    encodeReply(std::get<RelayReply>(Message.m_Content), Root.initReply());
+    encodeChange(std::get<KeyChange>(Message.m_Content), Root.initChange());
   auto Output = kj::VectorOutputStream();
   capnp::writePackedMessage(Output, Builder);
   auto Bytes = Output.getArray();
@@ -122,6 +145,9 @@
     case schema::HostMessage::REPLY:
       Message.m_Content = decodeReply(Root.getReply());
       break;
+    case schema::HostMessage::CHANGE:
+      Message.m_Content = decodeChange(Root.getChange());
+      break;
     default:
       throw ProtocolError(301, "a host's message of an unknown kind");
     }
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -46,13 +46,19 @@
   sendToOwn(message(m_Own));
 }
 
-auto LoadExchange::relays() const -> bool {
+auto LoadExchange::present() const -> std::vector<HostId> {
   auto Now = m_Scheduler.now();
+  auto Result = std::vector<HostId>{m_Registry.self().m_Host};
   for (const auto &[Host, Entry] : m_Local)
-    if (Host < m_Registry.self().m_Host &&
-        Now - Entry.m_At < m_Options.m_RelayLapse)
-      return false;
-  return true;
+    if (Now - Entry.m_At < m_Options.m_RelayLapse &&
+        m_Registry.others().contains(Host))
+      Result.push_back(Host);
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+auto LoadExchange::relays() const -> bool {
+  return present().front() == m_Registry.self().m_Host;
 }
 
 auto LoadExchange::sendRemote() -> void {
--- /dev/null
+++ b/src/peers/StoreRelay.cpp
@@ -0,0 +1,94 @@
+#include "dotterel/peers/StoreRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterel {
+
+StoreRelay::StoreRelay(Scheduler &Scheduler, DatagramPort &Port,
+                       const HostRegistry &Registry,
+                       const LoadExchange &Exchange, StoreRelayHooks Hooks,
+                       const StoreRelayOptions &Options)
+    : m_Scheduler(Scheduler), m_Port(Port), m_Registry(Registry),
+      m_Exchange(Exchange), m_Hooks(std::move(Hooks)), m_Options(Options) {}
+
+auto StoreRelay::start() -> void {
+  m_Timer.emplace(m_Scheduler, m_Options.m_AskInterval, [this] { step(); });
+}
+
+auto StoreRelay::message(decltype(HostMessage::m_Content) Content) const
+    -> std::string {
+  const auto &Self = m_Registry.self();
+  return encodeHostMessage({.m_Sender = Self.m_Host,
+                            .m_DataCentre = Self.m_DataCentre,
+                            .m_Content = std::move(Content)});
+}
+
+auto StoreRelay::step() -> void {
+  auto Present = m_Exchange.present();
+  Present.resize(std::min(Present.size(), m_Options.m_Relays));
+  auto Relay = std::find(Present.begin(), Present.end(),
+                         m_Registry.self().m_Host) != Present.end();
+  auto Follow = !Relay && m_Hooks.m_EvidenceAge() < m_Options.m_FallBackAfter;
+  if (std::exchange(m_Following, Follow) != Follow)
+    m_Hooks.m_OnFollow(Follow);
+  if (Relay)
+    return;
+  // Asked also while this host watches the store itself, so that it can stop.
+  auto Bytes = message(RelayQuestion{.m_SentAt = m_Scheduler.now()});
+  for (const auto &Host : Present)
+    m_Port.send(m_Registry.others().at(Host).m_Address, Bytes);
+}
+
+auto StoreRelay::reply(const RelayQuestion &Question,
+                       const std::string &Address) -> void {
+  auto Age = m_Hooks.m_EvidenceAge();
+  // Evidence is passed on once, from who read the store.
+  if (m_Following || Age == Duration::max())
+    return;
+  m_Port.send(Address,
+              message(RelayReply{.m_SentAt = Question.m_SentAt,
+                                 .m_EvidenceAge = Age,
+                                 .m_Config = m_Hooks.m_Config(),
+                                 .m_BackendsDigest =
+                                     m_Hooks.m_BackendsDigest()}));
+}
+
+auto StoreRelay::take(const RelayReply &Reply) -> void {
+  if (Reply.m_Config > m_Hooks.m_Config()) {
+    m_Hooks.m_RefreshConfiguration();
+    return;
+  }
+  m_Hooks.m_OnEvidence(Reply.m_SentAt - Reply.m_EvidenceAge);
+  if (!m_Following || Reply.m_BackendsDigest == m_Hooks.m_BackendsDigest()) {
+    m_Mismatches = 0;
+    return;
+  }
+  if (++m_Mismatches <= m_Options.m_MismatchesAllowed * m_Options.m_Relays)
+    return;
+  m_Mismatches = 0;
+  m_Hooks.m_RefreshBackends();
+}
+
+auto StoreRelay::receive(const HostMessage &Message, const std::string &Address)
+    -> void {
+  if (Message.m_DataCentre != m_Registry.self().m_DataCentre)
+    return;
+  if (const auto *Question = std::get_if<RelayQuestion>(&Message.m_Content))
+    reply(*Question, Address);
+  else if (const auto *Reply = std::get_if<RelayReply>(&Message.m_Content))
+    take(*Reply);
+  else if (const auto *Change = std::get_if<KeyChange>(&Message.m_Content))
+    m_Hooks.m_OnBackendChange(*Change);
+}
+
+auto StoreRelay::passOn(const KeyChange &Change) -> void {
+  if (m_Following)
+    return;
+  auto Bytes = message(Change);
+  for (const auto &[Host, Record] : m_Registry.others())
+    if (Record.m_DataCentre == m_Registry.self().m_DataCentre)
+      m_Port.send(Record.m_Address, Bytes);
+}
+
+} // namespace dotterel
--- a/src/serving/BackendDirectory.cpp
+++ b/src/serving/BackendDirectory.cpp
@@ -2,7 +2,9 @@
 
 #include "dotterel/base/Log.h"
 
+#include <fmt/format.h>
 #include <utility>
+#include <xxhash.h>
 
 namespace dotterel {
 
@@ -20,12 +22,21 @@
   return "";
 }
 
+auto digestOf(const BackendRecord &Record) -> std::uint64_t {
+  auto Text = fmt::format(
+      "{}/{}/{}/{}/{}/{}/{}/{}/{}", Record.m_Id.text(),
+      Record.m_Service.text(), Record.m_Address, Record.m_DataCentre.text(),
+      Record.m_Slots, Record.m_Draining, Record.m_Reclaimable,
+      stageName(Record.m_Stage), Record.m_StartedAt);
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
 } // namespace
 
-auto BackendDirectory::put(BackendRecord Record) -> void {
+auto BackendDirectory::put(BackendRecord Record) -> bool {
   auto Found = m_Records.find(Record.m_Id);
   if (Found != m_Records.end() && Found->second == Record)
-    return;
+    return false;
   auto Restarted =
       Found != m_Records.end() && Record.restartedSince(Found->second);
   logInfo("backend.registered",
@@ -42,15 +53,17 @@
   index();
   if (Restarted && m_OnForget)
     m_OnForget(Id);
+  return true;
 }
 
-auto BackendDirectory::remove(const BackendId &Id) -> void {
+auto BackendDirectory::remove(const BackendId &Id) -> bool {
   if (m_Records.erase(Id) == 0)
-    return;
+    return false;
   logInfo("backend.gone", {{"backend", Id}});
   index();
   if (m_OnForget)
     m_OnForget(Id);
+  return true;
 }
 
 auto BackendDirectory::find(const BackendId &Id) const
@@ -68,6 +81,9 @@
 
 auto BackendDirectory::index() -> void {
   m_Usable.clear();
+  m_Digest = 0;
+  for (const auto &[Id, Record] : m_Records)
+    m_Digest ^= digestOf(Record);
   for (const auto &[Id, Record] : m_Records)
     if (!Record.m_Draining)
       m_Usable[Record.m_Service].push_back(&Record);
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -3,6 +3,7 @@
 #include "dotterel/base/Log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -18,8 +19,38 @@
 
 auto KeyspaceMirror::start() -> void { list(); }
 
+auto KeyspaceMirror::follow(bool Following) -> void {
+  if (std::exchange(m_Following, Following) == Following)
+    return;
+  logInfo("store.following",
+          {{"prefix", m_Options.m_Prefix}, {"following", Following}});
+  if (!Following)
+    refresh();
+}
+
+auto KeyspaceMirror::refresh() -> void {
+  if (m_Calling)
+    return;
+  if (m_Timer)
+    m_Scheduler.cancel(*m_Timer);
+  m_Timer.reset();
+  list();
+}
+
+auto KeyspaceMirror::apply(const KeyChange &Change) -> void {
+  if (Change.m_Value)
+    put(Change.m_Key, *Change.m_Value, Change.m_Revision);
+  else if (auto Found = m_Entries.find(Change.m_Key);
+           Found != m_Entries.end() &&
+           Found->second.m_Revision <= Change.m_Revision)
+    drop(Change.m_Key, Change.m_Revision);
+}
+
 auto KeyspaceMirror::again(Duration Delay, void (KeyspaceMirror::*Step)())
     -> void {
+  // Failed calls are repeated until one is answered.
+  if (m_Following && m_Failures == 0)
+    return;
   m_Timer = m_Scheduler.schedule(Delay, [this, Step] {
     m_Timer.reset();
     (this->*Step)();
@@ -29,12 +60,19 @@
 auto KeyspaceMirror::failed(void (KeyspaceMirror::*Step)()) -> void {
   if (std::exchange(m_Reachable, false) && m_OnReachable)
     m_OnReachable(false);
-  auto Span = static_cast<double>(m_Options.m_RetryDelay.count());
-  again(Duration(static_cast<Duration::rep>(Span * (1 + m_Random.unit()))),
+  constexpr auto MostDoublings = 6U;
+  auto Doublings = std::min(m_Failures++, MostDoublings);
+  auto Span = std::min<Duration>(m_Options.m_RetryDelay *
+                                     (std::int64_t{1} << Doublings),
+                                 m_Options.m_LongestRetryDelay);
+  constexpr auto Spread = 0.5;
+  again(std::chrono::duration_cast<Duration>(
+            Span * (1 + Spread * m_Random.unit())),
         Step);
 }
 
 auto KeyspaceMirror::answered(MonotonicTime SentAt) -> void {
+  m_Failures = 0;
   if (!std::exchange(m_Reachable, true)) {
     m_HoldUntil = m_Scheduler.now() + m_Options.m_HoldAfterOutage;
     if (m_OnReachable)
@@ -50,10 +88,12 @@
 
 auto KeyspaceMirror::list() -> void {
   auto SentAt = m_Scheduler.now();
+  m_Calling = true;
   m_Store.read(KeyRange::prefix(m_Options.m_Prefix),
                [this, Alive = m_Alive, SentAt](const auto &Reply) {
                  if (!*Alive)
                    return;
+                 m_Calling = false;
                  if (!Reply) {
                    failed(&KeyspaceMirror::list);
                    return;
@@ -84,10 +124,12 @@
 
 auto KeyspaceMirror::watch() -> void {
   auto SentAt = m_Scheduler.now();
+  m_Calling = true;
   m_Watch.watch(m_Options.m_Prefix, m_Revision, m_Options.m_Wait,
                 [this, Alive = m_Alive, SentAt](const auto &Reply) {
                   if (!*Alive)
                     return;
+                  m_Calling = false;
                   if (!Reply) {
                     failed(&KeyspaceMirror::watch);
                     return;
@@ -121,6 +163,11 @@
 
 auto KeyspaceMirror::put(const std::string &Key, const std::string &Value,
                          StoreRevision Revision) -> void {
+  if (auto Removed = m_Removed.find(Key); Removed != m_Removed.end()) {
+    if (Revision <= Removed->second)
+      return;
+    m_Removed.erase(Removed);
+  }
   m_Missing.erase(Key);
   auto &Current = m_Entries[Key];
   if (Revision <= Current.m_Revision)
@@ -136,26 +183,31 @@
   if (Found == m_Entries.end() || Found->second.m_Revision > Revision)
     return;
   if (!holding()) {
-    drop(Key);
+    drop(Key, Revision);
     return;
   }
-  m_Missing.insert(Key);
+  m_Missing[Key] = Revision;
   if (m_HoldTimer)
     return;
   m_HoldTimer =
       m_Scheduler.schedule(*m_HoldUntil - m_Scheduler.now(), [this] {
         m_HoldTimer.reset();
-        for (const auto &Missing : std::exchange(m_Missing, {}))
-          drop(Missing);
+        for (const auto &[Missing, At] : std::exchange(m_Missing, {}))
+          drop(Missing, At);
       });
 }
 
-auto KeyspaceMirror::drop(const std::string &Key) -> void {
-  auto Found = m_Entries.find(Key);
-  if (Found == m_Entries.end())
+auto KeyspaceMirror::drop(const std::string &Key, StoreRevision Revision)
+    -> void {
+  if (m_Entries.erase(Key) == 0)
     return;
-  auto Revision = Found->second.m_Revision;
-  m_Entries.erase(Found);
+  m_Removed[Key] = Revision;
+  if (m_Removed.size() > m_Options.m_MostRemoved)
+    m_Removed.erase(std::min_element(
+        m_Removed.begin(), m_Removed.end(),
+        [](const auto &Left, const auto &Right) {
+          return Left.second < Right.second;
+        }));
   if (m_OnChange)
     m_OnChange({.m_Key = Key, .m_Revision = Revision});
 }
