--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -25,7 +25,7 @@
            integerSetting("fleet-percent", "100",
                           "Servers ordered, in percent of the most allowed.", 1,
                           100),
-           integerSetting("ordinary-percent", "50",
+           integerSetting("ordinary-percent", "17",
                           "Ordered servers that cannot be reclaimed, in "
                           "percent.",
                           0, 100),
--- a/include/dotterel/base/DemandMeter.h
+++ b/include/dotterel/base/DemandMeter.h
@@ -35,8 +35,14 @@
     m_Decode += Weight * (static_cast<double>(m_NewDecode) / Span - m_Decode);
     m_NewPrefill = 0;
     m_NewDecode = 0;
+    if (m_Prefill > 0 || m_Decode > 0)
+      m_Known += Weight * (1 - m_Known);
   }
 
+  /// Share of the rates that comes from what was measured. Divided by it, a
+  /// rate does not start from zero.
+  [[nodiscard]] auto known() const -> double { return m_Known; }
+
   [[nodiscard]] auto prefill() const -> double { return m_Prefill; }
   [[nodiscard]] auto decode() const -> double { return m_Decode; }
 
@@ -46,6 +52,7 @@
   std::uint64_t m_NewPrefill = 0;
   std::uint64_t m_NewDecode = 0;
   double m_Prefill = 0;
+  double m_Known = 0;
   double m_Decode = 0;
 };
 
--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -44,6 +44,9 @@
   std::function<const ServingConfiguration *()> m_Configuration;
   /// Whether this host has no request in progress.
   std::function<bool()> m_Idle;
+  /// Engines that the prompts of all hosts would keep busy; empty while it is
+  /// not known.
+  std::function<std::optional<double>()> m_Busy;
   /// Whether this host may campaign for the duty.
   std::function<bool()> m_Eligible;
 };
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -86,6 +86,7 @@
 private:
   auto buildTree(HttpHandler &Callers, HttpHandler &Readiness) -> void;
   [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
+  [[nodiscard]] auto busyEngines() const -> std::optional<double>;
   [[nodiscard]] auto mayCampaign() const -> bool;
   auto takeConfiguration(const KeyChange &Change) -> void;
   auto takeBackend(const KeyChange &Change) -> void;
--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -29,6 +29,8 @@
   Duration m_RemoteInterval = Milliseconds(200);
   /// A host that was silent for so long relays nothing.
   Duration m_RelayLapse = Milliseconds(600);
+  /// What a host or data centre said of its demand counts for so long.
+  Duration m_DemandLapse = Milliseconds(2000);
   /// Hosts of another data centre that get each summary.
   std::size_t m_RemoteTargets = 2;
 };
@@ -55,6 +57,10 @@
   auto receive(const HostMessage &Message, const std::string &Address,
                std::string_view Bytes) -> void;
 
+  /// Prompt tokens per second that all hosts together have to have read; empty
+  /// while a registered host or data centre has not been heard of late.
+  [[nodiscard]] auto demand() const -> std::optional<double>;
+
   /// Hosts of the own data centre, this one included, that were heard of late,
   /// by name.
   [[nodiscard]] auto present() const -> std::vector<HostId>;
@@ -65,6 +71,11 @@
     LoadSummary m_Loads;
   };
 
+  struct RemoteDemand {
+    MonotonicTime m_At;
+    double m_Demand = 0;
+  };
+
   auto sendLocal() -> void;
   auto sendRemote() -> void;
   auto sendToOwn(std::string_view Bytes) -> void;
@@ -79,6 +90,7 @@
   Sink m_Sink;
   LoadExchangeOptions m_Options;
   std::map<HostId, Heard> m_Local;
+  std::map<DataCentreId, RemoteDemand> m_Remote;
   LoadSummary m_Own;
   std::vector<PromptRead> m_Reads; ///< To be told to other data centres.
   std::optional<RepeatingTimer> m_LocalTimer;
--- a/include/dotterel/serving/EngineLoad.h
+++ b/include/dotterel/serving/EngineLoad.h
@@ -30,6 +30,8 @@
   /// Whether the summary is of all hosts of the sender's data centre.
   bool m_WholeDataCentre = false;
   std::vector<EngineLoad> m_Engines;
+  /// Prompt tokens that have to be read, smoothed.
+  double m_PrefillTokensPerSecond = 0;
   std::vector<PromptRead> m_Reads; ///< Since the sender's message before.
 };
 
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -11,6 +11,7 @@
 #include "dotterel/serving/FleetCalls.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -19,9 +20,21 @@
 struct FleetPlannerOptions {
   /// Share of a data centre's servers that are of the ordinary kind, as long as
   /// the other kind is to be had.
-  double m_OrdinaryShare = 0.34;
-  /// Share of the largest allowed number that is ordered.
+  double m_OrdinaryShare = 0.17;
+  /// Share of the largest allowed number that is ordered at the most, and before
+  /// the demand is known.
   double m_FleetShare = 1.0;
+  /// Servers for each one that would be busy with reading prompts all the time:
+  /// prompts come in bursts of several times the mean, half of the engines
+  /// generate, and cached parts need room.
+  double m_ServersPerBusy = 6.3;
+  /// Time that a demand is watched before fewer servers are ordered, and pause
+  /// between two reductions.
+  Duration m_ShrinkInterval = Milliseconds(8000);
+  /// A reduction smaller than this share is not worth the lost caches.
+  double m_ShrinkSlack = 0.12;
+  /// Share by which one reduction goes at most.
+  double m_ShrinkStep = 0.25;
   /// Share of a data centre's engines that read prompts for the others.
   double m_PrefillShare = 0.5;
   /// Share of a data centre's engines by which the stages may be off the plan
@@ -41,18 +54,20 @@
 /// Plans from the configuration and the registered servers, with a memory of
 /// what was not to be had.
 ///
-/// \invariant The orders of a data centre add up to the same number whatever is
-/// reclaimed.
+/// \invariant The orders of a data centre add up to the size that the demand
+/// asks for, whatever is reclaimed.
 class FleetPlanner {
 public:
   explicit FleetPlanner(const FleetPlannerOptions &Options)
       : m_Options(Options) {}
 
   /// The wanted numbers of servers, for each elastic service, data centre and
-  /// kind.
+  /// kind. \p Busy is the number of servers that the present demand would keep
+  /// busy; empty while it is not known.
   [[nodiscard]] auto servers(const ServingConfiguration &Configuration,
                              const BackendDirectory &Directory,
-                             MonotonicTime Now) -> std::vector<ServerOrder>;
+                             std::optional<double> Busy, MonotonicTime Now)
+      -> std::vector<ServerOrder>;
 
   /// Engines that should change their stage: one in a data centre, or as many
   /// as it takes when \p Idle says that no work can be held up.
@@ -65,16 +80,25 @@
     std::uint32_t m_Wanted = 0; ///< Reclaimable servers asked for.
     MonotonicTime m_Since;      ///< Of the newest change.
     bool m_Known = false;
+    bool m_Short = false; ///< Whether servers were not to be had.
   };
   struct Present {
     std::uint32_t m_Usable = 0;
     std::uint32_t m_Leaving = 0;
   };
 
+  struct Size {
+    std::uint32_t m_Total = 0; ///< Servers in one data centre.
+    MonotonicTime m_Since;     ///< Of the newest change.
+  };
+
+  auto resize(const ServiceSpec &Service, std::optional<double> Busy,
+              MonotonicTime Now) -> std::uint32_t;
   auto supply(Supply &Current, std::uint32_t Most, const Present &There,
               Duration StartTime, MonotonicTime Now) const -> void;
 
   FleetPlannerOptions m_Options;
+  std::map<ServiceId, Size> m_Sizes;
   std::map<std::pair<ServiceId, DataCentreId>, Supply> m_Supplies;
 };
 
--- a/include/dotterel/serving/RetryWindow.h
+++ b/include/dotterel/serving/RetryWindow.h
@@ -38,12 +38,12 @@
 
   auto recordRequest(const ServiceId &Service, MonotonicTime Now) -> void;
 
-  /// Notes an extra attempt that was made without asking.
-  auto charge(const ServiceId &Service, MonotonicTime Now) -> void;
-
   /// Takes one extra attempt when there is room. \returns whether there was.
   auto take(const ServiceId &Service, MonotonicTime Now) -> bool;
 
+  /// Gives back what was taken for an attempt that turned out not to count.
+  auto refund(const ServiceId &Service) -> void;
+
 private:
   struct Counts {
     std::deque<MonotonicTime> m_Requests;
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -8,6 +8,7 @@
 #ifndef DOTTEREL_SERVING_SERVEDREQUEST_H
 #define DOTTEREL_SERVING_SERVEDREQUEST_H
 
+#include "dotterel/base/DemandMeter.h"
 #include "dotterel/serving/EnginePlacement.h"
 #include "dotterel/serving/EventSplitter.h"
 #include "dotterel/serving/RetryWindow.h"
@@ -58,6 +59,7 @@
   std::function<void(const OrganisationId &)> m_CountUsage;
   /// Prompts that engines have read, for the other hosts.
   std::vector<PromptRead> m_Reads;
+  DemandMeter m_Demand;
 
   [[nodiscard]] auto view() const -> ChoiceView {
     return {.m_Directory = m_Directory,
@@ -119,7 +121,10 @@
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
   auto settleAttempt(const AttemptResult &Result) -> Attempt;
-  [[nodiscard]] auto payFor(AttemptPurpose Purpose) -> bool;
+  /// Counts the next attempt; false when the budget does not allow it.
+  [[nodiscard]] auto payFor() -> bool;
+  /// The newest attempt does not count after all.
+  auto takeBack() -> void;
   auto prefillEnded(const Attempt &Ended, const AttemptResult &Result) -> void;
   auto serveEnded(const Attempt &Ended, AttemptResult Result) -> void;
   auto answered(const Attempt &Ended, AttemptResult Result) -> void;
@@ -157,6 +162,7 @@
   /// first is free.
   std::uint32_t m_Arrivals = 0;
   bool m_PrefillAccepted = false;
+  bool m_Paid = false;    ///< Whether the newest attempt was charged.
   bool m_Prepaid = false; ///< The next attempt was charged to the budget.
   bool m_Streaming = false;
   bool m_FirstSeen = false;
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -65,6 +65,9 @@
   [[nodiscard]] auto configuration() const -> const ServingConfiguration * {
     return m_Configuration.get();
   }
+  [[nodiscard]] auto prefillSpeed() const -> const PrefillSpeed & {
+    return m_Speed;
+  }
   [[nodiscard]] auto evidenceAge() const -> Duration;
   [[nodiscard]] auto active() const -> std::size_t { return m_Requests.size(); }
 
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -28,6 +28,7 @@
   wholeDataCentre @0 :Bool;
   engines @1 :List(EngineLoad);
   reads @2 :List(PromptRead);  # since the sender's message before
+  prefillTokensPerSecond @3 :Float32;
 
   struct EngineLoad {
     engine @0 :Text;
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -432,6 +432,8 @@
   inline bool hasReads() const;
   inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Reader getReads() const;
 
+  inline float getPrefillTokensPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -477,6 +479,9 @@
   inline void adoptReads(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>> disownReads();
 
+  inline float getPrefillTokensPerSecond();
+  inline void setPrefillTokensPerSecond(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1411,6 +1416,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline float LoadSummary::Reader::getPrefillTokensPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float LoadSummary::Builder::getPrefillTokensPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::Builder::setPrefillTokensPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadSummary::EngineLoad::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -119,7 +119,7 @@
 auto FleetDuty::orderServers() -> void {
   auto Now = m_Scheduler.now();
   auto Orders = m_Planner.servers(*m_Inputs.m_Configuration(),
-                                  m_Inputs.m_Directory, Now);
+                                  m_Inputs.m_Directory, m_Inputs.m_Busy(), Now);
   // Both kinds of a data centre share one bound: the number that falls is
   // ordered, and accepted, before the other one rises.
   for (auto Index = std::size_t{0}; Index < Orders.size(); ++Index) {
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -131,6 +131,7 @@
              {.m_Directory = m_Core.directory(),
               .m_Configuration = [this] { return m_Core.configuration(); },
               .m_Idle = [this] { return m_Core.active() == 0; },
+              .m_Busy = [this] { return busyEngines(); },
               .m_Eligible = [this] { return mayCampaign(); }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
@@ -176,6 +177,14 @@
               }};
 }
 
+auto HostProcess::busyEngines() const -> std::optional<double> {
+  auto Demand = m_Exchange.demand();
+  if (!Demand)
+    return std::nullopt;
+  constexpr auto MillisecondsPerSecond = 1000.0;
+  return *Demand / (m_Core.prefillSpeed().apart() * MillisecondsPerSecond);
+}
+
 auto HostProcess::mayCampaign() const -> bool {
   // The same order on every host; those that are gone leave the registry.
   auto Rank = [](const HostId &Host) {
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -15,6 +15,8 @@
 auto encodeLoads(const LoadSummary &Loads,
                  schema::LoadSummary::Builder Target) -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
+  Target.setPrefillTokensPerSecond(
+      static_cast<float>(Loads.m_PrefillTokensPerSecond));
   auto Engines =
       Target.initEngines(static_cast<unsigned>(Loads.m_Engines.size()));
   auto Index = 0U;
@@ -41,7 +43,9 @@
 
 auto decodeLoads(schema::LoadSummary::Reader Source) -> LoadSummary {
   auto Loads =
-      LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre()};
+      LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre(),
+                  .m_PrefillTokensPerSecond =
+                      Source.getPrefillTokensPerSecond()};
   for (auto Item : Source.getEngines())
     Loads.m_Engines.push_back({.m_Engine = BackendId{Item.getEngine().cStr()},
                                .m_Requests = Item.getRequests(),
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -68,11 +68,16 @@
   auto Now = m_Scheduler.now();
   auto Sum = std::map<BackendId, EngineLoad>();
   add(Sum, m_Own);
-  for (const auto &[Host, Entry] : m_Local)
-    if (Now - Entry.m_At < m_Options.m_RelayLapse)
-      add(Sum, Entry.m_Loads);
-  auto Whole =
-      LoadSummary{.m_WholeDataCentre = true, .m_Reads = std::move(Reads)};
+  auto Demand = m_Own.m_PrefillTokensPerSecond;
+  for (const auto &[Host, Entry] : m_Local) {
+    if (Now - Entry.m_At >= m_Options.m_RelayLapse)
+      continue;
+    add(Sum, Entry.m_Loads);
+    Demand += Entry.m_Loads.m_PrefillTokensPerSecond;
+  }
+  auto Whole = LoadSummary{.m_WholeDataCentre = true,
+                           .m_PrefillTokensPerSecond = Demand,
+                           .m_Reads = std::move(Reads)};
   for (auto &[Engine, Load] : Sum)
     Whole.m_Engines.push_back(std::move(Load));
   auto Bytes = message(std::move(Whole));
@@ -97,6 +102,29 @@
   });
 }
 
+auto LoadExchange::demand() const -> std::optional<double> {
+  auto Now = m_Scheduler.now();
+  auto Sum = m_Own.m_PrefillTokensPerSecond;
+  for (const auto &[Host, Record] : m_Registry.others()) {
+    if (Record.m_DataCentre == m_Registry.self().m_DataCentre) {
+      auto Found = m_Local.find(Host);
+      if (Found == m_Local.end() ||
+          Now - Found->second.m_At > m_Options.m_DemandLapse)
+        return std::nullopt;
+      Sum += Found->second.m_Loads.m_PrefillTokensPerSecond;
+      continue;
+    }
+    auto Found = m_Remote.find(Record.m_DataCentre);
+    if (Found == m_Remote.end() ||
+        Now - Found->second.m_At > m_Options.m_DemandLapse)
+      return std::nullopt;
+  }
+  for (const auto &[DataCentre, Entry] : m_Remote)
+    if (Now - Entry.m_At <= m_Options.m_DemandLapse)
+      Sum += Entry.m_Demand;
+  return Sum;
+}
+
 auto LoadExchange::receive(const HostMessage &Message,
                            const std::string &Address, std::string_view Bytes)
     -> void {
@@ -116,6 +144,8 @@
   }
   if (Message.m_DataCentre == Self.m_DataCentre)
     return;
+  m_Remote[Message.m_DataCentre] = {
+      .m_At = m_Scheduler.now(), .m_Demand = Loads->m_PrefillTokensPerSecond};
   m_Sink(Message.m_DataCentre.text(), *Loads);
   // Inside a data centre a summary is passed on once, by who got it first.
   if (!fromOwn(Address))
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -33,6 +33,43 @@
 
 } // namespace
 
+auto FleetPlanner::resize(const ServiceSpec &Service,
+                          std::optional<double> Busy, MonotonicTime Now)
+    -> std::uint32_t {
+  const auto &Bounds = *Service.m_Bounds;
+  auto Least = std::max(1U, Bounds.m_Least);
+  auto Most = std::max(Least, part(Bounds.m_Most, m_Options.m_FleetShare));
+  auto [Found, New] = m_Sizes.try_emplace(
+      Service.m_Id, Size{.m_Total = Most, .m_Since = Now});
+  auto &Current = Found->second;
+  Current.m_Total = std::clamp(Current.m_Total, Least, Most);
+  // Without any demand nothing has been learnt yet.
+  if (New || !Busy || *Busy <= 0 || Bounds.m_Prices.empty()) {
+    if (!Busy || *Busy <= 0)
+      Current.m_Since = Now;
+    return Current.m_Total;
+  }
+  auto Centres = static_cast<double>(Bounds.m_Prices.size());
+  auto Wanted = std::clamp(
+      static_cast<std::uint32_t>(
+          std::ceil(*Busy * m_Options.m_ServersPerBusy / Centres)),
+      Least, Most);
+  auto Before = Current.m_Total;
+  if (Wanted > Before) {
+    Current = {.m_Total = Wanted, .m_Since = Now};
+  } else if (Wanted < Before * (1 - m_Options.m_ShrinkSlack) &&
+             Now - Current.m_Since > m_Options.m_ShrinkInterval) {
+    auto Step = std::max(1U, part(Before, m_Options.m_ShrinkStep));
+    Current = {.m_Total = std::max(Wanted, Before - Step), .m_Since = Now};
+  }
+  if (Before != Current.m_Total)
+    logInfo("fleet.resized", {{"service", Service.m_Id},
+                              {"each_data_centre", Current.m_Total},
+                              {"before", Before},
+                              {"busy", *Busy}});
+  return Current.m_Total;
+}
+
 auto FleetPlanner::supply(Supply &Current, std::uint32_t Most,
                           const Present &There, Duration StartTime,
                           MonotonicTime Now) const -> void {
@@ -40,11 +77,16 @@
     Current = {.m_Wanted = Most, .m_Since = Now, .m_Known = true};
     return;
   }
+  // What is to be had follows the size at once.
+  if (Current.m_Wanted > Most || (Current.m_Wanted < Most && !Current.m_Short))
+    Current = {.m_Wanted = Most, .m_Since = Now, .m_Known = true};
   auto Settled = Now - Current.m_Since > StartTime + m_Options.m_StartReserve;
   auto Notice = There.m_Leaving > 0;
   if (There.m_Usable < Current.m_Wanted && (Settled || Notice)) {
-    Current.m_Wanted = There.m_Usable;
-    Current.m_Since = Now;
+    Current = {.m_Wanted = There.m_Usable,
+               .m_Since = Now,
+               .m_Known = true,
+               .m_Short = true};
     return;
   }
   if (Current.m_Wanted < Most && !Notice &&
@@ -52,12 +94,14 @@
     auto Step = std::max(1U, part(Most, m_Options.m_ReturnStep));
     Current.m_Wanted = std::min(Most, Current.m_Wanted + Step);
     Current.m_Since = Now;
+    Current.m_Short = Current.m_Wanted < Most;
   }
 }
 
 auto FleetPlanner::servers(const ServingConfiguration &Configuration,
                            const BackendDirectory &Directory,
-                           MonotonicTime Now) -> std::vector<ServerOrder> {
+                           std::optional<double> Busy, MonotonicTime Now)
+    -> std::vector<ServerOrder> {
   auto Orders = std::vector<ServerOrder>();
   for (const auto &[Id, Service] : Configuration.m_Services) {
     if (!Service.m_Bounds)
@@ -68,9 +112,8 @@
       if (Record.m_Service == Id && Record.m_Reclaimable)
         ++(Record.m_Draining ? There[Record.m_DataCentre].m_Leaving
                              : There[Record.m_DataCentre].m_Usable);
+    auto Total = resize(Service, Busy, Now);
     for (const auto &[DataCentre, Price] : Bounds.m_Prices) {
-      auto Total = std::clamp(part(Bounds.m_Most, m_Options.m_FleetShare),
-                              std::max(1U, Bounds.m_Least), Bounds.m_Most);
       auto Ordinary =
           std::clamp(part(Total, m_Options.m_OrdinaryShare), 1U, Total);
       auto Most = Bounds.m_ReclaimablePrice > 0 ? Total - Ordinary : 0U;
--- a/src/serving/RetryWindow.cpp
+++ b/src/serving/RetryWindow.cpp
@@ -17,12 +17,6 @@
   Current.m_Requests.push_back(Now);
 }
 
-auto RetryWindow::charge(const ServiceId &Service, MonotonicTime Now) -> void {
-  auto &Current = m_Services[Service];
-  expire(Current, Now);
-  Current.m_Extra.push_back(Now);
-}
-
 auto RetryWindow::take(const ServiceId &Service, MonotonicTime Now) -> bool {
   auto &Current = m_Services[Service];
   expire(Current, Now);
@@ -35,4 +29,10 @@
   return true;
 }
 
+auto RetryWindow::refund(const ServiceId &Service) -> void {
+  auto &Extra = m_Services[Service].m_Extra;
+  if (!Extra.empty())
+    Extra.pop_back();
+}
+
 } // namespace dotterel
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -102,6 +102,8 @@
     return;
   }
   m_Estimate = Plan.m_Estimate;
+  if (m_Placements == 1)
+    m_Context.m_Demand.addPrefill(static_cast<std::uint64_t>(Plan.m_NewTokens));
   auto Feasible = std::chrono::duration_cast<Duration>(
       timeLeft() * m_Context.m_Options.m_FeasibleShare);
   if (!m_Streaming && Plan.m_Estimate > Feasible) {
@@ -132,21 +134,24 @@
   send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom);
 }
 
-auto ServedRequest::payFor(AttemptPurpose Purpose) -> bool {
-  // Whether a first prefill counts is known once its engine has answered.
-  if (Purpose == AttemptPurpose::Prefill && !m_PrefillAccepted)
-    return true;
-  auto Free = m_Arrivals == 0 || std::exchange(m_Prepaid, false);
-  if (!Free && !m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
-                                         m_Context.m_Scheduler.now()))
+auto ServedRequest::payFor() -> bool {
+  m_Paid = m_Arrivals > 0 && !std::exchange(m_Prepaid, false);
+  if (m_Paid && !m_Context.m_Retries.take(m_Terms.m_Service->m_Id,
+                                          m_Context.m_Scheduler.now()))
     return false;
   ++m_Arrivals;
   return true;
 }
 
+auto ServedRequest::takeBack() -> void {
+  --m_Arrivals;
+  if (std::exchange(m_Paid, false))
+    m_Context.m_Retries.refund(m_Terms.m_Service->m_Id);
+}
+
 auto ServedRequest::send(const BackendRecord &Target, AttemptPurpose Purpose,
                          double Tokens, const std::string &FetchFrom) -> void {
-  if (!payFor(Purpose)) {
+  if (!payFor()) {
     refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
            "no retry is left in the budget", returnTime(timeLeft()));
     return;
@@ -288,17 +293,16 @@
     m_Context.m_Speed.record(Ended.m_Tokens,
                              m_Context.m_Scheduler.now() - Ended.m_Since);
     noteRead(Ended.m_Backend);
-    m_PrefillAccepted = true;
+    // The first prompt that an engine reads does not count.
+    if (!std::exchange(m_PrefillAccepted, true))
+      takeBack();
     m_Cache = Result.m_Cache;
     m_Reader = Ended;
     decodeElsewhere(m_Reader);
     return;
   }
-  // A prefill that its engine rejected counts like any other attempt.
-  if (!m_PrefillAccepted && Result.m_End != AttemptEnd::NotSent &&
-      m_Arrivals++ > 0)
-    m_Context.m_Retries.charge(m_Terms.m_Service->m_Id,
-                               m_Context.m_Scheduler.now());
+  if (Result.m_End == AttemptEnd::NotSent)
+    takeBack();
   // A prompt that was read is no run of the request.
   m_Excluded.insert(Ended.m_Backend);
   if (timeLeft() <= Duration::zero()) {
@@ -389,8 +393,7 @@
     return;
   }
   if (Result.m_End == AttemptEnd::NotSent)
-    // Nothing arrived anywhere.
-    m_Arrivals -= std::min(m_Arrivals, 1U);
+    takeBack();
   // A prompt that was read is still there when its taker was full; when it is
   // not, the second taker says so.
   if (Ended.m_Cache && !std::exchange(m_CacheTried, true)) {
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -11,6 +11,9 @@
 /// When to come back to a host that has no configuration, or no evidence of it:
 /// the store is asked again within this time.
 constexpr auto ReturnWhenReady = Milliseconds(500);
+/// Swings of the mix that engines, which start within seconds, cannot follow are
+/// smoothed out.
+constexpr auto DemandTimeConstant = Seconds(10);
 
 } // namespace
 
@@ -39,7 +42,8 @@
                 .m_ServerChoice = m_ServerChoice,
                 .m_Placement = m_Placement,
                 .m_Options = Options.m_Requests,
-                .m_CountUsage = std::move(CountUsage)} {
+                .m_CountUsage = std::move(CountUsage),
+                .m_Demand = DemandMeter(DemandTimeConstant)} {
   m_Directory.onForget([this](const BackendId &Id) {
     m_Loads.forget(Id);
     m_Health.forget(Id);
@@ -67,7 +71,11 @@
 }
 
 auto ServingCore::takeLoads() -> LoadSummary {
+  auto &Demand = m_Context.m_Demand;
+  Demand.update(m_Scheduler.now());
   return {.m_Engines = m_Loads.summary(),
+          .m_PrefillTokensPerSecond =
+              Demand.known() > 0 ? Demand.prefill() / Demand.known() : 0,
           .m_Reads = std::exchange(m_Context.m_Reads, {})};
 }
 
