--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -56,12 +56,12 @@
   auto Node = platform::readNodeSettings(Path);
   auto Loop = EventLoop();
   auto Client = makePooledHttpClient(Loop, {});
-  auto Store = platform::PlatformStore(*Client,
-                                       {.m_Address = Node.m_StoreAddress});
+  auto Store =
+      platform::PlatformStore(*Client, {.m_Address = Node.m_StoreAddress});
   auto Transport = platform::EngineTransport(*Client);
   auto Fleet = platform::PlatformFleetCalls(
-      *Client, {.m_Address = Node.m_FleetAddress,
-                .m_Holder = Node.m_Location.m_Host});
+      *Client,
+      {.m_Address = Node.m_FleetAddress, .m_Holder = Node.m_Location.m_Host});
   auto Datagrams = UdpPort(Loop, SocketAddress::parse(Node.m_PeerAddress));
   auto Records = platform::PlatformRecords();
   auto Host = HostProcess(
@@ -76,9 +76,8 @@
       {.m_Settings = Node,
        .m_MetricsAddress = Values.text("metrics-listen"),
        .m_Planner = plannerOptions(Values)});
-  auto Callers = platform::CallerEdge([&Host](CallerExchangePtr Exchange) {
-    Host.serve(std::move(Exchange));
-  });
+  auto Callers = platform::CallerEdge(
+      [&Host](CallerExchangePtr Exchange) { Host.serve(std::move(Exchange)); });
   auto Readiness = platform::ReadinessEdge([&Host] { return Host.ready(); });
   return Host.run(Callers, Readiness);
 }
--- a/include/dotterel/host/HostSettings.h
+++ b/include/dotterel/host/HostSettings.h
@@ -44,7 +44,7 @@
   Location m_Location;
   std::string m_CallerAddress;    ///< IP:PORT to listen on for callers.
   std::string m_ReadinessAddress; ///< IP:PORT that the balancer asks.
-  std::string m_PeerAddress; ///< IP:PORT for datagrams between hosts.
+  std::string m_PeerAddress;      ///< IP:PORT for datagrams between hosts.
   std::string m_StoreAddress;
   std::string m_FleetAddress; ///< Takes usage reports and server orders.
   std::uint32_t m_MemoryMegabytes = 256;
--- a/include/dotterel/io/UdpPort.h
+++ b/include/dotterel/io/UdpPort.h
@@ -22,8 +22,8 @@
 
   auto send(const std::string &Address, std::string_view Bytes)
       -> void override;
-  auto onReceive(
-      std::function<void(const std::string &, std::string_view)> Callback)
+  auto
+  onReceive(std::function<void(const std::string &, std::string_view)> Callback)
       -> void override;
   [[nodiscard]] auto address() const -> std::string override;
 
--- a/include/dotterel/peers/DatagramPort.h
+++ b/include/dotterel/peers/DatagramPort.h
@@ -23,8 +23,8 @@
       -> void = 0;
 
   /// \p Callback gets the sender's address and the bytes.
-  virtual auto onReceive(
-      std::function<void(const std::string &, std::string_view)> Callback)
+  virtual auto
+  onReceive(std::function<void(const std::string &, std::string_view)> Callback)
       -> void = 0;
 
   /// IP:PORT under which other hosts reach this port.
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -69,7 +69,7 @@
 struct AttemptResult {
   AttemptEnd m_End = AttemptEnd::NotSent;
   AnswerHead m_Head;
-  std::string m_Body;               ///< Of an answer that was not streamed.
+  std::string m_Body;                 ///< Of an answer that was not streamed.
   std::optional<CacheHandle> m_Cache; ///< Of a prefill.
   std::optional<LoadReport> m_Load;
   std::string m_Detail;
--- a/include/dotterel/serving/EngineLoad.h
+++ b/include/dotterel/serving/BackendWork.h
@@ -1,11 +1,12 @@
-//===- EngineLoad.h - Work under way at an engine ---------------*- C++ -*-===//
+//===- BackendWork.h - Work under way at an engine ---------------*- C++
+//-*-===//
 ///
 /// \file
 /// Load and prompts of an engine, as hosts tell each other.
 ///
 //===----------------------------------------------------------------------===//
-#ifndef DOTTEREL_SERVING_ENGINELOAD_H
-#define DOTTEREL_SERVING_ENGINELOAD_H
+#ifndef DOTTEREL_SERVING_BACKENDWORK_H
+#define DOTTEREL_SERVING_BACKENDWORK_H
 
 #include "dotterel/serving/CallerExchange.h"
 
@@ -14,7 +15,7 @@
 namespace dotterel {
 
 /// What is under way at one backend server.
-struct EngineLoad {
+struct BackendWork {
   BackendId m_Engine;
   double m_Requests = 0;
   double m_UnreadTokens = 0; ///< Prompt tokens still to be read.
@@ -29,7 +30,7 @@
 struct LoadSummary {
   /// Whether the summary is of all hosts of the sender's data centre.
   bool m_WholeDataCentre = false;
-  std::vector<EngineLoad> m_Engines;
+  std::vector<BackendWork> m_Engines;
   /// Prompt tokens that have to be read, smoothed.
   double m_PrefillTokensPerSecond = 0;
   std::vector<PromptRead> m_Reads; ///< Since the sender's message before.
@@ -37,4 +38,4 @@
 
 } // namespace dotterel
 
-#endif // DOTTEREL_SERVING_ENGINELOAD_H
+#endif // DOTTEREL_SERVING_BACKENDWORK_H
--- a/include/dotterel/serving/CallerExchange.h
+++ b/include/dotterel/serving/CallerExchange.h
@@ -66,8 +66,8 @@
   [[nodiscard]] virtual auto request() const -> const CallerRequest & = 0;
 
   /// Answers in the system's own name. \p RetryAfter advises when to return.
-  virtual auto refuse(const Refusal &Reason,
-                      std::optional<Duration> RetryAfter) -> void = 0;
+  virtual auto refuse(const Refusal &Reason, std::optional<Duration> RetryAfter)
+      -> void = 0;
 
   /// Passes on a whole answer.
   virtual auto answer(const AnswerHead &Head, std::string Body) -> void = 0;
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -18,7 +18,7 @@
 
 struct EnginePlacementOptions {
   /// Time of a hand-over beside the transfer of the KV cache: a second call.
-  Duration m_HandOver = Milliseconds(12);
+  Duration m_HandOver = Milliseconds(25);
   /// Added for an engine in another data centre of the region.
   Duration m_RegionPenalty = Milliseconds(10);
   /// Added for an engine in another region: the round trip, and bytes that are
@@ -52,10 +52,10 @@
 
 /// Chooses engines by the expected time to the first event.
 ///
-/// Shared parts have one home among all engines that read prompts, by rendezvous
-/// hashing, the same on every host: the caches of one data centre do not hold
-/// all parts in use. Another engine is taken where the home's queue costs more
-/// than fetching the part from it.
+/// Shared parts have one home among all engines that read prompts, by
+/// rendezvous hashing, the same on every host: the caches of one data centre do
+/// not hold all parts in use. Another engine is taken where the home's queue
+/// costs more than fetching the part from it.
 class EnginePlacement {
 public:
   explicit EnginePlacement(const EnginePlacementOptions &Options)
@@ -69,12 +69,10 @@
 
   /// The engine that goes on with a prompt that \p Reader has read; null when
   /// there is none.
-  [[nodiscard]] auto chooseDecode(const ChoiceView &View,
-                                  const PrefillSpeed &Speed,
-                                  const ServiceSpec &Service,
-                                  const BackendRecord &Reader,
-                                  const std::set<BackendId> &Excluded,
-                                  MonotonicTime Now) const
+  [[nodiscard]] auto
+  chooseDecode(const ChoiceView &View, const PrefillSpeed &Speed,
+               const ServiceSpec &Service, const BackendRecord &Reader,
+               const std::set<BackendId> &Excluded, MonotonicTime Now) const
       -> const BackendRecord *;
 
 private:
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -21,8 +21,8 @@
   /// Share of a data centre's servers that are of the ordinary kind, as long as
   /// the other kind is to be had.
   double m_OrdinaryShare = 0.17;
-  /// Share of the largest allowed number that is ordered at the most, and before
-  /// the demand is known.
+  /// Share of the largest allowed number that is ordered at the most, and
+  /// before the demand is known.
   double m_FleetShare = 1.0;
   /// Servers for each one that would be busy with reading prompts all the time:
   /// prompts come in bursts of several times the mean, half of the engines
--- a/include/dotterel/serving/LoadBook.h
+++ b/include/dotterel/serving/LoadBook.h
@@ -10,7 +10,7 @@
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/BackendTransport.h"
-#include "dotterel/serving/EngineLoad.h"
+#include "dotterel/serving/BackendWork.h"
 
 #include <map>
 #include <optional>
@@ -53,12 +53,12 @@
               MonotonicTime Now) -> void;
   /// What another origin (a host, or a data centre) has under way, at
   /// \p Now; replaces what it said before.
-  auto setPeer(const std::string &Origin, const std::vector<EngineLoad> &Loads,
+  auto setPeer(const std::string &Origin, const std::vector<BackendWork> &Loads,
                MonotonicTime Now) -> void;
   auto forget(const BackendId &Backend) -> void;
 
   /// What this host has under way, for the others.
-  [[nodiscard]] auto summary() const -> std::vector<EngineLoad>;
+  [[nodiscard]] auto summary() const -> std::vector<BackendWork>;
 
   /// Own attempts under way.
   [[nodiscard]] auto own(const BackendId &Backend) const -> double;
@@ -93,7 +93,7 @@
 
   struct Peer {
     MonotonicTime m_At;
-    std::unordered_map<BackendId, EngineLoad> m_Loads;
+    std::unordered_map<BackendId, BackendWork> m_Loads;
   };
 
   LoadBookOptions m_Options;
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -107,8 +107,8 @@
     std::string m_Address;
     DataCentreId m_DataCentre;
     AttemptPurpose m_Purpose = AttemptPurpose::Serve;
-    double m_Tokens = 0; ///< Prompt tokens still to be read.
-    double m_Planned = 0; ///< Prompt tokens that were expected to be read.
+    double m_Tokens = 0;    ///< Prompt tokens still to be read.
+    double m_Planned = 0;   ///< Prompt tokens that were expected to be read.
     bool m_Fetched = false; ///< Whether cached parts were to be fetched.
     MonotonicTime m_Since;
     std::optional<CacheHandle> m_Cache; ///< That it was to take.
@@ -157,7 +157,7 @@
   bool m_CacheTried = false; ///< Whether it was offered to a second engine.
   std::set<BackendId> m_Excluded;
   std::uint32_t m_Placements = 0;
-  std::uint32_t m_Runs = 0;     ///< Attempts that may have run the request.
+  std::uint32_t m_Runs = 0; ///< Attempts that may have run the request.
   /// Attempts that count against the budget: all but one accepted prefill. The
   /// first is free.
   std::uint32_t m_Arrivals = 0;
--- a/include/dotterel/serving/ServingConfiguration.h
+++ b/include/dotterel/serving/ServingConfiguration.h
@@ -39,9 +39,9 @@
   std::string m_Host;
   std::string m_PathPrefix; ///< Begins and ends with a slash.
   RequestKind m_Kind = RequestKind::Unsafe;
-  Duration m_Timeout{};       ///< Longest time that a caller is kept waiting.
-  Duration m_LatencyTarget{}; ///< Up to the answer, or to its first event.
-  Duration m_GapTarget{};     ///< Longest pause between events.
+  Duration m_Timeout{};         ///< Longest time that a caller is kept waiting.
+  Duration m_LatencyTarget{};   ///< Up to the answer, or to its first event.
+  Duration m_GapTarget{};       ///< Longest pause between events.
   std::uint32_t m_Priority = 0; ///< 0 is the most urgent.
   std::vector<TrafficShare> m_Shares;
   std::uint32_t m_MaximumAttempts = 1; ///< Backend servers that may run it.
@@ -70,7 +70,7 @@
   std::uint32_t m_Least = 0; ///< In one data centre, of both kinds together.
   std::uint32_t m_Most = 0;
   Duration m_StartTime{};
-  double m_ReclaimablePrice = 1.0; ///< Share of the ordinary price.
+  double m_ReclaimablePrice = 1.0;         ///< Share of the ordinary price.
   std::map<DataCentreId, double> m_Prices; ///< Of a server second.
 };
 
--- a/include/dotterel/store/StoreWatch.h
+++ b/include/dotterel/store/StoreWatch.h
@@ -24,7 +24,7 @@
 
 struct WatchResult {
   std::vector<KeyChange> m_Changes;
-  StoreRevision m_Revision; ///< Where the next watch goes on.
+  StoreRevision m_Revision;   ///< Where the next watch goes on.
   bool m_HistoryLost = false; ///< Changes since the start are not known.
 };
 
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -53,8 +53,7 @@
     : m_Scheduler(Scheduler), m_Calls(Calls), m_Inputs(std::move(Inputs)),
       m_Options(Options),
       m_Lease(Scheduler, Store, DutyId{"fleet"},
-              ProcessId{Options.m_Host.text()},
-              leaseOptions(Options.m_Bounds)),
+              ProcessId{Options.m_Host.text()}, leaseOptions(Options.m_Bounds)),
       m_Sealer(Scheduler, Store, m_Lease,
                [this](const UsageReport &Report,
                       const std::function<void(bool)> &Done) {
@@ -143,9 +142,8 @@
 
 auto FleetDuty::send(const ServerOrder &Order) -> void {
   auto Number = m_Lease.fencing();
-  m_ServerOrders[orderKey(Order)] = {.m_Count = Order.m_Count,
-                                     .m_Pending = true,
-                                     .m_At = m_Scheduler.now()};
+  m_ServerOrders[orderKey(Order)] = {
+      .m_Count = Order.m_Count, .m_Pending = true, .m_At = m_Scheduler.now()};
   m_Calls.orderServers(
       Order, Number,
       [this, Alive = m_Alive, Order, Number](OrderAnswer Answer) {
@@ -170,8 +168,8 @@
 auto FleetDuty::orderStages() -> void {
   auto Now = m_Scheduler.now();
   const auto &Configuration = *m_Inputs.m_Configuration();
-  auto Orders = m_Planner.stages(Configuration, m_Inputs.m_Directory,
-                                 m_Inputs.m_Idle());
+  auto Orders =
+      m_Planner.stages(Configuration, m_Inputs.m_Directory, m_Inputs.m_Idle());
   for (const auto &Order : Orders) {
     auto &Last = m_StageOrders[Order.m_Backend];
     const auto *Engine = m_Inputs.m_Directory.find(Order.m_Backend);
@@ -195,8 +193,8 @@
           return;
         logInfo("fleet.stage-ordered",
                 {{"backend", Order.m_Backend},
-                 {"stage", Order.m_Stage == EngineStage::Prefill ? "prefill"
-                                                                 : "decode"},
+                 {"stage",
+                  Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
                  {"fencing", Number},
                  {"answer", nameOf(Answer)}});
       });
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -67,10 +67,9 @@
   explicit MetricsHandler(const ServingMetrics &Metrics) : m_Metrics(Metrics) {}
 
   auto handle(HttpExchangePtr Exchange) -> void override {
-    Exchange->respond(
-        {.m_Headers = {{.m_Name = "Content-Type",
-                        .m_Value = "text/plain; version=0.0.4"}},
-         .m_Body = m_Metrics.text()});
+    Exchange->respond({.m_Headers = {{.m_Name = "Content-Type",
+                                      .m_Value = "text/plain; version=0.0.4"}},
+                       .m_Body = m_Metrics.text()});
   }
   auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
     return {.m_Status = 413};
@@ -108,18 +107,16 @@
           {}),
       m_Relay(Loop, Ports.m_Datagrams, m_Hosts, m_Exchange, relayHooks(),
               {.m_FallBackAfter = scaled(
-                   evidenceBound(Options.m_Settings.m_Bounds),
-                   FallBackShare)}),
+                   evidenceBound(Options.m_Settings.m_Bounds), FallBackShare)}),
       m_ConfigurationMirror(
           Loop, Ports.m_Store, Ports.m_Watch, m_Random,
           {.m_Prefix = Ports.m_Records.configurationKey(),
            .m_Wait =
                scaled(evidenceBound(Options.m_Settings.m_Bounds), WatchShare)}),
-      m_BackendMirror(
-          Loop, Ports.m_Store, Ports.m_Watch, m_Random,
-          {.m_Prefix = Ports.m_Records.backendPrefix(),
-           .m_Pause =
-               scaled(Options.m_Settings.m_Bounds.m_Drain, BackendPauseShare)}),
+      m_BackendMirror(Loop, Ports.m_Store, Ports.m_Watch, m_Random,
+                      {.m_Prefix = Ports.m_Records.backendPrefix(),
+                       .m_Pause = scaled(Options.m_Settings.m_Bounds.m_Drain,
+                                         BackendPauseShare)}),
       m_Usage(
           m_Time, Ports.m_Store, IncarnationId{m_Random.hex()},
           // Hosts keep no copies for each other: counts go to the store.
@@ -155,26 +152,24 @@
 HostProcess::~HostProcess() = default;
 
 auto HostProcess::relayHooks() -> StoreRelayHooks {
-  return {.m_EvidenceAge = [this] { return m_Core.evidenceAge(); },
-          .m_Config =
-              [this] {
-                const auto *Current = m_Core.configuration();
-                return Current ? Current->m_Revision : ConfigRevision{};
-              },
-          .m_BackendsDigest = [this] { return m_Core.directory().digest(); },
-          .m_OnEvidence =
-              [this](MonotonicTime At) { m_Core.recordEvidence(At); },
-          .m_RefreshConfiguration = [this] { m_ConfigurationMirror.refresh(); },
-          .m_RefreshBackends = [this] { m_BackendMirror.refresh(); },
-          .m_OnBackendChange =
-              [this](const KeyChange &Change) {
-                m_BackendMirror.apply(Change);
-              },
-          .m_OnFollow =
-              [this](bool Following) {
-                m_ConfigurationMirror.follow(Following);
-                m_BackendMirror.follow(Following);
-              }};
+  return {
+      .m_EvidenceAge = [this] { return m_Core.evidenceAge(); },
+      .m_Config =
+          [this] {
+            const auto *Current = m_Core.configuration();
+            return Current ? Current->m_Revision : ConfigRevision{};
+          },
+      .m_BackendsDigest = [this] { return m_Core.directory().digest(); },
+      .m_OnEvidence = [this](MonotonicTime At) { m_Core.recordEvidence(At); },
+      .m_RefreshConfiguration = [this] { m_ConfigurationMirror.refresh(); },
+      .m_RefreshBackends = [this] { m_BackendMirror.refresh(); },
+      .m_OnBackendChange =
+          [this](const KeyChange &Change) { m_BackendMirror.apply(Change); },
+      .m_OnFollow =
+          [this](bool Following) {
+            m_ConfigurationMirror.follow(Following);
+            m_BackendMirror.follow(Following);
+          }};
 }
 
 auto HostProcess::busyEngines() const -> std::optional<double> {
@@ -192,8 +187,8 @@
   };
   const auto &Others = m_Hosts.others();
   auto Own = Rank(m_Hosts.self().m_Host);
-  return static_cast<std::size_t>(std::count_if(
-             Others.begin(), Others.end(), [&](const auto &Item) {
+  return static_cast<std::size_t>(
+             std::count_if(Others.begin(), Others.end(), [&](const auto &Item) {
                return Rank(Item.first) < Own;
              })) < Campaigners;
 }
@@ -232,10 +227,9 @@
   auto Id = m_Ports.m_Records.backendOf(Change.m_Key);
   auto Changed = false;
   try {
-    Changed = Change.m_Value
-                  ? m_Core.directory().put(m_Ports.m_Records.backend(
-                        Change.m_Key, *Change.m_Value))
-                  : m_Core.directory().remove(Id);
+    Changed = Change.m_Value ? m_Core.directory().put(m_Ports.m_Records.backend(
+                                   Change.m_Key, *Change.m_Value))
+                             : m_Core.directory().remove(Id);
   } catch (const ProtocolError &Failure) {
     logWarning("backend.unreadable",
                {{"backend", Id}, {"reason", Failure.what()}});
@@ -279,36 +273,36 @@
 auto HostProcess::buildTree(HttpHandler &Callers, HttpHandler &Readiness)
     -> void {
   const auto &Settings = m_Options.m_Settings;
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "mirrors",
-      .m_Start =
-          [this] {
-            m_ConfigurationMirror.start();
-            m_BackendMirror.start();
-          },
-      .m_Reset = [] {}}));
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "peers",
-      .m_Start =
-          [this] {
-            m_Hosts.start();
-            m_Exchange.start();
-            m_Relay.start();
-          },
-      .m_Reset = [this] { m_Hosts.leave(); }}));
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "usage",
-      .m_Start = [] {},
-      .m_Reset = [] {},
-      .m_Stop =
-          [this](std::function<void()> Done) {
-            m_Usage.flush();
-            m_Usage.drain(std::move(Done));
-          }}));
-  m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
-      .m_Name = "fleet-duty",
-      .m_Start = [this] { m_Duty.start(); },
-      .m_Reset = [this] { m_Duty.stop(); }}));
+  m_Tree.add(std::make_unique<FunctionComponent>(
+      FunctionComponentOptions{.m_Name = "mirrors",
+                               .m_Start =
+                                   [this] {
+                                     m_ConfigurationMirror.start();
+                                     m_BackendMirror.start();
+                                   },
+                               .m_Reset = [] {}}));
+  m_Tree.add(std::make_unique<FunctionComponent>(
+      FunctionComponentOptions{.m_Name = "peers",
+                               .m_Start =
+                                   [this] {
+                                     m_Hosts.start();
+                                     m_Exchange.start();
+                                     m_Relay.start();
+                                   },
+                               .m_Reset = [this] { m_Hosts.leave(); }}));
+  m_Tree.add(std::make_unique<FunctionComponent>(
+      FunctionComponentOptions{.m_Name = "usage",
+                               .m_Start = [] {},
+                               .m_Reset = [] {},
+                               .m_Stop =
+                                   [this](std::function<void()> Done) {
+                                     m_Usage.flush();
+                                     m_Usage.drain(std::move(Done));
+                                   }}));
+  m_Tree.add(std::make_unique<FunctionComponent>(
+      FunctionComponentOptions{.m_Name = "fleet-duty",
+                               .m_Start = [this] { m_Duty.start(); },
+                               .m_Reset = [this] { m_Duty.stop(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "readiness-server",
       .m_Start =
@@ -332,14 +326,14 @@
             },
         .m_Reset = [this] { m_MetricsServer.reset(); }}));
   }
-  auto Reserved = std::min(ReservedDescriptors, Settings.m_MaximumDescriptors / 2);
+  auto Reserved =
+      std::min(ReservedDescriptors, Settings.m_MaximumDescriptors / 2);
   auto Connections =
       std::min(MostConnections, Settings.m_MaximumDescriptors - Reserved);
   m_Tree.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "caller-server",
       .m_Start =
-          [this, &Callers, Connections,
-           Address = Settings.m_CallerAddress] {
+          [this, &Callers, Connections, Address = Settings.m_CallerAddress] {
             m_CallerServer.emplace(
                 m_Loop, Callers,
                 StrictHttpServerOptions{.m_Address =
@@ -347,7 +341,8 @@
                                         .m_MaximumConnections = Connections});
           },
       .m_Reset = [this] { m_CallerServer.reset(); },
-      .m_Stop = [this](std::function<void()> Done) { drain(std::move(Done)); }}));
+      .m_Stop =
+          [this](std::function<void()> Done) { drain(std::move(Done)); }}));
 }
 
 auto HostProcess::drain(std::function<void()> Done) -> void {
@@ -365,8 +360,8 @@
   if (Since < BalancerLag)
     return;
   m_CallerServer->closeIdle();
-  auto Over = Since >= m_Options.m_Settings.m_Bounds.m_ShutdownGrace -
-                           ExitReserve;
+  auto Over =
+      Since >= m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitReserve;
   if (m_CallerServer->busyConnections() > 0 && !Over)
     return;
   logInfo("host.drained", {{"unfinished", m_Core.active()}});
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -174,9 +174,9 @@
               },
           .m_OnData = [this](std::string_view Data) { onData(Data); }});
   m_Deadline = m_Client.loop().now() + m_Call->m_Timeout;
-  armTimeout(m_Connected ? m_Call->m_Timeout
-                         : std::min(m_Call->m_Timeout,
-                                    m_Call->m_ConnectTimeout));
+  armTimeout(m_Connected
+                 ? m_Call->m_Timeout
+                 : std::min(m_Call->m_Timeout, m_Call->m_ConnectTimeout));
   // The first write waits for the loop, so that no callback runs in start().
   m_WriteWatcher.enable(true);
 }
@@ -299,8 +299,8 @@
     m_Used = true;
     auto Idle = m_Client.options().m_IdleTime;
     if (auto Stated = m_Reader->keepAliveTime())
-      Idle = std::min(Idle, std::chrono::duration_cast<Duration>(
-                                *Stated * IdleShare));
+      Idle = std::min(
+          Idle, std::chrono::duration_cast<Duration>(*Stated * IdleShare));
     m_IdleUntil = m_Client.loop().now() + Idle;
     m_Client.release(*this, Idle);
   } else {
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -73,8 +73,7 @@
 public:
   Connection(Impl &Server, Socket Peer)
       : m_Server(Server), m_Socket(std::move(Peer)),
-        m_Reader(Server.m_Options.m_Limits),
-        m_Since(Server.m_Loop.now()),
+        m_Reader(Server.m_Options.m_Limits), m_Since(Server.m_Loop.now()),
         m_ReadWatcher(Server.m_Loop, m_Socket.fd(), EV_READ,
                       [this](int) { readable(); }),
         m_WriteWatcher(Server.m_Loop, m_Socket.fd(), EV_WRITE,
@@ -129,8 +128,8 @@
   }
 
   auto closeIfIdle() -> void {
-    if (!busy() && !m_Lingering && m_Reader.state() == RequestReader::State::Head &&
-        !m_Reader.begun())
+    if (!busy() && !m_Lingering &&
+        m_Reader.state() == RequestReader::State::Head && !m_Reader.begun())
       closeAfterFlush();
   }
 
@@ -243,8 +242,8 @@
   }
 
   auto head(unsigned Status, const HttpHeaders &Headers) -> std::string {
-    auto Result = fmt::format("HTTP/1.1 {} {}\r\n", Status,
-                              reasonPhrase(Status));
+    auto Result =
+        fmt::format("HTTP/1.1 {} {}\r\n", Status, reasonPhrase(Status));
     for (const auto &Header : Headers)
       Result += fmt::format("{}: {}\r\n", Header.m_Name, Header.m_Value);
     if (m_Closing)
@@ -294,8 +293,7 @@
     return;
   if (!m_Reader.begun())
     m_Since = m_Server.m_Loop.now();
-  auto Data =
-      std::string_view(Block.data(), static_cast<std::size_t>(Count));
+  auto Data = std::string_view(Block.data(), static_cast<std::size_t>(Count));
   if (busy() || m_Next) {
     m_Reader.feed(Data);
     // A caller that sends on and on while its request runs is not read.
@@ -320,8 +318,7 @@
 
 auto StrictHttpServer::Impl::Connection::dispatch() -> void {
   m_Open = std::make_shared<Exchange>(*this, std::move(m_Reader.request()),
-                                      m_Reader.keepAlive(),
-                                      m_Server.m_Closing);
+                                      m_Reader.keepAlive(), m_Server.m_Closing);
   // The connection may end inside the handler's call.
   auto Current = m_Open;
   m_Server.m_Handler.handle(std::move(Current));
@@ -340,8 +337,8 @@
 
 auto StrictHttpServer::Impl::Connection::flush() -> void {
   while (pending() > 0) {
-    auto Count = ::send(m_Socket.fd(), m_Out.data() + m_Sent, pending(),
-                        MSG_NOSIGNAL);
+    auto Count =
+        ::send(m_Socket.fd(), m_Out.data() + m_Sent, pending(), MSG_NOSIGNAL);
     if (Count < 0 && errno == EINTR)
       continue;
     if (Count < 0 && errno == EAGAIN) {
@@ -478,9 +475,9 @@
 }
 
 auto StrictHttpServer::busyConnections() const -> std::size_t {
-  return static_cast<std::size_t>(std::count_if(
-      m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(),
-      [](const auto &Item) { return Item.second->busy(); }));
+  return static_cast<std::size_t>(
+      std::count_if(m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(),
+                    [](const auto &Item) { return Item.second->busy(); }));
 }
 
 } // namespace dotterel
--- a/src/io/UdpPort.cpp
+++ b/src/io/UdpPort.cpp
@@ -20,8 +20,8 @@
 } // namespace
 
 UdpPort::UdpPort(EventLoop &Loop, const SocketAddress &Address)
-    : m_Socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                        0)) {
+    : m_Socket(
+          ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   const auto &Raw = Address.raw();
   if (m_Socket.fd() < 0 ||
       ::bind(m_Socket.fd(), reinterpret_cast<const sockaddr *>(&Raw),
@@ -61,9 +61,9 @@
     if (Count < 0)
       return;
     if (m_OnReceive)
-      m_OnReceive(SocketAddress(Raw).text(),
-                  std::string_view(Block.data(),
-                                   static_cast<std::size_t>(Count)));
+      m_OnReceive(
+          SocketAddress(Raw).text(),
+          std::string_view(Block.data(), static_cast<std::size_t>(Count)));
   }
 }
 
--- a/src/io/detail/RequestReader.cpp
+++ b/src/io/detail/RequestReader.cpp
@@ -19,10 +19,9 @@
     auto End = std::min(Query.find('&'), Query.size());
     auto Item = Query.substr(0, End);
     auto Equals = std::min(Item.find('='), Item.size());
-    Result.push_back(
-        {.m_Name = std::string(Item.substr(0, Equals)),
-         .m_Value = std::string(
-             Item.substr(std::min(Equals + 1, Item.size())))});
+    Result.push_back({.m_Name = std::string(Item.substr(0, Equals)),
+                      .m_Value = std::string(
+                          Item.substr(std::min(Equals + 1, Item.size())))});
     Query.remove_prefix(std::min(End + 1, Query.size()));
   }
   return Result;
@@ -36,9 +35,27 @@
                        });
 }
 
+/// Whether white space stands in a header's name: parsers differ in whether it
+/// belongs to it.
+auto spacedName(std::string_view Head) -> bool {
+  auto At = Head.find('\n');
+  while (At != std::string_view::npos && At + 1 < Head.size()) {
+    auto End = std::min(Head.find('\n', At + 1), Head.size());
+    auto Line = Head.substr(At + 1, End - At - 1);
+    auto Name = Line.substr(0, Line.find(':'));
+    if (Line.find(':') != std::string_view::npos &&
+        Name.find_first_of(" \t") != std::string_view::npos)
+      return true;
+    At = Head.find('\n', At + 1);
+  }
+  return false;
+}
+
 } // namespace
 
 auto headFault(std::string_view Head) -> std::string_view {
+  if (spacedName(Head))
+    return "white space in a header's name";
   for (auto Index = std::size_t{0}; Index < Head.size(); ++Index) {
     auto Character = Head[Index];
     auto Next = Index + 1 < Head.size() ? Head[Index + 1] : '\0';
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-auto encodeLoads(const LoadSummary &Loads,
-                 schema::LoadSummary::Builder Target) -> void {
+auto encodeLoads(const LoadSummary &Loads, schema::LoadSummary::Builder Target)
+    -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
   Target.setPrefillTokensPerSecond(
       static_cast<float>(Loads.m_PrefillTokensPerSecond));
@@ -42,10 +42,9 @@
 }
 
 auto decodeLoads(schema::LoadSummary::Reader Source) -> LoadSummary {
-  auto Loads =
-      LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre(),
-                  .m_PrefillTokensPerSecond =
-                      Source.getPrefillTokensPerSecond()};
+  auto Loads = LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre(),
+                           .m_PrefillTokensPerSecond =
+                               Source.getPrefillTokensPerSecond()};
   for (auto Item : Source.getEngines())
     Loads.m_Engines.push_back({.m_Engine = BackendId{Item.getEngine().cStr()},
                                .m_Requests = Item.getRequests(),
@@ -68,15 +67,15 @@
   return MonotonicTime(Duration(static_cast<Duration::rep>(Count)));
 }
 
-auto encodeChange(const KeyChange &Change,
-                  schema::RecordChange::Builder Target) -> void {
+auto encodeChange(const KeyChange &Change, schema::RecordChange::Builder Target)
+    -> void {
   Target.setKey(Change.m_Key);
   Target.setRemoved(!Change.m_Value.has_value());
   Target.setRevision(Change.m_Revision.number());
   if (Change.m_Value)
-    Target.setValue(kj::arrayPtr(
-        reinterpret_cast<const kj::byte *>(Change.m_Value->data()),
-        Change.m_Value->size()));
+    Target.setValue(
+        kj::arrayPtr(reinterpret_cast<const kj::byte *>(Change.m_Value->data()),
+                     Change.m_Value->size()));
 }
 
 auto decodeChange(schema::RecordChange::Reader Source) -> KeyChange {
@@ -130,9 +129,8 @@
 
 auto decodeHostMessage(std::string_view Bytes) -> HostMessage {
   try {
-    auto Input = kj::ArrayInputStream(
-        kj::arrayPtr(reinterpret_cast<const kj::byte *>(Bytes.data()),
-                     Bytes.size()));
+    auto Input = kj::ArrayInputStream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()));
     auto Reader = capnp::PackedMessageReader(Input);
     auto Root = Reader.getRoot<schema::HostMessage>();
     auto Message =
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-auto add(std::map<BackendId, EngineLoad> &Sum, const LoadSummary &Loads)
+auto add(std::map<BackendId, BackendWork> &Sum, const LoadSummary &Loads)
     -> void {
   for (const auto &Item : Loads.m_Engines) {
     auto &Entry = Sum[Item.m_Engine];
@@ -23,8 +23,8 @@
                            const HostRegistry &Registry, Source Source,
                            Sink Sink, const LoadExchangeOptions &Options)
     : m_Scheduler(Scheduler), m_Port(Port), m_Registry(Registry),
-      m_Source(std::move(Source)), m_Sink(std::move(Sink)),
-      m_Options(Options) {}
+      m_Source(std::move(Source)), m_Sink(std::move(Sink)), m_Options(Options) {
+}
 
 auto LoadExchange::start() -> void {
   m_LocalTimer.emplace(m_Scheduler, m_Options.m_LocalInterval,
@@ -66,7 +66,7 @@
   if (!relays())
     return;
   auto Now = m_Scheduler.now();
-  auto Sum = std::map<BackendId, EngineLoad>();
+  auto Sum = std::map<BackendId, BackendWork>();
   add(Sum, m_Own);
   auto Demand = m_Own.m_PrefillTokensPerSecond;
   for (const auto &[Host, Entry] : m_Local) {
@@ -135,10 +135,8 @@
   if (!Loads->m_WholeDataCentre) {
     if (Message.m_DataCentre != Self.m_DataCentre)
       return;
-    m_Local[Message.m_Sender] = {.m_At = m_Scheduler.now(),
-                                 .m_Loads = *Loads};
-    m_Reads.insert(m_Reads.end(), Loads->m_Reads.begin(),
-                   Loads->m_Reads.end());
+    m_Local[Message.m_Sender] = {.m_At = m_Scheduler.now(), .m_Loads = *Loads};
+    m_Reads.insert(m_Reads.end(), Loads->m_Reads.begin(), Loads->m_Reads.end());
     m_Sink(Message.m_Sender.text(), *Loads);
     return;
   }
--- a/src/peers/StoreRelay.cpp
+++ b/src/peers/StoreRelay.cpp
@@ -46,12 +46,11 @@
   // Evidence is passed on once, from who read the store.
   if (m_Following || Age == Duration::max())
     return;
-  m_Port.send(Address,
-              message(RelayReply{.m_SentAt = Question.m_SentAt,
-                                 .m_EvidenceAge = Age,
-                                 .m_Config = m_Hooks.m_Config(),
-                                 .m_BackendsDigest =
-                                     m_Hooks.m_BackendsDigest()}));
+  m_Port.send(Address, message(RelayReply{.m_SentAt = Question.m_SentAt,
+                                          .m_EvidenceAge = Age,
+                                          .m_Config = m_Hooks.m_Config(),
+                                          .m_BackendsDigest =
+                                              m_Hooks.m_BackendsDigest()}));
 }
 
 auto StoreRelay::take(const RelayReply &Reply) -> void {
--- a/src/serving/BackendDirectory.cpp
+++ b/src/serving/BackendDirectory.cpp
@@ -23,11 +23,11 @@
 }
 
 auto digestOf(const BackendRecord &Record) -> std::uint64_t {
-  auto Text = fmt::format(
-      "{}/{}/{}/{}/{}/{}/{}/{}/{}", Record.m_Id.text(),
-      Record.m_Service.text(), Record.m_Address, Record.m_DataCentre.text(),
-      Record.m_Slots, Record.m_Draining, Record.m_Reclaimable,
-      stageName(Record.m_Stage), Record.m_StartedAt);
+  auto Text = fmt::format("{}/{}/{}/{}/{}/{}/{}/{}/{}", Record.m_Id.text(),
+                          Record.m_Service.text(), Record.m_Address,
+                          Record.m_DataCentre.text(), Record.m_Slots,
+                          Record.m_Draining, Record.m_Reclaimable,
+                          stageName(Record.m_Stage), Record.m_StartedAt);
   return XXH3_64bits(Text.data(), Text.size());
 }
 
@@ -39,15 +39,14 @@
     return false;
   auto Restarted =
       Found != m_Records.end() && Record.restartedSince(Found->second);
-  logInfo("backend.registered",
-          {{"backend", Record.m_Id},
-           {"service", Record.m_Service},
-           {"address", Record.m_Address},
-           {"data_centre", Record.m_DataCentre},
-           {"stage", stageName(Record.m_Stage)},
-           {"draining", Record.m_Draining},
-           {"reclaimable", Record.m_Reclaimable},
-           {"restarted", Restarted}});
+  logInfo("backend.registered", {{"backend", Record.m_Id},
+                                 {"service", Record.m_Service},
+                                 {"address", Record.m_Address},
+                                 {"data_centre", Record.m_DataCentre},
+                                 {"stage", stageName(Record.m_Stage)},
+                                 {"draining", Record.m_Draining},
+                                 {"reclaimable", Record.m_Reclaimable},
+                                 {"restarted", Restarted}});
   auto Id = Record.m_Id;
   m_Records[Id] = std::move(Record);
   index();
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -44,8 +44,8 @@
   for (auto Index = std::size_t{0}; Index + 1 < Prompt.m_Parts.size(); ++Index)
     Shared += static_cast<double>(Prompt.m_Parts[Index].m_Tokens.number());
   Shared = std::min(Shared, Total);
-  auto Held = std::min(
-      Total, static_cast<double>(Caches.match(Engine.m_Id, Prompt)));
+  auto Held =
+      std::min(Total, static_cast<double>(Caches.match(Engine.m_Id, Prompt)));
   auto Missing = Shared - Held;
   if (Home == nullptr || Missing <= 0)
     return {.m_NewTokens = Total - Held, .m_Charged = Total - Held};
@@ -101,9 +101,9 @@
   auto Bits = static_cast<double>(Prompt.m_PromptTokens.number()) *
               static_cast<double>(Service.m_Engine->m_BytesPerToken) *
               BitsPerByte;
-  return asDuration(Factor * Bits * MillisecondsPerSecond /
-                    (Service.m_Engine->m_LinkMegabitsPerSecond *
-                     BitsPerMegabit));
+  return asDuration(
+      Factor * Bits * MillisecondsPerSecond /
+      (Service.m_Engine->m_LinkMegabitsPerSecond * BitsPerMegabit));
 }
 
 auto EnginePlacement::plan(const ChoiceView &View, const PartCaches &Caches,
@@ -120,10 +120,10 @@
     Readers.push_back(Engine);
   }
   const auto *Home = homeOf(Prompt, Readers);
-  auto Decoders = std::any_of(Engines.begin(), Engines.end(),
-                              [](const auto *Engine) {
-                                return Engine->m_Stage == EngineStage::Decode;
-                              });
+  auto Decoders =
+      std::any_of(Engines.begin(), Engines.end(), [](const auto *Engine) {
+        return Engine->m_Stage == EngineStage::Decode;
+      });
   auto Best = EnginePlan();
   for (const auto *Engine : Engines) {
     auto Apart = Engine->m_Stage == EngineStage::Prefill;
@@ -141,10 +141,10 @@
     } else {
       auto Running = View.m_Loads.own(Engine->m_Id) +
                      View.m_Loads.others(Engine->m_Id, Now);
-      Cost += std::chrono::duration_cast<Duration>(Running *
-                                                   m_Options.m_SlotDelay);
-      Cost += asDuration(m_Options.m_InPlaceDisturbance * Read.m_NewTokens /
-                         Rate);
+      Cost +=
+          std::chrono::duration_cast<Duration>(Running * m_Options.m_SlotDelay);
+      Cost +=
+          asDuration(m_Options.m_InPlaceDisturbance * Read.m_NewTokens / Rate);
     }
     if (Cost >= Best.m_Estimate)
       continue;
@@ -169,12 +169,12 @@
   for (const auto *Engine : candidates(View, Service.m_Id, Excluded, Now)) {
     if (Engine->m_Stage != EngineStage::Decode)
       continue;
-    auto Running = View.m_Loads.own(Engine->m_Id) +
-                   View.m_Loads.others(Engine->m_Id, Now);
+    auto Running =
+        View.m_Loads.own(Engine->m_Id) + View.m_Loads.others(Engine->m_Id, Now);
     auto Queue = queueTokens(View, Speed, *Engine, Now);
-    auto Cost = asDuration(Queue / Speed.inPlace()) +
-                std::chrono::duration_cast<Duration>(Running *
-                                                     m_Options.m_SlotDelay);
+    auto Cost =
+        asDuration(Queue / Speed.inPlace()) +
+        std::chrono::duration_cast<Duration>(Running * m_Options.m_SlotDelay);
     auto Slots = std::max(1.0, static_cast<double>(Engine->m_Slots));
     // A full batch makes a request wait for a whole answer of another.
     if (Running >= Slots)
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -39,8 +39,8 @@
   const auto &Bounds = *Service.m_Bounds;
   auto Least = std::max(1U, Bounds.m_Least);
   auto Most = std::max(Least, part(Bounds.m_Most, m_Options.m_FleetShare));
-  auto [Found, New] = m_Sizes.try_emplace(
-      Service.m_Id, Size{.m_Total = Most, .m_Since = Now});
+  auto [Found, New] =
+      m_Sizes.try_emplace(Service.m_Id, Size{.m_Total = Most, .m_Since = Now});
   auto &Current = Found->second;
   Current.m_Total = std::clamp(Current.m_Total, Least, Most);
   // Without any demand nothing has been learnt yet.
@@ -50,10 +50,9 @@
     return Current.m_Total;
   }
   auto Centres = static_cast<double>(Bounds.m_Prices.size());
-  auto Wanted = std::clamp(
-      static_cast<std::uint32_t>(
-          std::ceil(*Busy * m_Options.m_ServersPerBusy / Centres)),
-      Least, Most);
+  auto Wanted = std::clamp(static_cast<std::uint32_t>(std::ceil(
+                               *Busy * m_Options.m_ServersPerBusy / Centres)),
+                           Least, Most);
   auto Before = Current.m_Total;
   if (Wanted > Before) {
     Current = {.m_Total = Wanted, .m_Since = Now};
@@ -154,8 +153,8 @@
     for (auto &[DataCentre, Members] : Engines) {
       auto Wanted = std::lround(static_cast<double>(Members.size()) *
                                 m_Options.m_PrefillShare);
-      auto Present = std::count_if(
-          Members.begin(), Members.end(), [](const auto *Engine) {
+      auto Present =
+          std::count_if(Members.begin(), Members.end(), [](const auto *Engine) {
             return Engine->m_Stage == EngineStage::Prefill;
           });
       auto From = Present < Wanted ? EngineStage::Decode : EngineStage::Prefill;
--- a/src/serving/LoadBook.cpp
+++ b/src/serving/LoadBook.cpp
@@ -62,7 +62,7 @@
 }
 
 auto LoadBook::setPeer(const std::string &Origin,
-                       const std::vector<EngineLoad> &Loads, MonotonicTime Now)
+                       const std::vector<BackendWork> &Loads, MonotonicTime Now)
     -> void {
   auto &Current = m_Peers[Origin];
   Current.m_At = Now;
@@ -71,8 +71,8 @@
     Current.m_Loads.emplace(Item.m_Engine, Item);
 }
 
-auto LoadBook::summary() const -> std::vector<EngineLoad> {
-  auto Result = std::vector<EngineLoad>();
+auto LoadBook::summary() const -> std::vector<BackendWork> {
+  auto Result = std::vector<BackendWork>();
   for (const auto &[Id, Current] : m_Entries)
     if (Current.m_Own > 0)
       Result.push_back({.m_Engine = Id,
--- a/src/serving/PartCache.cpp
+++ b/src/serving/PartCache.cpp
@@ -10,7 +10,8 @@
       m_Order.splice(m_Order.begin(), m_Order, Found->second);
       continue;
     }
-    m_Order.push_front({.m_Id = Part->m_Id, .m_Tokens = Part->m_Tokens.number()});
+    m_Order.push_front(
+        {.m_Id = Part->m_Id, .m_Tokens = Part->m_Tokens.number()});
     m_Positions.emplace(Part->m_Id, m_Order.begin());
     m_Tokens += Part->m_Tokens.number();
   }
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -56,8 +56,8 @@
 
 auto ServedRequest::returnTime(Duration Wanted) -> Duration {
   const auto &Options = m_Context.m_Options;
-  auto Most = std::chrono::duration_cast<Duration>(timeLeft() *
-                                                   Options.m_ReturnShare);
+  auto Most =
+      std::chrono::duration_cast<Duration>(timeLeft() * Options.m_ReturnShare);
   Most = std::max(Most, Options.m_ShortestReturn);
   auto Chosen = std::clamp(Wanted, Options.m_ShortestReturn, Most);
   // Spread, so that callers refused together do not return together.
@@ -80,9 +80,9 @@
 }
 
 auto ServedRequest::placePlain() -> void {
-  const auto *Target = m_Context.m_ServerChoice.choose(
-      m_Context.view(), m_Terms.m_Service->m_Id, m_Excluded,
-      m_Context.m_Scheduler.now());
+  const auto *Target =
+      m_Context.m_ServerChoice.choose(m_Context.view(), m_Terms.m_Service->m_Id,
+                                      m_Excluded, m_Context.m_Scheduler.now());
   if (Target == nullptr) {
     refuse(RefusalCode::NoBackend, "no server of the service is registered",
            returnTime(timeLeft()));
@@ -108,9 +108,9 @@
       timeLeft() * m_Context.m_Options.m_FeasibleShare);
   if (!m_Streaming && Plan.m_Estimate > Feasible) {
     refuse(RefusalCode::QueueFull,
-           fmt::format("the first event is expected after {} ms, {} ms are left",
-                       toMilliseconds(Plan.m_Estimate),
-                       toMilliseconds(timeLeft())),
+           fmt::format(
+               "the first event is expected after {} ms, {} ms are left",
+               toMilliseconds(Plan.m_Estimate), toMilliseconds(timeLeft())),
            returnTime(Plan.m_Estimate - Feasible));
     return;
   }
@@ -157,16 +157,16 @@
     return;
   }
   const auto &Request = m_Exchange->request();
-  auto Sent = BackendAttempt{
-      .m_Request = &Request,
-      .m_Backend = Target.m_Id,
-      .m_Address = Target.m_Address,
-      .m_Purpose = Purpose,
-      .m_TimeLeft = timeLeft(),
-      .m_Organisation = m_Terms.m_Organisation,
-      .m_FetchFrom = FetchFrom,
-      .m_ResumeAfter = m_Events.lastId().empty() ? Request.m_ResumeAfter
-                                                 : m_Events.lastId()};
+  auto Sent = BackendAttempt{.m_Request = &Request,
+                             .m_Backend = Target.m_Id,
+                             .m_Address = Target.m_Address,
+                             .m_Purpose = Purpose,
+                             .m_TimeLeft = timeLeft(),
+                             .m_Organisation = m_Terms.m_Organisation,
+                             .m_FetchFrom = FetchFrom,
+                             .m_ResumeAfter = m_Events.lastId().empty()
+                                                  ? Request.m_ResumeAfter
+                                                  : m_Events.lastId()};
   if (m_Terms.m_Service->m_Engine)
     Sent.m_Rank = std::min(LowestRank, m_Terms.m_Priority);
   auto Current = Attempt{.m_Backend = Target.m_Id,
@@ -222,9 +222,9 @@
     countRun();
     m_Context.m_Metrics.observeFirstAnswer(
         m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
-    m_Trail += fmt::format(
-        " first={}ms",
-        toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt));
+    m_Trail +=
+        fmt::format(" first={}ms",
+                    toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt));
     noteRead(m_Attempt->m_Backend);
   }
   forward(Data);
@@ -251,11 +251,11 @@
   if (Result.m_Load)
     m_Context.m_Loads.report(Ended.m_Backend, *Result.m_Load, Now);
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_End);
-  m_Trail += fmt::format(
-      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
-      Ended.m_Backend.text(), nameOf(Result.m_End), Result.m_Head.m_Status,
-      toMilliseconds(Now - Ended.m_Since), Ended.m_Planned,
-      Ended.m_Fetched ? ":fetched" : "");
+  m_Trail +=
+      fmt::format(" {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
+                  Ended.m_Backend.text(), nameOf(Result.m_End),
+                  Result.m_Head.m_Status, toMilliseconds(Now - Ended.m_Since),
+                  Ended.m_Planned, Ended.m_Fetched ? ":fetched" : "");
   switch (Result.m_End) {
   case AttemptEnd::Whole:
     m_Context.m_Loads.accepted(Ended.m_Backend);
@@ -363,8 +363,8 @@
     }
     if (m_Terms.m_Route->m_Resumable && !m_Events.rest().empty())
       m_Exchange->write(m_Events.rest());
-    m_Context.m_Metrics.observeWhole(
-        m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
+    m_Context.m_Metrics.observeWhole(m_Terms.m_Route->m_Kind,
+                                     m_Context.m_Scheduler.now() - m_ArrivedAt);
     m_Exchange->finish();
     finish("served", {});
     return;
@@ -379,8 +379,8 @@
     place();
     return;
   }
-  m_Context.m_Metrics.observeWhole(
-      m_Terms.m_Route->m_Kind, m_Context.m_Scheduler.now() - m_ArrivedAt);
+  m_Context.m_Metrics.observeWhole(m_Terms.m_Route->m_Kind,
+                                   m_Context.m_Scheduler.now() - m_ArrivedAt);
   m_Exchange->answer(Result.m_Head, std::move(Result.m_Body));
   finish(successful(Status) ? "served" : "server_failure",
          fmt::format("status {}", Status));
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -32,8 +32,8 @@
   auto BestCost = std::numeric_limits<double>::max();
   auto Work = static_cast<double>(m_Options.m_WorkTime.count());
   for (const auto *Item : candidates(View, Service, Excluded, Now)) {
-    auto Requests = View.m_Loads.own(Item->m_Id) +
-                    View.m_Loads.others(Item->m_Id, Now);
+    auto Requests =
+        View.m_Loads.own(Item->m_Id) + View.m_Loads.others(Item->m_Id, Now);
     auto Slots = std::max(1.0, static_cast<double>(Item->m_Slots));
     // Work in slots slows its neighbours little; work beyond them waits.
     auto Cost = Work * (Requests / Slots);
--- a/src/serving/ServingConfiguration.cpp
+++ b/src/serving/ServingConfiguration.cpp
@@ -8,10 +8,10 @@
   for (const auto &Route : Configuration.m_Routes)
     m_ByHost[Route.m_Host].push_back(&Route);
   for (auto &[Host, Routes] : m_ByHost)
-    std::sort(Routes.begin(), Routes.end(), [](const auto *Left,
-                                               const auto *Right) {
-      return Left->m_PathPrefix.size() > Right->m_PathPrefix.size();
-    });
+    std::sort(Routes.begin(), Routes.end(),
+              [](const auto *Left, const auto *Right) {
+                return Left->m_PathPrefix.size() > Right->m_PathPrefix.size();
+              });
 }
 
 auto RouteTable::find(const std::string &Host, std::string_view Path) const
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -11,8 +11,8 @@
 /// When to come back to a host that has no configuration, or no evidence of it:
 /// the store is asked again within this time.
 constexpr auto ReturnWhenReady = Milliseconds(500);
-/// Swings of the mix that engines, which start within seconds, cannot follow are
-/// smoothed out.
+/// Swings of the mix that engines, which start within seconds, cannot follow
+/// are smoothed out.
 constexpr auto DemandTimeConstant = Seconds(10);
 
 } // namespace
@@ -27,23 +27,24 @@
       m_Retries(Options.m_Retries),
       m_Freshness({.m_Bound = Options.m_EvidenceBound}),
       m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
-      m_Random(Random), m_Metrics(Metrics),
-      m_Context{.m_Scheduler = Scheduler,
-                .m_Random = Random,
-                .m_Transport = Transport,
-                .m_Directory = m_Directory,
-                .m_Loads = m_Loads,
-                .m_Health = m_Health,
-                .m_Distance = Distance,
-                .m_Caches = m_Caches,
-                .m_Speed = m_Speed,
-                .m_Retries = m_Retries,
-                .m_Metrics = Metrics,
-                .m_ServerChoice = m_ServerChoice,
-                .m_Placement = m_Placement,
-                .m_Options = Options.m_Requests,
-                .m_CountUsage = std::move(CountUsage),
-                .m_Demand = DemandMeter(DemandTimeConstant)} {
+      m_Random(Random),
+      m_Metrics(Metrics), m_Context{.m_Scheduler = Scheduler,
+                                    .m_Random = Random,
+                                    .m_Transport = Transport,
+                                    .m_Directory = m_Directory,
+                                    .m_Loads = m_Loads,
+                                    .m_Health = m_Health,
+                                    .m_Distance = Distance,
+                                    .m_Caches = m_Caches,
+                                    .m_Speed = m_Speed,
+                                    .m_Retries = m_Retries,
+                                    .m_Metrics = Metrics,
+                                    .m_ServerChoice = m_ServerChoice,
+                                    .m_Placement = m_Placement,
+                                    .m_Options = Options.m_Requests,
+                                    .m_CountUsage = std::move(CountUsage),
+                                    .m_Demand =
+                                        DemandMeter(DemandTimeConstant)} {
   m_Directory.onForget([this](const BackendId &Id) {
     m_Loads.forget(Id);
     m_Health.forget(Id);
@@ -99,16 +100,16 @@
 }
 
 auto ServingCore::refuse(const CallerExchangePtr &Exchange, RefusalCode Code,
-                         const char *Detail,
-                         std::optional<Duration> RetryAfter) -> void {
+                         const char *Detail, std::optional<Duration> RetryAfter)
+    -> void {
   auto Age = evidenceAge();
   logWarning(
       "request.refused",
       {{"request", Exchange->request().m_Id},
        {"outcome", shapeOf(Code).m_Name},
        {"detail", Detail},
-       {"config", m_Configuration ? m_Configuration->m_Revision
-                                  : ConfigRevision{}},
+       {"config",
+        m_Configuration ? m_Configuration->m_Revision : ConfigRevision{}},
        {"evidence_age_ms",
         Age == Duration::max() ? std::int64_t{-1} : toMilliseconds(Age)}});
   Exchange->refuse(Refusal(Code, Execution::NotRun, Detail), RetryAfter);
@@ -170,9 +171,9 @@
     return;
   }
   auto Id = ++m_LastRequest;
-  auto Created = std::make_unique<ServedRequest>(
-      m_Context, std::move(Exchange), std::move(Terms),
-      [this, Id] { retire(Id); });
+  auto Created = std::make_unique<ServedRequest>(m_Context, std::move(Exchange),
+                                                 std::move(Terms),
+                                                 [this, Id] { retire(Id); });
   auto &Current = *Created;
   m_Requests.emplace(Id, std::move(Created));
   Current.start();
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -66,8 +66,8 @@
                                      (std::int64_t{1} << Doublings),
                                  m_Options.m_LongestRetryDelay);
   constexpr auto Spread = 0.5;
-  again(std::chrono::duration_cast<Duration>(
-            Span * (1 + Spread * m_Random.unit())),
+  again(std::chrono::duration_cast<Duration>(Span *
+                                             (1 + Spread * m_Random.unit())),
         Step);
 }
 
@@ -141,8 +141,8 @@
 auto KeyspaceMirror::takeChanges(const WatchResult &Result,
                                  MonotonicTime SentAt) -> void {
   if (Result.m_HistoryLost) {
-    logWarning("store.history-lost", {{"prefix", m_Options.m_Prefix},
-                                      {"revision", m_Revision}});
+    logWarning("store.history-lost",
+               {{"prefix", m_Options.m_Prefix}, {"revision", m_Revision}});
     list();
     return;
   }
@@ -189,12 +189,11 @@
   m_Missing[Key] = Revision;
   if (m_HoldTimer)
     return;
-  m_HoldTimer =
-      m_Scheduler.schedule(*m_HoldUntil - m_Scheduler.now(), [this] {
-        m_HoldTimer.reset();
-        for (const auto &[Missing, At] : std::exchange(m_Missing, {}))
-          drop(Missing, At);
-      });
+  m_HoldTimer = m_Scheduler.schedule(*m_HoldUntil - m_Scheduler.now(), [this] {
+    m_HoldTimer.reset();
+    for (const auto &[Missing, At] : std::exchange(m_Missing, {}))
+      drop(Missing, At);
+  });
 }
 
 auto KeyspaceMirror::drop(const std::string &Key, StoreRevision Revision)
@@ -203,11 +202,10 @@
     return;
   m_Removed[Key] = Revision;
   if (m_Removed.size() > m_Options.m_MostRemoved)
-    m_Removed.erase(std::min_element(
-        m_Removed.begin(), m_Removed.end(),
-        [](const auto &Left, const auto &Right) {
-          return Left.second < Right.second;
-        }));
+    m_Removed.erase(std::min_element(m_Removed.begin(), m_Removed.end(),
+                                     [](const auto &Left, const auto &Right) {
+                                       return Left.second < Right.second;
+                                     }));
   if (m_OnChange)
     m_OnChange({.m_Key = Key, .m_Revision = Revision});
 }
--- /dev/null
+++ b/tests/fault-StoreRelay.cpp
@@ -0,0 +1,243 @@
+#include "dotterel/base/Errors.h"
+#include "dotterel/peers/StoreRelay.h"
+#include "support/ScriptedStore.h"
+#include "support/VirtualScheduler.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace dotterel;
+using namespace dotterel::test;
+
+namespace {
+
+/// Datagrams between hosts of one test, each with a delay of its own.
+class Network {
+public:
+  explicit Network(VirtualScheduler &Scheduler) : m_Scheduler(Scheduler) {}
+
+  class Port final : public DatagramPort {
+  public:
+    Port(Network &Owner, std::string Address)
+        : m_Owner(Owner), m_Address(std::move(Address)) {
+      Owner.m_Ports[m_Address] = this;
+    }
+    auto send(const std::string &Address, std::string_view Bytes)
+        -> void override {
+      m_Owner.carry(m_Address, Address, std::string(Bytes));
+    }
+    auto onReceive(
+        std::function<void(const std::string &, std::string_view)> Callback)
+        -> void override {
+      m_OnReceive = std::move(Callback);
+    }
+    [[nodiscard]] auto address() const -> std::string override {
+      return m_Address;
+    }
+
+    std::function<void(const std::string &, std::string_view)> m_OnReceive;
+
+  private:
+    Network &m_Owner;
+    std::string m_Address;
+  };
+
+  auto carry(const std::string &From, const std::string &To, std::string Bytes)
+      -> void {
+    if (m_Cut)
+      return;
+    m_Scheduler.schedule(m_Delay, [this, From, To, Bytes = std::move(Bytes)] {
+      if (auto Found = m_Ports.find(To);
+          Found != m_Ports.end() && Found->second->m_OnReceive)
+        Found->second->m_OnReceive(From, Bytes);
+    });
+  }
+
+  Duration m_Delay = Milliseconds(1);
+  bool m_Cut = false;
+  std::map<std::string, Port *> m_Ports;
+
+private:
+  VirtualScheduler &m_Scheduler;
+};
+
+/// A host with its registry, which the test fills in.
+struct Host {
+  Host(VirtualScheduler &Scheduler, Network &Wire, int Number, int Hosts)
+      : m_Port(Wire, fmt::format("h{}", Number)),
+        m_Registry(Scheduler, m_Store, m_Store, m_Random,
+                   {.m_Host = HostId{fmt::format("h{}", Number)},
+                    .m_DataCentre = DataCentreId{"a"},
+                    .m_Address = m_Port.address()},
+                   {}),
+        m_Exchange(
+            Scheduler, m_Port, m_Registry, [] { return LoadSummary(); },
+            [](const std::string &, const LoadSummary &) {}, {}),
+        m_Relay(
+            Scheduler, m_Port, m_Registry, m_Exchange,
+            {.m_EvidenceAge =
+                 [this, &Scheduler] {
+                   return m_Evidence ? Scheduler.now() - *m_Evidence
+                                     : Duration::max();
+                 },
+             .m_Config = [this] { return m_Config; },
+             .m_BackendsDigest = [this] { return m_Digest; },
+             .m_OnEvidence =
+                 [this](MonotonicTime At) {
+                   if (!m_Evidence || At > *m_Evidence)
+                     m_Evidence = At;
+                 },
+             .m_RefreshConfiguration = [this] { ++m_ConfigReads; },
+             .m_RefreshBackends = [this] { ++m_BackendReads; },
+             .m_OnBackendChange =
+                 [this](const KeyChange &Change) {
+                   m_Changes.push_back(Change);
+                 },
+             .m_OnFollow = [this](bool Following) { m_Following = Following; }},
+            {}) {
+    m_Port.onReceive([this](const std::string &From, std::string_view Bytes) {
+      auto Message = decodeHostMessage(Bytes);
+      m_Exchange.receive(Message, From, Bytes);
+      m_Relay.receive(Message, From);
+    });
+    m_Registry.start();
+    auto Listed = RangeResult();
+    for (auto Other = 0; Other < Hosts; ++Other)
+      Listed.m_Values.push_back(
+          {.m_Key = fmt::format("hosts/h{}", Other),
+           .m_Value =
+               fmt::format(R"({{"address":"h{}","data_centre":"a"}})", Other),
+           .m_Modified = StoreRevision{1}});
+    m_Store.answerRead(Listed);
+    m_Exchange.start();
+    m_Relay.start();
+  }
+
+  ScriptedStore m_Store;
+  Random m_Random{1};
+  Network::Port m_Port;
+  HostRegistry m_Registry;
+  LoadExchange m_Exchange;
+  std::optional<MonotonicTime> m_Evidence;
+  ConfigRevision m_Config{1};
+  std::uint64_t m_Digest = 1;
+  int m_ConfigReads = 0;
+  int m_BackendReads = 0;
+  std::vector<KeyChange> m_Changes;
+  bool m_Following = false;
+  StoreRelay m_Relay;
+};
+
+struct Centre {
+  Centre() {
+    for (auto Number = 0; Number < 4; ++Number)
+      m_Hosts.push_back(std::make_unique<Host>(m_Scheduler, m_Wire, Number, 4));
+    for (auto &Current : m_Hosts)
+      Current->m_Evidence = m_Scheduler.now();
+  }
+
+  /// Time passes in which the relays read the store.
+  auto pass(Duration Span) -> void {
+    constexpr auto Step = Milliseconds(100);
+    for (auto Passed = Duration::zero(); Passed < Span; Passed += Step) {
+      m_Scheduler.advance(Step);
+      if (!m_StoreLost)
+        for (auto Index : {0, 1})
+          m_Hosts[static_cast<std::size_t>(Index)]->m_Evidence =
+              m_Scheduler.now();
+    }
+  }
+
+  VirtualScheduler m_Scheduler;
+  Network m_Wire{m_Scheduler};
+  bool m_StoreLost = false;
+  std::vector<std::unique_ptr<Host>> m_Hosts;
+};
+
+} // namespace
+
+TEST_CASE("store relay: two hosts of a data centre watch, the others follow "
+          "and stay fresh") {
+  auto Test = Centre();
+  Test.pass(Seconds(5));
+  CHECK_FALSE(Test.m_Hosts[0]->m_Following);
+  CHECK_FALSE(Test.m_Hosts[1]->m_Following);
+  CHECK(Test.m_Hosts[2]->m_Following);
+  CHECK(Test.m_Hosts[3]->m_Following);
+  CHECK(Test.m_Scheduler.now() - *Test.m_Hosts[3]->m_Evidence <
+        Milliseconds(700));
+}
+
+TEST_CASE("store relay: evidence is never newer than the relay's own, however "
+          "slow the network is") {
+  auto Test = Centre();
+  Test.m_Wire.m_Delay = Milliseconds(450);
+  Test.pass(Seconds(5));
+  Test.m_StoreLost = true;
+  auto LostAt = Test.m_Scheduler.now();
+  Test.pass(Seconds(6));
+  for (const auto &Current : Test.m_Hosts)
+    CHECK(*Current->m_Evidence <= LostAt);
+}
+
+TEST_CASE("store relay: a follower without the relay's configuration gets no "
+          "evidence, and reads it") {
+  auto Test = Centre();
+  Test.pass(Seconds(3));
+  for (auto Index : {0U, 1U})
+    Test.m_Hosts[Index]->m_Config = ConfigRevision{2};
+  auto ChangedAt = Test.m_Scheduler.now();
+  Test.pass(Seconds(1));
+  CHECK(*Test.m_Hosts[3]->m_Evidence <= ChangedAt);
+  CHECK(Test.m_Hosts[3]->m_ConfigReads > 0);
+}
+
+TEST_CASE(
+    "store relay: followers of silent relays watch the store themselves") {
+  auto Test = Centre();
+  Test.pass(Seconds(3));
+  Test.m_Wire.m_Cut = true;
+  Test.pass(Seconds(3));
+  CHECK_FALSE(Test.m_Hosts[2]->m_Following);
+  CHECK_FALSE(Test.m_Hosts[3]->m_Following);
+}
+
+TEST_CASE("store relay: a change that got lost is made up for by a read, and "
+          "only then") {
+  auto Test = Centre();
+  Test.pass(Seconds(3));
+  Test.m_Hosts[0]->m_Relay.passOn(
+      {.m_Key = "k", .m_Value = "v", .m_Revision = StoreRevision{9}});
+  Test.pass(Milliseconds(100));
+  REQUIRE(Test.m_Hosts[3]->m_Changes.size() == 1);
+  CHECK(Test.m_Hosts[3]->m_Changes[0].m_Value == "v");
+  CHECK(Test.m_Hosts[3]->m_BackendReads == 0);
+  for (auto Index : {0U, 1U})
+    Test.m_Hosts[Index]->m_Digest = 2;
+  Test.pass(Seconds(2));
+  CHECK(Test.m_Hosts[3]->m_BackendReads > 0);
+}
+
+TEST_CASE("host messages: what is sent is what is read, and other bytes are "
+          "refused") {
+  auto Message = HostMessage{
+      .m_Sender = HostId{"h1"},
+      .m_DataCentre = DataCentreId{"a"},
+      .m_Content = LoadSummary{
+          .m_WholeDataCentre = true,
+          .m_Engines = {{.m_Engine = BackendId{"e"},
+                         .m_Requests = 3,
+                         .m_UnreadTokens = 512}},
+          .m_PrefillTokensPerSecond = 40,
+          .m_Reads = {
+              {.m_Engine = BackendId{"e"},
+               .m_Parts = {{.m_Id = "p", .m_Tokens = TokenCount{7}}}}}}};
+  auto Read = decodeHostMessage(encodeHostMessage(Message));
+  const auto &Loads = std::get<LoadSummary>(Read.m_Content);
+  CHECK(Loads.m_WholeDataCentre);
+  CHECK(Loads.m_Engines.at(0).m_UnreadTokens == 512);
+  CHECK(Loads.m_Reads.at(0).m_Parts.at(0).m_Tokens == TokenCount{7});
+  CHECK(Loads.m_PrefillTokensPerSecond == 40);
+  CHECK_THROWS_AS(decodeHostMessage("no message at all"), ProtocolError);
+  CHECK_THROWS_AS(decodeHostMessage(""), ProtocolError);
+}
--- /dev/null
+++ b/tests/support/ScriptedStore.h
@@ -0,0 +1,68 @@
+//===- ScriptedStore.h - Store whose answers a test gives -------*- C++ -*-===//
+///
+/// \file
+/// Holds calls until the test answers them, in whatever order it likes.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_TESTS_SUPPORT_SCRIPTEDSTORE_H
+#define DOTTEREL_TESTS_SUPPORT_SCRIPTEDSTORE_H
+
+#include "dotterel/store/StoreWatch.h"
+
+#include <deque>
+
+namespace dotterel::test {
+
+class ScriptedStore final : public KeyValueStore, public StoreWatch {
+public:
+  struct Watch {
+    StoreRevision m_After;
+    StoreCallback<WatchResult> m_Callback;
+  };
+
+  auto read(KeyRange /*Range*/, StoreCallback<RangeResult> Callback)
+      -> void override {
+    m_Reads.push_back(std::move(Callback));
+  }
+  auto commit(StoreTransaction /*Transaction*/,
+              StoreCallback<TransactionResult> /*Callback*/) -> void override {}
+  auto grantLease(Seconds /*Term*/, StoreCallback<LeaseId> /*Callback*/)
+      -> void override {}
+  auto keepLease(LeaseId /*Lease*/, StoreCallback<Seconds> /*Callback*/)
+      -> void override {}
+  auto revokeLease(LeaseId /*Lease*/, StoreCallback<bool> /*Callback*/)
+      -> void override {}
+  auto watch(const std::string & /*Prefix*/, StoreRevision After,
+             Duration /*Wait*/, StoreCallback<WatchResult> Callback)
+      -> void override {
+    m_Watches.push_back({.m_After = After, .m_Callback = std::move(Callback)});
+  }
+
+  auto answerRead(RangeResult Result) -> void {
+    auto Callback = std::move(m_Reads.front());
+    m_Reads.pop_front();
+    Callback({.m_Answer = std::move(Result)});
+  }
+  auto failRead() -> void {
+    auto Callback = std::move(m_Reads.front());
+    m_Reads.pop_front();
+    Callback({.m_Failure = StoreFailure::Unknown});
+  }
+  auto answerWatch(WatchResult Result) -> void {
+    auto Pending = std::move(m_Watches.front());
+    m_Watches.pop_front();
+    Pending.m_Callback({.m_Answer = std::move(Result)});
+  }
+  auto failWatch() -> void {
+    auto Pending = std::move(m_Watches.front());
+    m_Watches.pop_front();
+    Pending.m_Callback({.m_Failure = StoreFailure::Unknown});
+  }
+
+  std::deque<StoreCallback<RangeResult>> m_Reads;
+  std::deque<Watch> m_Watches;
+};
+
+} // namespace dotterel::test
+
+#endif // DOTTEREL_TESTS_SUPPORT_SCRIPTEDSTORE_H
--- /dev/null
+++ b/tests/support/ServingFakes.h
@@ -0,0 +1,197 @@
+//===- ServingFakes.h - Callers and servers for the core --------*- C++ -*-===//
+///
+/// \file
+/// A transport and exchanges in which a test plays both ends.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_TESTS_SUPPORT_SERVINGFAKES_H
+#define DOTTEREL_TESTS_SUPPORT_SERVINGFAKES_H
+
+#include "VirtualScheduler.h"
+#include "dotterel/serving/ServingCore.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace dotterel::test {
+
+/// Records attempts; the test answers through their listeners.
+class FakeTransport final : public BackendTransport {
+public:
+  struct Sent {
+    BackendAttempt m_Attempt;
+    AttemptListener *m_Listener = nullptr;
+    bool m_Cancelled = false;
+    bool m_Ended = false;
+  };
+
+  auto send(const BackendAttempt &Attempt, bool /*Stream*/,
+            AttemptListener &Listener) -> TransportId override {
+    m_Sent.push_back({.m_Attempt = Attempt, .m_Listener = &Listener});
+    return TransportId{m_Sent.size()};
+  }
+  auto cancel(TransportId Attempt) -> void override {
+    m_Sent.at(Attempt.number() - 1).m_Cancelled = true;
+  }
+  auto release(const CacheHandle &Cache) -> void override {
+    m_Released.push_back(Cache.m_Handle);
+  }
+
+  /// Ends the newest attempt.
+  auto end(AttemptResult Result) -> void {
+    auto &Last = m_Sent.back();
+    Last.m_Ended = true;
+    Last.m_Listener->onEnd(std::move(Result));
+  }
+
+  std::vector<Sent> m_Sent;
+  std::vector<std::string> m_Released;
+};
+
+/// What a caller got.
+struct CallerView {
+  std::optional<Refusal> m_Refusal;
+  std::optional<Duration> m_RetryAfter;
+  std::optional<unsigned> m_Status;
+  std::string m_Body;
+  bool m_Finished = false;
+  bool m_Aborted = false;
+  std::function<void()> m_Leave;
+};
+
+class FakeExchange final : public CallerExchange {
+public:
+  FakeExchange(CallerRequest Request, std::shared_ptr<CallerView> View)
+      : m_Request(std::move(Request)), m_View(std::move(View)) {}
+
+  [[nodiscard]] auto request() const -> const CallerRequest & override {
+    return m_Request;
+  }
+  auto refuse(const Refusal &Reason, std::optional<Duration> RetryAfter)
+      -> void override {
+    m_View->m_Refusal = Reason;
+    m_View->m_RetryAfter = RetryAfter;
+  }
+  auto answer(const AnswerHead &Head, std::string Body) -> void override {
+    m_View->m_Status = Head.m_Status;
+    m_View->m_Body = std::move(Body);
+    m_View->m_Finished = true;
+  }
+  auto beginStream(const AnswerHead &Head) -> void override {
+    m_View->m_Status = Head.m_Status;
+  }
+  auto write(std::string_view Data) -> void override { m_View->m_Body += Data; }
+  auto finish() -> void override { m_View->m_Finished = true; }
+  auto abort() -> void override { m_View->m_Aborted = true; }
+  [[nodiscard]] auto backlog() const -> std::size_t override { return 0; }
+  auto onDisconnect(std::function<void()> Callback) -> void override {
+    m_View->m_Leave = std::move(Callback);
+  }
+
+private:
+  CallerRequest m_Request;
+  std::shared_ptr<CallerView> m_View;
+};
+
+/// A serving core with one plain service and one service of engines.
+struct ServingFixture {
+  ServingFixture();
+
+  /// Begins a request on the route "safe", "unsafe", "stream" or "resumable".
+  auto serve(const std::string &Route, const std::string &Key = "k",
+             std::optional<PromptShape> Prompt = std::nullopt)
+      -> std::shared_ptr<CallerView>;
+
+  /// Lets the core destroy what has ended.
+  auto settle() -> void { m_Scheduler.advance(Milliseconds(1)); }
+
+  VirtualScheduler m_Scheduler;
+  Random m_Random{7};
+  FakeTransport m_Transport;
+  Distance m_Distance{
+      {.m_Host = HostId{"h"},
+       .m_DataCentre = DataCentreId{"a"},
+       .m_Region = RegionId{"r"}},
+      {{DataCentreId{"a"}, RegionId{"r"}}, {DataCentreId{"b"}, RegionId{"s"}}}};
+  ServingMetrics m_Metrics;
+  std::map<std::string, int> m_Usage;
+  ServingCore m_Core;
+  std::uint64_t m_LastId = 0;
+};
+
+inline ServingFixture::ServingFixture()
+    : m_Core(m_Scheduler, m_Random, m_Transport, m_Distance, m_Metrics,
+             [this](const OrganisationId &Organisation) {
+               ++m_Usage[Organisation.text()];
+             },
+             {}) {
+  auto Configuration = ServingConfiguration();
+  Configuration.m_Revision = ConfigRevision{1};
+  auto Route = [](const std::string &Name, RequestKind Kind,
+                  const std::string &Service, bool Resumable) {
+    return ServingRoute{.m_Id = RouteId{Name},
+                        .m_Host = "h",
+                        .m_PathPrefix = "/" + Name + "/",
+                        .m_Kind = Kind,
+                        .m_Timeout = Seconds(3),
+                        .m_LatencyTarget = Milliseconds(500),
+                        .m_Shares = {{.m_Service = ServiceId{Service}}},
+                        .m_MaximumAttempts = 2,
+                        .m_Resumable = Resumable};
+  };
+  Configuration.m_Routes = {
+      Route("safe", RequestKind::Safe, "desk", false),
+      Route("unsafe", RequestKind::Unsafe, "desk", false),
+      Route("stream", RequestKind::Stream, "llm", false),
+      Route("resumable", RequestKind::Stream, "llm", true)};
+  Configuration.m_Services.emplace(ServiceId{"desk"},
+                                   ServiceSpec{.m_Id = ServiceId{"desk"}});
+  Configuration.m_Services.emplace(
+      ServiceId{"llm"},
+      ServiceSpec{.m_Id = ServiceId{"llm"},
+                  .m_Engine = EngineTraits{
+                      .m_Slots = 8, .m_CacheCapacity = TokenCount{400'000}}});
+  Configuration.m_KeysRequired = true;
+  Configuration.m_Keys.emplace(
+      "k", KeyHolder{.m_Organisation = OrganisationId{"o"}});
+  m_Core.apply(std::move(Configuration));
+  m_Core.recordEvidence(m_Scheduler.now());
+  auto Server = [](const std::string &Id, const std::string &Service,
+                   EngineStage Stage) {
+    return BackendRecord{.m_Id = BackendId{Id},
+                         .m_Service = ServiceId{Service},
+                         .m_Address = Id + ":1",
+                         .m_DataCentre = DataCentreId{"a"},
+                         .m_Slots = 8,
+                         .m_Stage = Stage};
+  };
+  for (const auto *Id : {"d1", "d2", "d3"})
+    m_Core.directory().put(Server(Id, "desk", EngineStage::None));
+  for (const auto *Id : {"g1", "g2"})
+    m_Core.directory().put(Server(Id, "llm", EngineStage::Decode));
+  for (const auto *Id : {"p1", "p2"})
+    m_Core.directory().put(Server(Id, "llm", EngineStage::Prefill));
+}
+
+inline auto ServingFixture::serve(const std::string &Route,
+                                  const std::string &Key,
+                                  std::optional<PromptShape> Prompt)
+    -> std::shared_ptr<CallerView> {
+  auto View = std::make_shared<CallerView>();
+  m_Core.serve(std::make_shared<FakeExchange>(
+      CallerRequest{.m_Id = RequestId{std::to_string(++m_LastId)},
+                    .m_Host = "h",
+                    .m_Path = "/" + Route + "/x",
+                    .m_Key = Key,
+                    .m_TimeLeft = Seconds(2),
+                    .m_Prompt = std::move(Prompt),
+                    .m_Method = "POST",
+                    .m_Target = "/" + Route + "/x"},
+      View));
+  return View;
+}
+
+} // namespace dotterel::test
+
+#endif // DOTTEREL_TESTS_SUPPORT_SERVINGFAKES_H
--- /dev/null
+++ b/tests/unit-Platform.cpp
@@ -0,0 +1,231 @@
+#include "dotterel/base/Errors.h"
+#include "platform/CallerEdge.h"
+#include "platform/EngineTransport.h"
+#include "platform/HeaderFilter.h"
+#include "platform/NodeSettings.h"
+#include "platform/RecordDecoder.h"
+
+#include <doctest/doctest.h>
+
+using namespace dotterel;
+using namespace dotterel::platform;
+
+namespace {
+
+const auto SettingsText =
+    std::string("node_name=n1\nzone=z1\nregion=r1\nzones.z1=r1\nzones.z2=r2\n"
+                "listen.front=10.0.0.1:80\nlisten.ready=10.0.0.1:81\n"
+                "ip=10.0.0.1\ninternal_ports=7660,7675\n"
+                "platform.address=10.9.0.1:82\ncloud.address=10.9.0.2:83\n"
+                "bounds.revoke_ms=4000\nbounds.strict_revoke=true\n"
+                "bounds.grace_s=6.5\na.new.field=x\nlimits.max_fds=4100\n");
+
+const auto Configuration = std::string(R"({"version":7,
+  "routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"streaming",
+    "timeout_ms":5000,"target_latency_ms":800,"priority":1,
+    "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+    "max_attempts":2,"public":false,"session_affinity":true,"resumable":true,
+    "target_gap_ms":300}],
+  "services":[{"name":"s","health_path":"/health","max_connections":370,
+    "engine":{"slots":64,"kv_capacity_tokens":404438,"kv_token_bytes":18432,
+      "link_mbps":370000.0,"kv_hold_s":5.0,"role_switch_s":3.0},
+    "scaling":{"min":1,"max":6,"boot_s":4.0,"spot_price":0.22,
+      "zone_prices":{"z1":0.85}}},{"name":"t"}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "tenants":[{"name":"o","api_keys":["k1","k2"],"priority":1}]})");
+
+auto message(HttpHeaders Headers) -> HttpRequest {
+  Headers.push_back({.m_Name = "Host", .m_Value = "h"});
+  return {.m_Method = "POST",
+          .m_Path = "/a/b",
+          .m_Target = "/a/b?c",
+          .m_Headers = std::move(Headers)};
+}
+
+} // namespace
+
+TEST_CASE("platform settings: known fields are read, unknown ones ignored") {
+  auto Settings = decodeNodeSettings(SettingsText);
+  CHECK(Settings.m_Location.m_Host.text() == "n1");
+  CHECK(Settings.m_PeerAddress == "10.0.0.1:7675");
+  CHECK(Settings.m_Bounds.m_KeyWithdrawal == Seconds(4));
+  CHECK(Settings.m_Bounds.m_ShutdownGrace == Milliseconds(6500));
+  CHECK(Settings.m_Regions.at(DataCentreId{"z2"}).text() == "r2");
+}
+
+TEST_CASE("platform settings: each wrong or missing field is named") {
+  struct Case {
+    const char *m_Line;
+    const char *m_Named;
+  };
+  for (const auto &Current :
+       {Case{"bounds.revoke_ms=soon", "bounds.revoke_ms"},
+        Case{"bounds.revoke_ms=-5", "bounds.revoke_ms"},
+        Case{"bounds.strict_revoke=perhaps", "bounds.strict_revoke"},
+        Case{"limits.max_fds=3", "limits.max_fds"},
+        Case{"listen.front=nowhere", "listen.front"},
+        Case{"platform.address=", "platform.address"},
+        Case{"node_name=", "node_name"}}) {
+    CAPTURE(Current.m_Line);
+    try {
+      decodeNodeSettings(SettingsText + Current.m_Line + "\n");
+      FAIL("accepted");
+    } catch (const SettingsError &Failure) {
+      CHECK(std::string(Failure.what()).find(Current.m_Named) !=
+            std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("platform records: a configuration is decoded once, with its units") {
+  auto Decoded = decodeConfiguration(Configuration);
+  CHECK(Decoded.m_Revision == ConfigRevision{7});
+  const auto &Route = Decoded.m_Routes.at(0);
+  CHECK(Route.m_Kind == RequestKind::Stream);
+  CHECK(Route.m_GapTarget == Milliseconds(300));
+  CHECK(Route.m_Shares.size() == 2);
+  CHECK(Route.repeatable());
+  const auto &Service = Decoded.m_Services.at(ServiceId{"s"});
+  CHECK(Service.m_Engine->m_RoleChangeTime == Seconds(3));
+  CHECK(Service.m_Bounds->m_Prices.at(DataCentreId{"z1"}) ==
+        doctest::Approx(0.85));
+  CHECK(Decoded.m_Keys.at("k2").m_Organisation.text() == "o");
+  CHECK(Decoded.m_Limits.m_IdleTimeout == Seconds(15));
+}
+
+TEST_CASE("platform records: documents that cannot be read are refused") {
+  for (const auto *Text :
+       {"", "[]", "{}", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
+        "{\"version\":1,\"routes\":[{}],\"services\":[]}"})
+    CHECK_THROWS_AS(decodeConfiguration(Text), ConfigurationError);
+  const auto Good = std::string(
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+      R"("state":"draining","stage":"prefill","spot":true,"born":17})");
+  auto Record = decodeBackend("servers/i-1", Good);
+  CHECK(Record.m_Id.text() == "i-1");
+  CHECK(Record.m_Draining);
+  CHECK(Record.m_Reclaimable);
+  CHECK(Record.m_Stage == EngineStage::Prefill);
+  CHECK(Record.m_StartedAt == 17);
+  for (
+      const auto *Text :
+      {"", "\xff\xfe", "{}", "7",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"odd"})",
+       R"({"service":"s","address":"nowhere","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":3,"address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"})",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4","state":"ready"})"})
+    CHECK_THROWS_AS(decodeBackend("servers/i-1", Text), ProtocolError);
+}
+
+TEST_CASE("platform callers: what only this system may say, and the key, go no "
+          "further") {
+  auto Kept = forwardedRequestHeaders({{"Host", "h"},
+                                       {"X-Other", "1"},
+                                       {"authorization", "Bearer secret"},
+                                       {"X-Tenant", "forged"},
+                                       {"x-stage", "prefill"},
+                                       {"X-Kv-Source", "10.0.0.1:80/x"},
+                                       {"X-Kv-Hold", "x"},
+                                       {"X-Pin-Ms", "9"},
+                                       {"X-Kv-Backup", "x"},
+                                       {"Kv-Fetch", "x"},
+                                       {"X-Expect-Instance", "x"},
+                                       {"X-Request-Priority", "0"},
+                                       {"X-Deadline-Ms", "1"},
+                                       {"Connection", "close, X-Hop"},
+                                       {"X-Hop", "1"},
+                                       {"Transfer-Encoding", "chunked"},
+                                       {"Content-Length", "3"}});
+  REQUIRE(Kept.size() == 2);
+  CHECK(Kept[0].m_Name == "Host");
+  CHECK(Kept[1].m_Name == "X-Other");
+}
+
+TEST_CASE("platform callers: malformed headers are refused by name") {
+  for (const auto &Bad :
+       HttpHeaders{{"X-Deadline-Ms", "soon"},
+                   {"X-Deadline-Ms", "-1"},
+                   {"X-Token-Counts", "7"},
+                   {"X-Token-Counts", "a,b"},
+                   {"X-Token-Counts", "99999999999999999999,1"}}) {
+    CAPTURE(Bad.m_Value);
+    auto Message = message({{"X-Request-Id", "1"}, Bad});
+    try {
+      decodeCallerRequest(Message);
+      FAIL("accepted");
+    } catch (const ProtocolError &Failure) {
+      CHECK(std::string(Failure.what()).find(Bad.m_Name) != std::string::npos);
+    }
+  }
+  CHECK_THROWS_AS(decodeCallerRequest(message({})), ProtocolError);
+  CHECK_THROWS_AS(
+      decodeCallerRequest(message({{"X-Request-Id", "1"},
+                                   {"X-Token-Counts", "5,1"},
+                                   {"X-Prompt-Prefix", "nonsense"}})),
+      ProtocolError);
+  auto Request =
+      decodeCallerRequest(message({{"X-Request-Id", "1"},
+                                   {"X-Token-Counts", "1460, 80"},
+                                   {"X-Prompt-Prefix", "5c:800,91:660"},
+                                   {"X-Deadline-Ms", "2500"},
+                                   {"Authorization", "Bearer k1"}}));
+  CHECK(Request.m_Key == "k1");
+  CHECK(Request.m_Prompt->m_Parts.size() == 2);
+  CHECK(*Request.m_TimeLeft == Milliseconds(2500));
+}
+
+TEST_CASE("platform callers: a status that promises that nothing ran is used "
+          "only when that is so") {
+  for (const auto &Shape : refusalShapes()) {
+    CAPTURE(Shape.m_Name);
+    for (auto Ran :
+         {Execution::NotRun, Execution::MayHaveRun, Execution::Ran}) {
+      auto Response =
+          encodeRefusal(Refusal(Shape.m_Code, Ran), Seconds(1), RequestId{"1"});
+      auto Promises = Response.m_Status == 503 || Response.m_Status == 429 ||
+                      Response.m_Status == 408 || Response.m_Status == 421;
+      if (Promises)
+        CHECK(Ran == Execution::NotRun);
+    }
+  }
+  auto Response = encodeRefusal(Refusal(RefusalCode::QueueFull),
+                                Milliseconds(350), RequestId{"1"});
+  CHECK(*findHeader(Response.m_Headers, "Retry-After") == "0.350");
+}
+
+TEST_CASE("platform engines: what an ended call says of the request") {
+  struct Case {
+    const char *m_Name;
+    HttpCallResult m_Result;
+    AttemptEnd m_End;
+  };
+  auto Signed = HttpHeader{"X-Response-Stamp", "s"};
+  for (const auto &Current : std::vector<Case>{
+           {"whole", {HttpOutcome::Complete, 200, {Signed}}, AttemptEnd::Whole},
+           {"its own failure",
+            {HttpOutcome::Complete, 500, {Signed}},
+            AttemptEnd::Whole},
+           {"unsigned", {HttpOutcome::Complete, 200, {}}, AttemptEnd::Broken},
+           {"re-encoded",
+            {HttpOutcome::Complete,
+             200,
+             {Signed, {"Content-Encoding", "gzip"}}},
+            AttemptEnd::Broken},
+           {"not run",
+            {HttpOutcome::Complete, 503, {{"X-Not-Executed", "1"}}},
+            AttemptEnd::NotExecuted},
+           {"a 503 that promises nothing",
+            {HttpOutcome::Complete, 503, {}},
+            AttemptEnd::Broken},
+           {"another server",
+            {HttpOutcome::Complete, 421, {}},
+            AttemptEnd::WrongServer},
+           {"cut", {HttpOutcome::Broken, 200, {Signed}}, AttemptEnd::Broken},
+           {"late", {HttpOutcome::TimedOut, 0, {}}, AttemptEnd::TimedOut},
+           {"not sent", {HttpOutcome::NotSent, 0, {}}, AttemptEnd::NotSent}}) {
+    CAPTURE(Current.m_Name);
+    CHECK(decodeAttemptResult(Current.m_Result, AttemptPurpose::Serve, "a")
+              .m_End == Current.m_End);
+  }
+}
