--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -192,16 +192,14 @@
 
 auto FleetDuty::send(const StageOrder &Order) -> void {
   auto Number = m_Lease.fencing();
-  m_Calls.orderStage(
-      Order, Number,
-      [Order, Number](OrderAnswer Answer) {
-        logInfo("fleet.stage-ordered",
-                {{"backend", Order.m_Backend},
-                 {"stage",
-                  Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
-                 {"fencing", Number},
-                 {"answer", nameOf(Answer)}});
-      });
+  m_Calls.orderStage(Order, Number, [Order, Number](OrderAnswer Answer) {
+    logInfo("fleet.stage-ordered",
+            {{"backend", Order.m_Backend},
+             {"stage",
+              Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
+             {"fencing", Number},
+             {"answer", nameOf(Answer)}});
+  });
 }
 
 } // namespace dotterel
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -343,6 +343,12 @@
                 StrictHttpServerOptions{.m_Address =
                                             SocketAddress::parse(Address),
                                         .m_MaximumConnections = Connections});
+            if (m_Core.configuration() != nullptr)
+              m_CallerServer->setLimits(m_Core.configuration()->m_Limits);
+            logInfo("host.listening",
+                    {{"callers", m_CallerServer->address().text()},
+                     {"readiness", m_ReadinessServer->address().text()},
+                     {"peers", m_Ports.m_Datagrams.address()}});
           },
       .m_Reset = [this] { m_CallerServer.reset(); },
       .m_Stop =
--- a/src/usage/WindowSealer.cpp
+++ b/src/usage/WindowSealer.cpp
@@ -36,8 +36,7 @@
 }
 
 auto WindowSealer::lastEnded(Duration Grace) const -> WindowIndex {
-  auto Now =
-      windowAt(m_Scheduler.wallNow() - Grace, m_Options.m_WindowLength);
+  auto Now = windowAt(m_Scheduler.wallNow() - Grace, m_Options.m_WindowLength);
   return WindowIndex{Now.number() - 1};
 }
 
--- a/tests/fault-Usage.cpp
+++ b/tests/fault-Usage.cpp
@@ -400,21 +400,20 @@
          .m_AllWritten = [](const std::vector<StoredValue> &Segments) {
            return Segments.size() >= 2;
          }});
-    auto Timer = RepeatingTimer(Scheduler, Milliseconds(500),
-                                [&] { Sealer.step(); });
+    auto Timer =
+        RepeatingTimer(Scheduler, Milliseconds(500), [&] { Sealer.step(); });
     // The first window only sets the progress.
     Scheduler.advance(Seconds(30));
     Reports.clear();
     auto Index = windowAt(Scheduler.wallNow(), Window);
     auto Writer = SegmentWriter(Scheduler, Store, {.m_WindowLength = Window});
     for (auto Host = 0; Host < Written; ++Host)
-      Writer.write({.m_Id = {.m_Window = Index,
-                             .m_Incarnation =
-                                 IncarnationId{std::to_string(Host)}},
-                    .m_Totals = {{UsageKey{.m_Organisation =
-                                               OrganisationId{"o"}},
-                                  UsageFigures{.m_Requests = 3}}}},
-                   [](const UsageTotals &) {});
+      Writer.write(
+          {.m_Id = {.m_Window = Index,
+                    .m_Incarnation = IncarnationId{std::to_string(Host)}},
+           .m_Totals = {{UsageKey{.m_Organisation = OrganisationId{"o"}},
+                         UsageFigures{.m_Requests = 3}}}},
+          [](const UsageTotals &) {});
     auto End = WallTime(Window * static_cast<int>(Index.number() + 1));
     Scheduler.advance(End - Scheduler.wallNow() + Seconds(2));
     auto Early = std::count_if(
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -51,6 +51,7 @@
   auto Actions = posix_spawn_file_actions_t{};
   posix_spawn_file_actions_init(&Actions);
   posix_spawn_file_actions_adddup2(&Actions, Fd, STDERR_FILENO);
+  posix_spawn_file_actions_adddup2(&Actions, Fd, STDOUT_FILENO);
   auto Code = ::posix_spawn(&m_Pid, Path.c_str(), &Actions, nullptr,
                             Pointers.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
--- /dev/null
+++ b/tests/support/PlatformStandIn.cpp
@@ -0,0 +1,256 @@
+#include "PlatformStandIn.h"
+
+#include <algorithm>
+#include <sodium.h>
+
+namespace dotterel::test {
+
+namespace {
+
+using Json = nlohmann::json;
+
+auto loopback() -> StrictHttpServerOptions {
+  return {.m_Address = SocketAddress::parse("127.0.0.1:0")};
+}
+
+auto toBase64(const std::string &Bytes) -> std::string {
+  auto Text = std::string(
+      sodium_base64_encoded_len(Bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(Text.data(), Text.size(),
+                    reinterpret_cast<const unsigned char *>(Bytes.data()),
+                    Bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  Text.pop_back();
+  return Text;
+}
+
+auto fromBase64(const std::string &Text) -> std::string {
+  auto Bytes = std::string(Text.size(), '\0');
+  auto Size = std::size_t{0};
+  sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
+                    Bytes.size(), Text.data(), Text.size(), nullptr, &Size,
+                    nullptr, sodium_base64_VARIANT_ORIGINAL);
+  Bytes.resize(Size);
+  return Bytes;
+}
+
+auto item(const StoredValue &Value) -> Json {
+  return {{"key", Value.m_Key},
+          {"value", toBase64(Value.m_Value)},
+          {"revision", Value.m_Modified.number()},
+          {"created_at", Value.m_Modified.number()},
+          {"lease", 0}};
+}
+
+/// The query's value, with escaped characters decoded.
+auto query(const HttpRequest &Request, const std::string &Name) -> std::string {
+  auto Text = findHeader(Request.m_Query, Name).value_or("");
+  auto Result = std::string();
+  for (auto Index = std::size_t{0}; Index < Text.size(); ++Index) {
+    if (Text[Index] != '%') {
+      Result += Text[Index];
+      continue;
+    }
+    Result +=
+        static_cast<char>(std::stoi(Text.substr(Index + 1, 2), nullptr, 16));
+    Index += 2;
+  }
+  return Result;
+}
+
+auto number(const std::string &Text) -> std::uint64_t {
+  return Text.empty() ? 0 : std::stoull(Text);
+}
+
+} // namespace
+
+StandInStore::StandInStore(EventLoop &Loop)
+    : m_Loop(Loop), m_Model(Loop), m_Server(Loop, *this, loopback()),
+      m_Timer(Loop, Milliseconds(20), [this] { answerWatches(); }) {}
+
+auto StandInStore::put(const std::string &Key, const Json &Value) -> void {
+  auto Result =
+      m_Model.commit({.m_Writes = {{.m_Key = Key, .m_Value = Value.dump()}}});
+  changed({Key}, Result.m_Revision.number());
+}
+
+auto StandInStore::remove(const std::string &Key) -> void {
+  auto Result = m_Model.commit({.m_Writes = {{.m_Key = Key}}});
+  changed({Key}, Result.m_Revision.number());
+}
+
+auto StandInStore::changed(const std::vector<std::string> &Keys,
+                           std::uint64_t Revision) -> void {
+  m_Revision = Revision;
+  for (const auto &Key : Keys)
+    m_History.push_back({.m_Key = Key, .m_Revision = Revision});
+  answerWatches();
+}
+
+auto StandInStore::events(const std::string &Prefix, std::uint64_t After)
+    -> Json {
+  auto Events = Json::array();
+  for (const auto &Entry : m_History) {
+    if (Entry.m_Revision <= After || !Entry.m_Key.starts_with(Prefix))
+      continue;
+    auto Found = m_Model.read(KeyRange::single(Entry.m_Key));
+    if (Found.m_Values.empty())
+      Events.push_back({{"key", Entry.m_Key},
+                        {"revision", Entry.m_Revision},
+                        {"deleted", true}});
+    else
+      Events.push_back(item(Found.m_Values.front()));
+  }
+  return Events;
+}
+
+auto StandInStore::answerWatches() -> void {
+  if (m_Deaf)
+    return;
+  for (auto Current = m_Waiting.begin(); Current != m_Waiting.end();) {
+    auto Events = events(Current->m_Prefix, Current->m_After);
+    if (Events.empty() && m_Loop.now() < Current->m_Until) {
+      ++Current;
+      continue;
+    }
+    Current->m_Exchange->respond(
+        jsonResponse(200, Json{{"events", Events}, {"at", m_Revision}}.dump()));
+    Current = m_Waiting.erase(Current);
+  }
+}
+
+auto StandInStore::commit(const Json &Body) -> HttpResponse {
+  auto Transaction = StoreTransaction();
+  auto Keys = std::vector<std::string>();
+  for (const auto &Row : Body.at("precondition"))
+    Transaction.m_Compares.push_back(
+        {.m_Key = Row.at("key"),
+         .m_Modified = StoreRevision{Row.at("revision").get<std::uint64_t>()}});
+  for (const auto &Put : Body.at("puts")) {
+    Keys.push_back(Put.at("key"));
+    Transaction.m_Writes.push_back(
+        {.m_Key = Put.at("key"),
+         .m_Value = fromBase64(Put.at("value")),
+         .m_Lease = LeaseId{Put.value("lease", std::uint64_t{0})}});
+  }
+  for (const auto &Key : Body.at("remove")) {
+    Keys.push_back(Key);
+    Transaction.m_Writes.push_back({.m_Key = Key});
+  }
+  auto Result = m_Model.commit(Transaction);
+  if (!Result.m_Applied)
+    return jsonResponse(412, R"({"items":[]})");
+  changed(Keys, Result.m_Revision.number());
+  return jsonResponse(200,
+                      Json{{"revision", Result.m_Revision.number()}}.dump());
+}
+
+auto StandInStore::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Request = Exchange->request();
+  if (m_Deaf)
+    return;
+  if (m_Down) {
+    Exchange->respond({.m_Status = 503});
+    return;
+  }
+  const auto &Path = Request.m_Path;
+  if (Path == "/dotterelpoint/kv-watch") {
+    m_Waiting.push_back(
+        {.m_Prefix = query(Request, "path_prefix"),
+         .m_After = number(query(Request, "after")),
+         .m_Until =
+             m_Loop.now() + Milliseconds(number(query(Request, "wait_ms"))),
+         .m_Exchange = Exchange});
+    answerWatches();
+    return;
+  }
+  if (Path == "/dotterelpoint/kv-key" || Path == "/dotterelpoint/kv-range") {
+    auto Single = Path == "/dotterelpoint/kv-key";
+    auto Found =
+        m_Model.read(Single ? KeyRange::single(query(Request, "key"))
+                            : KeyRange::prefix(query(Request, "path_prefix")));
+    auto Items = Json::array();
+    for (const auto &Value : Found.m_Values)
+      Items.push_back(item(Value));
+    if (Single && Items.empty()) {
+      Exchange->respond({.m_Status = 404});
+      return;
+    }
+    auto Document =
+        Single ? Items.front() : Json{{"items", Items}, {"has_more", false}};
+    Document["at"] = m_Revision;
+    Exchange->respond(jsonResponse(200, Document.dump()));
+    return;
+  }
+  if (Path == "/dotterelpoint/kv-txn") {
+    Exchange->respond(commit(Json::parse(Request.m_Body)));
+    return;
+  }
+  if (Path == "/dotterelpoint/kv-lease") {
+    auto Lease = m_Model.grantLease(std::chrono::ceil<Seconds>(Milliseconds(
+        Json::parse(Request.m_Body).at("ttl_ms").get<std::int64_t>())));
+    Exchange->respond(
+        jsonResponse(200, Json{{"lease", Lease.number()}}.dump()));
+    return;
+  }
+  auto Lease = LeaseId{number(Path.substr(Path.rfind('/') + 1))};
+  if (Path.starts_with("/dotterelpoint/kv-keep/")) {
+    auto Left = m_Model.keepLease(Lease);
+    Exchange->respond(
+        Left == Seconds::zero()
+            ? HttpResponse{.m_Status = 404}
+            : jsonResponse(200, Json{{"ttl_ms", toMilliseconds(Left)}}.dump()));
+    return;
+  }
+  Exchange->respond({.m_Status = m_Model.revokeLease(Lease) ? 200U : 404U});
+}
+
+StandInServer::StandInServer(EventLoop &Loop, std::string Id)
+    : m_Loop(Loop), m_Id(std::move(Id)), m_Server(Loop, *this, loopback()) {}
+
+auto StandInServer::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Headers = Exchange->request().m_Headers;
+  auto Request = findHeader(Headers, "X-Request-Id").value_or("");
+  if (findHeader(Headers, "X-Expect-Instance").value_or(m_Id) != m_Id) {
+    Exchange->respond({.m_Status = 421});
+    return;
+  }
+  if (m_Refusals > 0) {
+    --m_Refusals;
+    Exchange->respond(
+        {.m_Status = 503, .m_Headers = {{"X-Not-Executed", "1"}}});
+    return;
+  }
+  ++m_Runs[Request];
+  m_Headers.push_back(Headers);
+  auto Cut = m_CutAnswers > 0;
+  m_CutAnswers -= Cut ? 1 : 0;
+  m_Loop.schedule(m_WorkTime, [Exchange, Request, Cut] {
+    auto Answer = HttpHeaders{{"X-Request-Id", Request},
+                              {"X-Response-Stamp", "stamp-" + Request}};
+    if (Cut) {
+      Exchange->startStream(200, Answer);
+      Exchange->abort();
+      return;
+    }
+    Exchange->respond({.m_Status = 200,
+                       .m_Headers = Answer,
+                       .m_Body = Exchange->request().m_Target + "|" +
+                                 Exchange->request().m_Body});
+  });
+}
+
+StandInFleet::StandInFleet(EventLoop &Loop)
+    : m_Server(Loop, *this, loopback()) {}
+
+auto StandInFleet::handle(HttpExchangePtr Exchange) -> void {
+  const auto &Request = Exchange->request();
+  if (Request.m_Path == "/usage") {
+    auto Body = Json::parse(Request.m_Body);
+    m_Reports[Body.at("window_id").get<std::uint64_t>()].insert(
+        Body.at("counts").dump());
+  }
+  Exchange->respond({.m_Status = 200});
+}
+
+} // namespace dotterel::test
