--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -31,6 +31,12 @@
   Duration m_RetryDelay = Milliseconds(1500);
   /// Hosts come and go rarely, so their watch may wait for long.
   Duration m_Wait = Milliseconds(10000);
+  /// Pause between two looks: when all hosts come back at once, each of them
+  /// would else be told of each other in a call of its own.
+  Duration m_Pause = Milliseconds(5000);
+  /// Hosts whose leases ran out in an outage of the store are kept until they
+  /// have registered again.
+  Duration m_HoldAfterOutage = Milliseconds(10000);
 };
 
 /// Registers the own host and follows the others.
--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -58,7 +58,7 @@
                std::string_view Bytes) -> void;
 
   /// Prompt tokens per second that all hosts together have to have read; empty
-  /// while a registered host or data centre has not been heard of late.
+  /// while a data centre with registered hosts has not been heard of late.
   [[nodiscard]] auto demand() const -> std::optional<double>;
 
   /// Hosts of the own data centre, this one included, that were heard of late,
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -24,11 +24,13 @@
 constexpr auto EvidenceShare = 0.7;
 /// Share of the evidence bound after which the host asks for no more work.
 constexpr auto ReadyShare = 0.9;
-/// Waits of the configuration's watch, as a share of the evidence bound.
-constexpr auto WatchShare = 0.4;
+/// Wait of the configuration's watch, as a share of the evidence bound.
+/// Evidence is dated from before a watch, so it reaches twice this age at a
+/// relay.
+constexpr auto WatchShare = 0.18;
 /// Share of the evidence bound without evidence from relays after which a host
 /// reads the store itself: leaves time for a read.
-constexpr auto FallBackShare = 0.65;
+constexpr auto FallBackShare = 0.7;
 /// Hosts of the whole installation that campaign for the fleet duty.
 constexpr auto Campaigners = std::size_t{4};
 /// Pause between looks at the servers' entries, which change all the time, as
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -29,7 +29,10 @@
     : m_Scheduler(Scheduler), m_Store(Store), m_Self(std::move(Self)),
       m_Options(Options),
       m_Mirror(Scheduler, Store, Watch, Random,
-               {.m_Prefix = std::string(Prefix), .m_Wait = Options.m_Wait}) {
+               {.m_Prefix = std::string(Prefix),
+                .m_Wait = Options.m_Wait,
+                .m_Pause = Options.m_Pause,
+                .m_HoldAfterOutage = Options.m_HoldAfterOutage}) {
   m_Mirror.onChange([this](const KeyChange &Change) { take(Change); });
 }
 
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -105,15 +105,14 @@
 auto LoadExchange::demand() const -> std::optional<double> {
   auto Now = m_Scheduler.now();
   auto Sum = m_Own.m_PrefillTokensPerSecond;
+  // Callers of a host that is silent come to another one; a data centre that is
+  // silent may be cut off from this one alone.
+  for (const auto &[Host, Entry] : m_Local)
+    if (Now - Entry.m_At <= m_Options.m_DemandLapse)
+      Sum += Entry.m_Loads.m_PrefillTokensPerSecond;
   for (const auto &[Host, Record] : m_Registry.others()) {
-    if (Record.m_DataCentre == m_Registry.self().m_DataCentre) {
-      auto Found = m_Local.find(Host);
-      if (Found == m_Local.end() ||
-          Now - Found->second.m_At > m_Options.m_DemandLapse)
-        return std::nullopt;
-      Sum += Found->second.m_Loads.m_PrefillTokensPerSecond;
+    if (Record.m_DataCentre == m_Registry.self().m_DataCentre)
       continue;
-    }
     auto Found = m_Remote.find(Record.m_DataCentre);
     if (Found == m_Remote.end() ||
         Now - Found->second.m_At > m_Options.m_DemandLapse)
