Know servers only as long as a relay agrees; leave silent servers

Change: relays that are behind are not heard; a host without agreement on the servers watches the store itself.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -85,6 +85,8 @@
 
 private:
   auto buildTree(HttpHandler &Callers, HttpHandler &Readiness) -> void;
+  [[nodiscard]] auto backendsAge() const -> Duration;
+  auto recordBackends(MonotonicTime At) -> void;
   [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
   [[nodiscard]] auto busyEngines() const -> std::optional<double>;
   [[nodiscard]] auto mayCampaign() const -> bool;
@@ -120,6 +122,8 @@
   std::optional<RepeatingTimer> m_TickTimer;
   std::optional<RepeatingTimer> m_DrainTimer;
   std::optional<MonotonicTime> m_DrainSince;
+  /// The registered servers were known as of this time.
+  std::optional<MonotonicTime> m_BackendsEvidence;
   bool m_Failed = false;
 };
 
--- a/include/dotterel/peers/StoreRelay.h
+++ b/include/dotterel/peers/StoreRelay.h
@@ -21,6 +21,8 @@
   Duration m_AskInterval = Milliseconds(500);
   /// Without evidence for so long, a host watches the store itself.
   Duration m_FallBackAfter = Milliseconds(1600);
+  /// A relay whose evidence is older than another's by so much is behind.
+  Duration m_BehindAfter = Milliseconds(1000);
   /// Replies in a row that show other servers than ours before all are read: a
   /// change that was passed on may still be on its way.
   std::uint32_t m_MismatchesAllowed = 1;
@@ -28,10 +30,13 @@
 
 /// The host's own state, and what is to be done with it.
 struct StoreRelayHooks {
+  /// Age of the older one of the evidence of configuration and of servers.
   std::function<Duration()> m_EvidenceAge;
   std::function<ConfigRevision()> m_Config;
   std::function<std::uint64_t()> m_BackendsDigest;
   std::function<void(MonotonicTime)> m_OnEvidence;
+  /// The servers known here were those of the store at that time.
+  std::function<void(MonotonicTime)> m_OnBackendsEvidence;
   std::function<void()> m_RefreshConfiguration;
   std::function<void()> m_RefreshBackends;
   std::function<void(const KeyChange &)> m_OnBackendChange;
@@ -73,6 +78,7 @@
   StoreRelayOptions m_Options;
   bool m_Following = false;
   std::uint32_t m_Mismatches = 0;
+  MonotonicTime m_NewestEvidence;
   std::optional<RepeatingTimer> m_Timer;
 };
 
--- a/include/dotterel/serving/LoadBook.h
+++ b/include/dotterel/serving/LoadBook.h
@@ -27,6 +27,12 @@
   /// after each further refusal, up to the longest time.
   Duration m_FirstAvoidance = Milliseconds(200);
   Duration m_LongestAvoidance = Milliseconds(1600);
+  /// A server with work of ours that sends nothing for so long, beyond the time
+  /// for the prompts that it has to read, is taken for out of order.
+  Duration m_LongestSilence = Milliseconds(600);
+  /// The slowest reading that is allowed for in this, in tokens per
+  /// millisecond.
+  double m_LeastTokensPerMs = 12;
   /// What a peer said counts for so long.
   Duration m_PeerLapse = Milliseconds(800);
 };
@@ -38,7 +44,13 @@
   explicit LoadBook(const LoadBookOptions &Options) : m_Options(Options) {}
 
   /// An attempt begins, with so many prompt tokens to be read there.
-  auto begin(const BackendId &Backend, double PrefillTokens) -> void;
+  auto begin(const BackendId &Backend, double PrefillTokens, MonotonicTime Now)
+      -> void;
+  /// The server has sent something.
+  auto heard(const BackendId &Backend, MonotonicTime Now) -> void;
+  /// Whether the server has work of ours and has been silent for too long.
+  [[nodiscard]] auto silent(const BackendId &Backend, MonotonicTime Now) const
+      -> bool;
   /// The attempt's prompt has been read.
   auto prefillDone(const BackendId &Backend, double PrefillTokens) -> void;
   auto end(const BackendId &Backend) -> void;
@@ -84,6 +96,7 @@
     double m_Waiting = 0;
     MonotonicTime m_ReportedAt;
     bool m_Reported = false;
+    MonotonicTime m_HeardAt; ///< Or when it got work after having none.
     MonotonicTime m_AvoidedUntil;
     std::uint32_t m_Refusals = 0; ///< In a row.
   };
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -26,6 +26,8 @@
   /// A request has its final answer so long after its time-out at the latest;
   /// a server's own answer at its deadline arrives before that.
   Duration m_ExpirySlack = Milliseconds(190);
+  /// Pause between looks at whether an attempt's server is silent.
+  Duration m_SilenceInterval = Milliseconds(200);
   /// Connections and redirections that failed before anything ran.
   std::uint32_t m_MostPlacements = 4;
   /// A stream whose caller has not taken so much is ended.
@@ -137,6 +139,10 @@
   auto finish(const std::string &Outcome, const std::string &Detail) -> void;
   auto callerLeft() -> void;
   auto expire() -> void;
+  /// Sends a request that may be repeated to another server when its own one
+  /// is silent.
+  auto watchSilence() -> void;
+  auto armSilence() -> void;
   auto dropAttempt() -> void;
   auto countRun() -> void;
   auto noteRead(const BackendId &Engine) -> void;
@@ -151,6 +157,7 @@
   MonotonicTime m_ArrivedAt;
   MonotonicTime m_Deadline;
   std::optional<TimerId> m_Timer;
+  std::optional<TimerId> m_SilenceTimer;
   std::optional<Attempt> m_Attempt;
   std::optional<CacheHandle> m_Cache; ///< Read elsewhere and not yet taken.
   Attempt m_Reader;                   ///< That has read it.
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -33,6 +33,9 @@
 constexpr auto FallBackShare = 0.7;
 /// Hosts of the whole installation that campaign for the fleet duty.
 constexpr auto Campaigners = std::size_t{4};
+/// Longest wait of the servers' watch. They write all the time, so a longer one
+/// only delays the notice of a dead connection.
+constexpr auto BackendWait = Milliseconds(500);
 /// Pause between looks at the servers' entries, which change all the time, as
 /// a share of the promised drain bound.
 constexpr auto BackendPauseShare = 0.25;
@@ -120,6 +123,7 @@
                scaled(evidenceBound(Options.m_Settings.m_Bounds), WatchShare)}),
       m_BackendMirror(Loop, Ports.m_Store, Ports.m_Watch, m_Random,
                       {.m_Prefix = Ports.m_Records.backendPrefix(),
+                       .m_Wait = BackendWait,
                        .m_Pause = scaled(Options.m_Settings.m_Bounds.m_Drain,
                                          BackendPauseShare)}),
       m_Usage(
@@ -149,6 +153,7 @@
   });
   m_BackendMirror.onChange(
       [this](const KeyChange &Change) { takeBackend(Change); });
+  m_BackendMirror.onEvidence([this](MonotonicTime At) { recordBackends(At); });
   Ports.m_Datagrams.onReceive(
       [this](const std::string &Address, std::string_view Bytes) {
         receive(Address, Bytes);
@@ -157,6 +162,15 @@
 
 HostProcess::~HostProcess() = default;
 
+auto HostProcess::backendsAge() const -> Duration {
+  return m_BackendsEvidence ? m_Loop.now() - *m_BackendsEvidence
+                            : Duration::max();
+}
+
+auto HostProcess::recordBackends(MonotonicTime At) -> void {
+  m_BackendsEvidence = std::max(At, m_BackendsEvidence.value_or(At));
+}
+
 auto HostProcess::relayHooks() -> StoreRelayHooks {
   return {
       .m_EvidenceAge = [this] { return m_Core.evidenceAge(); },
--- a/src/peers/StoreRelay.cpp
+++ b/src/peers/StoreRelay.cpp
@@ -44,7 +44,8 @@
                        const std::string &Address) -> void {
   auto Age = m_Hooks.m_EvidenceAge();
   // Evidence is passed on once, from who read the store.
-  if (m_Following || Age == Duration::max())
+  // A host that has lost the store itself has nothing to say.
+  if (m_Following || Age > m_Options.m_FallBackAfter)
     return;
   m_Port.send(Address, message(RelayReply{.m_SentAt = Question.m_SentAt,
                                           .m_EvidenceAge = Age,
@@ -58,8 +59,16 @@
     m_Hooks.m_RefreshConfiguration();
     return;
   }
-  m_Hooks.m_OnEvidence(Reply.m_SentAt - Reply.m_EvidenceAge);
-  if (!m_Following || Reply.m_BackendsDigest == m_Hooks.m_BackendsDigest()) {
+  auto EvidenceAt = Reply.m_SentAt - Reply.m_EvidenceAge;
+  m_Hooks.m_OnEvidence(EvidenceAt);
+  m_NewestEvidence = std::max(m_NewestEvidence, EvidenceAt);
+  // A relay that is behind would hide what the other one shows.
+  if (EvidenceAt + m_Options.m_BehindAfter < m_NewestEvidence)
+    return;
+  auto Agrees = Reply.m_BackendsDigest == m_Hooks.m_BackendsDigest();
+  if (Agrees)
+    m_Hooks.m_OnBackendsEvidence(EvidenceAt);
+  if (!m_Following || Agrees) {
     m_Mismatches = 0;
     return;
   }
--- a/src/serving/LoadBook.cpp
+++ b/src/serving/LoadBook.cpp
@@ -5,12 +5,33 @@
 
 namespace dotterel {
 
-auto LoadBook::begin(const BackendId &Backend, double PrefillTokens) -> void {
+auto LoadBook::begin(const BackendId &Backend, double PrefillTokens,
+                     MonotonicTime Now) -> void {
   auto &Current = m_Entries[Backend];
+  if (Current.m_Own <= 0)
+    Current.m_HeardAt = Now;
   Current.m_Own += 1;
   Current.m_Tokens += PrefillTokens;
 }
 
+auto LoadBook::heard(const BackendId &Backend, MonotonicTime Now) -> void {
+  auto Found = m_Entries.find(Backend);
+  if (Found != m_Entries.end())
+    Found->second.m_HeardAt = Now;
+}
+
+auto LoadBook::silent(const BackendId &Backend, MonotonicTime Now) const
+    -> bool {
+  auto Found = m_Entries.find(Backend);
+  if (Found == m_Entries.end() || Found->second.m_Own <= 0)
+    return false;
+  auto Reading = std::chrono::duration<double, std::milli>(
+      Found->second.m_Tokens / m_Options.m_LeastTokensPerMs);
+  return Now - Found->second.m_HeardAt >
+         m_Options.m_LongestSilence +
+             std::chrono::duration_cast<Duration>(Reading);
+}
+
 auto LoadBook::prefillDone(const BackendId &Backend, double PrefillTokens)
     -> void {
   auto Found = m_Entries.find(Backend);
@@ -48,7 +69,9 @@
 auto LoadBook::avoided(const BackendId &Backend, MonotonicTime Now) const
     -> bool {
   auto Found = m_Entries.find(Backend);
-  return Found != m_Entries.end() && Now < Found->second.m_AvoidedUntil;
+  if (Found == m_Entries.end())
+    return false;
+  return Now < Found->second.m_AvoidedUntil || silent(Backend, Now);
 }
 
 auto LoadBook::report(const BackendId &Backend, const LoadReport &Load,
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -33,6 +33,8 @@
 }
 
 ServedRequest::~ServedRequest() {
+  if (m_SilenceTimer)
+    m_Context.m_Scheduler.cancel(*m_SilenceTimer);
   if (m_Timer)
     m_Context.m_Scheduler.cancel(*m_Timer);
   m_Exchange->onDisconnect(nullptr);
@@ -181,10 +183,48 @@
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
     Current.m_Cache = Sent.m_Cache;
   }
-  m_Context.m_Loads.begin(Target.m_Id, Tokens);
+  m_Context.m_Loads.begin(Target.m_Id, Tokens, Current.m_Since);
   Current.m_Id = m_Context.m_Transport.send(
       Sent, m_Terms.m_Route->m_Kind == RequestKind::Stream, *this);
   m_Attempt = Current;
+  armSilence();
+}
+
+auto ServedRequest::armSilence() -> void {
+  if (m_SilenceTimer)
+    m_Context.m_Scheduler.cancel(*m_SilenceTimer);
+  m_SilenceTimer.reset();
+  auto Prefill = m_Attempt->m_Purpose == AttemptPurpose::Prefill;
+  if (!Prefill && !m_Terms.m_Route->repeatable())
+    return;
+  m_SilenceTimer = m_Context.m_Scheduler.schedule(
+      m_Context.m_Options.m_SilenceInterval, [this] {
+        m_SilenceTimer.reset();
+        watchSilence();
+      });
+}
+
+auto ServedRequest::watchSilence() -> void {
+  auto Now = m_Context.m_Scheduler.now();
+  if (m_Done || !m_Attempt)
+    return;
+  auto Prefill = m_Attempt->m_Purpose == AttemptPurpose::Prefill;
+  // A prompt that is read again is no second run.
+  auto Allowed = Prefill || (mayRepeat() &&
+                             m_Runs + 1 < m_Terms.m_Route->m_MaximumAttempts);
+  if (!Allowed || !m_Context.m_Loads.silent(m_Attempt->m_Backend, Now) ||
+      !m_Context.m_Retries.take(m_Terms.m_Service->m_Id, Now)) {
+    armSilence();
+    return;
+  }
+  m_Prepaid = true;
+  m_Context.m_Health.recordFailure(m_Attempt->m_Backend, Now);
+  m_Excluded.insert(m_Attempt->m_Backend);
+  if (!Prefill)
+    ++m_Runs;
+  dropAttempt();
+  m_Events.dropRest();
+  place();
 }
 
 auto ServedRequest::countRun() -> void {
@@ -208,6 +248,7 @@
 auto ServedRequest::onBegin(const AnswerHead &Head,
                             const std::optional<LoadReport> &Load) -> void {
   auto Now = m_Context.m_Scheduler.now();
+  m_Context.m_Loads.heard(m_Attempt->m_Backend, Now);
   m_Context.m_Loads.prefillDone(m_Attempt->m_Backend, m_Attempt->m_Tokens);
   if (Load)
     m_Context.m_Loads.report(m_Attempt->m_Backend, *Load, Now);
@@ -218,6 +259,7 @@
 }
 
 auto ServedRequest::onData(std::string_view Data) -> void {
+  m_Context.m_Loads.heard(m_Attempt->m_Backend, m_Context.m_Scheduler.now());
   if (!std::exchange(m_FirstSeen, true)) {
     countRun();
     m_Context.m_Metrics.observeFirstAnswer(
@@ -250,6 +292,8 @@
   m_Context.m_Loads.end(Ended.m_Backend);
   if (Result.m_Load)
     m_Context.m_Loads.report(Ended.m_Backend, *Result.m_Load, Now);
+  if (Result.m_Head.m_Status != 0)
+    m_Context.m_Loads.heard(Ended.m_Backend, Now);
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_End);
   m_Trail +=
       fmt::format(" {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
@@ -478,6 +522,9 @@
   if (m_Timer)
     m_Context.m_Scheduler.cancel(*m_Timer);
   m_Timer.reset();
+  if (m_SilenceTimer)
+    m_Context.m_Scheduler.cancel(*m_SilenceTimer);
+  m_SilenceTimer.reset();
   m_Exchange->onDisconnect(nullptr);
   dropAttempt();
   if (Outcome == "cut")
--- a/tests/fault-StoreRelay.cpp
+++ b/tests/fault-StoreRelay.cpp
@@ -87,6 +87,8 @@
                    if (!m_Evidence || At > *m_Evidence)
                      m_Evidence = At;
                  },
+             .m_OnBackendsEvidence =
+                 [this](MonotonicTime At) { m_BackendsEvidence = At; },
              .m_RefreshConfiguration = [this] { ++m_ConfigReads; },
              .m_RefreshBackends = [this] { ++m_BackendReads; },
              .m_OnBackendChange =
@@ -119,6 +121,7 @@
   HostRegistry m_Registry;
   LoadExchange m_Exchange;
   std::optional<MonotonicTime> m_Evidence;
+  std::optional<MonotonicTime> m_BackendsEvidence;
   ConfigRevision m_Config{1};
   std::uint64_t m_Digest = 1;
   int m_ConfigReads = 0;
@@ -143,14 +146,16 @@
       m_Scheduler.advance(Step);
       if (!m_StoreLost)
         for (auto Index : {0, 1})
-          m_Hosts[static_cast<std::size_t>(Index)]->m_Evidence =
-              m_Scheduler.now();
+          if (Index != m_BehindRelay)
+            m_Hosts[static_cast<std::size_t>(Index)]->m_Evidence =
+                m_Scheduler.now();
     }
   }
 
   VirtualScheduler m_Scheduler;
   Network m_Wire{m_Scheduler};
   bool m_StoreLost = false;
+  int m_BehindRelay = -1; ///< Gets no evidence any more.
   std::vector<std::unique_ptr<Host>> m_Hosts;
 };
 
@@ -218,6 +223,29 @@
   CHECK(Test.m_Hosts[3]->m_BackendReads > 0);
 }
 
+TEST_CASE("store relay: servers count as known only while a relay agrees on "
+          "them") {
+  auto Test = Centre();
+  Test.pass(Seconds(3));
+  for (auto Index : {0U, 1U})
+    Test.m_Hosts[Index]->m_Digest = 2;
+  auto ChangedAt = Test.m_Scheduler.now();
+  Test.pass(Seconds(2));
+  CHECK(*Test.m_Hosts[3]->m_BackendsEvidence <= ChangedAt);
+}
+
+// Found on the users' bench: a relay that the store turned away still agreed
+// with its followers and hid what the other relay showed.
+TEST_CASE("store relay: a relay that is behind does not hide a lost change") {
+  auto Test = Centre();
+  Test.pass(Seconds(3));
+  Test.m_BehindRelay = 0;
+  Test.pass(Milliseconds(1500));
+  Test.m_Hosts[1]->m_Digest = 2;
+  Test.pass(Seconds(2));
+  CHECK(Test.m_Hosts[3]->m_BackendReads > 0);
+}
+
 TEST_CASE("host messages: what is sent is what is read, and other bytes are "
           "refused") {
   auto Message = HostMessage{
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -113,9 +113,9 @@
   auto Test = Fleet(16);
   auto Prompt = longPrompt(5, 1);
   const auto *Home = Test.plan(Prompt).m_Prefill;
-  Test.m_Loads.begin(Home->m_Id, 4000);
+  Test.m_Loads.begin(Home->m_Id, 4000, Now);
   CHECK(Test.plan(Prompt).m_Prefill == Home);
-  Test.m_Loads.begin(Home->m_Id, 60'000);
+  Test.m_Loads.begin(Home->m_Id, 60'000, Now);
   auto Spilled = Test.plan(Prompt);
   CHECK(Spilled.m_Prefill != Home);
   CHECK(Spilled.m_FetchFrom == Home->m_Address);
@@ -136,7 +136,7 @@
     Apart += Plan.m_Serve ? 0 : 1;
     CHECK(Target->m_DataCentre.text() == "a");
     ++Targets[Target->m_Id];
-    Test.m_Loads.begin(Target->m_Id, Plan.m_NewTokens);
+    Test.m_Loads.begin(Target->m_Id, Plan.m_NewTokens, Now);
   }
   CHECK(Apart > 0);
   CHECK(Targets.size() == 8);
--- a/tests/unit-LoadBook.cpp
+++ b/tests/unit-LoadBook.cpp
@@ -52,8 +52,8 @@
 
 TEST_CASE("load book: own work is counted until it ends") {
   auto Book = LoadBook({});
-  Book.begin(Engine, 1000);
-  Book.begin(Engine, 500);
+  Book.begin(Engine, 1000, Start);
+  Book.begin(Engine, 500, Start);
   CHECK(Book.own(Engine) == 2);
   Book.prefillDone(Engine, 1000);
   CHECK(Book.ownTokens(Engine) == doctest::Approx(500));
@@ -64,3 +64,22 @@
   Book.end(Engine);
   CHECK(Book.summary().empty());
 }
+
+TEST_CASE(
+    "load book: pattern of a server that goes dark: with work of ours and "
+    "nothing heard it is left out, unless a long prompt explains it") {
+  auto Book = LoadBook({});
+  Book.begin(Engine, 0, Start);
+  CHECK_FALSE(Book.silent(Engine, Start + Milliseconds(500)));
+  CHECK(Book.silent(Engine, Start + Milliseconds(700)));
+  CHECK(Book.avoided(Engine, Start + Milliseconds(700)));
+  Book.heard(Engine, Start + Milliseconds(700));
+  CHECK_FALSE(Book.silent(Engine, Start + Milliseconds(1200)));
+  Book.begin(Engine, 24'000, Start + Milliseconds(700));
+  CHECK_FALSE(Book.silent(Engine, Start + Milliseconds(3000)));
+  CHECK(Book.silent(Engine, Start + Milliseconds(3400)));
+  Book.end(Engine);
+  Book.end(Engine);
+  // An idle server has nothing to say.
+  CHECK_FALSE(Book.silent(Engine, Start + Seconds(60)));
+}
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -231,3 +231,26 @@
   CHECK_FALSE(Test.m_Core.apply(Older));
   CHECK(Test.m_Core.configuration()->m_Routes.size() == 4);
 }
+
+TEST_CASE("served request: pattern of a server that goes dark: what may be "
+          "repeated goes to another server, what may not waits") {
+  auto Test = ServingFixture();
+  for (auto Index = 0; Index < 20; ++Index) {
+    Test.serve("safe");
+    Test.m_Transport.end(whole(200));
+  }
+  Test.settle();
+  auto Safe = Test.serve("safe");
+  auto Dark = Test.m_Transport.m_Sent.back().m_Attempt.m_Backend;
+  Test.m_Scheduler.advance(Milliseconds(1000));
+  CHECK(Test.m_Transport.m_Sent.size() == 22);
+  CHECK(Test.m_Transport.m_Sent[20].m_Cancelled);
+  CHECK(Test.m_Transport.m_Sent.back().m_Attempt.m_Backend != Dark);
+  Test.m_Transport.end(whole(200));
+  CHECK(*Safe->m_Status == 200);
+  Test.settle();
+  Test.serve("unsafe");
+  Test.m_Scheduler.advance(Milliseconds(1500));
+  CHECK(Test.m_Transport.m_Sent.size() == 23);
+  CHECK_FALSE(Test.m_Transport.m_Sent.back().m_Cancelled);
+}
