--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -173,7 +173,8 @@
 
 auto HostProcess::relayHooks() -> StoreRelayHooks {
   return {
-      .m_EvidenceAge = [this] { return m_Core.evidenceAge(); },
+      .m_EvidenceAge =
+          [this] { return std::max(m_Core.evidenceAge(), backendsAge()); },
       .m_Config =
           [this] {
             const auto *Current = m_Core.configuration();
@@ -181,6 +182,7 @@
           },
       .m_BackendsDigest = [this] { return m_Core.directory().digest(); },
       .m_OnEvidence = [this](MonotonicTime At) { m_Core.recordEvidence(At); },
+      .m_OnBackendsEvidence = [this](MonotonicTime At) { recordBackends(At); },
       .m_RefreshConfiguration = [this] { m_ConfigurationMirror.refresh(); },
       .m_RefreshBackends = [this] { m_BackendMirror.refresh(); },
       .m_OnBackendChange =
--- a/src/serving/LoadBook.cpp
+++ b/src/serving/LoadBook.cpp
@@ -69,9 +69,7 @@
 auto LoadBook::avoided(const BackendId &Backend, MonotonicTime Now) const
     -> bool {
   auto Found = m_Entries.find(Backend);
-  if (Found == m_Entries.end())
-    return false;
-  return Now < Found->second.m_AvoidedUntil || silent(Backend, Now);
+  return Found != m_Entries.end() && Now < Found->second.m_AvoidedUntil;
 }
 
 auto LoadBook::report(const BackendId &Backend, const LoadReport &Load,
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -194,8 +194,9 @@
   if (m_SilenceTimer)
     m_Context.m_Scheduler.cancel(*m_SilenceTimer);
   m_SilenceTimer.reset();
-  auto Prefill = m_Attempt->m_Purpose == AttemptPurpose::Prefill;
-  if (!Prefill && !m_Terms.m_Route->repeatable())
+  // A reader with long prompts before it is rightly silent.
+  if (m_Attempt->m_Purpose == AttemptPurpose::Prefill ||
+      !m_Terms.m_Route->repeatable())
     return;
   m_SilenceTimer = m_Context.m_Scheduler.schedule(
       m_Context.m_Options.m_SilenceInterval, [this] {
@@ -208,10 +209,7 @@
   auto Now = m_Context.m_Scheduler.now();
   if (m_Done || !m_Attempt)
     return;
-  auto Prefill = m_Attempt->m_Purpose == AttemptPurpose::Prefill;
-  // A prompt that is read again is no second run.
-  auto Allowed = Prefill || (mayRepeat() &&
-                             m_Runs + 1 < m_Terms.m_Route->m_MaximumAttempts);
+  auto Allowed = mayRepeat() && m_Runs + 1 < m_Terms.m_Route->m_MaximumAttempts;
   if (!Allowed || !m_Context.m_Loads.silent(m_Attempt->m_Backend, Now) ||
       !m_Context.m_Retries.take(m_Terms.m_Service->m_Id, Now)) {
     armSilence();
@@ -220,8 +218,7 @@
   m_Prepaid = true;
   m_Context.m_Health.recordFailure(m_Attempt->m_Backend, Now);
   m_Excluded.insert(m_Attempt->m_Backend);
-  if (!Prefill)
-    ++m_Runs;
+  ++m_Runs;
   dropAttempt();
   m_Events.dropRest();
   place();
