--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -123,7 +123,7 @@
                      .m_Body = What.m_Body,
                      .m_Timeout = What.m_Timeout,
                      .m_OneConnection = true,
-                     .m_OnDone = [Slot](HttpCallResult Result) {
+                     .m_OnDone = [Slot](const HttpCallResult &Result) {
                        *Slot = {.m_Outcome = Result.m_Outcome,
                                 .m_Status = Result.m_Status,
                                 .m_Headers = Result.m_Headers,
