Close the listening socket before the last wait of a planned stop

The stop waited a tenth of a second after the last busy connection, with the listener open. Change: from the balancer's lag on no connection is taken, and a request that is being read counts as in progress.

--- a/include/dotterel/io/StrictHttpServer.h
+++ b/include/dotterel/io/StrictHttpServer.h
@@ -56,7 +56,11 @@
   /// Closes connections that wait for a request.
   auto closeIdle() -> void;
 
-  /// Connections with a request that has no complete answer yet.
+  /// Closes the listening socket; open connections go on.
+  auto stopListening() -> void;
+
+  /// Connections with a request, whole or in part, that has no complete answer
+  /// yet.
   [[nodiscard]] auto busyConnections() const -> std::size_t;
 
   class Impl;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -387,6 +387,8 @@
   auto Since = m_Loop.now() - *m_DrainSince;
   if (Since < BalancerLag)
     return;
+  // From here on no request can begin, so that none begins at the exit.
+  m_CallerServer->stopListening();
   m_CallerServer->closeIdle();
   auto Over =
       Since >= m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitReserve;
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -85,6 +85,10 @@
   ~Connection() = default;
 
   [[nodiscard]] auto busy() const -> bool { return m_Open != nullptr; }
+  /// Whether a request is being read, handled or answered.
+  [[nodiscard]] auto occupied() const -> bool {
+    return busy() || (!m_Lingering && (m_Next || m_Reader.begun()));
+  }
   [[nodiscard]] auto pending() const -> std::size_t {
     return m_Out.size() - m_Sent;
   }
@@ -447,7 +451,8 @@
     m_Loop.schedule(Duration::zero(), [this] { m_Retired.clear(); });
   m_Retired.push_back(std::move(Found->second));
   m_Connections.erase(Found);
-  m_Watcher->enable(true);
+  if (m_Listener.fd() >= 0)
+    m_Watcher->enable(true);
 }
 
 StrictHttpServer::StrictHttpServer(EventLoop &Loop, HttpHandler &Handler,
@@ -474,10 +479,15 @@
     Target->closeIfIdle();
 }
 
+auto StrictHttpServer::stopListening() -> void {
+  m_Impl->m_Watcher->enable(false);
+  m_Impl->m_Listener = Socket();
+}
+
 auto StrictHttpServer::busyConnections() const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(m_Impl->m_Connections.begin(), m_Impl->m_Connections.end(),
-                    [](const auto &Item) { return Item.second->busy(); }));
+                    [](const auto &Item) { return Item.second->occupied(); }));
 }
 
 } // namespace dotterel
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -249,6 +249,30 @@
   CHECK(Test.m_Hosts[0]->log().find("event=host.stopped") != std::string::npos);
 }
 
+// Found on the users' bench: a request that came in the last tenth of a second
+// before the exit was run and cut.
+TEST_CASE("host: requests that arrive until the process is gone are answered, "
+          "or nothing runs for them") {
+  auto Test = Platform();
+  for (const auto &Server : Test.m_Servers)
+    Server->m_WorkTime = Milliseconds(60);
+  auto Calls = std::vector<std::shared_ptr<Reply>>();
+  Test.m_Hosts[0]->signal(SIGTERM);
+  while (Test.m_Hosts[0]->running()) {
+    Calls.push_back(Test.start(Test.request("once")));
+    Test.pass(Milliseconds(15));
+  }
+  Test.waitFor("the end of all calls", [&] {
+    return std::all_of(Calls.begin(), Calls.end(),
+                       [](const auto &Slot) { return Slot->m_Status != 0; });
+  });
+  auto Served = std::count_if(Calls.begin(), Calls.end(), [](const auto &Slot) {
+    return Slot->m_Status == 200;
+  });
+  CHECK(Served > 50);
+  CHECK(Test.runs() == Served);
+}
+
 TEST_CASE("host: a leaving server gets nothing after its bound") {
   auto Test = Platform(2);
   Test.registerServer(0, "draining");
