--- a/tests/support/PlatformStandIn.cpp
+++ b/tests/support/PlatformStandIn.cpp
@@ -87,6 +87,11 @@
   answerWatches();
 }
 
+auto StandInStore::forgetHistory() -> void {
+  m_Forgotten = m_Revision;
+  m_History.clear();
+}
+
 auto StandInStore::events(const std::string &Prefix, std::uint64_t After)
     -> Json {
   auto Events = Json::array();
@@ -108,6 +113,11 @@
   if (m_Deaf)
     return;
   for (auto Current = m_Waiting.begin(); Current != m_Waiting.end();) {
+    if (Current->m_After < m_Forgotten) {
+      Current->m_Exchange->respond({.m_Status = 410});
+      Current = m_Waiting.erase(Current);
+      continue;
+    }
     auto Events = events(Current->m_Prefix, Current->m_After);
     if (Events.empty() && m_Loop.now() < Current->m_Until) {
       ++Current;
@@ -183,7 +193,9 @@
     return;
   }
   if (Path == "/dotterelpoint/kv-txn") {
-    Exchange->respond(commit(Json::parse(Request.m_Body)));
+    auto Answer = commit(Json::parse(Request.m_Body));
+    if (!m_LoseAnswers)
+      Exchange->respond(std::move(Answer));
     return;
   }
   if (Path == "/dotterelpoint/kv-lease") {
@@ -215,6 +227,8 @@
     Exchange->respond({.m_Status = 421});
     return;
   }
+  if (m_OnArrival)
+    m_OnArrival(Headers, m_Refusals == 0);
   if (m_Refusals > 0) {
     --m_Refusals;
     Exchange->respond(
--- a/tests/support/PlatformStandIn.h
+++ b/tests/support/PlatformStandIn.h
@@ -42,8 +42,12 @@
   }
   [[nodiscard]] auto model() -> StoreModel & { return m_Model; }
 
-  bool m_Down = false; ///< Refuses every call.
-  bool m_Deaf = false; ///< Answers nothing.
+  /// Watches from before now are told that this history is gone.
+  auto forgetHistory() -> void;
+
+  bool m_Down = false;        ///< Refuses every call.
+  bool m_Deaf = false;        ///< Answers nothing.
+  bool m_LoseAnswers = false; ///< Carries writes out and does not answer them.
 
 private:
   struct Waiting {
@@ -66,6 +70,7 @@
   EventLoop &m_Loop;
   StoreModel m_Model;
   std::uint64_t m_Revision = 0;
+  std::uint64_t m_Forgotten = 0; ///< Revision up to which the history is gone.
   std::vector<Change> m_History;
   std::list<Waiting> m_Waiting;
   StrictHttpServer m_Server;
@@ -86,6 +91,9 @@
     return m_Server.address().text();
   }
 
+  /// Called with the headers of each request that arrives, and whether it is
+  /// run.
+  std::function<void(const HttpHeaders &, bool)> m_OnArrival;
   Duration m_WorkTime = Milliseconds(5);
   int m_CutAnswers = 0;               ///< So many are run and cut.
   int m_Refusals = 0;                 ///< So many are not run.
