Keep the fleet plan in the store, and count for hosts that are cut off

Change: the plan is stored, under the lease's guard, before servers are ordered by it, and read by the next holder; overdue usage segments go to other hosts, which write them (each still counts once); a lease is renewed as long as the store holds it; what no host has told of counts as unread, and parts are fetched from the engine that holds most of them.

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -61,6 +61,8 @@
 /// \invariant All calls of one holding bear the same fencing number, which is
 /// higher than that of any holding before.
 /// \invariant A number that the platform has refused is not used again.
+/// \invariant Servers are ordered by a plan that the store holds: the next
+/// holder goes on with it.
 class FleetDuty {
 public:
   FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
@@ -79,6 +81,9 @@
 
 private:
   auto step() -> void;
+  auto readPlan() -> void;
+  auto planServers() -> void;
+  auto storePlan(FleetPlan Plan) -> void;
   auto orderServers() -> void;
   auto orderStages() -> void;
   [[nodiscard]] auto due(const ServerOrder &Order, MonotonicTime Now) -> bool;
@@ -95,12 +100,16 @@
   };
 
   Scheduler &m_Scheduler;
+  KeyValueStore &m_Store;
   FleetCalls &m_Calls;
   FleetDutyInputs m_Inputs;
   FleetDutyOptions m_Options;
   DutyLease m_Lease;
   WindowSealer m_Sealer;
   FleetPlanner m_Planner;
+  std::optional<FleetPlan> m_StoredPlan; ///< Empty until it has been read.
+  bool m_PlanBusy = false;           ///< Whether it is being read or written.
+  std::vector<ServerOrder> m_Wanted; ///< By the stored plan.
   std::map<std::string, Given> m_ServerOrders; ///< Of this holding.
   std::map<BackendId, Given> m_StageOrders;    ///< Of this holding.
   FencingNumber m_Holding;
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -16,6 +16,7 @@
 #include "dotterel/io/StrictHttpServer.h"
 #include "dotterel/peers/LoadExchange.h"
 #include "dotterel/peers/StoreRelay.h"
+#include "dotterel/peers/UsageRelay.h"
 #include "dotterel/serving/ServingCore.h"
 #include "dotterel/store/KeyspaceMirror.h"
 #include "dotterel/supervision/Supervisor.h"
@@ -113,6 +114,7 @@
   KeyspaceMirror m_ConfigurationMirror;
   KeyspaceMirror m_BackendMirror;
   UsageRecorder m_Usage;
+  UsageRelay m_UsageRelay;
   FleetDuty m_Duty;
   Supervisor m_Tree;
   std::optional<StrictHttpServer> m_CallerServer;
--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -11,6 +11,7 @@
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/BackendWork.h"
 #include "dotterel/store/StoreWatch.h"
+#include "dotterel/usage/Usage.h"
 
 #include <string>
 #include <string_view>
@@ -39,7 +40,8 @@
 struct HostMessage {
   HostId m_Sender;
   DataCentreId m_DataCentre;
-  std::variant<LoadSummary, RelayQuestion, RelayReply, RelayedChanges>
+  std::variant<LoadSummary, RelayQuestion, RelayReply, RelayedChanges,
+               UsageSegment>
       m_Content;
 };
 
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -82,8 +82,17 @@
     std::string m_FetchFrom;
   };
 
+  struct Holder {
+    const BackendRecord *m_Engine = nullptr;
+    double m_Held = 0; ///< Tokens of the prompt.
+  };
+
+  /// The engine that holds most of a prompt, as far as this host knows.
+  [[nodiscard]] static auto
+  holderOf(const PromptShape &Prompt, const PartCaches &Caches,
+           const std::vector<const BackendRecord *> &Engines) -> Holder;
   [[nodiscard]] auto reading(const BackendRecord &Engine,
-                             const BackendRecord *Home,
+                             const BackendRecord *Home, const Holder &Source,
                              const PartCaches &Caches,
                              const PromptShape &Prompt) const -> Reading;
   [[nodiscard]] auto distanceCost(const ChoiceView &View,
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -9,6 +9,7 @@
 
 #include "dotterel/serving/BackendDirectory.h"
 #include "dotterel/serving/FleetCalls.h"
+#include "dotterel/serving/FleetPlan.h"
 
 #include <map>
 #include <optional>
@@ -75,6 +76,12 @@
                             const BackendDirectory &Directory, bool Idle) const
       -> std::vector<StageOrder>;
 
+  /// What another planner needs in order to go on with these orders.
+  [[nodiscard]] auto plan() const -> FleetPlan;
+
+  /// Goes on with the orders of another planner.
+  auto restore(const FleetPlan &Plan, MonotonicTime Now) -> void;
+
 private:
   struct Supply {
     std::uint32_t m_Wanted = 0; ///< Reclaimable servers asked for.
--- a/include/dotterel/store/StoreModel.h
+++ b/include/dotterel/store/StoreModel.h
@@ -25,6 +25,8 @@
   auto grantLease(Seconds Term) -> LeaseId;
   auto keepLease(LeaseId Lease) -> Seconds;
   auto revokeLease(LeaseId Lease) -> bool;
+  /// Lets all leases live so much longer, as if they had stood still.
+  auto extendLeases(Duration Span) -> void;
 
   /// Calls served so far, by kind, for tests of the store's rates.
   [[nodiscard]] auto writes() const -> std::uint64_t { return m_Writes; }
--- a/include/dotterel/usage/UsageRecorder.h
+++ b/include/dotterel/usage/UsageRecorder.h
@@ -55,6 +55,9 @@
     return m_Writing.size() + (m_Open.m_Totals.empty() ? 0 : 1);
   }
 
+  /// Segments that the store has not confirmed within \p Age of their end.
+  [[nodiscard]] auto overdue(Duration Age) const -> std::vector<UsageSegment>;
+
   /// Counts whose copy was not confirmed in time, so far.
   [[nodiscard]] auto uncopied() const -> std::uint64_t { return m_Uncopied; }
 
@@ -77,7 +80,11 @@
   SegmentWriter m_Writer;
   UsageSegment m_Open;
   std::uint64_t m_LastSegment = 0;
-  std::set<std::uint64_t> m_Writing; ///< Numbers of segments.
+  struct Ended {
+    UsageSegment m_Segment;
+    MonotonicTime m_At;
+  };
+  std::map<std::uint64_t, Ended> m_Writing; ///< By number.
   std::map<std::uint64_t, Held> m_Held;
   std::uint64_t m_LastHeld = 0;
   std::vector<std::uint64_t> m_ToCopy;
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -12,6 +12,7 @@
     question @3 :Question;
     reply @4 :Reply;
     changes @5 :List(RecordChange);
+    usage @6 :UsageSegment;
   }
 }
 
@@ -23,6 +24,14 @@
   revision @3 :UInt64;
 }
 
+# Counts that their host cannot write to the store.
+struct UsageSegment {
+  window @0 :UInt64;
+  incarnation @1 :Text;
+  number @2 :UInt64;
+  totals @3 :Text;  # as in the store
+}
+
 # What a host, or all hosts of a data centre, have under way.
 struct LoadSummary {
   wholeDataCentre @0 :Bool;
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(ae6b785c40999730);
 CAPNP_DECLARE_SCHEMA(b2db77a7950567e9);
+CAPNP_DECLARE_SCHEMA(b1f40274ba65bd44);
 CAPNP_DECLARE_SCHEMA(94f45e54ef8555bc);
 CAPNP_DECLARE_SCHEMA(adbb1ab576a33d54);
 CAPNP_DECLARE_SCHEMA(c448cf29b7a33d18);
@@ -45,6 +46,7 @@
     QUESTION,
     REPLY,
     CHANGES,
+    USAGE,
   };
 
   struct _capnpPrivate {
@@ -70,6 +72,21 @@
   };
 };
 
+struct UsageSegment {
+  UsageSegment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1f40274ba65bd44, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadSummary {
   LoadSummary() = delete;
 
@@ -205,6 +222,10 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline bool isUsage() const;
+  inline bool hasUsage() const;
+  inline  ::dotterel::schema::UsageSegment::Reader getUsage() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -280,6 +301,14 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline bool isUsage();
+  inline bool hasUsage();
+  inline  ::dotterel::schema::UsageSegment::Builder getUsage();
+  inline void setUsage( ::dotterel::schema::UsageSegment::Reader value);
+  inline  ::dotterel::schema::UsageSegment::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::dotterel::schema::UsageSegment>&& value);
+  inline ::capnp::Orphan< ::dotterel::schema::UsageSegment> disownUsage();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -407,6 +436,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class UsageSegment::Reader {
+public:
+  typedef UsageSegment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWindow() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasTotals() const;
+  inline  ::capnp::Text::Reader getTotals() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageSegment::Builder {
+public:
+  typedef UsageSegment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWindow();
+  inline void setWindow( ::uint64_t value);
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasTotals();
+  inline  ::capnp::Text::Builder getTotals();
+  inline void setTotals( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTotals(unsigned int size);
+  inline void adoptTotals(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTotals();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageSegment::Pipeline {
+public:
+  typedef UsageSegment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadSummary::Reader {
 public:
   typedef LoadSummary Reads;
@@ -1238,6 +1368,60 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool HostMessage::Reader::isUsage() const {
+  return which() == HostMessage::USAGE;
+}
+inline bool HostMessage::Builder::isUsage() {
+  return which() == HostMessage::USAGE;
+}
+inline bool HostMessage::Reader::hasUsage() const {
+  if (which() != HostMessage::USAGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostMessage::Builder::hasUsage() {
+  if (which() != HostMessage::USAGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::dotterel::schema::UsageSegment::Reader HostMessage::Reader::getUsage() const {
+  KJ_IREQUIRE((which() == HostMessage::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterel::schema::UsageSegment::Builder HostMessage::Builder::getUsage() {
+  KJ_IREQUIRE((which() == HostMessage::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::setUsage( ::dotterel::schema::UsageSegment::Reader value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::dotterel::schema::UsageSegment::Builder HostMessage::Builder::initUsage() {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::adoptUsage(
+    ::capnp::Orphan< ::dotterel::schema::UsageSegment>&& value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::dotterel::schema::UsageSegment> HostMessage::Builder::disownUsage() {
+  KJ_IREQUIRE((which() == HostMessage::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool RecordChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1334,6 +1518,102 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UsageSegment::Reader::getWindow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageSegment::Builder::getWindow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageSegment::Builder::setWindow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageSegment::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageSegment::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageSegment::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageSegment::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageSegment::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageSegment::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageSegment::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageSegment::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UsageSegment::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageSegment::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageSegment::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageSegment::Reader::hasTotals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageSegment::Builder::hasTotals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageSegment::Reader::getTotals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageSegment::Builder::getTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UsageSegment::Builder::setTotals( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageSegment::Builder::initTotals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UsageSegment::Builder::adoptTotals(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageSegment::Builder::disownTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool LoadSummary::Reader::getWholeDataCentre() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/host/FleetDuty.h"
 
+#include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
 
 #include <algorithm>
@@ -18,6 +19,9 @@
 constexpr auto RenewInterval = Milliseconds(1000);
 constexpr auto CampaignInterval = Milliseconds(2000);
 
+/// Where a holder leaves its plan to the next one.
+constexpr auto PlanKey = "fleet-plan";
+
 auto leaseOptions(const ServiceBounds &Bounds) -> DutyLeaseOptions {
   return {.m_Term = std::chrono::ceil<Seconds>(Bounds.m_DutyTerm) + TermReserve,
           .m_Margin = LeaseMargin,
@@ -50,8 +54,8 @@
 FleetDuty::FleetDuty(Scheduler &Scheduler, KeyValueStore &Store,
                      FleetCalls &Calls, FleetDutyInputs Inputs,
                      const FleetDutyOptions &Options)
-    : m_Scheduler(Scheduler), m_Calls(Calls), m_Inputs(std::move(Inputs)),
-      m_Options(Options),
+    : m_Scheduler(Scheduler), m_Store(Store), m_Calls(Calls),
+      m_Inputs(std::move(Inputs)), m_Options(Options),
       m_Lease(Scheduler, Store, DutyId{"fleet"},
               ProcessId{Options.m_Host.text()}, leaseOptions(Options.m_Bounds)),
       m_Sealer(Scheduler, Store, m_Lease,
@@ -105,14 +109,86 @@
     m_Holding = m_Lease.fencing();
     m_ServerOrders.clear();
     m_StageOrders.clear();
+    m_StoredPlan.reset();
+    m_Wanted.clear();
   }
   m_Sealer.step();
-  if (m_Inputs.m_Configuration() == nullptr)
+  if (m_Inputs.m_Configuration() == nullptr || m_PlanBusy)
     return;
-  orderServers();
+  if (!m_StoredPlan) {
+    readPlan();
+    return;
+  }
+  planServers();
   orderStages();
 }
 
+auto FleetDuty::readPlan() -> void {
+  m_PlanBusy = true;
+  m_Store.read(
+      KeyRange::single(PlanKey),
+      [this, Alive = m_Alive, Number = m_Holding](const auto &Reply) {
+        if (!*Alive)
+          return;
+        m_PlanBusy = false;
+        if (!Reply || Number != m_Holding)
+          return;
+        m_StoredPlan.emplace();
+        const auto &Values = Reply.m_Answer->m_Values;
+        if (!Values.empty()) {
+          try {
+            m_StoredPlan = decodeFleetPlan(Values.front().m_Value);
+          } catch (const ProtocolError &Failure) {
+            // A first plan orders the most, which errs on the safe side.
+            logError("fleet.plan-unreadable", {{"reason", Failure.what()}});
+          }
+        }
+        logInfo("fleet.plan-read",
+                {{"fencing", Number},
+                 {"services", m_StoredPlan->m_Sizes.size()},
+                 {"data_centres", m_StoredPlan->m_Supplies.size()}});
+        m_Planner.restore(*m_StoredPlan, m_Scheduler.now());
+        if (mayAct())
+          planServers();
+      });
+}
+
+auto FleetDuty::planServers() -> void {
+  auto Wanted =
+      m_Planner.servers(*m_Inputs.m_Configuration(), m_Inputs.m_Directory,
+                        m_Inputs.m_Busy(), m_Scheduler.now());
+  auto Plan = m_Planner.plan();
+  if (Plan != *m_StoredPlan) {
+    m_Wanted = std::move(Wanted);
+    storePlan(std::move(Plan));
+    return;
+  }
+  m_Wanted = std::move(Wanted);
+  orderServers();
+}
+
+auto FleetDuty::storePlan(FleetPlan Plan) -> void {
+  m_PlanBusy = true;
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back(m_Lease.guard());
+  Transaction.m_Writes.push_back(
+      {.m_Key = PlanKey, .m_Value = encodeFleetPlan(Plan)});
+  m_Store.commit(
+      std::move(Transaction), [this, Alive = m_Alive, Number = m_Holding,
+                               Plan = std::move(Plan)](const auto &Reply) {
+        if (!*Alive)
+          return;
+        m_PlanBusy = false;
+        // Not taken: the next step tries again, if this host still
+        // holds the duty.
+        if (!Reply || !Reply.m_Answer->m_Applied || Number != m_Holding)
+          return;
+        m_StoredPlan = Plan;
+        if (mayAct())
+          orderServers();
+      });
+}
+
 auto FleetDuty::due(const ServerOrder &Order, MonotonicTime Now) -> bool {
   auto &Last = m_ServerOrders[orderKey(Order)];
   if (Last.m_Pending || (Last.m_Accepted && Last.m_Count == Order.m_Count))
@@ -123,8 +199,7 @@
 
 auto FleetDuty::orderServers() -> void {
   auto Now = m_Scheduler.now();
-  auto Orders = m_Planner.servers(*m_Inputs.m_Configuration(),
-                                  m_Inputs.m_Directory, m_Inputs.m_Busy(), Now);
+  const auto &Orders = m_Wanted;
   // Both kinds of a data centre share one bound: the number that falls is
   // ordered, and accepted, before the other one rises.
   for (auto Index = std::size_t{0}; Index < Orders.size(); ++Index) {
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -61,12 +61,16 @@
   return Options;
 }
 
+auto segmentOptions(const ServiceBounds &Bounds) -> SegmentWriterOptions {
+  return {.m_WindowLength =
+              std::chrono::duration_cast<Seconds>(Bounds.m_UsageWindow)};
+}
+
 auto usageOptions(const ServiceBounds &Bounds) -> UsageRecorderOptions {
-  auto Length = std::chrono::duration_cast<Seconds>(Bounds.m_UsageWindow);
   // The first count of a new window writes the one before; the timer is for
   // hosts without requests.
-  return {.m_Writer = {.m_WindowLength = Length},
-          .m_FlushInterval = Length * 2};
+  return {.m_Writer = segmentOptions(Bounds),
+          .m_FlushInterval = Bounds.m_UsageWindow * 2};
 }
 
 /// Serves the metrics as text at any path.
@@ -128,11 +132,15 @@
                                          BackendPauseShare)}),
       m_Usage(
           m_Time, Ports.m_Store, IncarnationId{m_Random.hex()},
-          // Hosts keep no copies for each other: counts go to the store.
+          // No count waits for a copy elsewhere: the store gets it soon.
           [](const UsageSegment &, const std::function<void(bool)> &Done) {
             Done(true);
           },
           usageOptions(Options.m_Settings.m_Bounds)),
+      m_UsageRelay(m_Time, Ports.m_Store, Ports.m_Datagrams, m_Random, m_Hosts,
+                   m_Exchange,
+                   [this](Duration Age) { return m_Usage.overdue(Age); },
+                   {.m_Writer = segmentOptions(Options.m_Settings.m_Bounds)}),
       m_Duty(m_Time, Ports.m_Store, Ports.m_Fleet,
              {.m_Directory = m_Core.directory(),
               .m_Configuration = [this] { return m_Core.configuration(); },
@@ -221,6 +229,9 @@
     auto Message = decodeHostMessage(Bytes);
     if (std::holds_alternative<LoadSummary>(Message.m_Content))
       m_Exchange.receive(Message, Address, Bytes);
+    else if (const auto *Segment =
+                 std::get_if<UsageSegment>(&Message.m_Content))
+      m_UsageRelay.receive(*Segment);
     else
       m_Relay.receive(Message, Address);
   } catch (const ProtocolError &Failure) {
@@ -312,6 +323,7 @@
                                      m_Hosts.start();
                                      m_Exchange.start();
                                      m_Relay.start();
+                                     m_UsageRelay.start();
                                    },
                                .m_Reset = [this] { m_Hosts.leave(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(
--- a/src/lease/DutyLease.cpp
+++ b/src/lease/DutyLease.cpp
@@ -111,25 +111,29 @@
 }
 
 auto DutyLease::renew() -> void {
-  // A lease that lapsed by our own clock is not revived: somebody may have
-  // read the duty as free.
-  if (!held()) {
-    lose("lapsed");
-    return;
-  }
+  // The store may still hold a lease that lapsed by our own clock, as after an
+  // outage. As long as it does, nobody else can have read the duty as free.
+  if (!held() && std::exchange(m_HeldUntil, std::nullopt))
+    logWarning("duty.lost",
+               {{"duty", m_Duty}, {"holder", m_Self}, {"reason", "lapsed"}});
   auto SentAt = m_Scheduler.now();
-  m_Store.keepLease(
-      m_Lease, [this, Alive = m_Alive, SentAt](const auto &Reply) {
-        if (!*Alive || !m_Running)
-          return;
-        if (Reply && *Reply.m_Answer == Seconds::zero()) {
-          lose("lapsed in the store");
-          return;
-        }
-        if (Reply && held())
-          m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
-        again(m_Options.m_RenewInterval, &DutyLease::renew);
-      });
+  m_Store.keepLease(m_Lease, [this, Alive = m_Alive,
+                              SentAt](const auto &Reply) {
+    if (!*Alive || !m_Running)
+      return;
+    if (Reply && *Reply.m_Answer == Seconds::zero()) {
+      lose("lapsed in the store");
+      return;
+    }
+    if (Reply) {
+      auto Regained = !m_HeldUntil.has_value();
+      m_HeldUntil = SentAt + m_Options.m_Term - m_Options.m_Margin;
+      if (Regained)
+        logInfo("duty.regained",
+                {{"duty", m_Duty}, {"holder", m_Self}, {"fencing", m_Fencing}});
+    }
+    again(m_Options.m_RenewInterval, &DutyLease::renew);
+  });
 }
 
 auto DutyLease::lose(const char *Reason) -> void {
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -120,6 +120,22 @@
           .m_BackendsDigest = Source.getBackendsDigest()};
 }
 
+auto encodeUsage(const UsageSegment &Segment,
+                 schema::UsageSegment::Builder Target) -> void {
+  Target.setWindow(Segment.m_Id.m_Window.number());
+  Target.setIncarnation(Segment.m_Id.m_Incarnation.text());
+  Target.setNumber(Segment.m_Id.m_Number);
+  Target.setTotals(encodeTotals(Segment.m_Totals));
+}
+
+auto decodeUsage(schema::UsageSegment::Reader Source) -> UsageSegment {
+  return {
+      .m_Id = {.m_Window = WindowIndex{Source.getWindow()},
+               .m_Incarnation = IncarnationId{Source.getIncarnation().cStr()},
+               .m_Number = Source.getNumber()},
+      .m_Totals = decodeTotals(Source.getTotals().cStr())};
+}
+
 } // namespace
 
 auto encodeHostMessage(const HostMessage &Message) -> std::string {
@@ -138,6 +154,8 @@
                std::get_if<RelayedChanges>(&Message.m_Content))
     encodeChanges(*Changes, Root.initChanges(static_cast<unsigned>(
                                 Changes->m_Changes.size())));
+  else
+    encodeUsage(std::get<UsageSegment>(Message.m_Content), Root.initUsage());
   auto Output = kj::VectorOutputStream();
   capnp::writePackedMessage(Output, Builder);
   auto Bytes = Output.getArray();
@@ -167,6 +185,9 @@
     case schema::HostMessage::CHANGES:
       Message.m_Content = decodeChanges(Root.getChanges());
       break;
+    case schema::HostMessage::USAGE:
+      Message.m_Content = decodeUsage(Root.getUsage());
+      break;
     default:
       throw ProtocolError(301, "a host's message of an unknown kind");
     }
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -34,8 +34,20 @@
   return Best;
 }
 
+auto EnginePlacement::holderOf(
+    const PromptShape &Prompt, const PartCaches &Caches,
+    const std::vector<const BackendRecord *> &Engines) -> Holder {
+  auto Best = Holder();
+  for (const auto *Engine : Engines) {
+    auto Held = static_cast<double>(Caches.match(Engine->m_Id, Prompt));
+    if (Held > Best.m_Held)
+      Best = {.m_Engine = Engine, .m_Held = Held};
+  }
+  return Best;
+}
+
 auto EnginePlacement::reading(const BackendRecord &Engine,
-                              const BackendRecord *Home,
+                              const BackendRecord *Home, const Holder &Source,
                               const PartCaches &Caches,
                               const PromptShape &Prompt) const -> Reading {
   auto Total = static_cast<double>(Prompt.m_PromptTokens.number());
@@ -49,12 +61,20 @@
   auto Missing = Shared - Held;
   if (Home == nullptr || Missing <= 0)
     return {.m_NewTokens = Total - Held, .m_Charged = Total - Held};
-  auto Expected = Total - Shared + Missing * m_Options.m_HomeShare;
-  if (Home->m_Id == Engine.m_Id)
-    return {.m_NewTokens = Expected, .m_Charged = Expected};
-  return {.m_NewTokens = Expected,
-          .m_Charged = Total - Shared + Missing * m_Options.m_CopyShare,
-          .m_FetchFrom = Home->m_Address};
+  auto IsHome = Home->m_Id == Engine.m_Id;
+  auto Result =
+      Reading{.m_NewTokens = Total - Held,
+              .m_Charged = Total - Shared +
+                           Missing * (IsHome ? m_Options.m_HomeShare
+                                             : m_Options.m_CopyShare)};
+  if (Source.m_Engine != nullptr && Source.m_Held > Held) {
+    Result.m_NewTokens = Total - std::min(Total, Source.m_Held);
+    Result.m_FetchFrom = Source.m_Engine->m_Address;
+  } else if (!IsHome) {
+    // A host may have had it read there since its last message.
+    Result.m_FetchFrom = Home->m_Address;
+  }
+  return Result;
 }
 
 auto EnginePlacement::distanceCost(const ChoiceView &View,
@@ -120,6 +140,7 @@
     Readers.push_back(Engine);
   }
   const auto *Home = homeOf(Prompt, Readers);
+  auto Source = holderOf(Prompt, Caches, Readers);
   auto Decoders =
       std::any_of(Engines.begin(), Engines.end(), [](const auto *Engine) {
         return Engine->m_Stage == EngineStage::Decode;
@@ -129,7 +150,7 @@
     auto Apart = Engine->m_Stage == EngineStage::Prefill;
     if (Apart && !Decoders)
       continue;
-    auto Read = reading(*Engine, Home, Caches, Prompt);
+    auto Read = reading(*Engine, Home, Source, Caches, Prompt);
     auto Rate = Apart ? Speed.apart() : Speed.inPlace();
     auto Queue = queueTokens(View, Speed, *Engine, Now);
     auto Cost = asDuration((Queue + Read.m_Charged) / Rate) +
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -139,6 +139,28 @@
   return Orders;
 }
 
+auto FleetPlanner::plan() const -> FleetPlan {
+  auto Result = FleetPlan();
+  for (const auto &[Service, Current] : m_Sizes)
+    Result.m_Sizes[Service] = Current.m_Total;
+  for (const auto &[Place, Current] : m_Supplies)
+    Result.m_Supplies[Place] = {.m_Wanted = Current.m_Wanted,
+                                .m_Short = Current.m_Short};
+  return Result;
+}
+
+auto FleetPlanner::restore(const FleetPlan &Plan, MonotonicTime Now) -> void {
+  m_Sizes.clear();
+  m_Supplies.clear();
+  for (const auto &[Service, Total] : Plan.m_Sizes)
+    m_Sizes[Service] = {.m_Total = Total, .m_Since = Now};
+  for (const auto &[Place, Planned] : Plan.m_Supplies)
+    m_Supplies[Place] = {.m_Wanted = Planned.m_Wanted,
+                         .m_Since = Now,
+                         .m_Known = true,
+                         .m_Short = Planned.m_Short};
+}
+
 auto FleetPlanner::stages(const ServingConfiguration &Configuration,
                           const BackendDirectory &Directory, bool Idle) const
     -> std::vector<StageOrder> {
--- a/src/store/StoreModel.cpp
+++ b/src/store/StoreModel.cpp
@@ -71,6 +71,11 @@
   return Found->second.m_Term;
 }
 
+auto StoreModel::extendLeases(Duration Span) -> void {
+  for (auto &[Id, Current] : m_Leases)
+    Current.m_Expires += Span;
+}
+
 auto StoreModel::revokeLease(LeaseId Lease) -> bool {
   expire();
   ++m_Writes;
--- a/src/usage/UsageRecorder.cpp
+++ b/src/usage/UsageRecorder.cpp
@@ -52,7 +52,7 @@
 auto UsageRecorder::copy() -> void {
   auto Covered = std::exchange(m_ToCopy, {});
   m_Open.m_ConfirmedBelow =
-      m_Writing.empty() ? m_Open.m_Id.m_Number : *m_Writing.begin();
+      m_Writing.empty() ? m_Open.m_Id.m_Number : m_Writing.begin()->first;
   m_Copier(m_Open, [this, Alive = std::weak_ptr(m_Alive),
                     Covered = std::move(Covered)](bool Arrived) {
     if (Alive.expired())
@@ -84,7 +84,7 @@
   auto Segment = std::move(m_Open);
   openSegment();
   auto Number = Segment.m_Id.m_Number;
-  m_Writing.insert(Number);
+  m_Writing[Number] = {.m_Segment = Segment, .m_At = m_Scheduler.now()};
   auto Totals = Segment.m_Totals;
   m_Writer.write(std::move(Segment),
                  [this, Totals, Number](const UsageTotals &Stored) {
@@ -96,6 +96,14 @@
                  });
 }
 
+auto UsageRecorder::overdue(Duration Age) const -> std::vector<UsageSegment> {
+  auto Result = std::vector<UsageSegment>();
+  for (const auto &[Number, Item] : m_Writing)
+    if (m_Scheduler.now() - Item.m_At >= Age)
+      Result.push_back(Item.m_Segment);
+  return Result;
+}
+
 auto UsageRecorder::settle() -> void {
   if (!m_Writing.empty())
     return;
--- a/tests/fault-DutyLease.cpp
+++ b/tests/fault-DutyLease.cpp
@@ -92,6 +92,27 @@
   CHECK(Test.holders() == 1);
 }
 
+TEST_CASE("duty: an outage in which leases stand still leaves the duty with "
+          "its holder, under its number") {
+  auto Test = World(2);
+  Test.m_Scheduler.advance(Seconds(5));
+  auto &Holder = *Test.m_All[Test.m_All[0]->m_Lease->held() ? 0 : 1];
+  REQUIRE(Holder.m_Lease->held());
+  auto Number = Holder.m_Lease->fencing();
+  for (const auto &Item : Test.m_All)
+    Item->m_Store.setOutage(StoreFault::LoseRequest);
+  for (auto Second = 0; Second < 20; ++Second) {
+    Test.m_Scheduler.advance(Seconds(1));
+    Test.m_Model.extendLeases(Seconds(1));
+  }
+  CHECK_FALSE(Holder.m_Lease->held());
+  for (const auto &Item : Test.m_All)
+    Item->m_Store.setOutage(StoreFault::None);
+  Test.m_Scheduler.advance(Seconds(3));
+  CHECK(Holder.m_Lease->held());
+  CHECK(Holder.m_Lease->fencing() == Number);
+}
+
 TEST_CASE("duty: resigning lets another one in without waiting for the term") {
   auto Test = World(2);
   Test.m_Scheduler.advance(Seconds(5));
--- a/tests/fault-StoreRelay.cpp
+++ b/tests/fault-StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/base/Errors.h"
 #include "dotterel/peers/StoreRelay.h"
+#include "support/DatagramNetwork.h"
 #include "support/ScriptedStore.h"
 #include "support/VirtualScheduler.h"
 
@@ -12,63 +13,10 @@
 
 namespace {
 
-/// Datagrams between hosts of one test, each with a delay of its own.
-class Network {
-public:
-  explicit Network(VirtualScheduler &Scheduler) : m_Scheduler(Scheduler) {}
-
-  class Port final : public DatagramPort {
-  public:
-    Port(Network &Owner, std::string Address)
-        : m_Owner(Owner), m_Address(std::move(Address)) {
-      Owner.m_Ports[m_Address] = this;
-    }
-    auto send(const std::string &Address, std::string_view Bytes)
-        -> void override {
-      m_Owner.carry(m_Address, Address, std::string(Bytes));
-    }
-    auto onReceive(
-        std::function<void(const std::string &, std::string_view)> Callback)
-        -> void override {
-      m_OnReceive = std::move(Callback);
-    }
-    [[nodiscard]] auto address() const -> std::string override {
-      return m_Address;
-    }
-
-    [[nodiscard]] auto dropped() const -> std::uint64_t override { return 0; }
-
-    std::function<void(const std::string &, std::string_view)> m_OnReceive;
-
-  private:
-    Network &m_Owner;
-    std::string m_Address;
-  };
-
-  auto carry(const std::string &From, const std::string &To, std::string Bytes)
-      -> void {
-    if (m_Cut)
-      return;
-    m_Carried.push_back(Bytes.size());
-    m_Scheduler.schedule(m_Delay, [this, From, To, Bytes = std::move(Bytes)] {
-      if (auto Found = m_Ports.find(To);
-          Found != m_Ports.end() && Found->second->m_OnReceive)
-        Found->second->m_OnReceive(From, Bytes);
-    });
-  }
-
-  Duration m_Delay = Milliseconds(1);
-  bool m_Cut = false;
-  std::vector<std::size_t> m_Carried; ///< Sizes, in their order.
-  std::map<std::string, Port *> m_Ports;
-
-private:
-  VirtualScheduler &m_Scheduler;
-};
-
 /// A host with its registry, which the test fills in.
 struct Host {
-  Host(VirtualScheduler &Scheduler, Network &Wire, int Number, int Hosts)
+  Host(VirtualScheduler &Scheduler, DatagramNetwork &Wire, int Number,
+       int Hosts)
       : m_Port(Wire, fmt::format("h{}", Number)),
         m_Registry(Scheduler, m_Store, m_Store, m_Random,
                    {.m_Host = HostId{fmt::format("h{}", Number)},
@@ -122,7 +70,7 @@
 
   ScriptedStore m_Store;
   Random m_Random{1};
-  Network::Port m_Port;
+  DatagramNetwork::Port m_Port;
   HostRegistry m_Registry;
   LoadExchange m_Exchange;
   std::optional<MonotonicTime> m_Evidence;
@@ -158,7 +106,7 @@
   }
 
   VirtualScheduler m_Scheduler;
-  Network m_Wire{m_Scheduler};
+  DatagramNetwork m_Wire{m_Scheduler};
   bool m_StoreLost = false;
   int m_BehindRelay = -1; ///< Gets no evidence any more.
   std::vector<std::unique_ptr<Host>> m_Hosts;
--- /dev/null
+++ b/tests/fault-UsageRelay.cpp
@@ -0,0 +1,143 @@
+#include "dotterel/peers/UsageRelay.h"
+#include "dotterel/usage/UsageKeys.h"
+#include "dotterel/usage/UsageRecorder.h"
+#include "support/DatagramNetwork.h"
+#include "support/FaultyStore.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <memory>
+
+using namespace dotterel;
+using namespace dotterel::test;
+
+namespace {
+
+constexpr auto Length = Seconds(5);
+const auto Org = OrganisationId{"org"};
+
+/// A host's usage and what it needs of the host.
+struct Host {
+  Host(VirtualScheduler &Scheduler, StoreModel &Model, DatagramNetwork &Wire,
+       int Number)
+      : m_Store(Scheduler, Model), m_Random(static_cast<unsigned>(Number)),
+        m_Port(Wire, fmt::format("h{}", Number)),
+        m_Registry(Scheduler, m_Store, m_Watch, m_Random,
+                   {.m_Host = HostId{fmt::format("h{}", Number)},
+                    .m_DataCentre = DataCentreId{"a"},
+                    .m_Address = m_Port.address()},
+                   {}),
+        m_Exchange(
+            Scheduler, m_Port, m_Registry, [] { return LoadSummary(); },
+            [](const std::string &, const LoadSummary &) {}, {}),
+        m_Usage(Scheduler, m_Store, IncarnationId{fmt::format("i{}", Number)},
+                [](const UsageSegment &,
+                   const std::function<void(bool)> &Done) { Done(true); },
+                {.m_Writer = {.m_WindowLength = Length},
+                 .m_FlushInterval = Length * 2}),
+        m_Relay(Scheduler, m_Store, m_Port, m_Random, m_Registry, m_Exchange,
+                [this](Duration Age) { return m_Usage.overdue(Age); },
+                {.m_Writer = {.m_WindowLength = Length}}) {
+    m_Port.onReceive([this](const std::string &From, std::string_view Bytes) {
+      auto Message = decodeHostMessage(Bytes);
+      m_Exchange.receive(Message, From, Bytes);
+      if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
+        m_Relay.receive(*Segment);
+    });
+    m_Registry.start();
+    m_Exchange.start();
+    m_Relay.start();
+  }
+
+  /// Finds the hosts by listing them again and again.
+  class Watch final : public StoreWatch {
+  public:
+    auto watch(const std::string & /*Prefix*/, StoreRevision /*After*/,
+               Duration /*Wait*/, StoreCallback<WatchResult> Callback)
+        -> void override {
+      Callback({.m_Answer = WatchResult{.m_HistoryLost = true}});
+    }
+  };
+
+  FaultyStore m_Store;
+  Watch m_Watch;
+  Random m_Random;
+  DatagramNetwork::Port m_Port;
+  HostRegistry m_Registry;
+  LoadExchange m_Exchange;
+  UsageRecorder m_Usage;
+  UsageRelay m_Relay;
+};
+
+struct World {
+  World() {
+    for (auto Number = 0; Number < 4; ++Number)
+      m_Hosts.push_back(
+          std::make_unique<Host>(m_Scheduler, m_Model, m_Wire, Number));
+    m_Scheduler.advance(Seconds(12));
+  }
+
+  /// Requests that the store holds for all windows.
+  auto counted() -> std::uint64_t {
+    auto Sum = std::uint64_t{0};
+    for (const auto &Item : m_Model.read(KeyRange::prefix("usage/")).m_Values)
+      for (const auto &[Key, Figures] : totalsOf(Item.m_Value))
+        Sum += Figures.m_Requests;
+    return Sum;
+  }
+
+  static auto totalsOf(const std::string &Value) -> UsageTotals {
+    return Value == "1" ? UsageTotals() : decodeTotals(Value);
+  }
+
+  VirtualScheduler m_Scheduler;
+  StoreModel m_Model{m_Scheduler};
+  DatagramNetwork m_Wire{m_Scheduler};
+  std::vector<std::unique_ptr<Host>> m_Hosts;
+};
+
+constexpr auto Requests = 7;
+
+auto count(Host &Source) -> void {
+  for (auto Index = 0; Index < Requests; ++Index)
+    Source.m_Usage.record({.m_Organisation = Org}, {.m_Requests = 1}, [] {});
+}
+
+} // namespace
+
+// Found on the users' bench: windows were off by what the hosts had counted
+// that the store turned away.
+TEST_CASE("usage relay: the counts of a host that the store turns away stand "
+          "in the store soon after their window, once") {
+  for (auto Fault : {StoreFault::Refuse, StoreFault::LoseRequest,
+                     StoreFault::LoseAnswer, StoreFault::LateEffect}) {
+    CAPTURE(static_cast<int>(Fault));
+    auto Test = World();
+    auto &Cut = *Test.m_Hosts[0];
+    Cut.m_Store.setOutage(Fault);
+    // A second one is cut off too, and may be asked.
+    Test.m_Hosts[1]->m_Store.setOutage(StoreFault::Refuse);
+    count(Cut);
+    Cut.m_Usage.flush();
+    Test.m_Scheduler.advance(Seconds(6));
+    CHECK(Test.counted() == Requests);
+    Cut.m_Store.setOutage(StoreFault::None);
+    Test.m_Hosts[1]->m_Store.setOutage(StoreFault::None);
+    Test.m_Scheduler.advance(Seconds(20));
+    CHECK(Test.counted() == Requests);
+    CHECK(Cut.m_Usage.unconfirmed() == 0);
+  }
+}
+
+TEST_CASE("usage relay: a host that reaches the store hands nothing on") {
+  auto Test = World();
+  count(*Test.m_Hosts[0]);
+  Test.m_Hosts[0]->m_Usage.flush();
+  auto Calls = Test.m_Hosts[2]->m_Store.calls();
+  auto Before = Test.m_Hosts[3]->m_Store.calls();
+  Test.m_Scheduler.advance(Seconds(5));
+  CHECK(Test.counted() == Requests);
+  // Both do the same and no more.
+  CHECK(Test.m_Hosts[2]->m_Store.calls() - Calls ==
+        Test.m_Hosts[3]->m_Store.calls() - Before);
+}
--- /dev/null
+++ b/tests/support/DatagramNetwork.h
@@ -0,0 +1,77 @@
+//===- DatagramNetwork.h - Datagrams between tested hosts -------*- C++ -*-===//
+///
+/// \file
+/// Ports that reach each other in virtual time.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_TESTS_SUPPORT_DATAGRAMNETWORK_H
+#define DOTTEREL_TESTS_SUPPORT_DATAGRAMNETWORK_H
+
+#include "VirtualScheduler.h"
+#include "dotterel/peers/DatagramPort.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dotterel::test {
+
+/// Datagrams between hosts of one test, each with a delay of its own.
+class DatagramNetwork {
+public:
+  explicit DatagramNetwork(VirtualScheduler &Scheduler)
+      : m_Scheduler(Scheduler) {}
+
+  class Port final : public DatagramPort {
+  public:
+    Port(DatagramNetwork &Owner, std::string Address)
+        : m_Owner(Owner), m_Address(std::move(Address)) {
+      Owner.m_Ports[m_Address] = this;
+    }
+    auto send(const std::string &Address, std::string_view Bytes)
+        -> void override {
+      m_Owner.carry(m_Address, Address, std::string(Bytes));
+    }
+    auto onReceive(
+        std::function<void(const std::string &, std::string_view)> Callback)
+        -> void override {
+      m_OnReceive = std::move(Callback);
+    }
+    [[nodiscard]] auto address() const -> std::string override {
+      return m_Address;
+    }
+
+    [[nodiscard]] auto dropped() const -> std::uint64_t override { return 0; }
+
+    std::function<void(const std::string &, std::string_view)> m_OnReceive;
+
+  private:
+    DatagramNetwork &m_Owner;
+    std::string m_Address;
+  };
+
+  auto carry(const std::string &From, const std::string &To, std::string Bytes)
+      -> void {
+    if (m_Cut)
+      return;
+    m_Carried.push_back(Bytes.size());
+    m_Scheduler.schedule(m_Delay, [this, From, To, Bytes = std::move(Bytes)] {
+      if (auto Found = m_Ports.find(To);
+          Found != m_Ports.end() && Found->second->m_OnReceive)
+        Found->second->m_OnReceive(From, Bytes);
+    });
+  }
+
+  Duration m_Delay = Milliseconds(1);
+  bool m_Cut = false;
+  std::vector<std::size_t> m_Carried; ///< Sizes, in their order.
+  std::map<std::string, Port *> m_Ports;
+
+private:
+  VirtualScheduler &m_Scheduler;
+};
+
+} // namespace dotterel::test
+
+#endif // DOTTEREL_TESTS_SUPPORT_DATAGRAMNETWORK_H
