--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -22,7 +22,7 @@
        integerSetting("hosts", "4", "Host processes.", 1, 200),
        integerSetting("servers", "4", "Backend servers at the start.", 1, 200),
        integerSetting("rounds", "1", "Series of faults in a run.", 1, 1000),
-       integerSetting("fault-ms", "8000", "Length of a series of faults.", 0,
+       integerSetting("fault-ms", "10000", "Length of a series of faults.", 0,
                       600'000),
        integerSetting("planned-ms", "6000",
                       "Length of the planned changes after it.", 0, 600'000),
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -22,6 +22,14 @@
 constexpr auto LongestGap = Milliseconds(900);
 constexpr auto ShortestFault = Milliseconds(200);
 constexpr auto LongestFault = Milliseconds(3500);
+/// Some outlast the bound within which withdrawn keys stop.
+constexpr auto LongFaultShare = 0.2;
+constexpr auto LongFault = Milliseconds(7500);
+/// Work of most requests, of some, and of all while a server is slow.
+constexpr auto ShortWork = Milliseconds(5);
+constexpr auto LongWorkShare = 0.2;
+constexpr auto LongWork = Milliseconds(400);
+constexpr auto SlowWork = Milliseconds(600);
 /// Keys in force at a time, and old ones that callers still try.
 constexpr auto KeyCount = std::size_t{4};
 constexpr auto OldKeyCount = std::size_t{3};
@@ -45,9 +53,10 @@
 } // namespace
 
 SoakRun::SoakRun(const SoakOptions &Options)
-    : m_Options(Options), m_Random(Options.m_Seed), m_Promises(m_Bounds),
-      m_Store(m_Loop), m_Fleet(m_Loop),
-      m_Client(makePooledHttpClient(m_Loop, {})), m_StartedAt(m_Loop.now()) {
+    : m_Options(Options), m_Random(Options.m_Seed),
+      m_WorkRandom(Options.m_Seed), m_Promises(m_Bounds), m_Store(m_Loop),
+      m_Fleet(m_Loop), m_Client(makePooledHttpClient(m_Loop, {})),
+      m_StartedAt(m_Loop.now()) {
   for (auto Index = std::size_t{0}; Index < Options.m_Servers; ++Index)
     addServer();
   for (auto Index = std::size_t{0}; Index < KeyCount; ++Index)
@@ -82,7 +91,11 @@
 auto SoakRun::addServer() -> void {
   auto Id = fmt::format("i-{}", m_Servers.size());
   auto Process = std::make_unique<test::StandInServer>(m_Loop, Id);
-  Process->m_OnArrival = [this, Id](const HttpHeaders &Headers, bool Executed) {
+  Process->m_OnArrival = [this, Id, &Server = *Process](
+                             const HttpHeaders &Headers, bool Executed) {
+    Server.m_WorkTime = m_Slow.contains(Id)                   ? SlowWork
+                        : m_WorkRandom.unit() < LongWorkShare ? LongWork
+                                                              : ShortWork;
     m_Promises.arrived(Id, Headers, Executed, m_Loop.now());
   };
   auto Link = std::make_unique<FaultProxy>(m_Loop, Process->address());
@@ -245,6 +258,8 @@
   auto Span =
       ShortestFault + Milliseconds(m_Random.below(static_cast<std::uint64_t>(
                           (LongestFault - ShortestFault).count())));
+  if (m_Random.unit() < LongFaultShare)
+    Span = LongFault;
   m_Loop.schedule(Span, std::move(End));
   return m_Loop.now() + Span;
 }
@@ -294,7 +309,6 @@
 auto SoakRun::harmServer() -> void {
   constexpr auto MostCuts = 4;
   constexpr auto MostRefusals = 8;
-  constexpr auto SlowWork = Milliseconds(600);
   auto Index = m_Random.below(m_Servers.size());
   auto &Target = *m_Servers[Index].m_Process;
   auto Kind = m_Random.below(3);
@@ -305,8 +319,8 @@
   else if (Kind == 1)
     Target.m_Refusals = MostRefusals;
   else
-    Target.m_WorkTime = SlowWork;
-  endLater([&Target] { Target.m_WorkTime = Milliseconds(5); });
+    m_Slow.insert(m_Servers[Index].m_Id);
+  endLater([this, Index] { m_Slow.erase(m_Servers[Index].m_Id); });
 }
 
 auto SoakRun::pauseHost() -> void {
@@ -378,6 +392,14 @@
   m_Promises.keyGiven(m_Keys.back(), m_Loop.now());
 }
 
+auto SoakRun::changeKeysInSilence() -> void {
+  note("the store: deaf, and a key is withdrawn");
+  m_Store.m_Deaf = true;
+  m_Loop.schedule(LongFault, [this] { m_Store.m_Deaf = false; });
+  m_Promises.disturbAll(m_Loop.now() + LongFault);
+  changeKeys();
+}
+
 auto SoakRun::replaceServer() -> void {
   auto Ready = std::vector<std::size_t>();
   for (auto Index = std::size_t{0}; Index < m_Servers.size(); ++Index)
@@ -401,11 +423,13 @@
 auto SoakRun::faults(Duration Span) -> void {
   m_FaultsOn = true;
   auto Until = m_Loop.now() + Span;
-  const auto Steps = std::array{
-      &SoakRun::harmStoreLink, &SoakRun::harmServerLink, &SoakRun::harmStore,
-      &SoakRun::harmServer,    &SoakRun::pauseHost,      &SoakRun::killHost,
-      &SoakRun::stopHost,      &SoakRun::reloadHost,     &SoakRun::changeKeys,
-      &SoakRun::replaceServer};
+  const auto Steps =
+      std::array{&SoakRun::harmStoreLink,      &SoakRun::harmServerLink,
+                 &SoakRun::harmStore,          &SoakRun::harmServer,
+                 &SoakRun::pauseHost,          &SoakRun::killHost,
+                 &SoakRun::stopHost,           &SoakRun::reloadHost,
+                 &SoakRun::changeKeys,         &SoakRun::replaceServer,
+                 &SoakRun::changeKeysInSilence};
   while (m_Loop.now() < Until) {
     (this->*Steps[m_Random.below(Steps.size())])();
     pass(Milliseconds(
@@ -437,7 +461,7 @@
     Current.m_Link->setFault(LinkFault::None);
     Current.m_Process->m_CutAnswers = 0;
     Current.m_Process->m_Refusals = 0;
-    Current.m_Process->m_WorkTime = Milliseconds(5);
+    m_Slow.erase(Current.m_Id);
   }
   m_Store.m_Down = false;
   m_Store.m_Deaf = false;
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
   std::size_t m_Hosts = 4;
   std::size_t m_Servers = 4;
   /// Length of the series of faults, and of the planned changes after it.
-  Duration m_FaultTime = Seconds(8);
+  Duration m_FaultTime = Seconds(10);
   Duration m_PlannedTime = Seconds(6);
   std::size_t m_Rounds = 1;
   Duration m_RequestInterval = Milliseconds(15);
@@ -95,6 +96,7 @@
   auto stopHost() -> void;
   auto reloadHost() -> void;
   auto changeKeys() -> void;
+  auto changeKeysInSilence() -> void;
   auto replaceServer() -> void;
 
   /// Ends a fault after a while by chance; returns its end.
@@ -106,6 +108,8 @@
   SoakBounds m_Bounds;
   EventLoop m_Loop;
   Random m_Random;
+  Random m_WorkRandom;
+  std::set<std::string> m_Slow; ///< Ids of servers.
   Promises m_Promises;
   test::StandInStore m_Store;
   test::StandInFleet m_Fleet;
