--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -14,6 +14,12 @@
 /// The lowest rank that engines know.
 constexpr auto LowestRank = 9U;
 
+/// Whether the server closed a kept connection before it read the request,
+/// which tells of no fault. Once its answer has begun it is one.
+auto closedWhileIdle(const AttemptResult &Result) -> bool {
+  return Result.m_ReusedConnection && Result.m_Head.m_Status == 0;
+}
+
 auto successful(unsigned Status) -> bool {
   return Status >= 200 && Status < 300;
 }
@@ -312,8 +318,7 @@
   case AttemptEnd::NotSent:
   case AttemptEnd::Broken:
   case AttemptEnd::TimedOut:
-    // A connection that its server closed while idle tells of no fault.
-    if (!Result.m_ReusedConnection)
+    if (!closedWhileIdle(Result))
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
     break;
   }
@@ -450,8 +455,7 @@
                                       const AttemptResult &Result) -> void {
   if (mayRepeat()) {
     m_Events.dropRest();
-    // A connection that was closed while idle says nothing about its server.
-    if (!Result.m_ReusedConnection)
+    if (!closedWhileIdle(Result))
       m_Excluded.insert(Ended.m_Backend);
     place();
     return;
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -109,6 +109,28 @@
   CHECK(*Second->m_Status == 500);
 }
 
+// Found in an incident of the users' bench: requests went back to the server
+// that had just cut them off, and hung there.
+TEST_CASE("served request: pattern of servers that cut their answers: the next "
+          "attempt goes elsewhere, on whatever connection it was") {
+  for (auto Round = 0; Round < 10; ++Round) {
+    auto Test = ServingFixture();
+    for (auto Index = 0; Index < 20; ++Index) {
+      Test.serve("safe");
+      Test.m_Transport.end(whole(200));
+    }
+    Test.serve("safe");
+    auto Sent = Test.m_Transport.m_Sent.size();
+    auto Result = ended(AttemptEnd::Broken);
+    Result.m_Head.m_Status = 200;
+    Result.m_ReusedConnection = true;
+    Test.m_Transport.end(Result);
+    REQUIRE(Test.m_Transport.m_Sent.size() == Sent + 1);
+    CHECK(Test.m_Transport.m_Sent[Sent].m_Attempt.m_Backend !=
+          Test.m_Transport.m_Sent[Sent - 1].m_Attempt.m_Backend);
+  }
+}
+
 TEST_CASE("served request: a caller who leaves ends the work for it") {
   auto Test = ServingFixture();
   auto View = Test.serve("safe");
