--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -97,6 +97,7 @@
   auto reload() -> void;
   auto tick() -> void;
   auto drain(std::function<void()> Done) -> void;
+  auto drainUsage(std::function<void()> Done) -> void;
   auto finishDrain(const std::function<void()> &Done) -> void;
 
   EventLoop &m_Loop;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -331,8 +331,7 @@
                                .m_Reset = [] {},
                                .m_Stop =
                                    [this](std::function<void()> Done) {
-                                     m_Usage.flush();
-                                     m_Usage.drain(std::move(Done));
+                                     drainUsage(std::move(Done));
                                    }}));
   m_Tree.add(std::make_unique<FunctionComponent>(
       FunctionComponentOptions{.m_Name = "fleet-duty",
@@ -386,6 +385,25 @@
           [this](std::function<void()> Done) { drain(std::move(Done)); }}));
 }
 
+auto HostProcess::drainUsage(std::function<void()> Done) -> void {
+  auto Pending = std::make_shared<std::function<void()>>(std::move(Done));
+  auto Finish = [this, Pending] {
+    auto Call = std::exchange(*Pending, nullptr);
+    if (!Call)
+      return;
+    logInfo("usage.drained", {{"unconfirmed", m_Usage.unconfirmed()}});
+    Call();
+  };
+  m_Usage.flush();
+  m_Usage.drain(Finish);
+  // Without the store the counts are left to the hosts that they were handed
+  // to: the process must not outlast its grace.
+  auto Since = m_DrainSince ? m_Loop.now() - *m_DrainSince : Duration::zero();
+  auto Left =
+      m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitReserve / 2 - Since;
+  m_Loop.schedule(std::max<Duration>(Left, Duration::zero()), Finish);
+}
+
 auto HostProcess::drain(std::function<void()> Done) -> void {
   m_DrainSince = m_Loop.now();
   // Nothing is ordered or reported by a host that is about to go.
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -273,6 +273,18 @@
   CHECK(Test.runs() == Served);
 }
 
+// Found by the soak, seeds 1024 and 1039: a stop waited for the store for ever.
+TEST_CASE("host: a stop ends within the grace although the store is silent") {
+  auto Test = Platform();
+  CHECK(Test.call(Test.request("safe")).m_Status == 200);
+  Test.m_Store.m_Deaf = true;
+  Test.m_Hosts[0]->signal(SIGTERM);
+  auto Since = Test.m_Loop.now();
+  Test.waitFor("the end", [&] { return !Test.m_Hosts[0]->running(); });
+  constexpr auto Grace = Seconds(8);
+  CHECK(Test.m_Loop.now() - Since < Grace + Seconds(1));
+}
+
 TEST_CASE("host: a leaving server gets nothing after its bound") {
   auto Test = Platform(2);
   Test.registerServer(0, "draining");
