Log dropped request bytes and delays of the event loop

What was missing to tell the hypotheses on the unanswered requests apart: a connection that the host closes said nothing, and neither did a host that was busy for long. request.dropped names the bytes and why the connection was being closed, loop.delayed (and a histogram) the time in which nothing was read.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -126,6 +126,7 @@
   std::optional<StrictHttpServer> m_MetricsServer;
   std::unique_ptr<HttpHandler> m_MetricsHandler;
   std::optional<RepeatingTimer> m_TickTimer;
+  std::optional<MonotonicTime> m_LastTick;
   std::optional<RepeatingTimer> m_DrainTimer;
   std::optional<MonotonicTime> m_DrainStartedAt;
   /// Newest time at which the list of registered servers was known to be
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -30,6 +30,8 @@
   auto countAttempt(AttemptPurpose Purpose, AttemptOutcome Outcome) -> void;
   auto observeFirstByte(RequestKind Kind, Duration Value) -> void;
   auto observeCompleteResponse(RequestKind Kind, Duration Value) -> void;
+  /// Records by how much a periodic check of the event loop ran late.
+  auto observeLoopDelay(Duration Value) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto TickInterval = Milliseconds(500);
+/// Delay of the event loop from which it is logged.
+constexpr auto MinLoggedDelay = Milliseconds(100);
 constexpr auto DrainInterval = Milliseconds(100);
 /// The load balancer sends new connections until two readiness checks, one a
 /// second, have failed; the rest is for connections that are being established.
@@ -300,6 +302,13 @@
 }
 
 auto HostProcess::tick() -> void {
+  auto Now = m_Loop.now();
+  auto Delay = m_LastTick ? Now - *m_LastTick - TickInterval : Duration::zero();
+  m_LastTick = Now;
+  if (Delay >= MinLoggedDelay)
+    logWarning("loop.delayed",
+               {{"ms", toMilliseconds(Delay)}, {"active", m_Core.active()}});
+  m_Metrics.observeLoopDelay(std::max(Delay, Duration::zero()));
   // Does not wait for the next request to close a window, because the report of
   // the window depends on it.
   m_Usage.flushEndedWindow();
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -113,7 +113,7 @@
     if (m_Closed)
       return;
     if (!KeepAlive) {
-      closeAfterFlush();
+      closeAfterFlush("response");
       return;
     }
     m_WaitingSince = m_Server.m_Loop.now();
@@ -138,7 +138,7 @@
   auto closeIfIdle() -> void {
     if (!hasExchange() && !m_Lingering &&
         m_Reader.state() == RequestReader::State::Head && !m_Reader.started())
-      closeAfterFlush();
+      closeAfterFlush("idle at a graceful stop");
   }
 
   auto closeIfTimedOut(MonotonicTime Now) -> void;
@@ -150,7 +150,8 @@
   auto dispatch() -> void;
   auto refuse(unsigned Status, const std::string &Reason) -> void;
   auto flush() -> void;
-  auto closeAfterFlush() -> void;
+  /// Closes the connection once all bytes are sent. \p Reason is for the log.
+  auto closeAfterFlush(const char *Reason) -> void;
   auto startLinger() -> void;
 
   Impl &m_Server;
@@ -163,6 +164,7 @@
   bool m_CloseWhenSent = false;
   bool m_Lingering = false;
   bool m_Closed = false;
+  const char *m_CloseReason = "";
   std::optional<TimerId> m_NextRequestTimer;
   FdWatcher m_ReadWatcher;
   FdWatcher m_WriteWatcher;
@@ -297,8 +299,11 @@
     close();
     return;
   }
-  if (m_Lingering)
+  if (m_Lingering) {
+    logWarning("request.dropped", {{"bytes", static_cast<std::int64_t>(Count)},
+                                   {"reason", m_CloseReason}});
     return;
+  }
   if (!m_Reader.started())
     m_WaitingSince = m_Server.m_Loop.now();
   auto Data = std::string_view(Buffer.data(), static_cast<std::size_t>(Count));
@@ -343,7 +348,7 @@
   send(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n"
                    "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
                    Status, reasonPhrase(Status), Body.size(), Body));
-  closeAfterFlush();
+  closeAfterFlush("rejected");
 }
 
 auto StrictHttpServer::Impl::Connection::flush() -> void {
@@ -374,8 +379,10 @@
     startLinger();
 }
 
-auto StrictHttpServer::Impl::Connection::closeAfterFlush() -> void {
+auto StrictHttpServer::Impl::Connection::closeAfterFlush(const char *Reason)
+    -> void {
   m_CloseWhenSent = true;
+  m_CloseReason = Reason;
   if (unsentBytes() == 0 && !m_Lingering)
     startLinger();
 }
@@ -411,7 +418,7 @@
     return;
   }
   if (WaitTime > Limits.m_IdleTimeout)
-    closeAfterFlush();
+    closeAfterFlush("idle timeout");
 }
 
 StrictHttpServer::Impl::Impl(EventLoop &Loop, HttpHandler &Handler,
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -62,10 +62,13 @@
   m_Configuration =
       std::make_shared<const ServingConfiguration>(std::move(Configuration));
   m_Routes.emplace(*m_Configuration);
-  logInfo("config.applied", {{"revision", m_Configuration->m_Revision},
-                             {"before", Before},
-                             {"routes", m_Configuration->m_Routes.size()},
-                             {"keys", m_Configuration->m_Keys.size()}});
+  logInfo("config.applied",
+          {{"revision", m_Configuration->m_Revision},
+           {"before", Before},
+           {"routes", m_Configuration->m_Routes.size()},
+           {"keys", m_Configuration->m_Keys.size()},
+           {"idle_timeout_ms",
+            toMilliseconds(m_Configuration->m_Limits.m_IdleTimeout)}});
   m_Metrics.setConfigRevision(
       static_cast<double>(m_Configuration->m_Revision.number()));
   return true;
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -91,6 +91,12 @@
           .Name("dotterel_serving_whole_answer_seconds")
           .Help("Time to the end of a whole answer, by kind.")
           .Register(m_Registry);
+  Histogram &m_LoopDelay =
+      BuildHistogram()
+          .Name("dotterel_serving_loop_delay_seconds")
+          .Help("Delay of a periodic check of the event loop.")
+          .Register(m_Registry)
+          .Add({}, LatencyBuckets);
   Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
                           "Requests being handled.");
   Gauge &m_ConfigRevision =
@@ -138,6 +144,10 @@
       .Observe(seconds(Value));
 }
 
+auto ServingMetrics::observeLoopDelay(Duration Value) -> void {
+  m_Impl->m_LoopDelay.Observe(seconds(Value));
+}
+
 auto ServingMetrics::setActive(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
