--- /dev/null
+++ b/tests/unit-StrictHttpServer.cpp
@@ -0,0 +1,156 @@
+#include "dotterel/io/EventLoop.h"
+#include "dotterel/io/PooledHttpClient.h"
+#include "dotterel/io/StrictHttpServer.h"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace dotterel;
+
+namespace {
+
+/// Responds to each request with its path.
+class EchoHandler final : public HttpHandler {
+public:
+  auto handle(HttpExchangePtr Exchange) -> void override {
+    ++m_Requests;
+    auto Path = Exchange->request().m_Path;
+    Exchange->respond({.m_Status = 200, .m_Body = Path});
+  }
+  auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
+    return {.m_Status = 413};
+  }
+
+  int m_Requests = 0;
+};
+
+/// A server on the loopback interface, whose loop runs only when the test says
+/// so: meanwhile the process is busy.
+struct Server {
+  explicit Server(const CallerLimits &Limits = {})
+      : m_Server(m_Loop, m_Handler,
+                 {.m_Address = SocketAddress::parse("127.0.0.1:0"),
+                  .m_Limits = Limits}) {}
+
+  auto runFor(Duration Time) -> void {
+    m_Loop.schedule(Time, [this] { m_Loop.stop(); });
+    m_Loop.run();
+  }
+
+  EventLoop m_Loop;
+  EchoHandler m_Handler;
+  StrictHttpServer m_Server;
+};
+
+/// A blocking connection of a caller.
+class Caller {
+public:
+  explicit Caller(Server &Target)
+      : m_Target(Target), m_Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    auto Raw = Target.m_Server.address().raw();
+    REQUIRE(::connect(m_Fd, reinterpret_cast<const sockaddr *>(&Raw),
+                      sizeof(Raw)) == 0);
+  }
+  Caller(const Caller &) = delete;
+  auto operator=(const Caller &) -> Caller & = delete;
+  ~Caller() { ::close(m_Fd); }
+
+  auto send(const std::string &Bytes) const -> void {
+    REQUIRE(::send(m_Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(Bytes.size()));
+  }
+  auto request(const std::string &Path) const -> void {
+    send("GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  /// Runs the server for a while and returns what has arrived by then.
+  auto received() -> std::string {
+    m_Target.runFor(Milliseconds(50));
+    auto Buffer = std::array<char, 4096>();
+    auto Count = ::recv(m_Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    return {Buffer.data(), Count > 0 ? static_cast<std::size_t>(Count) : 0};
+  }
+  /// Returns whether the server has ended the connection.
+  auto ended() -> bool {
+    m_Target.runFor(Milliseconds(50));
+    auto Byte = '\0';
+    auto Count = ::recv(m_Fd, &Byte, 1, MSG_DONTWAIT);
+    return Count == 0 || (Count < 0 && errno == ECONNRESET);
+  }
+
+private:
+  Server &m_Target;
+  int m_Fd;
+};
+
+auto contains(const std::string &Text, const std::string &Part) -> bool {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a request that gets neither a response nor a refusal: it
+// arrived while the process was busy, and its connection was closed as idle
+// before the request was read.
+TEST_CASE("strict server: a request that has arrived is served though its "
+          "connection is closed as idle by a graceful stop") {
+  auto Test = Server();
+  auto Kept = Caller(Test);
+  Kept.request("/first");
+  CHECK(contains(Kept.received(), "/first"));
+  Kept.request("/second");
+  Test.m_Server.closeIdle();
+  CHECK(contains(Kept.received(), "/second"));
+  // Connections without a request are closed.
+  auto Idle = Caller(Test);
+  CHECK_FALSE(Idle.ended());
+  Test.m_Server.closeIdle();
+  CHECK(Idle.ended());
+}
+
+// The same fault, with the idle timeout: after a busy period the timeouts are
+// checked before the sockets are read.
+TEST_CASE("strict server: a request that arrived in time is served though the "
+          "idle timeout has expired before it is read") {
+  auto Test = Server({.m_IdleTimeout = Milliseconds(300)});
+  auto Kept = Caller(Test);
+  Kept.request("/first");
+  CHECK(contains(Kept.received(), "/first"));
+  Kept.request("/second");
+  std::this_thread::sleep_for(Milliseconds(600));
+  CHECK(contains(Kept.received(), "/second"));
+  Test.runFor(Milliseconds(700));
+  CHECK(Kept.ended());
+}
+
+// The same fault, with the rest of a request.
+TEST_CASE("strict server: a request whose rest arrived in time is served "
+          "though the header timeout has expired before it is read") {
+  auto Test = Server({.m_HeaderTimeout = Milliseconds(300)});
+  auto Slow = Caller(Test);
+  Slow.send("GET /slow HTTP/1.1\r\n");
+  CHECK(Slow.received().empty());
+  Slow.send("Host: h\r\n\r\n");
+  std::this_thread::sleep_for(Milliseconds(600));
+  auto Response = Slow.received();
+  CHECK(contains(Response, "200"));
+  CHECK(contains(Response, "/slow"));
+  auto Late = Caller(Test);
+  Late.send("GET /late HTTP/1.1\r\n");
+  Test.runFor(Milliseconds(700));
+  CHECK(contains(Late.received(), "408"));
+}
+
+// The same fault, with connections that the kernel has established but that
+// were not accepted yet.
+TEST_CASE("strict server: a request on a connection that waits to be accepted "
+          "is served though the server stops listening") {
+  auto Test = Server();
+  auto Waiting = Caller(Test);
+  Waiting.request("/waiting");
+  Test.m_Server.stopListening();
+  Test.m_Server.closeIdle();
+  CHECK(contains(Waiting.received(), "/waiting"));
+}
