Read a connection before it is closed as idle

Cause: whether a connection is idle was decided by what the process had read, not by what had arrived. After a busy period, such as the handling of many changes, the event loop runs timers before it reads sockets. The connection was half-closed with a request in its buffer, which was then read and dropped. The idle timeout, the header timeout and the closing of the listening socket had the same fault. Change: a connection is read before it is closed for a timeout or a stop, and waiting connections are accepted before the listening socket is closed. An idle connection is closed at once: a request that crosses is reset, and not read.

--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -65,8 +65,11 @@
   std::vector<std::unique_ptr<Connection>> m_Retired;
   std::unique_ptr<RepeatingTimer> m_SweepTimer;
 
+  /// Accepts connections that wait, up to a bound. \returns whether none is
+  /// left or no more are allowed.
+  auto accept() -> bool;
+
 private:
-  auto accept() -> void;
   auto sweep() -> void;
 };
 
@@ -135,16 +138,18 @@
     close();
   }
 
-  auto closeIfIdle() -> void {
-    if (!hasExchange() && !m_Lingering &&
-        m_Reader.state() == RequestReader::State::Head && !m_Reader.started())
-      closeAfterFlush("idle at a graceful stop");
-  }
-
+  /// Closes the connection if no request has arrived on it.
+  auto closeIfIdle(const char *Reason) -> void;
   auto closeIfTimedOut(MonotonicTime Now) -> void;
   auto close() -> void;
 
 private:
+  [[nodiscard]] auto isIdle() const -> bool {
+    return !m_Closed && !hasExchange() && !m_Lingering && !m_CloseWhenSent &&
+           m_Reader.state() == RequestReader::State::Head &&
+           !m_Reader.started();
+  }
+  [[nodiscard]] auto timedOut(MonotonicTime Now) const -> bool;
   auto readable() -> void;
   auto handleReaderState(RequestReader::State State) -> void;
   auto dispatch() -> void;
@@ -394,31 +399,54 @@
   m_ReadWatcher.enable(true);
 }
 
-auto StrictHttpServer::Impl::Connection::closeIfTimedOut(MonotonicTime Now)
+auto StrictHttpServer::Impl::Connection::closeIfIdle(const char *Reason)
     -> void {
-  if (m_Closed || hasExchange() || m_NextRequestTimer)
+  if (!isIdle())
     return;
-  auto WaitTime = Now - m_WaitingSince;
-  const auto &Limits = m_Server.m_Options.m_Limits;
-  if (m_Lingering) {
-    if (WaitTime > LingerTimeout)
-      close();
+  // A request may have arrived since the socket was last read.
+  readable();
+  if (m_Closed || !isIdle())
+    return;
+  if (unsentBytes() > 0) {
+    closeAfterFlush(Reason);
     return;
   }
+  // No response is in transit that a reset could destroy. A request that
+  // crosses the close is reset, so that its caller knows it was not read.
+  close();
+}
+
+auto StrictHttpServer::Impl::Connection::timedOut(MonotonicTime Now) const
+    -> bool {
+  auto WaitTime = Now - m_WaitingSince;
+  const auto &Limits = m_Server.m_Options.m_Limits;
+  if (m_Lingering)
+    return WaitTime > LingerTimeout;
   // A caller that does not read its response must not keep the connection open
   // indefinitely.
-  if (m_CloseWhenSent) {
-    if (WaitTime > Limits.m_IdleTimeout)
-      close();
+  if (m_CloseWhenSent)
+    return WaitTime > Limits.m_IdleTimeout;
+  return WaitTime >
+         (m_Reader.started() ? Limits.m_HeaderTimeout : Limits.m_IdleTimeout);
+}
+
+auto StrictHttpServer::Impl::Connection::closeIfTimedOut(MonotonicTime Now)
+    -> void {
+  if (m_Closed || hasExchange() || m_NextRequestTimer || !timedOut(Now))
+    return;
+  if (m_Lingering || m_CloseWhenSent) {
+    close();
     return;
   }
-  if (m_Reader.started()) {
-    if (WaitTime > Limits.m_HeaderTimeout)
-      refuse(408, "the request did not come in time");
+  if (!m_Reader.started()) {
+    closeIfIdle("idle timeout");
     return;
   }
-  if (WaitTime > Limits.m_IdleTimeout)
-    closeAfterFlush("idle timeout");
+  // The rest of the request may have arrived since the socket was last read.
+  readable();
+  if (!m_Closed && !hasExchange() && !m_Lingering && m_Reader.started() &&
+      timedOut(Now))
+    refuse(408, "the request did not come in time");
 }
 
 StrictHttpServer::Impl::Impl(EventLoop &Loop, HttpHandler &Handler,
@@ -433,21 +461,22 @@
 
 StrictHttpServer::Impl::~Impl() = default;
 
-auto StrictHttpServer::Impl::accept() -> void {
+auto StrictHttpServer::Impl::accept() -> bool {
   for (auto Index = 0; Index < MaxAcceptsPerEvent; ++Index) {
     if (m_Connections.size() >= m_Options.m_MaxConnections) {
       m_Watcher->enable(false);
-      return;
+      return true;
     }
     auto Peer = Socket(::accept4(m_Listener.fd(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (Peer.fd() < 0)
-      return;
+      return true;
     Peer.setTcpOptions();
     auto Created = std::make_unique<Connection>(*this, std::move(Peer));
     auto *Key = Created.get();
     m_Connections.emplace(Key, std::move(Created));
   }
+  return false;
 }
 
 auto StrictHttpServer::Impl::sweep() -> void {
@@ -495,10 +524,15 @@
   for (auto &[Key, Current] : m_Impl->m_Connections)
     Targets.push_back(Key);
   for (auto *Target : Targets)
-    Target->closeIfIdle();
+    Target->closeIfIdle("idle at a graceful stop");
 }
 
 auto StrictHttpServer::stopListening() -> void {
+  if (m_Impl->m_Listener.fd() < 0)
+    return;
+  // Connections that are established but not accepted may hold requests.
+  while (!m_Impl->accept()) {
+  }
   m_Impl->m_Watcher->enable(false);
   m_Impl->m_Listener = Socket();
 }
