Handle ready sockets before expired timers

What callers saw: a response that a server had sent in time was replaced by a failure when the host had been busy, or had not run, beyond the deadline. Change: descriptors have a higher priority than timers, and a call is read once more before it times out. Elsewhere: the liveness of hosts and the age of confirmations are judged by timers too; their datagrams are now read first.

--- a/include/dotterel/io/EventLoop.h
+++ b/include/dotterel/io/EventLoop.h
@@ -66,7 +66,8 @@
   std::function<void()> m_OnReload;
 };
 
-/// Watches one file descriptor during its own lifetime.
+/// Watches one file descriptor during its own lifetime. In each iteration of the
+/// loop, descriptors that are ready are handled before expired timers.
 class FdWatcher {
 public:
   /// Starts to watch \p Fd for \p Events (EV_READ, EV_WRITE) and calls
--- a/src/io/EventLoop.cpp
+++ b/src/io/EventLoop.cpp
@@ -126,6 +126,10 @@
       },
       Fd, Events);
   m_Watcher.data = this;
+  // By default libev runs expired timers before the descriptors that became
+  // ready with them. A timeout must not expire while the bytes it waits for lie
+  // in the socket.
+  ev_set_priority(&m_Watcher, EV_MAXPRI);
   ev_io_start(m_Loop.raw(), &m_Watcher);
 }
 
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -197,6 +197,12 @@
 }
 
 auto PooledConnection::onTimeout() -> void {
+  // The response may have arrived since the socket was last read.
+  auto Id = m_Id;
+  if (m_Connected)
+    readable();
+  if (m_Closed || !m_Call || m_Id != Id)
+    return;
   finish(m_SentBytes > 0 ? HttpOutcome::TimedOut : HttpOutcome::NotSent,
          m_Connected ? "no answer in time" : "no connection in time");
 }
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -85,6 +85,43 @@
   int m_Fd;
 };
 
+/// Responds once to whatever arrives on its only connection.
+class OneResponseServer {
+public:
+  OneResponseServer() : m_Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    auto Address = SocketAddress::parse("127.0.0.1:0").raw();
+    auto Size = socklen_t{sizeof(Address)};
+    auto *Raw = reinterpret_cast<sockaddr *>(&Address);
+    REQUIRE(::bind(m_Listener, Raw, Size) == 0);
+    REQUIRE(::listen(m_Listener, 1) == 0);
+    REQUIRE(::getsockname(m_Listener, Raw, &Size) == 0);
+    m_Port = ntohs(Address.sin_port);
+  }
+  OneResponseServer(const OneResponseServer &) = delete;
+  auto operator=(const OneResponseServer &) -> OneResponseServer & = delete;
+  ~OneResponseServer() {
+    ::close(m_Listener);
+    ::close(m_Peer);
+  }
+
+  /// Waits for a connection and its request, and responds.
+  auto respond(const std::string &Bytes) -> void {
+    m_Peer = ::accept(m_Listener, nullptr, nullptr);
+    auto Buffer = std::array<char, 4096>();
+    REQUIRE(::recv(m_Peer, Buffer.data(), Buffer.size(), 0) > 0);
+    REQUIRE(::send(m_Peer, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(Bytes.size()));
+  }
+  [[nodiscard]] auto url() const -> std::string {
+    return "http://127.0.0.1:" + std::to_string(m_Port) + "/";
+  }
+
+private:
+  int m_Listener;
+  int m_Peer = -1;
+  unsigned m_Port = 0;
+};
+
 auto contains(const std::string &Text, const std::string &Part) -> bool {
   return Text.find(Part) != std::string::npos;
 }
@@ -154,3 +191,36 @@
   Test.m_Server.closeIdle();
   CHECK(contains(Waiting.received(), "/waiting"));
 }
+
+// The same fault on the other side: a response that has arrived is lost if the
+// deadline of its call, or a timer that cancels the call, expires before the
+// response is read.
+TEST_CASE("event loop: a response that arrived in time is delivered though the "
+          "loop was busy beyond the deadline of its call") {
+  auto Loop = EventLoop();
+  auto Client = makePooledHttpClient(Loop, {});
+  auto Server = OneResponseServer();
+  auto Result = HttpCallResult();
+  auto Call = HttpCallId();
+  auto Cancelled = false;
+  Call = Client->start({.m_Url = Server.url(),
+                        .m_Timeout = Milliseconds(200),
+                        .m_OnDone = [&](HttpCallResult Ended) {
+                          Result = std::move(Ended);
+                          Loop.stop();
+                        }});
+  // The time after which the owner of the call gives up.
+  Loop.schedule(Milliseconds(250), [&] {
+    Cancelled = Result.m_Outcome != HttpOutcome::Complete;
+    Client->cancel(Call);
+    Loop.stop();
+  });
+  Loop.schedule(Milliseconds(100), [&Server] {
+    Server.respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    std::this_thread::sleep_for(Milliseconds(400));
+  });
+  Loop.run();
+  CHECK_FALSE(Cancelled);
+  CHECK(Result.m_Outcome == HttpOutcome::Complete);
+  CHECK(Result.m_Body == "ok");
+}
