Wait at a stop until responses have been sent

What callers see: a response is cut when the host stops while a part of it is still in the host's buffer, because the caller or its link is slow. Cause: a connection counted as busy until its response was handed to the connection, not until it was sent; the process exits 0.1 s after the last busy one. Test: 'strict server: a connection is busy until its response has been sent' failed before (0 busy connections with 32 MiB unsent).

--- a/include/dotterel/io/StrictHttpServer.h
+++ b/include/dotterel/io/StrictHttpServer.h
@@ -60,8 +60,8 @@
   /// Closes the listening socket. Open connections stay open.
   auto stopListening() -> void;
 
-  /// Returns the number of connections with a complete or partial request that
-  /// has no complete response yet.
+  /// Returns the number of connections with a complete or partial request whose
+  /// response has not been sent completely.
   [[nodiscard]] auto busyConnections() const -> std::size_t;
 
   class Impl;
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -94,7 +94,7 @@
   }
   /// Returns whether a request is being read, handled or responded to.
   [[nodiscard]] auto hasRequest() const -> bool {
-    return hasExchange() ||
+    return hasExchange() || unsentBytes() > 0 ||
            (!m_Lingering && (m_NextRequestTimer || m_Reader.started()));
   }
   [[nodiscard]] auto unsentBytes() const -> std::size_t {
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -12,19 +12,21 @@
 
 namespace {
 
-/// Responds to each request with its path.
+/// More than the buffers of a loopback connection hold.
+constexpr auto LargeBodyBytes = std::size_t{32} << 20U;
+
+/// Responds to each request with its path, and to /large with a large body.
 class EchoHandler final : public HttpHandler {
 public:
   auto handle(HttpExchangePtr Exchange) -> void override {
-    ++m_Requests;
-    auto Path = Exchange->request().m_Path;
-    Exchange->respond({.m_Status = 200, .m_Body = Path});
+    auto Body = Exchange->request().m_Path;
+    if (Body == "/large")
+      Body.assign(LargeBodyBytes, 'x');
+    Exchange->respond({.m_Status = 200, .m_Body = std::move(Body)});
   }
   auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
     return {.m_Status = 413};
   }
-
-  int m_Requests = 0;
 };
 
 /// A server on the loopback interface, whose loop runs only when the test says
@@ -68,9 +70,14 @@
   /// Runs the server for a while and returns what has arrived by then.
   auto received() -> std::string {
     m_Target.runFor(Milliseconds(50));
-    auto Buffer = std::array<char, 4096>();
-    auto Count = ::recv(m_Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
-    return {Buffer.data(), Count > 0 ? static_cast<std::size_t>(Count) : 0};
+    auto Text = std::string();
+    auto Buffer = std::array<char, 65536>();
+    while (true) {
+      auto Count = ::recv(m_Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+      if (Count <= 0)
+        return Text;
+      Text.append(Buffer.data(), static_cast<std::size_t>(Count));
+    }
   }
   /// Returns whether the server has ended the connection.
   auto ended() -> bool {
@@ -192,6 +199,25 @@
   CHECK(contains(Waiting.received(), "/waiting"));
 }
 
+// Guards against a process that exits although a part of a response is still in
+// its buffer.
+TEST_CASE("strict server: a connection is busy until its response has been "
+          "sent") {
+  auto Test = Server();
+  auto Slow = Caller(Test);
+  Slow.request("/large");
+  Test.runFor(Milliseconds(50));
+  CHECK(Test.m_Server.busyConnections() == 1);
+  auto Bytes = std::size_t{0};
+  while (Bytes < LargeBodyBytes) {
+    auto Part = Slow.received().size();
+    REQUIRE(Part > 0);
+    Bytes += Part;
+  }
+  Test.runFor(Milliseconds(50));
+  CHECK(Test.m_Server.busyConnections() == 0);
+}
+
 // The same fault on the other side: a response that has arrived is lost if the
 // deadline of its call, or a timer that cancels the call, expires before the
 // response is read.
