--- a/include/dotterel/poison/CrashRegistry.h
+++ b/include/dotterel/poison/CrashRegistry.h
@@ -1,8 +1,9 @@
 //===- CrashRegistry.h - Requests that crash backend servers ----*- C++ -*-===//
 ///
 /// \file
-/// Counts, by request digest, the backend servers that were lost while they
-/// ran a request, and limits how many servers one request can crash.
+/// Counts the backend servers that were lost while they ran a request, by the
+/// digests of its content and of its prompt's parts, and limits how many
+/// servers one request or one part can crash.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef DOTTEREL_POISON_CRASHREGISTRY_H
@@ -14,11 +15,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace dotterel {
 
+/// Digest of what requests have in common: the content of a request, or one
+/// part of its prompt.
 using RequestDigest = NumberId<struct RequestDigestTag>;
 
 /// Returns the digest of a request's content, which is the same when the
@@ -26,10 +30,22 @@
 auto digestRequest(const ModelId &Model, const std::string &Body)
     -> RequestDigest;
 
+/// Returns the digest of a part of prompts, by the part's id.
+auto digestPromptPart(const ModelId &Model, const std::string &PartId)
+    -> RequestDigest;
+
+/// A loss of a backend server, relative to the time of the report.
+struct LossAges {
+  Duration m_SinceSent{}; ///< Since the request was sent to the server.
+  Duration m_SinceLost{}; ///< Since the server was lost.
+
+  auto operator==(const LossAges &) const -> bool = default;
+};
+
 /// Evidence about one digest, as exchanged between processes.
 struct CrashReport {
   RequestDigest m_Digest;
-  std::set<BackendId> m_Backends;
+  std::map<BackendId, LossAges> m_Losses;
   std::uint64_t m_Releases = 0; ///< Total, by operators and successes.
   bool m_LostAlone = false;     ///< A server was lost that ran only this.
 };
@@ -38,62 +54,95 @@
 struct RunningRequest {
   RequestDigest m_Digest;
   bool m_Alone = false; ///< No other request ran on the server.
+  /// When it was sent to the server; if empty, just before the loss.
+  std::optional<MonotonicTime> m_SentAt;
 };
 
 enum class CrashVerdict : std::uint8_t {
   Clear,       ///< May run together with others.
   Suspect,     ///< Runs alone on its server, one at a time.
-  Quarantined, ///< Is refused until an operator releases it.
+  Quarantined, ///< Is refused until it is released or the evidence expires.
 };
 
 struct CrashRegistryOptions {
-  /// Number of lost servers from which a digest is quarantined, if it ran alone
-  /// on at least one of them.
+  /// Number of consecutive losses from which a digest is quarantined, if it ran
+  /// alone on at least one of the servers.
   std::size_t m_QuarantineLossesAlone = 2;
-  /// Number of lost servers from which a digest is quarantined if it never ran
-  /// alone. This limit is higher, since a prompt that many callers send is
-  /// running on every server, and so on each one that is lost.
+  /// Number of consecutive losses from which a digest is quarantined if it
+  /// never ran alone. This limit is higher, since a prompt that many callers
+  /// send is running on every server, and so on each one that is lost.
   std::size_t m_QuarantineLossesShared = 4;
   /// Losses in one data centre within this time can count as one reclaim of the
   /// zone, which is no evidence against the requests that were running.
   Duration m_ReclaimWindow = Seconds(5);
   /// Number of servers lost in one data centre within m_ReclaimWindow from
-  /// which the losses count as a reclaim.
+  /// which the losses count as a reclaim. 0: no losses do.
   std::size_t m_MinReclaimedServers = 3;
+  /// Whether a success also releases a quarantined digest. Only sound if
+  /// requests with a crashing digest never run to completion.
+  bool m_SuccessReleasesQuarantine = false;
+  /// Age from which a loss is no evidence any more; empty: evidence is kept
+  /// until it is released.
+  std::optional<Duration> m_EvidenceLifetime;
+  /// Maximum number of digests with evidence. Beyond it, the one whose newest
+  /// loss is oldest is dropped, quarantined ones last.
+  std::size_t m_MaxDigests = 4096;
 };
 
-/// Stores the evidence for each request digest.
+/// Stores the evidence for each digest.
+///
+/// Losses are consecutive if the request of each was sent after the previous
+/// loss. Only these count: the requests that run when several servers are lost
+/// at once, for example with their data centre, did not cause all the losses.
 ///
 /// \invariant Evidence with a higher release count replaces all evidence with a
-/// lower one. Within one release count evidence is only added, so that merges
-/// commute.
+/// lower one. Within one release count losses are only added and their times
+/// only decrease, so that merges commute.
 class CrashRegistry {
 public:
   explicit CrashRegistry(const CrashRegistryOptions &Options)
       : m_Options(Options) {}
 
-  /// Records that \p Backend was lost while it ran the requests \p Running.
-  /// Each of them becomes at least suspect, unless the loss is part of a
-  /// reclaim.
+  /// Records that \p Backend was lost at \p LostAt while it ran the requests
+  /// \p Running. Each of them becomes at least suspect, unless it was sent
+  /// later than that or the loss is part of a reclaim.
   auto recordLoss(const BackendId &Backend, const DataCentreId &DataCentre,
-                  const std::vector<RunningRequest> &Running, MonotonicTime Now)
-      -> void;
+                  const std::vector<RunningRequest> &Running,
+                  MonotonicTime LostAt) -> void;
 
-  /// Complexity: logarithmic.
+  /// Complexity: logarithmic in the digests, linear in the losses of this one.
   [[nodiscard]] auto verdict(RequestDigest Digest) const -> CrashVerdict;
 
   /// Records that a request ran to completion. This clears a suspect digest,
-  /// but not a quarantined one.
-  auto recordSuccess(RequestDigest Digest) -> void;
+  /// and a quarantined one if the options say so. Returns whether it did.
+  auto recordSuccess(RequestDigest Digest) -> bool;
 
   /// Clears a digest by increasing its release count, which also clears it in
   /// the other processes once they have merged this one's report.
   auto release(RequestDigest Digest) -> void;
 
-  auto merge(const CrashReport &Report) -> void;
-  [[nodiscard]] auto reports() const -> std::vector<CrashReport>;
+  /// Adds the evidence that another process reported at \p Now.
+  auto merge(const CrashReport &Report, MonotonicTime Now) -> void;
+  [[nodiscard]] auto reports(MonotonicTime Now) const
+      -> std::vector<CrashReport>;
+  /// Returns the report on one digest, or nothing if there is no evidence and
+  /// no release of it.
+  [[nodiscard]] auto report(RequestDigest Digest, MonotonicTime Now) const
+      -> std::optional<CrashReport>;
+
+  /// Removes the losses that are no evidence any more at \p Now.
+  auto expire(MonotonicTime Now) -> void;
 
 private:
+  struct LossTimes {
+    MonotonicTime m_SentAt;
+    MonotonicTime m_LostAt;
+  };
+  struct Evidence {
+    std::map<BackendId, LossTimes> m_Losses;
+    std::uint64_t m_Releases = 0;
+    bool m_LostAlone = false;
+  };
   struct Loss {
     BackendId m_Backend;
     DataCentreId m_DataCentre;
@@ -103,9 +152,14 @@
 
   /// Discards the evidence of recent losses if together they form a reclaim.
   auto discardReclaimEvidence(const DataCentreId &DataCentre) -> void;
+  [[nodiscard]] auto verdict(const Evidence &Item) const -> CrashVerdict;
+  [[nodiscard]] static auto makeReport(RequestDigest Digest,
+                                       const Evidence &Known, MonotonicTime Now)
+      -> CrashReport;
+  auto limitDigests() -> void;
 
   CrashRegistryOptions m_Options;
-  std::map<RequestDigest, CrashReport> m_Reports;
+  std::map<RequestDigest, Evidence> m_Evidence;
   std::vector<Loss> m_RecentLosses;
 };
 
--- a/schema/Peer.capnp
+++ b/schema/Peer.capnp
@@ -34,6 +34,8 @@
   backends @1 :List(Text);
   released @2 :UInt64;  # number of known releases
   lostAlone @3 :Bool;   # a server was lost while it ran only this request
+  msSinceSent @4 :List(UInt32);  # for each server, since the request was sent to it
+  msSinceLost @5 :List(UInt32);  # for each server, since it was lost
 }
 
 struct View {
--- a/schema/Peer.capnp.h
+++ b/schema/Peer.capnp.h
@@ -86,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0419c4cf6a07929, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e0419c4cf6a07929, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,6 +571,12 @@
 
   inline bool getLostAlone() const;
 
+  inline bool hasMsSinceSent() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceSent() const;
+
+  inline bool hasMsSinceLost() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceLost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -616,6 +622,22 @@
   inline bool getLostAlone();
   inline void setLostAlone(bool value);
 
+  inline bool hasMsSinceSent();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceSent();
+  inline void setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceSent(unsigned int size);
+  inline void adoptMsSinceSent(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceSent();
+
+  inline bool hasMsSinceLost();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceLost();
+  inline void setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceLost(unsigned int size);
+  inline void adoptMsSinceLost(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceLost();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2652,6 +2674,82 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReport::Reader::hasMsSinceSent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasMsSinceSent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getMsSinceSent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getMsSinceSent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initMsSinceSent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptMsSinceSent(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownMsSinceSent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasMsSinceLost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasMsSinceLost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getMsSinceLost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getMsSinceLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initMsSinceLost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptMsSinceLost(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownMsSinceLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool View::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gate/AdminHandler.cpp
+++ b/src/gate/AdminHandler.cpp
@@ -350,7 +350,8 @@
     Backends.push_back(std::move(Item));
   }
   auto Quarantined = Json::array();
-  for (const auto &Report : m_Services.m_Crashes.reports())
+  for (const auto &Report :
+       m_Services.m_Crashes.reports(m_Services.m_Scheduler.now()))
     if (m_Services.m_Crashes.verdict(Report.m_Digest) ==
         CrashVerdict::Quarantined)
       Quarantined.push_back(fmt::format("{:016x}", Report.m_Digest.number()));
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -83,7 +83,7 @@
   m_Members.self().m_ConfigRevision = m_Configuration.revision();
   m_Members.self().m_StoreLost = m_Freshness.storeLost(Now);
   auto View = PeerView{.m_Members = m_Members.view(m_Random, Now),
-                       .m_Crashes = m_Crashes.reports(),
+                       .m_Crashes = m_Crashes.reports(Now),
                        .m_ConfirmationAge = m_Freshness.age(Now)};
   if (m_LeavingBackendsSource)
     View.m_LeavingBackends = m_LeavingBackendsSource();
@@ -152,7 +152,7 @@
   for (const auto &Record : View.m_Members)
     m_Members.merge(Record, Now);
   for (const auto &Report : View.m_Crashes)
-    m_Crashes.merge(Report);
+    m_Crashes.merge(Report, Now);
   if (m_OnLeavingBackends)
     m_OnLeavingBackends(View.m_LeavingBackends);
 }
--- a/src/poison/CrashRegistry.cpp
+++ b/src/poison/CrashRegistry.cpp
@@ -1,34 +1,58 @@
 #include "dotterel/poison/CrashRegistry.h"
 
 #include <algorithm>
+#include <set>
 #include <xxhash.h>
 
 namespace dotterel {
 
+namespace {
+
+auto digestText(std::string_view Text, std::uint64_t Seed) -> std::uint64_t {
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Seed);
+}
+
+} // namespace
+
 auto digestRequest(const ModelId &Model, const std::string &Body)
     -> RequestDigest {
-  auto Seed = XXH3_64bits(Model.text().data(), Model.text().size());
-  return RequestDigest{XXH3_64bits_withSeed(Body.data(), Body.size(), Seed)};
+  return RequestDigest{digestText(Body, digestText(Model.text(), 0))};
+}
+
+auto digestPromptPart(const ModelId &Model, const std::string &PartId)
+    -> RequestDigest {
+  // A different seed, so that a part whose id equals a request's body has
+  // another digest.
+  constexpr auto PartSeed = 1U;
+  return RequestDigest{digestText(PartId, digestText(Model.text(), PartSeed))};
 }
 
 auto CrashRegistry::recordLoss(const BackendId &Backend,
                                const DataCentreId &DataCentre,
                                const std::vector<RunningRequest> &Running,
-                               MonotonicTime Now) -> void {
+                               MonotonicTime LostAt) -> void {
   std::erase_if(m_RecentLosses, [&](const Loss &OldLoss) {
-    return Now - OldLoss.m_Time > m_Options.m_ReclaimWindow;
+    return LostAt - OldLoss.m_Time > m_Options.m_ReclaimWindow;
   });
   m_RecentLosses.push_back({.m_Backend = Backend,
                             .m_DataCentre = DataCentre,
-                            .m_Time = Now,
+                            .m_Time = LostAt,
                             .m_Running = Running});
   for (const auto &Item : Running) {
-    auto &Report = m_Reports[Item.m_Digest];
-    Report.m_Digest = Item.m_Digest;
-    Report.m_Backends.insert(Backend);
-    Report.m_LostAlone = Report.m_LostAlone || Item.m_Alone;
+    auto SentAt = Item.m_SentAt.value_or(LostAt);
+    if (SentAt > LostAt)
+      continue;
+    auto &Known = m_Evidence[Item.m_Digest];
+    auto Times = LossTimes{.m_SentAt = SentAt, .m_LostAt = LostAt};
+    auto [Entry, Added] = Known.m_Losses.emplace(Backend, Times);
+    if (!Added) {
+      Entry->second.m_SentAt = std::min(Entry->second.m_SentAt, SentAt);
+      Entry->second.m_LostAt = std::min(Entry->second.m_LostAt, LostAt);
+    }
+    Known.m_LostAlone = Known.m_LostAlone || Item.m_Alone;
   }
   discardReclaimEvidence(DataCentre);
+  limitDigests();
 }
 
 auto CrashRegistry::discardReclaimEvidence(const DataCentreId &DataCentre)
@@ -37,65 +61,145 @@
   for (const auto &Entry : m_RecentLosses)
     if (Entry.m_DataCentre == DataCentre)
       LostServers.insert(Entry.m_Backend);
-  if (LostServers.size() < m_Options.m_MinReclaimedServers)
+  if (m_Options.m_MinReclaimedServers == 0 ||
+      LostServers.size() < m_Options.m_MinReclaimedServers)
     return;
   for (const auto &Entry : m_RecentLosses) {
     if (Entry.m_DataCentre != DataCentre)
       continue;
-    for (const auto &[Digest, Alone] : Entry.m_Running) {
-      auto Found = m_Reports.find(Digest);
+    for (const auto &Item : Entry.m_Running) {
+      auto Found = m_Evidence.find(Item.m_Digest);
       // A quarantined digest was running on servers that were lost one after
       // another, so a later reclaim does not clear it.
-      if (Found == m_Reports.end() ||
-          verdict(Digest) == CrashVerdict::Quarantined)
+      if (Found == m_Evidence.end() ||
+          verdict(Found->second) == CrashVerdict::Quarantined)
         continue;
-      Found->second.m_Backends.erase(Entry.m_Backend);
+      Found->second.m_Losses.erase(Entry.m_Backend);
     }
   }
 }
 
+auto CrashRegistry::limitDigests() -> void {
+  while (m_Evidence.size() > m_Options.m_MaxDigests) {
+    auto Rank = [this](const auto &Item) {
+      auto Newest = MonotonicTime();
+      for (const auto &[Backend, Times] : Item.second.m_Losses)
+        Newest = std::max(Newest, Times.m_LostAt);
+      return std::pair(verdict(Item.second) == CrashVerdict::Quarantined,
+                       Newest);
+    };
+    m_Evidence.erase(std::min_element(m_Evidence.begin(), m_Evidence.end(),
+                                      [&](const auto &Left, const auto &Right) {
+                                        return Rank(Left) < Rank(Right);
+                                      }));
+  }
+}
+
 auto CrashRegistry::verdict(RequestDigest Digest) const -> CrashVerdict {
-  auto Found = m_Reports.find(Digest);
-  if (Found == m_Reports.end() || Found->second.m_Backends.empty())
+  auto Found = m_Evidence.find(Digest);
+  return Found == m_Evidence.end() ? CrashVerdict::Clear
+                                   : verdict(Found->second);
+}
+
+auto CrashRegistry::verdict(const Evidence &Item) const -> CrashVerdict {
+  if (Item.m_Losses.empty())
     return CrashVerdict::Clear;
-  const auto &Report = Found->second;
-  auto Limit = Report.m_LostAlone ? m_Options.m_QuarantineLossesAlone
-                                  : m_Options.m_QuarantineLossesShared;
-  return Report.m_Backends.size() >= Limit ? CrashVerdict::Quarantined
-                                           : CrashVerdict::Suspect;
+  // The earliest loss first, so that the number of consecutive losses is the
+  // largest possible.
+  auto Losses = std::vector<LossTimes>();
+  for (const auto &[Backend, Times] : Item.m_Losses)
+    Losses.push_back(Times);
+  std::sort(Losses.begin(), Losses.end(),
+            [](const LossTimes &Left, const LossTimes &Right) {
+              return Left.m_LostAt < Right.m_LostAt;
+            });
+  auto Consecutive = std::size_t{0};
+  auto LastLoss = MonotonicTime::min();
+  for (const auto &Times : Losses) {
+    if (Times.m_SentAt < LastLoss)
+      continue;
+    ++Consecutive;
+    LastLoss = Times.m_LostAt;
+  }
+  auto Limit = Item.m_LostAlone ? m_Options.m_QuarantineLossesAlone
+                                : m_Options.m_QuarantineLossesShared;
+  return Consecutive >= Limit ? CrashVerdict::Quarantined
+                              : CrashVerdict::Suspect;
 }
 
-auto CrashRegistry::recordSuccess(RequestDigest Digest) -> void {
-  if (verdict(Digest) == CrashVerdict::Suspect)
-    release(Digest);
+auto CrashRegistry::recordSuccess(RequestDigest Digest) -> bool {
+  auto Current = verdict(Digest);
+  if (Current == CrashVerdict::Clear ||
+      (Current == CrashVerdict::Quarantined &&
+       !m_Options.m_SuccessReleasesQuarantine))
+    return false;
+  release(Digest);
+  return true;
 }
 
 auto CrashRegistry::release(RequestDigest Digest) -> void {
-  auto &Report = m_Reports[Digest];
-  Report.m_Digest = Digest;
-  Report.m_Backends.clear();
-  Report.m_LostAlone = false;
-  ++Report.m_Releases;
+  auto &Known = m_Evidence[Digest];
+  Known.m_Losses.clear();
+  Known.m_LostAlone = false;
+  ++Known.m_Releases;
 }
 
-auto CrashRegistry::merge(const CrashReport &Report) -> void {
-  auto &Own = m_Reports[Report.m_Digest];
-  Own.m_Digest = Report.m_Digest;
-  if (Report.m_Releases > Own.m_Releases) {
-    Own = Report;
-    return;
-  }
+auto CrashRegistry::merge(const CrashReport &Report, MonotonicTime Now)
+    -> void {
+  auto &Own = m_Evidence[Report.m_Digest];
   if (Report.m_Releases < Own.m_Releases)
     return;
-  Own.m_Backends.insert(Report.m_Backends.begin(), Report.m_Backends.end());
+  if (Report.m_Releases > Own.m_Releases)
+    Own = Evidence{.m_Releases = Report.m_Releases};
+  for (const auto &[Backend, Ages] : Report.m_Losses) {
+    auto Times = LossTimes{.m_SentAt = Now - Ages.m_SinceSent,
+                           .m_LostAt = Now - Ages.m_SinceLost};
+    auto [Entry, Added] = Own.m_Losses.emplace(Backend, Times);
+    if (Added)
+      continue;
+    Entry->second.m_SentAt = std::min(Entry->second.m_SentAt, Times.m_SentAt);
+    Entry->second.m_LostAt = std::min(Entry->second.m_LostAt, Times.m_LostAt);
+  }
   Own.m_LostAlone = Own.m_LostAlone || Report.m_LostAlone;
+  expire(Now);
+  limitDigests();
 }
 
-auto CrashRegistry::reports() const -> std::vector<CrashReport> {
+auto CrashRegistry::makeReport(RequestDigest Digest, const Evidence &Known,
+                               MonotonicTime Now) -> CrashReport {
+  auto Report = CrashReport{.m_Digest = Digest,
+                            .m_Releases = Known.m_Releases,
+                            .m_LostAlone = Known.m_LostAlone};
+  for (const auto &[Backend, Times] : Known.m_Losses)
+    Report.m_Losses.emplace(Backend,
+                            LossAges{.m_SinceSent = Now - Times.m_SentAt,
+                                     .m_SinceLost = Now - Times.m_LostAt});
+  return Report;
+}
+
+auto CrashRegistry::reports(MonotonicTime Now) const
+    -> std::vector<CrashReport> {
   auto Result = std::vector<CrashReport>();
-  for (const auto &[Digest, Report] : m_Reports)
-    Result.push_back(Report);
+  for (const auto &[Digest, Known] : m_Evidence)
+    Result.push_back(makeReport(Digest, Known, Now));
   return Result;
 }
 
+auto CrashRegistry::report(RequestDigest Digest, MonotonicTime Now) const
+    -> std::optional<CrashReport> {
+  auto Found = m_Evidence.find(Digest);
+  if (Found == m_Evidence.end())
+    return std::nullopt;
+  return makeReport(Digest, Found->second, Now);
+}
+
+auto CrashRegistry::expire(MonotonicTime Now) -> void {
+  if (!m_Options.m_EvidenceLifetime)
+    return;
+  for (auto &[Digest, Known] : m_Evidence)
+    std::erase_if(Known.m_Losses, [&](const auto &Item) {
+      return Now - Item.second.m_LostAt > *m_Options.m_EvidenceLifetime;
+    });
+}
+
 } // namespace dotterel
--- a/src/rpc/detail/PeerCodec.cpp
+++ b/src/rpc/detail/PeerCodec.cpp
@@ -65,6 +65,13 @@
   return Age == NoConfirmation ? Duration::max() : Duration(Milliseconds(Age));
 }
 
+/// Rounds down: a receiver keeps the earliest time of a loss, and must not see
+/// it become earlier with each exchange.
+auto encodeLossAge(Duration Age) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      toMilliseconds(Age), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 template <typename Builder>
 auto encodeResponse(const RecordedResponse &Value, Builder &Target) -> void {
   Target.setStatus(static_cast<std::uint16_t>(Value.m_Status));
@@ -98,10 +105,15 @@
     Crash.setDigest(Item.m_Digest.number());
     Crash.setReleased(Item.m_Releases);
     Crash.setLostAlone(Item.m_LostAlone);
-    auto Backends = Crash.initBackends(Item.m_Backends.size());
+    auto Backends = Crash.initBackends(Item.m_Losses.size());
+    auto SinceSent = Crash.initMsSinceSent(Item.m_Losses.size());
+    auto SinceLost = Crash.initMsSinceLost(Item.m_Losses.size());
     auto Inner = 0U;
-    for (const auto &Backend : Item.m_Backends)
+    for (const auto &[Backend, Ages] : Item.m_Losses) {
+      SinceSent.set(Inner, encodeLossAge(Ages.m_SinceSent));
+      SinceLost.set(Inner, encodeLossAge(Ages.m_SinceLost));
       Backends.set(Inner++, Backend.text());
+    }
   }
   Target.setEvidenceAgeMs(encodeAge(Value.m_ConfirmationAge));
   auto Leaving = Target.initLeavingBackends(Value.m_LeavingBackends.size());
@@ -118,8 +130,18 @@
     auto Report = CrashReport{.m_Digest = RequestDigest{Item.getDigest()},
                               .m_Releases = Item.getReleased(),
                               .m_LostAlone = Item.getLostAlone()};
-    for (auto Backend : Item.getBackends())
-      Report.m_Backends.insert(BackendId{text(Backend)});
+    auto SinceSent = Item.getMsSinceSent();
+    auto SinceLost = Item.getMsSinceLost();
+    auto Inner = 0U;
+    for (auto Backend : Item.getBackends()) {
+      // Processes of an earlier version send no ages.
+      auto Ages = Inner < SinceSent.size() && Inner < SinceLost.size()
+                      ? LossAges{.m_SinceSent = Milliseconds(SinceSent[Inner]),
+                                 .m_SinceLost = Milliseconds(SinceLost[Inner])}
+                      : LossAges{};
+      Report.m_Losses.emplace(BackendId{text(Backend)}, Ages);
+      ++Inner;
+    }
     Value.m_Crashes.push_back(std::move(Report));
   }
   Value.m_ConfirmationAge = decodeAge(Source.getEvidenceAgeMs());
--- a/tests/unit-CrashRegistry.cpp
+++ b/tests/unit-CrashRegistry.cpp
@@ -78,17 +78,111 @@
   auto B = CrashRegistry({});
   A.recordLoss(server(1), DataCentreId{"a"}, {{CrashingRequest}}, at(0));
   B.recordLoss(server(2), DataCentreId{"b"}, {{CrashingRequest, true}}, at(0));
-  auto Old = A.reports();
-  for (const auto &Report : B.reports())
-    A.merge(Report);
+  auto Old = A.reports(at(0));
+  for (const auto &Report : B.reports(at(0)))
+    A.merge(Report, at(0));
   for (const auto &Report : Old)
-    B.merge(Report);
+    B.merge(Report, at(0));
   CHECK(A.verdict(CrashingRequest) == CrashVerdict::Quarantined);
   CHECK(B.verdict(CrashingRequest) == CrashVerdict::Quarantined);
   A.release(CrashingRequest);
-  for (const auto &Report : A.reports())
-    B.merge(Report);
+  for (const auto &Report : A.reports(at(0)))
+    B.merge(Report, at(0));
   for (const auto &Report : Old)
-    B.merge(Report);
+    B.merge(Report, at(0));
   CHECK(B.verdict(CrashingRequest) == CrashVerdict::Clear);
 }
+
+// Guards against blaming requests for the loss of several servers at once:
+// those that ran there were sent before the first loss and caused none of the
+// others.
+TEST_CASE("CrashRegistry: concurrent losses count once, and a loss counts only "
+          "if the request was sent after the previous one") {
+  auto Registry = CrashRegistry(
+      {.m_QuarantineLossesShared = 3, .m_MinReclaimedServers = 0});
+  for (auto Number = 0; Number < 6; ++Number)
+    Registry.recordLoss(server(Number), DataCentreId{"a"},
+                        {{.m_Digest = OtherRequest, .m_SentAt = at(0)},
+                         {.m_Digest = CrashingRequest, .m_SentAt = at(0)}},
+                        at(1 + Number));
+  CHECK(Registry.verdict(OtherRequest) == CrashVerdict::Suspect);
+  Registry.recordLoss(server(6), DataCentreId{"a"},
+                      {{.m_Digest = CrashingRequest, .m_SentAt = at(7)}},
+                      at(8));
+  CHECK(Registry.verdict(CrashingRequest) == CrashVerdict::Suspect);
+  Registry.recordLoss(server(7), DataCentreId{"b"},
+                      {{.m_Digest = CrashingRequest, .m_SentAt = at(9)}},
+                      at(10));
+  CHECK(Registry.verdict(CrashingRequest) == CrashVerdict::Quarantined);
+  CHECK(Registry.verdict(OtherRequest) == CrashVerdict::Suspect);
+}
+
+// Guards against blaming a request that was sent to a server which had already
+// been lost, for example on a connection that was still open.
+TEST_CASE("CrashRegistry: a request that was sent after its server was lost is "
+          "not suspect") {
+  auto Registry = CrashRegistry({});
+  Registry.recordLoss(server(1), DataCentreId{"a"},
+                      {{.m_Digest = OtherRequest, .m_SentAt = at(2)}}, at(1));
+  CHECK(Registry.verdict(OtherRequest) == CrashVerdict::Clear);
+}
+
+// Guards against a part that many prompts share being quarantined because
+// requests with it run beside the ones that crash servers.
+TEST_CASE("CrashRegistry: a success releases a suspect part, and a quarantined "
+          "one if the options say so") {
+  for (auto Releases : {false, true}) {
+    auto Registry = CrashRegistry({.m_QuarantineLossesShared = 2,
+                                   .m_MinReclaimedServers = 0,
+                                   .m_SuccessReleasesQuarantine = Releases});
+    auto Lose = [&Registry](int Number) {
+      Registry.recordLoss(server(Number), DataCentreId{"a"},
+                          {{.m_Digest = OtherRequest, .m_SentAt = at(Number)}},
+                          at(Number));
+    };
+    Lose(1);
+    CHECK(Registry.recordSuccess(OtherRequest));
+    CHECK(Registry.verdict(OtherRequest) == CrashVerdict::Clear);
+    Lose(2);
+    Lose(3);
+    CHECK(Registry.verdict(OtherRequest) == CrashVerdict::Quarantined);
+    CHECK(Registry.recordSuccess(OtherRequest) == Releases);
+    CHECK((Registry.verdict(OtherRequest) == CrashVerdict::Clear) == Releases);
+  }
+}
+
+// Guards against evidence that lives forever because processes keep exchanging
+// it: its age travels with it.
+TEST_CASE("CrashRegistry: evidence expires at the same time in all processes") {
+  auto Options = CrashRegistryOptions{.m_QuarantineLossesShared = 1,
+                                      .m_MinReclaimedServers = 0,
+                                      .m_EvidenceLifetime = Seconds(60)};
+  auto A = CrashRegistry(Options);
+  auto B = CrashRegistry(Options);
+  A.recordLoss(server(1), DataCentreId{"a"}, {{CrashingRequest}}, at(0));
+  for (const auto &Report : A.reports(at(50)))
+    B.merge(Report, at(50));
+  CHECK(B.verdict(CrashingRequest) == CrashVerdict::Quarantined);
+  A.expire(at(61));
+  CHECK(A.verdict(CrashingRequest) == CrashVerdict::Clear);
+  for (const auto &Report : B.reports(at(62)))
+    A.merge(Report, at(62));
+  CHECK(A.verdict(CrashingRequest) == CrashVerdict::Clear);
+}
+
+// Guards against unbounded memory when many requests are lost with servers.
+TEST_CASE("CrashRegistry: the number of digests is bounded, and quarantined "
+          "ones are dropped last") {
+  auto Registry = CrashRegistry({.m_QuarantineLossesShared = 2,
+                                 .m_MinReclaimedServers = 0,
+                                 .m_MaxDigests = 3});
+  Registry.recordLoss(server(1), DataCentreId{"a"}, {{CrashingRequest}}, at(1));
+  Registry.recordLoss(server(2), DataCentreId{"a"}, {{CrashingRequest}}, at(2));
+  for (auto Number = 10; Number < 20; ++Number)
+    Registry.recordLoss(server(Number), DataCentreId{"a"},
+                        {{RequestDigest{static_cast<std::uint64_t>(Number)}}},
+                        at(Number));
+  CHECK(Registry.reports(at(20)).size() == 3);
+  CHECK(Registry.verdict(CrashingRequest) == CrashVerdict::Quarantined);
+  CHECK(Registry.verdict(RequestDigest{19}) == CrashVerdict::Suspect);
+}
--- a/tests/unit-PeerRpc.cpp
+++ b/tests/unit-PeerRpc.cpp
@@ -64,7 +64,12 @@
        .m_PrefillTokensPerSecond = 10,
        .m_DecodeTokensPerSecond = 11});
   Sent.m_Crashes.push_back({.m_Digest = RequestDigest{12},
-                            .m_Backends = {BackendId{"e1"}, BackendId{"e2"}},
+                            .m_Losses = {{BackendId{"e1"},
+                                          {.m_SinceSent = Milliseconds(900),
+                                           .m_SinceLost = Milliseconds(800)}},
+                                         {BackendId{"e2"},
+                                          {.m_SinceSent = Milliseconds(70),
+                                           .m_SinceLost = Milliseconds(60)}}},
                             .m_Releases = 13});
   Sent.m_ConfirmationAge = Milliseconds(100);
   Sent.m_LeavingBackends.emplace_back("e3");
@@ -87,7 +92,7 @@
   CHECK(Member.m_StoreLost);
   CHECK(Member.m_PrefillTokensPerSecond == 10);
   CHECK(Member.m_DecodeTokensPerSecond == 11);
-  CHECK(Received->m_Crashes.at(0).m_Backends == Sent.m_Crashes[0].m_Backends);
+  CHECK(Received->m_Crashes.at(0).m_Losses == Sent.m_Crashes[0].m_Losses);
   CHECK(Received->m_Crashes.at(0).m_Releases == 13);
   // The age is encoded twice, in the request and in the response, and each
   // encoding rounds up.
