Report whether merged crash evidence is new

CrashRegistry::merge() returns whether it added a loss, cleared the digest or changed the verdict, so that hosts can forward only what is new. It expires the losses of the merged digest instead of those of all digests, so that its cost does not grow with their number. The flag for a loss in which a digest ran alone expires with the last loss.

--- a/include/dotterel/poison/CrashRegistry.h
+++ b/include/dotterel/poison/CrashRegistry.h
@@ -121,8 +121,10 @@
   /// the other processes once they have merged this one's report.
   auto release(RequestDigest Digest) -> void;
 
-  /// Adds the evidence that another process reported at \p Now.
-  auto merge(const CrashReport &Report, MonotonicTime Now) -> void;
+  /// Adds the evidence that another process reported at \p Now. Returns whether
+  /// it adds a loss, clears the digest or changes the verdict; earlier times
+  /// of known losses alone do not count.
+  auto merge(const CrashReport &Report, MonotonicTime Now) -> bool;
   [[nodiscard]] auto reports(MonotonicTime Now) const
       -> std::vector<CrashReport>;
   /// Returns the report on one digest, or nothing if there is no evidence and
@@ -153,6 +155,7 @@
   /// Discards the evidence of recent losses if together they form a reclaim.
   auto discardReclaimEvidence(const DataCentreId &DataCentre) -> void;
   [[nodiscard]] auto verdict(const Evidence &Item) const -> CrashVerdict;
+  auto expire(Evidence &Item, MonotonicTime Now) const -> void;
   [[nodiscard]] static auto makeReport(RequestDigest Digest,
                                        const Evidence &Known, MonotonicTime Now)
       -> CrashReport;
--- a/src/poison/CrashRegistry.cpp
+++ b/src/poison/CrashRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <xxhash.h>
 
 namespace dotterel {
@@ -145,10 +146,16 @@
 }
 
 auto CrashRegistry::merge(const CrashReport &Report, MonotonicTime Now)
-    -> void {
+    -> bool {
   auto &Own = m_Evidence[Report.m_Digest];
   if (Report.m_Releases < Own.m_Releases)
-    return;
+    return false;
+  expire(Own, Now);
+  auto Summary = [this, &Own] {
+    return std::tuple(Own.m_Releases, Own.m_Losses.size(), Own.m_LostAlone,
+                      verdict(Own));
+  };
+  auto Before = Summary();
   if (Report.m_Releases > Own.m_Releases)
     Own = Evidence{.m_Releases = Report.m_Releases};
   for (const auto &[Backend, Ages] : Report.m_Losses) {
@@ -161,8 +168,10 @@
     Entry->second.m_LostAt = std::min(Entry->second.m_LostAt, Times.m_LostAt);
   }
   Own.m_LostAlone = Own.m_LostAlone || Report.m_LostAlone;
-  expire(Now);
+  expire(Own, Now);
+  auto Changed = Summary() != Before;
   limitDigests();
+  return Changed;
 }
 
 auto CrashRegistry::makeReport(RequestDigest Digest, const Evidence &Known,
@@ -194,12 +203,17 @@
 }
 
 auto CrashRegistry::expire(MonotonicTime Now) -> void {
+  for (auto &[Digest, Known] : m_Evidence)
+    expire(Known, Now);
+}
+
+auto CrashRegistry::expire(Evidence &Item, MonotonicTime Now) const -> void {
   if (!m_Options.m_EvidenceLifetime)
     return;
-  for (auto &[Digest, Known] : m_Evidence)
-    std::erase_if(Known.m_Losses, [&](const auto &Item) {
-      return Now - Item.second.m_LostAt > *m_Options.m_EvidenceLifetime;
-    });
+  std::erase_if(Item.m_Losses, [&](const auto &Loss) {
+    return Now - Loss.second.m_LostAt > *m_Options.m_EvidenceLifetime;
+  });
+  Item.m_LostAlone = Item.m_LostAlone && !Item.m_Losses.empty();
 }
 
 } // namespace dotterel
--- a/tests/unit-CrashRegistry.cpp
+++ b/tests/unit-CrashRegistry.cpp
@@ -186,3 +186,36 @@
   CHECK(Registry.verdict(CrashingRequest) == CrashVerdict::Quarantined);
   CHECK(Registry.verdict(RequestDigest{19}) == CrashVerdict::Suspect);
 }
+
+// Hosts forward what is new to them. Without an end, they would forward the
+// same evidence forever, since its age differs a little in each message.
+TEST_CASE("CrashRegistry: a merge reports a change only for new evidence, a "
+          "release or another verdict") {
+  auto A = CrashRegistry({.m_QuarantineLossesShared = 2,
+                          .m_MinReclaimedServers = 0,
+                          .m_EvidenceLifetime = Seconds(60)});
+  auto Report = CrashReport{
+      .m_Digest = CrashingRequest,
+      .m_Losses = {
+          {server(1), {.m_SinceSent = Seconds(2), .m_SinceLost = Seconds(1)}}}};
+  auto Old = Report;
+  CHECK(A.merge(Report, at(0)));
+  CHECK_FALSE(A.merge(Report, at(0)));
+  CHECK_FALSE(A.merge(Report, at(1)));
+  Report.m_Losses[server(1)] = {.m_SinceSent = Seconds(4),
+                                .m_SinceLost = Seconds(3)};
+  CHECK_FALSE(A.merge(Report, at(1)));
+  Report.m_Losses[server(2)] = {.m_SinceSent = Seconds(1)};
+  CHECK(A.merge(Report, at(1)));
+  CHECK(A.verdict(CrashingRequest) == CrashVerdict::Quarantined);
+  CHECK(A.merge({.m_Digest = CrashingRequest, .m_Releases = 1}, at(2)));
+  CHECK_FALSE(A.merge({.m_Digest = CrashingRequest, .m_Releases = 1}, at(2)));
+  CHECK_FALSE(A.merge(Report, at(2)));
+  CHECK(A.verdict(CrashingRequest) == CrashVerdict::Clear);
+  // Evidence that expired on its way.
+  Old.m_Releases = 1;
+  Old.m_LostAlone = true;
+  Old.m_Losses[server(1)] = {.m_SinceSent = Seconds(62),
+                             .m_SinceLost = Seconds(61)};
+  CHECK_FALSE(A.merge(Old, at(3)));
+}
