Add crash reports to the messages between hosts

A message may contain at most 1024 reports and 1024 losses, since runs of zeros take few bytes of a message but memory when decoded.

--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -9,10 +9,12 @@
 
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
+#include "dotterel/poison/CrashRegistry.h"
 #include "dotterel/serving/BackendLoad.h"
 #include "dotterel/store/StoreWatch.h"
 #include "dotterel/usage/Usage.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,11 +39,20 @@
   std::vector<KeyChange> m_Changes;
 };
 
+/// Evidence about requests that were running on lost backend servers.
+struct CrashReports {
+  std::vector<CrashReport> m_Reports;
+
+  /// Maximum number of reports in a message, and of losses in all of them.
+  static constexpr auto MaxReports = std::size_t{1024};
+  static constexpr auto MaxLosses = std::size_t{1024};
+};
+
 struct HostMessage {
   HostId m_Sender;
   DataCentreId m_DataCentre;
   std::variant<LoadSummary, RelayQuery, RelayReply, RelayedChanges,
-               UsageSegment>
+               UsageSegment, CrashReports>
       m_Content;
 };
 
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -13,6 +13,7 @@
     reply @4 :Reply;
     changes @5 :List(RecordChange);
     usage @6 :UsageSegment;
+    crashes @7 :CrashReports;
   }
 }
 
@@ -68,3 +69,20 @@
   configRevision @2 :UInt64;
   backendsDigest @3 :UInt64;
 }
+
+# Evidence about requests that were running on lost backend servers. By columns,
+# since these take half of the bytes.
+struct CrashReports {
+  backends @0 :List(Text);  # losses refer to them by position
+
+  # An entry for each report:
+  digests @1 :List(UInt64);
+  releases @2 :List(UInt64);
+  lostAlone @3 :List(Bool);
+  lossCounts @4 :List(UInt16);
+
+  # An entry for each loss, in the order of the reports:
+  lossBackends @5 :List(UInt16);
+  msSinceSent @6 :List(UInt32);
+  msSinceLost @7 :List(UInt32);
+}
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(caad8f8abe8fbdc1);
 CAPNP_DECLARE_SCHEMA(a0a65383703625f5);
 CAPNP_DECLARE_SCHEMA(f955f3c4e04af797);
+CAPNP_DECLARE_SCHEMA(b88d1c92a0e9910f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -47,6 +48,7 @@
     REPLY,
     CHANGES,
     USAGE,
+    CRASHES,
   };
 
   struct _capnpPrivate {
@@ -180,6 +182,21 @@
   };
 };
 
+struct CrashReports {
+  CrashReports() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b88d1c92a0e9910f, 0, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class HostMessage::Reader {
@@ -226,6 +243,10 @@
   inline bool hasUsage() const;
   inline  ::dotterel::schema::UsageSegment::Reader getUsage() const;
 
+  inline bool isCrashes() const;
+  inline bool hasCrashes() const;
+  inline  ::dotterel::schema::CrashReports::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -309,6 +330,14 @@
   inline void adoptUsage(::capnp::Orphan< ::dotterel::schema::UsageSegment>&& value);
   inline ::capnp::Orphan< ::dotterel::schema::UsageSegment> disownUsage();
 
+  inline bool isCrashes();
+  inline bool hasCrashes();
+  inline  ::dotterel::schema::CrashReports::Builder getCrashes();
+  inline void setCrashes( ::dotterel::schema::CrashReports::Reader value);
+  inline  ::dotterel::schema::CrashReports::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::dotterel::schema::CrashReports>&& value);
+  inline ::capnp::Orphan< ::dotterel::schema::CrashReports> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1073,6 +1102,165 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReports::Reader {
+public:
+  typedef CrashReports Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackends() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBackends() const;
+
+  inline bool hasDigests() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDigests() const;
+
+  inline bool hasReleases() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReleases() const;
+
+  inline bool hasLostAlone() const;
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getLostAlone() const;
+
+  inline bool hasLossCounts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLossCounts() const;
+
+  inline bool hasLossBackends() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLossBackends() const;
+
+  inline bool hasMsSinceSent() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceSent() const;
+
+  inline bool hasMsSinceLost() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceLost() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReports::Builder {
+public:
+  typedef CrashReports Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackends();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getBackends();
+  inline void setBackends( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setBackends(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initBackends(unsigned int size);
+  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBackends();
+
+  inline bool hasDigests();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDigests();
+  inline void setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDigests(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDigests(unsigned int size);
+  inline void adoptDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDigests();
+
+  inline bool hasReleases();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReleases();
+  inline void setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReleases(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReleases(unsigned int size);
+  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReleases();
+
+  inline bool hasLostAlone();
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder getLostAlone();
+  inline void setLostAlone( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLostAlone(::kj::ArrayPtr<const bool> value);
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder initLostAlone(unsigned int size);
+  inline void adoptLostAlone(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownLostAlone();
+
+  inline bool hasLossCounts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLossCounts();
+  inline void setLossCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLossCounts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLossCounts(unsigned int size);
+  inline void adoptLossCounts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLossCounts();
+
+  inline bool hasLossBackends();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLossBackends();
+  inline void setLossBackends( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLossBackends(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLossBackends(unsigned int size);
+  inline void adoptLossBackends(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLossBackends();
+
+  inline bool hasMsSinceSent();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceSent();
+  inline void setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceSent(unsigned int size);
+  inline void adoptMsSinceSent(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceSent();
+
+  inline bool hasMsSinceLost();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceLost();
+  inline void setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceLost(unsigned int size);
+  inline void adoptMsSinceLost(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceLost();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReports::Pipeline {
+public:
+  typedef CrashReports Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::dotterel::schema::HostMessage::Which HostMessage::Reader::which() const {
@@ -1422,6 +1610,60 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool HostMessage::Reader::isCrashes() const {
+  return which() == HostMessage::CRASHES;
+}
+inline bool HostMessage::Builder::isCrashes() {
+  return which() == HostMessage::CRASHES;
+}
+inline bool HostMessage::Reader::hasCrashes() const {
+  if (which() != HostMessage::CRASHES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostMessage::Builder::hasCrashes() {
+  if (which() != HostMessage::CRASHES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::dotterel::schema::CrashReports::Reader HostMessage::Reader::getCrashes() const {
+  KJ_IREQUIRE((which() == HostMessage::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterel::schema::CrashReports::Builder HostMessage::Builder::getCrashes() {
+  KJ_IREQUIRE((which() == HostMessage::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::setCrashes( ::dotterel::schema::CrashReports::Reader value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::dotterel::schema::CrashReports::Builder HostMessage::Builder::initCrashes() {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::adoptCrashes(
+    ::capnp::Orphan< ::dotterel::schema::CrashReports>&& value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::dotterel::schema::CrashReports> HostMessage::Builder::disownCrashes() {
+  KJ_IREQUIRE((which() == HostMessage::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool RecordChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1958,6 +2200,310 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReports::Reader::hasBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashReports::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReports::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setBackends( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setBackends(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReports::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashReports::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasReleases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasReleases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getReleases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setReleases(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initReleases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptReleases(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasLostAlone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasLostAlone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLostAlone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLostAlone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLostAlone( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setLostAlone(::kj::ArrayPtr<const bool> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLostAlone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptLostAlone(
+    ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLostAlone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasLossCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasLossCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLossCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLossCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLossCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setLossCounts(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLossCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptLossCounts(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLossCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasLossBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasLossBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLossBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLossBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLossBackends( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setLossBackends(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLossBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptLossBackends(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLossBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasMsSinceSent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasMsSinceSent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getMsSinceSent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getMsSinceSent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initMsSinceSent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptMsSinceSent(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownMsSinceSent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReports::Reader::hasMsSinceLost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReports::Builder::hasMsSinceLost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getMsSinceLost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getMsSinceLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void CrashReports::Builder::setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initMsSinceLost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void CrashReports::Builder::adoptMsSinceLost(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownMsSinceLost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -3,10 +3,13 @@
 #include "HostExchange.capnp.h"
 #include "dotterel/base/Errors.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <limits>
+#include <map>
 
 namespace dotterel {
 
@@ -137,6 +140,88 @@
       .m_Totals = decodeTotals(Source.getTotals().cStr())};
 }
 
+/// Rounds down: a receiver keeps the earliest time of a loss, and must not see
+/// it become earlier with each exchange.
+auto encodeLossAge(Duration Age) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      toMilliseconds(Age), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+auto encodeCrashes(const CrashReports &Crashes,
+                   schema::CrashReports::Builder Target) -> void {
+  // Most reports of a message are about the same few servers.
+  auto Positions = std::map<BackendId, std::uint16_t>();
+  auto LossCount = std::size_t{0};
+  for (const auto &Report : Crashes.m_Reports) {
+    LossCount += Report.m_Losses.size();
+    for (const auto &[Backend, Ages] : Report.m_Losses)
+      Positions.emplace(Backend, static_cast<std::uint16_t>(Positions.size()));
+  }
+  auto Backends = Target.initBackends(static_cast<unsigned>(Positions.size()));
+  for (const auto &[Backend, Position] : Positions)
+    Backends.set(Position, Backend.text());
+  auto ReportCount = static_cast<unsigned>(Crashes.m_Reports.size());
+  auto Digests = Target.initDigests(ReportCount);
+  auto Releases = Target.initReleases(ReportCount);
+  auto LostAlone = Target.initLostAlone(ReportCount);
+  auto LossCounts = Target.initLossCounts(ReportCount);
+  auto LossBackends = Target.initLossBackends(static_cast<unsigned>(LossCount));
+  auto SinceSent = Target.initMsSinceSent(static_cast<unsigned>(LossCount));
+  auto SinceLost = Target.initMsSinceLost(static_cast<unsigned>(LossCount));
+  auto Index = 0U;
+  auto Loss = 0U;
+  for (const auto &Report : Crashes.m_Reports) {
+    Digests.set(Index, Report.m_Digest.number());
+    Releases.set(Index, Report.m_Releases);
+    LostAlone.set(Index, Report.m_LostAlone);
+    LossCounts.set(Index++, static_cast<std::uint16_t>(Report.m_Losses.size()));
+    for (const auto &[Backend, Ages] : Report.m_Losses) {
+      LossBackends.set(Loss, Positions.at(Backend));
+      SinceSent.set(Loss, encodeLossAge(Ages.m_SinceSent));
+      SinceLost.set(Loss++, encodeLossAge(Ages.m_SinceLost));
+    }
+  }
+}
+
+auto decodeCrashes(schema::CrashReports::Reader Source) -> CrashReports {
+  auto Crashes = CrashReports();
+  auto Backends = Source.getBackends();
+  auto Digests = Source.getDigests();
+  auto Releases = Source.getReleases();
+  auto LostAlone = Source.getLostAlone();
+  auto LossCounts = Source.getLossCounts();
+  auto LossBackends = Source.getLossBackends();
+  auto SinceSent = Source.getMsSinceSent();
+  auto SinceLost = Source.getMsSinceLost();
+  auto LossCount = std::size_t{0};
+  for (auto Count : LossCounts)
+    LossCount += Count;
+  // A long run of zeros takes few bytes of the message, but memory here.
+  if (Digests.size() > CrashReports::MaxReports ||
+      LossCount > CrashReports::MaxLosses)
+    throw ProtocolError(301, "host message has too many crash reports");
+  if (Releases.size() != Digests.size() || LostAlone.size() != Digests.size() ||
+      LossCounts.size() != Digests.size() || LossBackends.size() != LossCount ||
+      SinceSent.size() != LossCount || SinceLost.size() != LossCount)
+    throw ProtocolError(301, "host message has incomplete crash reports");
+  auto Loss = 0U;
+  for (auto Index = 0U; Index < Digests.size(); ++Index) {
+    auto Report = CrashReport{.m_Digest = RequestDigest{Digests[Index]},
+                              .m_Releases = Releases[Index],
+                              .m_LostAlone = LostAlone[Index]};
+    for (auto End = Loss + LossCounts[Index]; Loss < End; ++Loss) {
+      if (LossBackends[Loss] >= Backends.size())
+        throw ProtocolError(301, "crash report has an unknown backend server");
+      Report.m_Losses.emplace(
+          BackendId{Backends[LossBackends[Loss]].cStr()},
+          LossAges{.m_SinceSent = Milliseconds(SinceSent[Loss]),
+                   .m_SinceLost = Milliseconds(SinceLost[Loss])});
+    }
+    Crashes.m_Reports.push_back(std::move(Report));
+  }
+  return Crashes;
+}
+
 } // namespace
 
 auto encodeHostMessage(const HostMessage &Message) -> std::string {
@@ -154,8 +239,11 @@
                std::get_if<RelayedChanges>(&Message.m_Content))
     encodeChanges(*Changes, Root.initChanges(static_cast<unsigned>(
                                 Changes->m_Changes.size())));
+  else if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
+    encodeUsage(*Segment, Root.initUsage());
   else
-    encodeUsage(std::get<UsageSegment>(Message.m_Content), Root.initUsage());
+    encodeCrashes(std::get<CrashReports>(Message.m_Content),
+                  Root.initCrashes());
   auto Output = kj::VectorOutputStream();
   capnp::writePackedMessage(Output, Builder);
   auto Bytes = Output.getArray();
@@ -188,6 +276,9 @@
     case schema::HostMessage::USAGE:
       Message.m_Content = decodeUsage(Root.getUsage());
       break;
+    case schema::HostMessage::CRASHES:
+      Message.m_Content = decodeCrashes(Root.getCrashes());
+      break;
     default:
       throw ProtocolError(301, "host message has an unknown content type");
     }
