--- a/tests/support/DatagramNetwork.h
+++ b/tests/support/DatagramNetwork.h
@@ -8,8 +8,10 @@
 #define DOTTEREL_TESTS_SUPPORT_DATAGRAMNETWORK_H
 
 #include "VirtualScheduler.h"
+#include "dotterel/base/Random.h"
 #include "dotterel/peers/DatagramPort.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -18,7 +20,7 @@
 namespace dotterel::test {
 
 /// The network between the hosts of one test. It delivers each datagram after
-/// m_Delay.
+/// m_Delay and up to m_MaxJitter, and loses and repeats some at random.
 class DatagramNetwork {
 public:
   explicit DatagramNetwork(VirtualScheduler &Scheduler)
@@ -54,22 +56,39 @@
 
   auto transmit(const std::string &From, const std::string &To,
                 std::string Bytes) -> void {
-    if (m_Cut)
+    if (m_Cut || (m_IsCut && m_IsCut(From, To)))
       return;
     m_SentSizes.push_back(Bytes.size());
-    m_Scheduler.schedule(m_Delay, [this, From, To, Bytes = std::move(Bytes)] {
-      if (auto Found = m_Ports.find(To);
-          Found != m_Ports.end() && Found->second->m_OnReceive)
-        Found->second->m_OnReceive(From, Bytes);
-    });
+    if (m_Random.unit() < m_RepeatRate)
+      deliver(From, To, Bytes);
+    if (m_Random.unit() >= m_LossRate)
+      deliver(From, To, std::move(Bytes));
   }
 
   Duration m_Delay = Milliseconds(1);
+  Duration m_MaxJitter = Duration::zero(); ///< Reorders datagrams.
+  double m_LossRate = 0;
+  double m_RepeatRate = 0;
+  Random m_Random{1};
+  /// Returns whether there is no connection between two addresses.
+  std::function<bool(const std::string &, const std::string &)> m_IsCut;
   bool m_Cut = false;
   std::vector<std::size_t> m_SentSizes; ///< Bytes of each datagram, in order.
   std::map<std::string, Port *> m_Ports;
 
 private:
+  auto deliver(const std::string &From, const std::string &To,
+               std::string Bytes) -> void {
+    auto Jitter = Duration(static_cast<Duration::rep>(
+        m_Random.below(static_cast<std::uint64_t>(m_MaxJitter.count()) + 1)));
+    m_Scheduler.schedule(
+        m_Delay + Jitter, [this, From, To, Bytes = std::move(Bytes)] {
+          if (auto Found = m_Ports.find(To);
+              Found != m_Ports.end() && Found->second->m_OnReceive)
+            Found->second->m_OnReceive(From, Bytes);
+        });
+  }
+
   VirtualScheduler &m_Scheduler;
 };
 
