--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -58,7 +58,7 @@
   auto Client = makePooledHttpClient(Loop, {});
   auto Store =
       platform::PlatformStore(*Client, {.m_Address = Node.m_StoreAddress});
-  auto Transport = platform::EngineTransport(*Client);
+  auto Transport = platform::EngineTransport(Loop, *Client);
   auto Fleet = platform::PlatformFleetCalls(
       *Client,
       {.m_Address = Node.m_FleetAddress, .m_Holder = Node.m_Location.m_Host});
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -103,8 +103,8 @@
 
 using TransportId = NumberId<struct TransportTag>;
 
-/// Sends attempts to backend servers. No callback runs inside send() or
-/// cancel().
+/// Sends attempts to backend servers. No callback runs inside send(), cancel()
+/// or checkReachable().
 class BackendTransport {
 public:
   virtual ~BackendTransport() = default;
@@ -119,6 +119,11 @@
 
   /// Releases a KV cache that no engine will fetch.
   virtual auto release(const CacheHandle &Cache) -> void = 0;
+
+  /// Calls \p Done with whether the server at \p Address still accepts
+  /// connections. There is no callback if the transport is destroyed first.
+  virtual auto checkReachable(const std::string &Address,
+                              std::function<void(bool)> Done) -> void = 0;
 };
 
 } // namespace dotterel
--- a/tests/support/ServingFakes.h
+++ b/tests/support/ServingFakes.h
@@ -12,6 +12,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace dotterel::test {
@@ -38,6 +40,18 @@
     m_Released.push_back(Cache.m_Handle);
   }
 
+  auto checkReachable(const std::string &Address,
+                      std::function<void(bool)> Done) -> void override {
+    m_Checks.push_back({.m_Address = Address, .m_Done = std::move(Done)});
+  }
+
+  /// Ends the checks in progress: the servers at m_LostAddresses accept no
+  /// connections.
+  auto endChecks() -> void {
+    for (auto &Ended : std::exchange(m_Checks, {}))
+      Ended.m_Done(!m_LostAddresses.contains(Ended.m_Address));
+  }
+
   /// Ends the latest attempt.
   auto end(AttemptResult Result) -> void {
     auto &Last = m_Sent.back();
@@ -45,8 +59,15 @@
     Last.m_Listener->onEnd(std::move(Result));
   }
 
+  struct Check {
+    std::string m_Address;
+    std::function<void(bool)> m_Done;
+  };
+
   std::vector<Sent> m_Sent;
   std::vector<std::string> m_Released;
+  std::vector<Check> m_Checks;
+  std::set<std::string> m_LostAddresses;
 };
 
 /// What a caller has received.
