--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -197,6 +197,34 @@
   CHECK(*findHeader(Response.m_Headers, "Retry-After") == "0.350");
 }
 
+// Guards against a quarantined request that looks like one which the
+// configuration denies: callers take a 4xx status for that.
+TEST_CASE("platform callers: the status of a refusal follows from its code and "
+          "from whether the request may have run") {
+  struct Case {
+    RefusalCode m_Code;
+    Execution m_Execution;
+    unsigned m_Status;
+  };
+  for (const auto &Current :
+       {Case{RefusalCode::Quarantined, Execution::NotRun, 503},
+        Case{RefusalCode::Quarantined, Execution::MayHaveRun, 502},
+        Case{RefusalCode::Quarantined, Execution::Ran, 502},
+        Case{RefusalCode::QueueFull, Execution::NotRun, 429},
+        Case{RefusalCode::QueueFull, Execution::MayHaveRun, 502},
+        Case{RefusalCode::NoBackend, Execution::NotRun, 503},
+        Case{RefusalCode::DeadlineExceeded, Execution::NotRun, 503},
+        Case{RefusalCode::DeadlineExceeded, Execution::MayHaveRun, 504},
+        Case{RefusalCode::BackendFailed, Execution::MayHaveRun, 502},
+        Case{RefusalCode::KeyUnknown, Execution::NotRun, 401}}) {
+    CAPTURE(definitionOf(Current.m_Code).m_Name);
+    auto Response = encodeRefusal(Refusal(Current.m_Code, Current.m_Execution),
+                                  std::nullopt, RequestId{"1"});
+    CHECK(Response.m_Status == Current.m_Status);
+    CHECK_FALSE(findHeader(Response.m_Headers, "Retry-After"));
+  }
+}
+
 TEST_CASE(
     "platform engines: the result of a call determines the outcome of the "
     "attempt") {
