--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -30,6 +30,10 @@
   auto countAttempt(AttemptPurpose Purpose, AttemptOutcome Outcome) -> void;
   auto observeFirstByte(RequestKind Kind, Duration Value) -> void;
   auto observeCompleteResponse(RequestKind Kind, Duration Value) -> void;
+  /// Counts a server that no longer accepted connections after an attempt
+  /// broke.
+  auto countLostServer() -> void;
+  auto setQuarantinedDigests(double Count) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -91,6 +91,15 @@
           .Name("dotterel_serving_whole_answer_seconds")
           .Help("Time to the end of a whole answer, by kind.")
           .Register(m_Registry);
+  Counter &m_LostServers =
+      counters(m_Registry, "dotterel_serving_lost_servers_total",
+               "Servers that accepted no connections after an attempt at them "
+               "broke.")
+          .Add({});
+  Gauge &m_QuarantinedDigests =
+      gauge(m_Registry, "dotterel_serving_quarantined_digests",
+            "Requests and parts of prompts that are refused since servers "
+            "crashed while they ran.");
   Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
                           "Requests being handled.");
   Gauge &m_ConfigRevision =
@@ -138,6 +147,14 @@
       .Observe(seconds(Value));
 }
 
+auto ServingMetrics::countLostServer() -> void {
+  m_Impl->m_LostServers.Increment();
+}
+
+auto ServingMetrics::setQuarantinedDigests(double Count) -> void {
+  m_Impl->m_QuarantinedDigests.Set(Count);
+}
+
 auto ServingMetrics::setActive(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
