Refuse requests that crash servers, by content and by part of the prompt

Requests with a part that crashes engines went to one engine after another, and each crash broke the other streams of that engine. A request is now refused if its content or a shared part of its prompt is quarantined: before it is placed, before each retry, and between prefill and decode, where its cache is released. What is at an engine already is left alone.

unit-ServedRequest: with ServedRequest as before, 5 of the 6 new cases fail (crashing parts and plain requests are sent a fourth time, a prefilled prompt goes to a decode engine, a request is retried after its part is quarantined); the sixth guards sound requests and passes before and after.

--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -9,6 +9,7 @@
 #define DOTTEREL_SERVING_SERVEDREQUEST_H
 
 #include "dotterel/base/DemandMeter.h"
+#include "dotterel/serving/CrashMonitor.h"
 #include "dotterel/serving/EnginePlacement.h"
 #include "dotterel/serving/EventSplitter.h"
 #include "dotterel/serving/RetryWindow.h"
@@ -57,6 +58,7 @@
   PartCaches &m_Caches;
   PrefillSpeed &m_Speed;
   RetryWindow &m_Retries;
+  CrashMonitor &m_Crashes;
   ServingMetrics &m_Metrics;
   const ServerChoice &m_ServerChoice;
   const EnginePlacement &m_Placement;
@@ -91,6 +93,8 @@
 /// only if no earlier attempt may have executed it.
 /// \invariant A refusal states "not run" only if no attempt may have executed
 /// the request.
+/// \invariant A request is not sent, nor its prefilled prompt passed on, while
+/// one of its digests is quarantined.
 class ServedRequest final : public AttemptListener {
 public:
   /// \p Ended is called exactly once, as the last action of the request.
@@ -113,6 +117,7 @@
     BackendId m_Backend;
     std::string m_Address;
     DataCentreId m_DataCentre;
+    std::uint64_t m_ServerStartedAt = 0; ///< As in BackendRecord.
     AttemptPurpose m_Purpose = AttemptPurpose::Serve;
     double m_PendingTokens = 0; ///< Prompt tokens not yet prefilled.
     double m_PlannedTokens = 0; ///< Prompt tokens expected to be prefilled.
@@ -129,6 +134,9 @@
   auto sendToDecodeEngine(const Attempt &PrefillAttempt) -> void;
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
+  /// Refuses the request if one of its digests is quarantined. Returns whether
+  /// it did.
+  [[nodiscard]] auto refuseIfQuarantined() -> bool;
   auto completeAttempt(const AttemptResult &Result) -> Attempt;
   /// Counts the next attempt. Returns false if the retry budget is exhausted.
   [[nodiscard]] auto chargeAttempt() -> bool;
@@ -162,6 +170,7 @@
   CallerExchangePtr m_Exchange;
   RequestParameters m_Parameters;
   std::function<void()> m_OnEnded;
+  RequestDigests m_Digests;
   MonotonicTime m_ArrivedAt;
   MonotonicTime m_Deadline;
   std::optional<TimerId> m_DeadlineTimer;
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -28,6 +28,7 @@
   OutlierOptions m_Outliers;
   LoadTrackerOptions m_Loads;
   PrefillSpeedOptions m_Speed;
+  CrashMonitorOptions m_Crashes;
   ServerChoiceOptions m_ServerChoice;
   EnginePlacementOptions m_Placement;
   ServedRequestOptions m_Requests;
@@ -67,6 +68,7 @@
   auto applyLoads(const std::string &Origin, const LoadSummary &Loads) -> void;
 
   [[nodiscard]] auto directory() -> BackendDirectory & { return m_Directory; }
+  [[nodiscard]] auto crashes() -> CrashMonitor & { return m_Crashes; }
   /// Returns the active configuration, or null if there is none yet.
   [[nodiscard]] auto configuration() const -> const ServingConfiguration * {
     return m_Configuration.get();
@@ -91,6 +93,7 @@
   PartCaches m_Caches;
   PrefillSpeed m_Speed;
   RetryWindow m_Retries;
+  CrashMonitor m_Crashes;
   FreshnessTracker m_Freshness;
   ServerChoice m_ServerChoice;
   EnginePlacement m_Placement;
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -33,6 +33,8 @@
                              std::function<void()> Ended)
     : m_Context(Context), m_Exchange(std::move(Exchange)),
       m_Parameters(std::move(Parameters)), m_OnEnded(std::move(Ended)),
+      m_Digests(digestsOf(m_Exchange->request(), *m_Parameters.m_Service,
+                          m_Parameters.m_Organisation)),
       m_ArrivedAt(Context.m_Scheduler.now()) {
   auto Limit = m_Parameters.m_Route->m_Timeout;
   if (auto Left = m_Exchange->request().m_TimeLeft)
@@ -77,7 +79,22 @@
       Chosen * (MinShare + (1 - MinShare) * m_Context.m_Random.unit()));
 }
 
+auto ServedRequest::refuseIfQuarantined() -> bool {
+  auto Found = m_Context.m_Crashes.quarantined(m_Digests);
+  if (!Found)
+    return false;
+  refuse(RefusalCode::Quarantined,
+         fmt::format("{} (digest {}) was running on several servers when they "
+                     "crashed",
+                     *Found == m_Digests.m_Content ? "the request"
+                                                   : "a part of the prompt",
+                     Found->number()));
+  return true;
+}
+
 auto ServedRequest::place() -> void {
+  if (refuseIfQuarantined())
+    return;
   if (++m_Placements > m_Context.m_Options.m_MaxPlacements) {
     refuse(RefusalCode::BackendUnreachable, "no server could be reached",
            retryAfter(m_Context.m_Options.m_MinRetryAfter));
@@ -185,6 +202,7 @@
   auto Current = Attempt{.m_Backend = Target.m_Id,
                          .m_Address = Target.m_Address,
                          .m_DataCentre = Target.m_DataCentre,
+                         .m_ServerStartedAt = Target.m_StartedAt,
                          .m_Purpose = Purpose,
                          .m_PendingTokens = Tokens,
                          .m_PlannedTokens = Tokens,
@@ -322,6 +340,9 @@
       m_Context.m_Health.recordSuccess(Ended.m_Backend);
     else
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
+    if (Ended.m_Purpose == AttemptPurpose::Serve &&
+        successful(Result.m_Head.m_Status))
+      m_Context.m_Crashes.attemptSucceeded(m_Digests);
     break;
   case AttemptOutcome::NotExecuted:
   case AttemptOutcome::WrongServer:
@@ -332,6 +353,14 @@
   case AttemptOutcome::TimedOut:
     if (!closedWhileIdle(Result))
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
+    // Also if an idle connection was closed: the check tells whether the server
+    // has ended.
+    if (Result.m_Outcome == AttemptOutcome::Failed)
+      m_Context.m_Crashes.attemptBroken({.m_Id = Ended.m_Backend,
+                                         .m_StartedAt = Ended.m_ServerStartedAt,
+                                         .m_Address = Ended.m_Address,
+                                         .m_DataCentre = Ended.m_DataCentre},
+                                        m_Digests, Ended.m_StartedAt);
     break;
   }
   return Ended;
@@ -371,6 +400,8 @@
 }
 
 auto ServedRequest::sendToDecodeEngine(const Attempt &PrefillAttempt) -> void {
+  if (refuseIfQuarantined())
+    return;
   auto Record = BackendRecord{.m_Id = PrefillAttempt.m_Backend,
                               .m_DataCentre = PrefillAttempt.m_DataCentre};
   const auto *Target = m_Context.m_Placement.chooseDecodeEngine(
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -1,6 +1,7 @@
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 using namespace dotterel;
@@ -33,6 +34,78 @@
           .m_OutputLimit = TokenCount{40}};
 }
 
+/// A short prompt with parts that other prompts share.
+auto sharedPrompt(const std::vector<std::string> &Shared,
+                  const std::string &Own) -> PromptShape {
+  auto Shape = shortPrompt();
+  Shape.m_Parts.clear();
+  for (const auto &Id : Shared)
+    Shape.m_Parts.push_back({.m_Id = Id, .m_Tokens = TokenCount{50}});
+  Shape.m_Parts.push_back({.m_Id = Own, .m_Tokens = TokenCount{50}});
+  return Shape;
+}
+
+/// A fixture whose servers crash and start again.
+struct CrashFixture : ServingFixture {
+  CrashFixture() {
+    for (const auto *Id : {"g3", "g4", "g5", "g6"}) {
+      auto Engine = *m_Core.directory().find(BackendId{"g1"});
+      Engine.m_Id = BackendId{Id};
+      Engine.m_Address = fmt::format("{}:1", Id);
+      m_Core.directory().put(Engine);
+    }
+  }
+
+  auto advance(Duration Span) -> void {
+    m_Scheduler.advance(Span);
+    m_Core.recordConfirmation(m_Scheduler.now());
+  }
+
+  /// Breaks the latest attempt because its server crashes. The server is back a
+  /// second later.
+  auto crash(AttemptResult Result = {.m_Outcome = AttemptOutcome::Failed,
+                                     .m_Head = {.m_Status = 200}}) -> void {
+    auto Last = m_Transport.m_Sent.back().m_Attempt;
+    m_Transport.m_LostAddresses.insert(Last.m_Address);
+    advance(Milliseconds(100));
+    m_Transport.end(std::move(Result));
+    m_Transport.endChecks();
+    m_Transport.m_LostAddresses.erase(Last.m_Address);
+    advance(Seconds(1));
+    auto Record = *m_Core.directory().find(Last.m_Backend);
+    ++Record.m_StartedAt;
+    m_Core.directory().put(Record);
+  }
+
+  /// Serves a request, and returns whether it reached a server.
+  auto reachesServer(const std::string &Route,
+                     std::optional<PromptShape> Prompt = std::nullopt) -> bool {
+    auto Before = m_Transport.m_Sent.size();
+    serve(Route, "k", std::move(Prompt));
+    if (m_Transport.m_Sent.size() == Before)
+      return false;
+    m_Transport.end(complete(200));
+    return true;
+  }
+
+  /// Has a part quarantined by crashes of servers that other requests cause.
+  auto quarantinePart(const std::string &PartId) -> void {
+    auto Digests = RequestDigests{
+        .m_Parts = {{.m_Id = PartId,
+                     .m_Digest = digestPromptPart(ModelId{"llm"}, PartId)}}};
+    m_Transport.m_LostAddresses.insert("lost:1");
+    for (auto StartedAt = 1U; StartedAt <= 3; ++StartedAt) {
+      m_Core.crashes().attemptBroken({.m_Id = BackendId{"lost"},
+                                      .m_StartedAt = StartedAt,
+                                      .m_Address = "lost:1"},
+                                     Digests, m_Scheduler.now());
+      m_Transport.endChecks();
+      advance(Milliseconds(1));
+    }
+    m_Transport.m_LostAddresses.clear();
+  }
+};
+
 /// Whether the request may have been executed after an attempt with this
 /// outcome.
 auto mayHaveRun(AttemptOutcome Outcome) -> bool {
@@ -287,3 +360,147 @@
   CHECK(Test.m_Transport.m_Sent.size() == 23);
   CHECK_FALSE(Test.m_Transport.m_Sent.back().m_Cancelled);
 }
+
+TEST_CASE("served request: a part that crashed three engines one after another "
+          "is refused with any other parts, and those are served") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "sound")));
+    auto View = Test.serve(
+        "stream", "k",
+        sharedPrompt({"doc", "crashing"}, fmt::format("own{}", Index)));
+    Test.crash();
+    REQUIRE(View->m_Refusal);
+    CHECK(View->m_Refusal->code() == RefusalCode::BackendFailed);
+  }
+  auto Sent = Test.m_Transport.m_Sent.size();
+  for (const auto &Shared : std::vector<std::vector<std::string>>{
+           {"doc", "crashing"}, {"crashing"}, {"other", "crashing", "doc"}})
+    for (const auto *Route : {"stream", "resumable"}) {
+      auto View = Test.serve(Route, "k", sharedPrompt(Shared, "new"));
+      REQUIRE(View->m_Refusal);
+      CHECK(View->m_Refusal->code() == RefusalCode::Quarantined);
+      CHECK(View->m_Refusal->execution() == Execution::NotRun);
+      CHECK_FALSE(View->m_RetryAfter);
+    }
+  CHECK(Test.m_Transport.m_Sent.size() == Sent);
+  // Prompts for the prefill engines are refused before they are prefilled.
+  CHECK_FALSE(Test.reachesServer("stream", longPrompt("crashing")));
+  CHECK(Test.reachesServer("stream", longPrompt("doc")));
+  CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "own0")));
+  CHECK(Test.reachesServer("stream", sharedPrompt({}, "crashing")));
+  CHECK(Test.reachesServer("safe"));
+}
+
+TEST_CASE("served request: a plain request that crashed three servers one "
+          "after another is refused") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    auto View = Test.serve("unsafe");
+    Test.crash(endedWith(AttemptOutcome::Failed));
+    CHECK(View->m_Refusal->execution() == Execution::MayHaveRun);
+  }
+  auto View = Test.serve("unsafe");
+  REQUIRE(View->m_Refusal);
+  CHECK(View->m_Refusal->code() == RefusalCode::Quarantined);
+  CHECK(View->m_Refusal->execution() == Execution::NotRun);
+  CHECK(Test.m_Transport.m_Sent.size() == 3);
+  CHECK(Test.reachesServer("safe"));
+}
+
+// Guards against evidence that is missed because a reused connection without a
+// response is taken for an idle one that its server closed.
+TEST_CASE("served request: a crash is also found by a reused connection that "
+          "ends without a response") {
+  auto Test = CrashFixture();
+  auto Result = endedWith(AttemptOutcome::Failed);
+  Result.m_ReusedConnection = true;
+  for (auto Index = 0; Index < 3; ++Index) {
+    CHECK_FALSE(Test.serve("unsafe")->m_Refusal);
+    Test.crash(Result);
+  }
+  CHECK_FALSE(Test.reachesServer("unsafe"));
+}
+
+TEST_CASE("served request: servers that are lost at once, and connections that "
+          "reachable servers break, have nothing refused") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 6; ++Index)
+    Test.serve("stream", "k", sharedPrompt({"doc"}, std::to_string(Index)));
+  Test.advance(Milliseconds(100));
+  REQUIRE(Test.m_Transport.m_Sent.size() == 6);
+  for (auto &Sent : std::vector(Test.m_Transport.m_Sent)) {
+    Test.m_Transport.m_LostAddresses.insert(Sent.m_Attempt.m_Address);
+    Sent.m_Listener->onEnd(endedWith(AttemptOutcome::Failed));
+    Test.advance(Milliseconds(20));
+  }
+  Test.m_Transport.endChecks();
+  Test.m_Transport.m_LostAddresses.clear();
+  Test.advance(Seconds(2));
+  for (auto Index = 0; Index < 6; ++Index) {
+    auto View = Test.serve("stream", "k", sharedPrompt({"doc"}, "x"));
+    CHECK_FALSE(View->m_Refusal);
+    Test.advance(Milliseconds(100));
+    Test.m_Transport.end(endedWith(AttemptOutcome::Failed));
+    Test.m_Transport.endChecks();
+    Test.advance(Seconds(2));
+  }
+}
+
+TEST_CASE("served request: a prefilled prompt with a quarantined part is not "
+          "passed to a decode engine, and its cache is released") {
+  auto Test = CrashFixture();
+  auto View = Test.serve("stream", "k", longPrompt("crashing"));
+  REQUIRE(Test.m_Transport.m_Sent.size() == 1);
+  CHECK(Test.m_Transport.m_Sent[0].m_Attempt.m_Purpose ==
+        AttemptPurpose::Prefill);
+  auto &Prefilled = *Test.m_Transport.m_Sent[0].m_Listener;
+  Test.quarantinePart("crashing");
+  Prefilled.onEnd({.m_Outcome = AttemptOutcome::Complete,
+                   .m_Cache = CacheHandle{"p1:1", "h1"}});
+  CHECK(Test.m_Transport.m_Sent.size() == 1);
+  CHECK(Test.m_Transport.m_Released == std::vector<std::string>{"h1"});
+  REQUIRE(View->m_Refusal);
+  CHECK(View->m_Refusal->code() == RefusalCode::Quarantined);
+  CHECK(View->m_Refusal->execution() == Execution::NotRun);
+}
+
+TEST_CASE("served request: a request in flight when its part is quarantined "
+          "may end, but is not sent again") {
+  struct Case {
+    AttemptOutcome m_Outcome;
+    bool m_Streaming;
+    std::optional<Execution> m_Execution; ///< Of the refusal; empty: none.
+  };
+  for (const auto &Current :
+       {Case{AttemptOutcome::NotExecuted, false, Execution::NotRun},
+        Case{AttemptOutcome::NotSent, false, Execution::NotRun},
+        Case{AttemptOutcome::Failed, false, Execution::MayHaveRun},
+        Case{AttemptOutcome::Failed, true, std::nullopt},
+        Case{AttemptOutcome::Complete, true, std::nullopt}}) {
+    auto Test = CrashFixture();
+    for (auto Index = 0; Index < 20; ++Index)
+      Test.reachesServer("stream", shortPrompt());
+    auto View = Test.serve("resumable", "k",
+                           sharedPrompt({"crashing", "doc"}, "first"));
+    auto &Listener = *Test.m_Transport.m_Sent.back().m_Listener;
+    if (Current.m_Streaming) {
+      Listener.onBegin({.m_Status = 200}, std::nullopt);
+      Listener.onData("id: 1\ndata: a\n\n");
+    }
+    Test.quarantinePart("crashing");
+    auto Sent = Test.m_Transport.m_Sent.size();
+    Listener.onEnd(
+        {.m_Outcome = Current.m_Outcome, .m_Head = {.m_Status = 200}});
+    CHECK(Test.m_Transport.m_Sent.size() == Sent);
+    if (Current.m_Execution) {
+      REQUIRE(View->m_Refusal);
+      CHECK(View->m_Refusal->code() == RefusalCode::Quarantined);
+      CHECK(View->m_Refusal->execution() == *Current.m_Execution);
+    } else {
+      CHECK(View->m_Finished ==
+            (Current.m_Outcome == AttemptOutcome::Complete));
+      CHECK(View->m_Aborted != View->m_Finished);
+    }
+  }
+}
