Exchange evidence of crashes in the host process

The exchange sees all messages of other hosts, since it observes which of them are heard. CrashMonitor::merge() does not return whether a report was new, so the host compares the registry before and after.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -14,6 +14,7 @@
 #include "dotterel/io/EventLoop.h"
 #include "dotterel/io/LogOutput.h"
 #include "dotterel/io/StrictHttpServer.h"
+#include "dotterel/peers/CrashExchange.h"
 #include "dotterel/peers/LoadExchange.h"
 #include "dotterel/peers/StoreRelay.h"
 #include "dotterel/peers/UsageRelay.h"
@@ -97,6 +98,7 @@
   auto applyConfigurationChange(const KeyChange &Change) -> void;
   auto applyBackendChange(const KeyChange &Change) -> void;
   auto receive(const std::string &Address, std::string_view Bytes) -> void;
+  auto mergeCrashReport(const CrashReport &Report, MonotonicTime Now) -> bool;
   auto reload() -> void;
   auto tick() -> void;
   auto drain(std::function<void()> Done) -> void;
@@ -119,6 +121,7 @@
   KeyspaceMirror m_BackendMirror;
   UsageRecorder m_Usage;
   UsageRelay m_UsageRelay;
+  CrashExchange m_CrashExchange;
   FleetDuty m_Duty;
   Supervisor m_Tree;
   std::optional<StrictHttpServer> m_CallerServer;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -5,6 +5,7 @@
 #include "dotterel/supervision/FunctionComponent.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -148,6 +149,12 @@
                    m_Random, m_Hosts,
                    [this](Duration Age) { return m_Usage.overdue(Age); },
                    {.m_Writer = segmentOptions(Options.m_Settings.m_Bounds)}),
+      m_CrashExchange(Loop, Dependencies.m_Datagrams, m_Random, m_Hosts,
+                      m_Exchange, m_Core.crashes().registry(),
+                      [this](const CrashReport &Report, MonotonicTime Now) {
+                        return mergeCrashReport(Report, Now);
+                      },
+                      {}),
       m_Duty(m_Time, Dependencies.m_Store, Dependencies.m_Fleet,
              {.m_Directory = m_Core.directory(),
               .m_Configuration = [this] { return m_Core.configuration(); },
@@ -170,6 +177,9 @@
       [this](const KeyChange &Change) { applyBackendChange(Change); });
   m_BackendMirror.onConfirmed(
       [this](MonotonicTime At) { confirmBackends(At); });
+  m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
+    m_CrashExchange.announce(Digests);
+  });
   Dependencies.m_Datagrams.onReceive(
       [this](const std::string &Address, std::string_view Bytes) {
         receive(Address, Bytes);
@@ -241,6 +251,8 @@
     -> void {
   try {
     auto Message = decodeHostMessage(Bytes);
+    // It also observes which hosts are heard.
+    m_CrashExchange.receive(Message, Address);
     if (std::holds_alternative<LoadSummary>(Message.m_Content))
       m_Exchange.receive(Message, Address, Bytes);
     else if (const auto *Segment =
@@ -254,6 +266,20 @@
   }
 }
 
+auto HostProcess::mergeCrashReport(const CrashReport &Report, MonotonicTime Now)
+    -> bool {
+  const auto &Known = m_Core.crashes().registry();
+  auto Summary = [&] {
+    auto Own = Known.report(Report.m_Digest, Now);
+    return std::tuple(Known.verdict(Report.m_Digest),
+                      Own ? Own->m_Losses.size() : 0,
+                      Own ? Own->m_Releases : 0);
+  };
+  auto Before = Summary();
+  m_Core.crashes().merge({Report}, Now);
+  return Summary() != Before;
+}
+
 auto HostProcess::applyConfigurationChange(const KeyChange &Change) -> void {
   if (Change.m_Key != m_Dependencies.m_Records.configurationKey() ||
       !Change.m_Value)
@@ -344,6 +370,7 @@
                                      m_Exchange.start();
                                      m_Relay.start();
                                      m_UsageRelay.start();
+                                     m_CrashExchange.start();
                                    },
                                .m_Reset = [this] { m_Hosts.deregister(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(
