--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -32,6 +32,10 @@
   auto observeCompleteResponse(RequestKind Kind, Duration Value) -> void;
   /// Records by how much a periodic check of the event loop ran late.
   auto observeLoopDelay(Duration Value) -> void;
+  /// Counts a server that no longer accepted connections after an attempt
+  /// broke.
+  auto countLostServer() -> void;
+  auto setQuarantinedDigests(double Count) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
