Serve parts again that were quarantined beside the one that crashes servers

With little traffic no request succeeds between three crashes, so the sound parts of the crashing requests are quarantined together with the crashing one; then no request with them is served any more, and none can succeed, until the evidence expires after ten minutes. A quarantined part is now tried if another quarantined digest, which the request does not have, explains all its losses: one request at a time on a host, not retried if its connection breaks. Its success releases the part. A crash adds a loss that the other digest does not explain, so a crashing part gets one trial.

unit-ServedRequest: on the code before, the 3 new cases fail (the sound part is refused on and on; the case of a second crash never gets its trial).

--- a/include/dotterel/serving/CrashMonitor.h
+++ b/include/dotterel/serving/CrashMonitor.h
@@ -67,10 +67,31 @@
 auto digestsOf(const CallerRequest &Request, const ServiceSpec &Service,
                const OrganisationId &Organisation) -> RequestDigests;
 
+class CrashMonitor;
+
+/// A request that is served although parts of its prompt are quarantined, to
+/// find out whether they crash servers. Ends when it is destroyed.
+class CrashTrial {
+public:
+  CrashTrial(CrashMonitor &Monitor, std::vector<RequestDigest> Digests);
+  CrashTrial(const CrashTrial &) = delete;
+  auto operator=(const CrashTrial &) -> CrashTrial & = delete;
+  ~CrashTrial();
+
+  [[nodiscard]] auto covers(RequestDigest Digest) const -> bool;
+
+private:
+  CrashMonitor *m_Monitor;
+  std::weak_ptr<bool> m_MonitorAlive;
+  std::vector<RequestDigest> m_Digests;
+};
+
 /// Attributes crashes of servers to the requests that ran there.
 ///
 /// \invariant A broken attempt is evidence only if its server no longer accepts
 /// connections.
+/// \invariant At most one request with a quarantined digest is a trial at a
+/// time.
 class CrashMonitor {
 public:
   CrashMonitor(Scheduler &Scheduler, BackendTransport &Transport,
@@ -88,10 +109,18 @@
   /// Records that a server executed a request completely and successfully.
   auto attemptSucceeded(const RequestDigests &Digests) -> void;
 
-  /// Returns the digest for which the request must be refused, if any.
-  [[nodiscard]] auto quarantined(const RequestDigests &Digests) const
+  /// Returns the digest for which the request must be refused, if any. \p Trial
+  /// is the trial that the request is, or null.
+  [[nodiscard]] auto quarantined(const RequestDigests &Digests,
+                                 const CrashTrial *Trial = nullptr) const
       -> std::optional<RequestDigest>;
 
+  /// Makes a request with quarantined parts a trial, if all losses of each part
+  /// can be explained by another quarantined digest that the request does not
+  /// have. Returns null if it must be refused.
+  [[nodiscard]] auto beginTrial(const RequestDigests &Digests)
+      -> std::unique_ptr<CrashTrial>;
+
   /// Sets a callback that receives the digests whose evidence or releases
   /// changed by what this host observed, to be reported to the other hosts.
   auto
@@ -109,6 +138,8 @@
   }
 
 private:
+  friend class CrashTrial;
+
   struct BrokenAttempt {
     RequestDigests m_Digests;
     MonotonicTime m_SentAt;
@@ -136,6 +167,9 @@
   auto describe(const RequestDigests &Digests) -> void;
   /// Logs and counts a digest that has been quarantined or released.
   auto review(RequestDigest Digest, const char *Reason) -> void;
+  [[nodiscard]] auto explainedByOther(RequestDigest Digest,
+                                      const RequestDigests &Request) const
+      -> bool;
   auto notify(const std::vector<RequestDigest> &Changed) -> void;
   auto removeOldChecks() -> void;
   auto expire() -> void;
@@ -147,7 +181,9 @@
   CrashRegistry m_Registry;
   std::map<BackendId, Check> m_Checks; ///< By BackendIncarnation::lossId().
   std::map<RequestDigest, Description> m_Descriptions;
-  std::set<RequestDigest> m_Quarantined;
+  /// Quarantined digests with the servers that were lost.
+  std::map<RequestDigest, std::set<BackendId>> m_Quarantined;
+  std::set<RequestDigest> m_Trials;
   std::function<void(const std::vector<RequestDigest> &)> m_OnChange;
   RepeatingTimer m_ExpiryTimer;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -94,7 +94,7 @@
 /// \invariant A refusal states "not run" only if no attempt may have executed
 /// the request.
 /// \invariant A request is not sent, nor its prefilled prompt passed on, while
-/// one of its digests is quarantined.
+/// one of its digests is quarantined, unless it is a trial.
 class ServedRequest final : public AttemptListener {
 public:
   /// \p Ended is called exactly once, as the last action of the request.
@@ -134,8 +134,8 @@
   auto sendToDecodeEngine(const Attempt &PrefillAttempt) -> void;
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
-  /// Refuses the request if one of its digests is quarantined. Returns whether
-  /// it did.
+  /// Refuses the request if one of its digests is quarantined and it cannot be
+  /// a trial. Returns whether it did.
   [[nodiscard]] auto refuseIfQuarantined() -> bool;
   auto completeAttempt(const AttemptResult &Result) -> Attempt;
   /// Counts the next attempt. Returns false if the retry budget is exhausted.
@@ -171,6 +171,8 @@
   RequestParameters m_Parameters;
   std::function<void()> m_OnEnded;
   RequestDigests m_Digests;
+  std::unique_ptr<CrashTrial> m_Trial;
+  bool m_TrialFailed = false;
   MonotonicTime m_ArrivedAt;
   MonotonicTime m_Deadline;
   std::optional<TimerId> m_DeadlineTimer;
--- a/src/serving/CrashMonitor.cpp
+++ b/src/serving/CrashMonitor.cpp
@@ -55,6 +55,25 @@
   return Result;
 }
 
+CrashTrial::CrashTrial(CrashMonitor &Monitor,
+                       std::vector<RequestDigest> Digests)
+    : m_Monitor(&Monitor), m_MonitorAlive(Monitor.m_Alive),
+      m_Digests(std::move(Digests)) {
+  m_Monitor->m_Trials.insert(m_Digests.begin(), m_Digests.end());
+}
+
+CrashTrial::~CrashTrial() {
+  if (m_MonitorAlive.expired())
+    return;
+  for (auto Digest : m_Digests)
+    m_Monitor->m_Trials.erase(Digest);
+}
+
+auto CrashTrial::covers(RequestDigest Digest) const -> bool {
+  return std::find(m_Digests.begin(), m_Digests.end(), Digest) !=
+         m_Digests.end();
+}
+
 CrashMonitor::CrashMonitor(Scheduler &Scheduler, BackendTransport &Transport,
                            ServingMetrics &Metrics,
                            const CrashMonitorOptions &Options)
@@ -168,10 +187,12 @@
   notify(Changed);
 }
 
-auto CrashMonitor::quarantined(const RequestDigests &Digests) const
+auto CrashMonitor::quarantined(const RequestDigests &Digests,
+                               const CrashTrial *Trial) const
     -> std::optional<RequestDigest> {
-  auto IsQuarantined = [this](RequestDigest Digest) {
-    return m_Registry.verdict(Digest) == CrashVerdict::Quarantined;
+  auto IsQuarantined = [this, Trial](RequestDigest Digest) {
+    return m_Registry.verdict(Digest) == CrashVerdict::Quarantined &&
+           (Trial == nullptr || !Trial->covers(Digest));
   };
   // A part explains more than the one request does.
   for (const auto &Item : Digests.m_Parts)
@@ -182,6 +203,42 @@
   return std::nullopt;
 }
 
+auto CrashMonitor::beginTrial(const RequestDigests &Digests)
+    -> std::unique_ptr<CrashTrial> {
+  // A request cannot be told apart from another one with the same content.
+  if (m_Quarantined.contains(Digests.m_Content))
+    return nullptr;
+  auto Tried = std::vector<RequestDigest>();
+  for (const auto &Item : Digests.m_Parts) {
+    if (!m_Quarantined.contains(Item.m_Digest))
+      continue;
+    // More than one trial at a time would crash several servers if the part is
+    // the one that crashes them.
+    if (m_Trials.contains(Item.m_Digest) ||
+        !explainedByOther(Item.m_Digest, Digests))
+      return nullptr;
+    Tried.push_back(Item.m_Digest);
+  }
+  if (Tried.empty())
+    return nullptr;
+  logInfo("crash.trial",
+          {{"digest", Tried.front()}, {"request", Digests.m_Request}});
+  return std::make_unique<CrashTrial>(*this, std::move(Tried));
+}
+
+auto CrashMonitor::explainedByOther(RequestDigest Digest,
+                                    const RequestDigests &Request) const
+    -> bool {
+  const auto &Losses = m_Quarantined.at(Digest);
+  auto Own = Request.all();
+  return std::any_of(
+      m_Quarantined.begin(), m_Quarantined.end(), [&](const auto &Other) {
+        return std::find(Own.begin(), Own.end(), Other.first) == Own.end() &&
+               std::includes(Other.second.begin(), Other.second.end(),
+                             Losses.begin(), Losses.end());
+      });
+}
+
 auto CrashMonitor::merge(const std::vector<CrashReport> &Reports,
                          MonotonicTime Now) -> void {
   for (const auto &Report : Reports) {
@@ -207,7 +264,15 @@
 
 auto CrashMonitor::review(RequestDigest Digest, const char *Reason) -> void {
   auto IsQuarantined = m_Registry.verdict(Digest) == CrashVerdict::Quarantined;
-  if (IsQuarantined == m_Quarantined.contains(Digest))
+  auto WasQuarantined = m_Quarantined.contains(Digest);
+  auto Losses = std::set<BackendId>();
+  if (IsQuarantined) {
+    auto Report = m_Registry.report(Digest, m_Scheduler.now());
+    for (const auto &[LossId, Ages] : Report->m_Losses)
+      Losses.insert(LossId);
+    m_Quarantined[Digest] = Losses;
+  }
+  if (IsQuarantined == WasQuarantined)
     return;
   auto Known = Description();
   auto Kind = "unknown";
@@ -215,19 +280,16 @@
     Known = Found->second;
     Kind = Known.m_Part ? "part" : "request";
   }
-  if (IsQuarantined)
-    m_Quarantined.insert(Digest);
-  else
+  if (!IsQuarantined)
     m_Quarantined.erase(Digest);
   m_Metrics.setQuarantinedDigests(static_cast<double>(m_Quarantined.size()));
-  auto Report = m_Registry.report(Digest, m_Scheduler.now());
   logEvent(IsQuarantined ? LogLevel::Warning : LogLevel::Info,
            IsQuarantined ? "crash.quarantined" : "crash.released",
            {{"digest", Digest},
             {"reason", Reason},
             {"kind", Kind},
             {"part", Known.m_PartId},
-            {"losses", Report ? Report->m_Losses.size() : 0},
+            {"losses", Losses.size()},
             {"request", Known.m_NewestRequest}});
 }
 
@@ -245,7 +307,7 @@
 auto CrashMonitor::expire() -> void {
   removeOldChecks();
   m_Registry.expire(m_Scheduler.now());
-  for (auto Digest : std::vector(m_Quarantined.begin(), m_Quarantined.end()))
+  for (const auto &[Digest, Losses] : std::map(m_Quarantined))
     review(Digest, "expiry");
   std::erase_if(m_Descriptions, [this](const auto &Item) {
     return m_Registry.verdict(Item.first) == CrashVerdict::Clear;
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -80,7 +80,12 @@
 }
 
 auto ServedRequest::refuseIfQuarantined() -> bool {
-  auto Found = m_Context.m_Crashes.quarantined(m_Digests);
+  auto Found = m_Context.m_Crashes.quarantined(m_Digests, m_Trial.get());
+  if (Found && !m_Trial && !m_TrialFailed) {
+    m_Trial = m_Context.m_Crashes.beginTrial(m_Digests);
+    if (m_Trial)
+      Found = m_Context.m_Crashes.quarantined(m_Digests, m_Trial.get());
+  }
   if (!Found)
     return false;
   refuse(RefusalCode::Quarantined,
@@ -355,12 +360,16 @@
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
     // Also if an idle connection was closed: the check tells whether the server
     // has ended.
-    if (Result.m_Outcome == AttemptOutcome::Failed)
+    if (Result.m_Outcome == AttemptOutcome::Failed) {
+      // A trial is not retried, since it may have crashed its server.
+      m_TrialFailed = m_TrialFailed || m_Trial != nullptr;
+      m_Trial.reset();
       m_Context.m_Crashes.attemptBroken({.m_Id = Ended.m_Backend,
                                          .m_StartedAt = Ended.m_ServerStartedAt,
                                          .m_Address = Ended.m_Address,
                                          .m_DataCentre = Ended.m_DataCentre},
                                         m_Digests, Ended.m_StartedAt);
+    }
     break;
   }
   return Ended;
@@ -574,6 +583,7 @@
   m_ActivityTimer.reset();
   m_Exchange->onDisconnect(nullptr);
   cancelAttempt();
+  m_Trial.reset();
   if (Outcome == "cut")
     m_Exchange->abort();
   m_Context.m_Metrics.countRequest(m_Parameters.m_Route->m_Kind, Outcome);
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -90,11 +90,12 @@
 
   /// Has a part quarantined by crashes of servers that other requests cause.
   auto quarantinePart(const std::string &PartId) -> void {
-    auto Digests = RequestDigests{
-        .m_Parts = {{.m_Id = PartId,
-                     .m_Digest = digestPromptPart(ModelId{"llm"}, PartId)}}};
     m_Transport.m_LostAddresses.insert("lost:1");
     for (auto StartedAt = 1U; StartedAt <= 3; ++StartedAt) {
+      auto Digests = RequestDigests{
+          .m_Content = RequestDigest{StartedAt},
+          .m_Parts = {{.m_Id = PartId,
+                       .m_Digest = digestPromptPart(ModelId{"llm"}, PartId)}}};
       m_Core.crashes().attemptBroken({.m_Id = BackendId{"lost"},
                                       .m_StartedAt = StartedAt,
                                       .m_Address = "lost:1"},
@@ -504,3 +505,76 @@
     }
   }
 }
+
+// Guards against refusing a part that only ran beside the crashing one in all
+// the requests that crashed servers.
+TEST_CASE("served request: a part that is quarantined together with a crashing "
+          "one is served again after one success without it") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    Test.serve("stream", "k",
+               sharedPrompt({"doc", "crashing"}, fmt::format("own{}", Index)));
+    Test.crash();
+  }
+  CHECK_FALSE(
+      Test.reachesServer("stream", sharedPrompt({"doc", "crashing"}, "x")));
+  // One request at a time is tried.
+  auto Trial = Test.serve("stream", "k", sharedPrompt({"doc"}, "x"));
+  CHECK_FALSE(Trial->m_Refusal);
+  auto &Listener = *Test.m_Transport.m_Sent.back().m_Listener;
+  auto Beside = Test.serve("stream", "k", sharedPrompt({"doc"}, "y"));
+  REQUIRE(Beside->m_Refusal);
+  CHECK(Beside->m_Refusal->code() == RefusalCode::Quarantined);
+  Listener.onEnd(endedWith(AttemptOutcome::NotExecuted));
+  // The trial ends with its request, also without a success.
+  while (!Trial->m_Refusal)
+    Test.m_Transport.end(endedWith(AttemptOutcome::NotExecuted));
+  CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "y")));
+  for (auto Index = 0; Index < 3; ++Index) {
+    CHECK_FALSE(
+        Test.serve("stream", "k", sharedPrompt({"doc"}, "z"))->m_Refusal);
+    CHECK(Test.serve("resumable", "k", sharedPrompt({"doc", "crashing"}, "x"))
+              ->m_Refusal);
+  }
+}
+
+TEST_CASE("served request: a crashing part that was quarantined together with "
+          "a sound one crashes at most one more server") {
+  for (const auto *Route : {"stream", "resumable"}) {
+    auto Test = CrashFixture();
+    for (auto Index = 0; Index < 20; ++Index)
+      Test.reachesServer("stream", shortPrompt());
+    for (auto Index = 0; Index < 3; ++Index) {
+      Test.serve(
+          "stream", "k",
+          sharedPrompt({"doc", "crashing"}, fmt::format("own{}", Index)));
+      Test.crash();
+    }
+    auto Sent = Test.m_Transport.m_Sent.size();
+    Test.serve(Route, "k", sharedPrompt({"other", "crashing"}, "x"));
+    REQUIRE(Test.m_Transport.m_Sent.size() == Sent + 1);
+    Test.crash();
+    CHECK(Test.m_Transport.m_Sent.size() == Sent + 1);
+    for (const auto *Shared : {"other", "doc", "third"})
+      CHECK_FALSE(
+          Test.reachesServer(Route, sharedPrompt({Shared, "crashing"}, "y")));
+    CHECK(Test.m_Transport.m_Sent.size() == Sent + 1);
+    CHECK(Test.reachesServer(Route, sharedPrompt({"doc"}, "y")));
+    CHECK(Test.reachesServer(Route, sharedPrompt({"other"}, "y")));
+  }
+}
+
+// A crashing request that is sent again and again is the only one that ran on
+// the servers with its parts.
+TEST_CASE("served request: the parts of a request that is refused for its "
+          "content are served in other requests") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    Test.serve("stream", "k", sharedPrompt({"doc"}, "crashing"));
+    Test.crash();
+  }
+  CHECK_FALSE(Test.reachesServer("stream", sharedPrompt({"doc"}, "crashing")));
+  CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "sound")));
+  CHECK_FALSE(Test.reachesServer("stream", sharedPrompt({"doc"}, "crashing")));
+  CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "sound")));
+}
