Keep the cost of a full table of crash evidence low

A table of 4096 digests, which the losses of some dozens of engines fill, never shrank again, and each further digest ranked all others. Evictions rank once and drop a sixteenth, a merge removes old losses of its own digest only, and digests without evidence or releases are dropped when they expire.

unit-CrashRegistry, a digest whose evidence has expired is dropped ...: fails on the code before (2 reports instead of 1).

--- a/include/dotterel/poison/CrashRegistry.h
+++ b/include/dotterel/poison/CrashRegistry.h
@@ -84,8 +84,8 @@
   /// Age from which a loss is no evidence any more; empty: evidence is kept
   /// until it is released.
   std::optional<Duration> m_EvidenceLifetime;
-  /// Maximum number of digests with evidence. Beyond it, the one whose newest
-  /// loss is oldest is dropped, quarantined ones last.
+  /// Maximum number of digests with evidence. Beyond it, a sixteenth of them is
+  /// dropped: those whose newest loss is oldest first, quarantined ones last.
   std::size_t m_MaxDigests = 4096;
 };
 
@@ -156,6 +156,7 @@
   [[nodiscard]] static auto makeReport(RequestDigest Digest,
                                        const Evidence &Known, MonotonicTime Now)
       -> CrashReport;
+  auto removeOldLosses(Evidence &Item, MonotonicTime Now) const -> void;
   auto limitDigests() -> void;
 
   CrashRegistryOptions m_Options;
--- a/src/poison/CrashRegistry.cpp
+++ b/src/poison/CrashRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <xxhash.h>
 
 namespace dotterel {
@@ -80,19 +81,26 @@
 }
 
 auto CrashRegistry::limitDigests() -> void {
-  while (m_Evidence.size() > m_Options.m_MaxDigests) {
-    auto Rank = [this](const auto &Item) {
-      auto Newest = MonotonicTime();
-      for (const auto &[Backend, Times] : Item.second.m_Losses)
-        Newest = std::max(Newest, Times.m_LostAt);
-      return std::pair(verdict(Item.second) == CrashVerdict::Quarantined,
-                       Newest);
-    };
-    m_Evidence.erase(std::min_element(m_Evidence.begin(), m_Evidence.end(),
-                                      [&](const auto &Left, const auto &Right) {
-                                        return Rank(Left) < Rank(Right);
-                                      }));
+  if (m_Evidence.size() <= m_Options.m_MaxDigests)
+    return;
+  auto Ranked = std::vector<std::tuple<bool, MonotonicTime, RequestDigest>>();
+  Ranked.reserve(m_Evidence.size());
+  for (const auto &[Digest, Known] : m_Evidence) {
+    auto Newest = MonotonicTime();
+    for (const auto &[Backend, Times] : Known.m_Losses)
+      Newest = std::max(Newest, Times.m_LostAt);
+    Ranked.emplace_back(verdict(Known) == CrashVerdict::Quarantined, Newest,
+                        Digest);
   }
+  // Evicts several at once, since each eviction ranks all digests.
+  constexpr auto EvictedFraction = std::size_t{16};
+  auto Kept = m_Options.m_MaxDigests - m_Options.m_MaxDigests / EvictedFraction;
+  auto FirstKept =
+      Ranked.begin() + static_cast<std::ptrdiff_t>(Ranked.size() - Kept);
+  std::nth_element(Ranked.begin(), FirstKept, Ranked.end());
+  std::for_each(Ranked.begin(), FirstKept, [this](const auto &Item) {
+    m_Evidence.erase(std::get<RequestDigest>(Item));
+  });
 }
 
 auto CrashRegistry::verdict(RequestDigest Digest) const -> CrashVerdict {
@@ -161,7 +169,7 @@
     Entry->second.m_LostAt = std::min(Entry->second.m_LostAt, Times.m_LostAt);
   }
   Own.m_LostAlone = Own.m_LostAlone || Report.m_LostAlone;
-  expire(Now);
+  removeOldLosses(Own, Now);
   limitDigests();
 }
 
@@ -193,13 +201,21 @@
   return makeReport(Digest, Found->second, Now);
 }
 
-auto CrashRegistry::expire(MonotonicTime Now) -> void {
+auto CrashRegistry::removeOldLosses(Evidence &Item, MonotonicTime Now) const
+    -> void {
   if (!m_Options.m_EvidenceLifetime)
     return;
+  std::erase_if(Item.m_Losses, [&](const auto &Loss) {
+    return Now - Loss.second.m_LostAt > *m_Options.m_EvidenceLifetime;
+  });
+}
+
+auto CrashRegistry::expire(MonotonicTime Now) -> void {
   for (auto &[Digest, Known] : m_Evidence)
-    std::erase_if(Known.m_Losses, [&](const auto &Item) {
-      return Now - Item.second.m_LostAt > *m_Options.m_EvidenceLifetime;
-    });
+    removeOldLosses(Known, Now);
+  std::erase_if(m_Evidence, [](const auto &Item) {
+    return Item.second.m_Losses.empty() && Item.second.m_Releases == 0;
+  });
 }
 
 } // namespace dotterel
--- a/tests/unit-CrashRegistry.cpp
+++ b/tests/unit-CrashRegistry.cpp
@@ -170,6 +170,20 @@
   CHECK(A.verdict(CrashingRequest) == CrashVerdict::Clear);
 }
 
+// Guards against a table that is full of digests without evidence, in which
+// each further loss evicts others.
+TEST_CASE("CrashRegistry: a digest whose evidence has expired is dropped, "
+          "unless it was released") {
+  auto Registry = CrashRegistry({.m_EvidenceLifetime = Seconds(60)});
+  Registry.recordLoss(server(1), DataCentreId{"a"},
+                      {{CrashingRequest}, {OtherRequest}}, at(0));
+  Registry.recordSuccess(OtherRequest);
+  Registry.expire(at(61));
+  auto Reports = Registry.reports(at(61));
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports[0].m_Digest == OtherRequest);
+}
+
 // Guards against unbounded memory when many requests are lost with servers.
 TEST_CASE("CrashRegistry: the number of digests is bounded, and quarantined "
           "ones are dropped last") {
