Check a server again that accepts connections after an attempt broke

A server that ends may close its connections a moment before it stops to accept new ones; the check then found it reachable, and the crash was no evidence. A first check that finds it reachable is now repeated after 100 ms.

--- a/include/dotterel/serving/CrashMonitor.h
+++ b/include/dotterel/serving/CrashMonitor.h
@@ -29,6 +29,9 @@
                                   .m_MinReclaimedServers = 0,
                                   .m_SuccessReleasesQuarantine = true,
                                   .m_EvidenceLifetime = Seconds(600)};
+  /// Time after which a server that accepted a connection is checked again: it
+  /// may have closed its connections just before it ended.
+  Duration m_RecheckDelay = Milliseconds(100);
   /// Time for which the result of a check of a server is reused.
   Duration m_CheckLifetime = Seconds(1);
   /// Maximum number of servers that are checked, or whose result is kept.
@@ -150,6 +153,7 @@
     MonotonicTime m_BrokenAt; ///< When the first attempt broke.
     MonotonicTime m_ExpiresAt = MonotonicTime::max();
     CheckState m_State = CheckState::Pending;
+    bool m_Rechecked = false;
     std::vector<BrokenAttempt> m_Attempts; ///< While the check is pending.
     /// Digests of requests that succeeded elsewhere since then.
     std::set<RequestDigest> m_Succeeded;
@@ -161,6 +165,7 @@
     bool m_Part = false;
   };
 
+  auto startCheck(const BackendId &LossId) -> void;
   auto checkEnded(const BackendId &LossId, bool Reachable) -> void;
   auto recordLoss(const Check &Ended, const std::vector<BrokenAttempt> &Broken)
       -> void;
--- a/src/serving/CrashMonitor.cpp
+++ b/src/serving/CrashMonitor.cpp
@@ -95,12 +95,7 @@
                 .emplace(LossId, Check{.m_Server = Server,
                                        .m_BrokenAt = m_Scheduler.now()})
                 .first;
-    m_Transport.checkReachable(
-        Server.m_Address,
-        [this, LossId, Alive = std::weak_ptr(m_Alive)](bool Reachable) {
-          if (!Alive.expired())
-            checkEnded(LossId, Reachable);
-        });
+    startCheck(LossId);
   }
   auto &Current = Found->second;
   auto Broken = BrokenAttempt{.m_Digests = Digests, .m_SentAt = SentAt};
@@ -111,9 +106,26 @@
     Current.m_Attempts.push_back(std::move(Broken));
 }
 
+auto CrashMonitor::startCheck(const BackendId &LossId) -> void {
+  m_Transport.checkReachable(
+      m_Checks.at(LossId).m_Server.m_Address,
+      [this, LossId, Alive = std::weak_ptr(m_Alive)](bool Reachable) {
+        if (!Alive.expired())
+          checkEnded(LossId, Reachable);
+      });
+}
+
 auto CrashMonitor::checkEnded(const BackendId &LossId, bool Reachable) -> void {
   auto Now = m_Scheduler.now();
   auto &Ended = m_Checks.at(LossId);
+  if (Reachable && !std::exchange(Ended.m_Rechecked, true)) {
+    m_Scheduler.schedule(m_Options.m_RecheckDelay,
+                         [this, LossId, Alive = std::weak_ptr(m_Alive)] {
+                           if (!Alive.expired())
+                             startCheck(LossId);
+                         });
+    return;
+  }
   Ended.m_ExpiresAt = Now + m_Options.m_CheckLifetime;
   Ended.m_State = Reachable ? CheckState::Reachable : CheckState::Lost;
   auto Broken = std::exchange(Ended.m_Attempts, {});
--- a/tests/unit-CrashMonitor.cpp
+++ b/tests/unit-CrashMonitor.cpp
@@ -155,7 +155,10 @@
                                  prompt("x", {"shared"}),
                                  Test.m_Scheduler.now());
     Test.m_Transport.endChecks();
-    Test.m_Scheduler.advance(Milliseconds(500));
+    Test.m_Scheduler.advance(Milliseconds(100));
+    Test.m_Transport.endChecks();
+    Test.m_Scheduler.advance(Milliseconds(400));
+    CHECK(Test.m_Transport.m_Checks.empty());
   }
   CHECK(Test.m_Monitor.registry().reports(Test.m_Scheduler.now()).empty());
   CHECK(Changes == 0);
@@ -195,6 +198,27 @@
   CHECK(Test.m_Transport.m_Checks.size() == 1);
 }
 
+// Guards against missing the loss of a server that closes its connections just
+// before it stops to accept new ones.
+TEST_CASE("crash monitor: a server that still accepts connections is checked "
+          "once more before its attempts are no evidence") {
+  auto Test = MonitorFixture();
+  auto Server = MonitorFixture::server(1);
+  auto SentAt = Test.m_Scheduler.now();
+  Test.m_Scheduler.advance(Milliseconds(1));
+  Test.m_Monitor.attemptBroken(Server, prompt("x", {"a"}), SentAt);
+  Test.m_Transport.endChecks();
+  Test.m_Transport.m_LostAddresses.insert(Server.m_Address);
+  Test.m_Monitor.attemptBroken(Server, prompt("x", {"b"}), SentAt);
+  CHECK(Test.m_Transport.m_Checks.empty());
+  Test.m_Scheduler.advance(Milliseconds(100));
+  REQUIRE(Test.m_Transport.m_Checks.size() == 1);
+  Test.m_Transport.endChecks();
+  for (const auto *Part : {"a", "b"})
+    CHECK(Test.m_Monitor.registry().verdict(digestOf(Part)) ==
+          CrashVerdict::Suspect);
+}
+
 TEST_CASE("crash monitor: the number of checks and of attempts that wait for "
           "one is bounded") {
   auto Test = MonitorFixture();
@@ -330,4 +354,5 @@
   auto Done = Test->m_Transport.m_Checks.at(0).m_Done;
   Test.reset();
   Done(false);
+  Done(true);
 }
