Treat a stream that ends inside an event as truncated

Callers received a stream as complete although its server had stopped in the middle of an event: a resumable stream was finished with the incomplete event as its last bytes, any other stream was finished wherever it stopped. The engine's health counted such attempts as successes.

Cause: a response without a length and chunks is complete for the HTTP client as soon as the connection ends in an orderly way, and ServedRequest did not look at the events. It wrote the incomplete event of a resumable stream itself and did not follow the events of other streams at all.

Now an attempt whose stream ends inside an event is a failed one, whatever the framing: it counts against the engine, is resumed within the route's attempts and the retry budget, or else aborted. Events of streams that are not resumable are still forwarded as they arrive; the splitter follows them without buffering. A response whose content type names no event stream has no events to be cut.

The splitter examines each byte once. It used to search its whole buffer again for each piece of an event.

--- a/include/dotterel/serving/EventSplitter.h
+++ b/include/dotterel/serving/EventSplitter.h
@@ -1,41 +1,65 @@
 //===- EventSplitter.h - Splits a stream into complete events ---*- C++ -*-===//
 ///
 /// \file
-/// Splits an event stream at event boundaries, so that another server can
-/// resume it.
+/// Finds the event boundaries of an event stream, so that another server can
+/// resume it and a truncated event is detected.
 ///
 //===----------------------------------------------------------------------===//
 #ifndef DOTTEREL_SERVING_EVENTSPLITTER_H
 #define DOTTEREL_SERVING_EVENTSPLITTER_H
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace dotterel {
 
-/// Buffers the data that follows the last complete event.
+/// Follows the events of a stream. Lines end with a line feed, optionally
+/// preceded by a carriage return; a blank line ends an event. The data of one
+/// stream is passed either to feed() or to track(). Complexity of both: linear
+/// in the size of the data.
 class EventSplitter {
 public:
-  /// Appends \p Data and returns the events that are complete now.
+  /// Appends \p Data and returns the events that are complete now. The data
+  /// that follows the last complete event is buffered.
   auto feed(std::string_view Data) -> std::string;
 
-  /// Returns the data that follows the last complete event.
+  /// Follows the events without buffering \p Data.
+  auto track(std::string_view Data) -> void { scan(Data); }
+
+  /// Returns whether the stream is inside an event or a line. Complete comment
+  /// lines belong to no event.
+  [[nodiscard]] auto insideEvent() const -> bool {
+    return m_InsideEvent || m_Line != LineKind::Empty;
+  }
+
+  /// Returns the buffered data that follows the last complete event.
   [[nodiscard]] auto incompleteEvent() const -> const std::string & {
     return m_Incomplete;
   }
 
   /// Discards an incomplete event.
-  auto discardIncompleteEvent() -> void { m_Incomplete.clear(); }
+  auto discardIncompleteEvent() -> void;
 
-  /// Returns the id of the last complete event, or an empty string if there is
-  /// none.
+  /// Returns the id of the last complete event that was passed to feed(), or an
+  /// empty string if there is none.
   [[nodiscard]] auto lastId() const -> const std::string & { return m_LastId; }
 
 private:
+  /// What the current line consists of so far.
+  enum class LineKind : std::uint8_t { Empty, CarriageReturn, Comment, Field };
+
+  /// Returns the end of the last event that ends in \p Data, or 0.
+  auto scan(std::string_view Data) -> std::size_t;
+  auto extendLine(std::string_view Text) -> void;
   auto recordLastId(std::string_view Events) -> void;
 
   std::string m_Incomplete;
   std::string m_LastId;
+  LineKind m_Line = LineKind::Empty;
+  /// Whether a field line has been completed since the last blank line.
+  bool m_InsideEvent = false;
 };
 
 } // namespace dotterel
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -184,6 +184,8 @@
   /// Whether the next attempt is already charged.
   bool m_ChargedInAdvance = false;
   bool m_Streaming = false;
+  /// Whether the response that the caller receives consists of events.
+  bool m_EventStream = false;
   bool m_FirstDataReceived = false;
   bool m_UsageCounted = false;
   bool m_Done = false;
--- a/src/serving/EventSplitter.cpp
+++ b/src/serving/EventSplitter.cpp
@@ -1,35 +1,62 @@
 #include "dotterel/serving/EventSplitter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterel {
 
-namespace {
-
-/// Returns the end of the last complete event in \p Text, or 0. Lines end with
-/// a line feed, optionally preceded by a carriage return.
-auto lastEventEnd(std::string_view Text) -> std::size_t {
-  auto Plain = Text.rfind("\n\n");
-  auto Paired = Text.rfind("\n\r\n");
-  auto End = std::size_t{0};
-  if (Plain != std::string_view::npos)
-    End = Plain + 2;
-  if (Paired != std::string_view::npos)
-    End = std::max(End, Paired + 3);
-  return End;
+auto EventSplitter::extendLine(std::string_view Text) -> void {
+  if (Text.empty() || m_Line == LineKind::Comment || m_Line == LineKind::Field)
+    return;
+  if (m_Line == LineKind::CarriageReturn)
+    m_Line = LineKind::Field;
+  else if (Text == "\r")
+    m_Line = LineKind::CarriageReturn;
+  else
+    m_Line = Text.front() == ':' ? LineKind::Comment : LineKind::Field;
 }
 
-} // namespace
+auto EventSplitter::scan(std::string_view Data) -> std::size_t {
+  auto EventEnd = std::size_t{0};
+  auto Begin = std::size_t{0};
+  while (Begin < Data.size()) {
+    auto End = std::min(Data.find('\n', Begin), Data.size());
+    extendLine(Data.substr(Begin, End - Begin));
+    if (End == Data.size())
+      break;
+    Begin = End + 1;
+    auto Blank =
+        m_Line == LineKind::Empty || m_Line == LineKind::CarriageReturn;
+    if (Blank) {
+      m_InsideEvent = false;
+      EventEnd = Begin;
+    } else if (m_Line == LineKind::Field) {
+      m_InsideEvent = true;
+    }
+    m_Line = LineKind::Empty;
+  }
+  return EventEnd;
+}
 
 auto EventSplitter::feed(std::string_view Data) -> std::string {
-  m_Incomplete.append(Data);
-  auto End = lastEventEnd(m_Incomplete);
-  auto Events = m_Incomplete.substr(0, End);
-  m_Incomplete.erase(0, End);
+  auto End = scan(Data);
+  if (End == 0) {
+    m_Incomplete.append(Data);
+    return {};
+  }
+  auto Events = std::move(m_Incomplete);
+  Events.append(Data.substr(0, End));
+  m_Incomplete = Data.substr(End);
   recordLastId(Events);
   return Events;
 }
 
+auto EventSplitter::discardIncompleteEvent() -> void {
+  m_Incomplete.clear();
+  m_Line = LineKind::Empty;
+  m_InsideEvent = false;
+}
+
 auto EventSplitter::recordLastId(std::string_view Events) -> void {
   constexpr auto Field = std::string_view("id:");
   while (!Events.empty()) {
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -25,6 +25,16 @@
   return Status >= 200 && Status < 300;
 }
 
+/// Returns whether a response to a streaming request consists of events: its
+/// content type is that of event streams or is not stated.
+auto consistsOfEvents(const ResponseHead &Head) -> bool {
+  constexpr auto EventStream = std::string_view("text/event-stream");
+  auto Type = findHeader(Head.m_Headers, "Content-Type");
+  return !Type ||
+         sameHeaderName(std::string_view(*Type).substr(0, EventStream.size()),
+                        EventStream);
+}
+
 } // namespace
 
 ServedRequest::ServedRequest(ServingContext &Context,
@@ -267,8 +277,10 @@
     m_Context.m_Loads.recordReport(m_Attempt->m_Backend, *Load, Now);
   m_Attempt->m_PendingTokens = 0;
   // A resumed stream keeps the response head of its first server.
-  if (!std::exchange(m_Streaming, true))
+  if (!std::exchange(m_Streaming, true)) {
+    m_EventStream = consistsOfEvents(Head);
     m_Exchange->beginStream(Head);
+  }
 }
 
 auto ServedRequest::onData(std::string_view Data) -> void {
@@ -288,10 +300,13 @@
 }
 
 auto ServedRequest::forward(std::string_view Data) -> void {
-  if (m_Parameters.m_Route->m_Resumable)
+  if (m_Parameters.m_Route->m_Resumable) {
     m_Exchange->write(m_Events.feed(Data));
-  else
+  } else {
+    // Forwarded at once, since no other server will send the event again.
+    m_Events.track(Data);
     m_Exchange->write(Data);
+  }
   if (!m_Done &&
       m_Exchange->unsentBytes() > m_Context.m_Options.m_MaxUnsentBytes) {
     cancelAttempt();
@@ -338,6 +353,13 @@
 }
 
 auto ServedRequest::onEnd(AttemptResult Result) -> void {
+  // Without a length the end of the connection is the only sign that a stream
+  // is complete, and a length can be that of a truncated stream.
+  if (Result.m_Outcome == AttemptOutcome::Complete && m_EventStream &&
+      m_Events.insideEvent()) {
+    Result.m_Outcome = AttemptOutcome::Failed;
+    Result.m_Detail = "the stream ended inside an event";
+  }
   auto Ended = completeAttempt(Result);
   if (Ended.m_Purpose == AttemptPurpose::Prefill)
     prefillEnded(Ended, Result);
@@ -419,8 +441,8 @@
       finish("cut", fmt::format("status {} after the first event", Status));
       return;
     }
-    if (m_Parameters.m_Route->m_Resumable &&
-        !m_Events.incompleteEvent().empty())
+    // Comment lines, or a response that does not consist of events.
+    if (!m_Events.incompleteEvent().empty())
       m_Exchange->write(m_Events.incompleteEvent());
     m_Context.m_Metrics.observeCompleteResponse(m_Parameters.m_Route->m_Kind,
                                                 m_Context.m_Scheduler.now() -
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -33,6 +33,15 @@
           .m_OutputLimit = TokenCount{40}};
 }
 
+/// Serves requests, so that the retry budget allows retries.
+auto fillRetryBudget(ServingFixture &Test) -> void {
+  constexpr auto Requests = 20;
+  for (auto Index = 0; Index < Requests; ++Index) {
+    Test.serve("stream", "k", shortPrompt());
+    Test.m_Transport.end(complete(200));
+  }
+}
+
 /// Whether the request may have been executed after an attempt with this
 /// outcome.
 auto mayHaveRun(AttemptOutcome Outcome) -> bool {
@@ -223,6 +232,133 @@
   CHECK(Test.m_Transport.m_Sent.size() == 1);
 }
 
+// Guards against a stream without a length that its server closes in the middle
+// of an event: the end of the connection looks like the end of the response.
+TEST_CASE(
+    "served request: a resumable stream that ends inside an event resumes "
+    "at another engine, without the incomplete event") {
+  for (const auto *Incomplete :
+       {"id", "id: 2\n", "id: 2\ndata: b\n", "id: 2\r\ndata: b\r\n\r"}) {
+    CAPTURE(std::string(Incomplete));
+    auto Test = ServingFixture();
+    fillRetryBudget(Test);
+    auto View = Test.serve("resumable", "k", shortPrompt());
+    auto First = Test.m_Transport.m_Sent.back();
+    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onData("id: 1\ndata: a\n\n");
+    First.m_Listener->onData(Incomplete);
+    Test.m_Transport.end(complete(200));
+    CHECK_FALSE(View->m_Finished);
+    CHECK(View->m_Body == "id: 1\ndata: a\n\n");
+    auto Second = Test.m_Transport.m_Sent.back();
+    REQUIRE_FALSE(Second.m_Ended);
+    CHECK(Second.m_Attempt.m_Backend != First.m_Attempt.m_Backend);
+    CHECK(Second.m_Attempt.m_ResumeAfter == "1");
+    Second.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Second.m_Listener->onData("id: 2\ndata: b\n\n");
+    Test.m_Transport.end(complete(200));
+    CHECK(View->m_Body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(View->m_Finished);
+  }
+}
+
+TEST_CASE("served request: a resumable stream whose every attempt ends inside "
+          "an event is aborted") {
+  auto Test = ServingFixture();
+  fillRetryBudget(Test);
+  auto View = Test.serve("resumable", "k", shortPrompt());
+  for (auto Attempt = 0; Attempt < 2; ++Attempt) {
+    REQUIRE_FALSE(Test.m_Transport.m_Sent.back().m_Ended);
+    auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
+    Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Listener->onData("id: 1\ndata: a");
+    Test.m_Transport.end(complete(200));
+  }
+  CHECK(Test.m_Transport.m_Sent.back().m_Ended);
+  CHECK(View->m_Aborted);
+  CHECK_FALSE(View->m_Finished);
+  CHECK(View->m_Body.empty());
+}
+
+TEST_CASE("served request: a stream that is not resumable and ends inside an "
+          "event is forwarded as it arrives and then aborted") {
+  for (const auto *Incomplete : {"i", "data: b\n", "data: b\r\n", "\n\n:"}) {
+    CAPTURE(std::string(Incomplete));
+    auto Test = ServingFixture();
+    auto View = Test.serve("stream", "k", shortPrompt());
+    auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
+    Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Listener->onData("data: a\n\n");
+    Listener->onData(Incomplete);
+    CHECK(View->m_Body == std::string("data: a\n\n") + Incomplete);
+    Test.m_Transport.end(complete(200));
+    CHECK(View->m_Aborted);
+    CHECK_FALSE(View->m_Finished);
+    CHECK(Test.m_Metrics.text().find("end=\"broken\"") != std::string::npos);
+  }
+}
+
+TEST_CASE("served request: a stream that ends after a complete event, after a "
+          "comment line or without any event is complete") {
+  for (const auto *Route : {"stream", "resumable"})
+    for (const auto *Text :
+         {"", "data: a\n\n", "data: a\r\n\r\n", "data: a\r\n\n",
+          "data: a\n\n: comment\n", ": comment\n\n", "\n"}) {
+      CAPTURE(std::string(Route));
+      CAPTURE(std::string(Text));
+      auto Test = ServingFixture();
+      auto View = Test.serve(Route, "k", shortPrompt());
+      auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
+      Listener->onBegin(
+          {.m_Status = 200,
+           .m_Headers = {{"Content-Type", "Text/Event-Stream; charset=utf-8"}}},
+          std::nullopt);
+      for (const auto *Next = Text; *Next != '\0'; ++Next)
+        Listener->onData(std::string_view(Next, 1));
+      Test.m_Transport.end(complete(200));
+      CHECK(View->m_Finished);
+      CHECK(View->m_Body == Text);
+    }
+}
+
+TEST_CASE("served request: a response of another content type on a stream's "
+          "route has no events and is complete when its framing says so") {
+  for (const auto *Route : {"stream", "resumable"}) {
+    CAPTURE(std::string(Route));
+    auto Test = ServingFixture();
+    auto View = Test.serve(Route, "k", shortPrompt());
+    auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
+    Listener->onBegin(
+        {.m_Status = 200, .m_Headers = {{"Content-Type", "application/json"}}},
+        std::nullopt);
+    Listener->onData("{\"text\":");
+    Listener->onData("\"a\"}");
+    Test.m_Transport.end(complete(200));
+    CHECK(View->m_Finished);
+    CHECK(View->m_Body == "{\"text\":\"a\"}");
+  }
+}
+
+TEST_CASE("served request: an engine whose streams end inside an event is "
+          "ejected") {
+  auto Test = ServingFixture();
+  auto Faulty = std::optional<BackendId>();
+  auto TruncatedStreams = 0U;
+  constexpr auto Streams = 40;
+  for (auto Index = 0; Index < Streams; ++Index) {
+    Test.serve("stream", "k", shortPrompt());
+    auto Sent = Test.m_Transport.m_Sent.back();
+    if (!Faulty)
+      Faulty = Sent.m_Attempt.m_Backend;
+    auto Truncated = Sent.m_Attempt.m_Backend == *Faulty;
+    TruncatedStreams += Truncated ? 1U : 0U;
+    Sent.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Sent.m_Listener->onData(Truncated ? "data: a" : "data: a\n\n");
+    Test.m_Transport.end(complete(200));
+  }
+  CHECK(TruncatedStreams == OutlierOptions().m_ConsecutiveFailures);
+}
+
 // Guards against rejected prefills that are not counted against the retry
 // budget.
 TEST_CASE("served request: if engines reject all requests, extra attempts stay "
