Bound all bytes that are read for a response

A backend server, or whatever answers at its address, could hold a call and its connection until the caller's deadline with bytes that never end: interim responses, responses with another call's id, chunk extensions. The caller then got its refusal at the deadline, with no time left for another server.

Cause: the parser limits each head, chunk line and trailer to 80 KiB, but not their number, and the bodies of skipped responses were not counted at all. A streamed body was delivered beyond the limit by up to one read.

The reader now counts: bodies, also skipped ones, against the call's limit, all other bytes against a limit that grows with the response's own body, because small chunks have more framing than data. A breach ends the attempt as broken and closes the connection, so that the retry rules apply while time is left.

--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -50,6 +50,7 @@
   /// A header that the response must repeat. A response with another value
   /// belongs to an earlier call and is skipped. Unused when the name is empty.
   HttpHeader m_EchoedHeader;
+  /// Maximum size of the response's body. A longer one counts as broken.
   std::size_t m_MaxResponseBytes = std::size_t{64} << 20U;
   /// Called once before the first onData, with the response's status and
   /// headers.
--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -18,10 +18,23 @@
 
 namespace dotterel::detail {
 
+struct ResponseReaderOptions {
+  bool m_HeadMethod = false;
+  /// A response whose header of this name has another value belongs to another
+  /// call. Unused when the name is empty.
+  HttpHeader m_EchoedHeader;
+  /// Maximum number of bytes of bodies, those of skipped responses included.
+  std::size_t m_MaxBodyBytes = std::size_t{64} << 20U;
+};
+
 /// Parses the response to one call.
 ///
-/// \invariant onHeaders is called at most once, before any onData, and not for
-/// a response whose echoed header has another value than the expected one.
+/// \invariant The bytes that are read and the bytes that are stored are
+/// bounded, whatever the peer sends: bodies by m_MaxBodyBytes, all other bytes
+/// by MaxOverheadBytes, plus MaxOverheadPerBodyByte for each byte of the
+/// response's own body. \invariant onHeaders is called at most once, before any
+/// onData, and not for a response whose echoed header has another value than
+/// the expected one.
 class ResponseReader {
 public:
   struct Callbacks {
@@ -29,7 +42,14 @@
     std::function<void(std::string_view)> m_OnData;
   };
 
-  ResponseReader(bool HeadMethod, HttpHeader EchoedHeader, Callbacks Callbacks);
+  /// Maximum number of bytes that belong to no body: heads, interim and skipped
+  /// responses' heads, chunk framing and trailers.
+  static constexpr auto MaxOverheadBytes = std::size_t{64} << 10U;
+  /// Chunks of one byte have five bytes of framing.
+  static constexpr auto MaxOverheadPerBodyByte = std::size_t{8};
+  static constexpr auto MaxHeaders = std::size_t{512};
+
+  ResponseReader(ResponseReaderOptions Options, Callbacks Callbacks);
   ResponseReader(const ResponseReader &) = delete;
   auto operator=(const ResponseReader &) -> ResponseReader & = delete;
   ~ResponseReader() = default;
@@ -53,6 +73,8 @@
   [[nodiscard]] auto reusable() const -> bool {
     return m_Reusable && !m_HasTrailingBytes && !m_SkippedResponse;
   }
+  /// Returns whether the response was broken off because it exceeded a limit.
+  [[nodiscard]] auto overLimit() const -> bool { return m_OverLimit; }
   [[nodiscard]] auto started() const -> bool { return m_Started; }
   /// Returns the time for which the peer keeps an idle connection open, from
   /// its Keep-Alive header.
@@ -61,15 +83,20 @@
 private:
   auto finishResponse() -> State;
   auto headersComplete() -> int;
+  auto addBody(std::string_view Data) -> int;
+  [[nodiscard]] auto maxOverheadBytes() const -> std::size_t;
   auto restart() -> void;
   static auto settings() -> const http_parser_settings &;
 
-  bool m_HeadMethod;
-  HttpHeader m_EchoedHeader;
+  ResponseReaderOptions m_Options;
   Callbacks m_Callbacks;
   http_parser m_Parser{};
   State m_State = State::Reading;
   HttpHeaders m_Headers;
+  std::size_t m_OverheadBytes = 0;
+  std::size_t m_OwnBodyBytes = 0;
+  std::size_t m_BodyBytes = 0; ///< Of skipped responses too.
+  bool m_OverLimit = false;
   bool m_InHeaderValue = false;
   bool m_HeadersDone = false;
   bool m_MessageDone = false;
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -101,7 +101,6 @@
   HttpCallResult m_Result;
   std::string m_SendBuffer;
   std::size_t m_SentBytes = 0;
-  std::size_t m_ReceivedBytes = 0;
   MonotonicTime m_Deadline;
   MonotonicTime m_IdleUntil;
   std::optional<TimerId> m_Timer;
@@ -169,9 +168,11 @@
   m_Result.m_Reused = m_CarriedCall;
   m_SendBuffer = std::move(Request);
   m_SentBytes = 0;
-  m_ReceivedBytes = 0;
   m_Reader = std::make_unique<detail::ResponseReader>(
-      m_Call->m_Method == "HEAD", m_Call->m_EchoedHeader,
+      detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
+                                    .m_EchoedHeader = m_Call->m_EchoedHeader,
+                                    .m_MaxBodyBytes =
+                                        m_Call->m_MaxResponseBytes},
       detail::ResponseReader::Callbacks{
           .m_OnHeaders =
               [this](unsigned Status, const HttpHeaders &Headers) {
@@ -270,10 +271,9 @@
 auto PooledConnection::onData(std::string_view Data) -> void {
   if (m_Closed)
     return;
-  m_ReceivedBytes += Data.size();
   if (m_Call->m_OnData)
     m_Call->m_OnData(Data);
-  else if (m_ReceivedBytes <= m_Call->m_MaxResponseBytes)
+  else
     m_Result.m_Body.append(Data);
 }
 
@@ -281,12 +281,10 @@
     -> void {
   if (m_Closed || !m_Call)
     return;
-  if (m_ReceivedBytes > m_Call->m_MaxResponseBytes) {
-    finish(HttpOutcome::Broken, "the answer is over the limit");
-    return;
-  }
   if (State == detail::ResponseReader::State::Broken)
-    finish(HttpOutcome::Broken, "the bytes are no answer");
+    finish(HttpOutcome::Broken, m_Reader->overLimit()
+                                    ? "the answer is over the limit"
+                                    : "the bytes are no answer");
   else if (State == detail::ResponseReader::State::Complete)
     finish(HttpOutcome::Complete, "");
 }
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -13,13 +13,14 @@
 }
 
 constexpr auto FirstFinalStatus = 200U;
+/// Returned by a parser callback to stop the parser with an error.
+constexpr auto StopParser = 1;
 
 } // namespace
 
-ResponseReader::ResponseReader(bool HeadMethod, HttpHeader EchoedHeader,
+ResponseReader::ResponseReader(ResponseReaderOptions Options,
                                Callbacks Callbacks)
-    : m_HeadMethod(HeadMethod), m_EchoedHeader(std::move(EchoedHeader)),
-      m_Callbacks(std::move(Callbacks)) {
+    : m_Options(std::move(Options)), m_Callbacks(std::move(Callbacks)) {
   restart();
 }
 
@@ -40,8 +41,13 @@
       auto &Self = reader(Parser);
       if (Self.m_HeadersDone)
         return 0;
-      if (Self.m_Headers.empty() || Self.m_InHeaderValue)
+      if (Self.m_Headers.empty() || Self.m_InHeaderValue) {
+        if (Self.m_Headers.size() == MaxHeaders) {
+          Self.m_OverLimit = true;
+          return StopParser;
+        }
         Self.m_Headers.emplace_back();
+      }
       Self.m_InHeaderValue = false;
       Self.m_Headers.back().m_Name.append(Data, Size);
       return 0;
@@ -60,10 +66,7 @@
     };
     Result.on_body = [](http_parser *Parser, const char *Data,
                         std::size_t Size) {
-      auto &Self = reader(Parser);
-      if (!Self.m_BelongsToOtherCall && Self.m_Callbacks.m_OnData)
-        Self.m_Callbacks.m_OnData(std::string_view(Data, Size));
-      return 0;
+      return reader(Parser).addBody(std::string_view(Data, Size));
     };
     Result.on_message_complete = [](http_parser *Parser) {
       reader(Parser).m_MessageDone = true;
@@ -81,11 +84,11 @@
   auto Status = static_cast<unsigned>(m_Parser.status_code);
   if (Status < FirstFinalStatus)
     return 0;
-  if (!m_EchoedHeader.m_Name.empty()) {
-    auto Value = findHeader(m_Headers, m_EchoedHeader.m_Name);
+  if (!m_Options.m_EchoedHeader.m_Name.empty()) {
+    auto Value = findHeader(m_Headers, m_Options.m_EchoedHeader.m_Name);
     // A response without the header was sent before the server read the call,
     // for example because the server was at its capacity.
-    m_BelongsToOtherCall = Value && *Value != m_EchoedHeader.m_Value;
+    m_BelongsToOtherCall = Value && *Value != m_Options.m_EchoedHeader.m_Value;
   }
   if (!m_BelongsToOtherCall) {
     m_Started = true;
@@ -94,19 +97,48 @@
       m_Callbacks.m_OnHeaders(Status, m_Headers);
   }
   constexpr auto SkipBody = 1;
-  return m_HeadMethod ? SkipBody : 0;
+  return m_Options.m_HeadMethod ? SkipBody : 0;
+}
+
+auto ResponseReader::addBody(std::string_view Data) -> int {
+  m_BodyBytes += Data.size();
+  if (m_BodyBytes > m_Options.m_MaxBodyBytes) {
+    m_OverLimit = true;
+    return StopParser;
+  }
+  if (m_BelongsToOtherCall)
+    return 0;
+  m_OwnBodyBytes += Data.size();
+  if (m_Callbacks.m_OnData)
+    m_Callbacks.m_OnData(Data);
+  return 0;
+}
+
+auto ResponseReader::maxOverheadBytes() const -> std::size_t {
+  return MaxOverheadBytes + MaxOverheadPerBodyByte * m_OwnBodyBytes;
 }
 
 auto ResponseReader::feed(std::string_view Bytes) -> State {
   while (m_State == State::Reading && !Bytes.empty()) {
-    auto Parsed =
-        http_parser_execute(&m_Parser, &settings(), Bytes.data(), Bytes.size());
+    auto EarlierBodyBytes = m_BodyBytes;
+    auto Parsed = std::min(
+        http_parser_execute(&m_Parser, &settings(), Bytes.data(), Bytes.size()),
+        Bytes.size());
     auto Error = HTTP_PARSER_ERRNO(&m_Parser);
     if (Error != HPE_OK && Error != HPE_PAUSED) {
+      m_OverLimit = m_OverLimit || Error == HPE_HEADER_OVERFLOW;
+      m_State = State::Broken;
+      return m_State;
+    }
+    m_OverheadBytes += Parsed - (m_BodyBytes - EarlierBodyBytes);
+    // The parser limits each head, chunk line and trailer, but not their
+    // number.
+    if (m_OverheadBytes > maxOverheadBytes()) {
+      m_OverLimit = true;
       m_State = State::Broken;
       return m_State;
     }
-    Bytes.remove_prefix(std::min(Parsed, Bytes.size()));
+    Bytes.remove_prefix(Parsed);
     if (m_MessageDone)
       m_State = finishResponse();
   }
--- a/tests/unit-ResponseReader.cpp
+++ b/tests/unit-ResponseReader.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <string>
+#include <vector>
 
 using namespace dotterel;
 using detail::ResponseReader;
@@ -9,6 +11,8 @@
 
 namespace {
 
+constexpr auto MaxBodyBytes = std::size_t{200'000};
+
 struct ReceivedResponse {
   unsigned m_Status = 0;
   int m_HeaderCalls = 0;
@@ -17,7 +21,9 @@
 
 auto makeReader(ReceivedResponse &Target) -> std::unique_ptr<ResponseReader> {
   return std::make_unique<ResponseReader>(
-      false, HttpHeader{.m_Name = "X-Id", .m_Value = "7"},
+      detail::ResponseReaderOptions{
+          .m_EchoedHeader = {.m_Name = "X-Id", .m_Value = "7"},
+          .m_MaxBodyBytes = MaxBodyBytes},
       ResponseReader::Callbacks{
           .m_OnHeaders =
               [&Target](unsigned Status, const HttpHeaders &) {
@@ -102,3 +108,72 @@
   CHECK(Reader->feed("garbage garbage\r\n\r\n") == State::Broken);
   CHECK(Target.m_HeaderCalls == 0);
 }
+
+TEST_CASE("response reader: takes a bounded number of bytes of an endless "
+          "response") {
+  struct Endless {
+    std::string m_Begin;
+    std::string m_Block;
+    std::size_t m_MaxBytes;
+  };
+  const auto Chunked =
+      std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const auto NoLength = std::string("HTTP/1.1 200 OK\r\n\r\n");
+  // The parser's limit of one head.
+  constexpr auto MaxHead = std::size_t{HTTP_MAX_HEADER_SIZE};
+  constexpr auto MaxOverhead = ResponseReader::MaxOverheadBytes;
+  constexpr auto MaxChunked =
+      MaxOverhead + MaxBodyBytes * (1 + ResponseReader::MaxOverheadPerBodyByte);
+  const auto Cases = std::vector<Endless>{
+      {"", "\r\n", MaxHead},
+      {"HTTP/1.1 200 ", "x", MaxHead},
+      {"HTTP/1.1 200 OK\r\nA: ", "x", MaxHead},
+      {"HTTP/1.1 200 OK\r\n", "x", MaxHead},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n", MaxHead},
+      {"HTTP/1.1 200 OK\r\n", "A:\r\n", MaxHead},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n", MaxOverhead},
+      {"", "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n",
+       MaxOverhead},
+      {"", OtherResponse, MaxOverhead + MaxBodyBytes},
+      {"HTTP/1.1 200 OK\r\nX-Id: 6\r\n\r\n", "x", MaxHead + MaxBodyBytes},
+      {NoLength, "x", MaxHead + MaxBodyBytes},
+      {Chunked, "1\r\nx\r\n", MaxChunked},
+      {Chunked, "1;abcdefghijklmnopqrstuvwxyz\r\nx\r\n", MaxChunked},
+      {Chunked + "1;", "a", MaxHead},
+      {Chunked + "0\r\n", "A: b\r\n", MaxHead}};
+  for (auto PieceBytes : {std::size_t{1}, std::size_t{1000}})
+    for (const auto &Case : Cases) {
+      CAPTURE(Case.m_Begin);
+      CAPTURE(Case.m_Block);
+      CAPTURE(PieceBytes);
+      // Pieces of the endless repetition of the block.
+      auto Repeated = std::string();
+      while (Repeated.size() < PieceBytes + Case.m_Block.size())
+        Repeated += Case.m_Block;
+      auto Target = ReceivedResponse();
+      auto Reader = makeReader(Target);
+      auto Fed = std::size_t{0};
+      auto Result = Reader->feed(Case.m_Begin);
+      while (Result == State::Reading && Fed <= 2 * MaxChunked) {
+        Result = Reader->feed(std::string_view(Repeated).substr(
+            Fed % Case.m_Block.size(), PieceBytes));
+        Fed += PieceBytes;
+      }
+      CHECK(Result == State::Broken);
+      CHECK(Reader->overLimit());
+      CHECK(Fed <= Case.m_MaxBytes + PieceBytes);
+      CHECK(Target.m_Body.size() <= MaxBodyBytes);
+    }
+}
+
+TEST_CASE("response reader: a response of many small chunks is within the "
+          "limits") {
+  auto Target = ReceivedResponse();
+  auto Reader = makeReader(Target);
+  Reader->feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (auto Index = std::size_t{0}; Index < MaxBodyBytes; ++Index)
+    REQUIRE(Reader->feed("1\r\nx\r\n") == State::Reading);
+  CHECK(Reader->feed("0\r\n\r\n") == State::Complete);
+  CHECK(Target.m_Body.size() == MaxBodyBytes);
+  CHECK_FALSE(Reader->overLimit());
+}
