Limit the size of an event

An engine that sent an event without end held the caller of a resumable stream until its deadline, and the host's memory grew by all it sent (up to the 64 MB of a response, for each such stream). On other streams the caller received the bytes until its deadline.

Cause: EventSplitter buffered the incomplete event without a limit, and nothing looked at the size of an event that is forwarded as it arrives.

The request now cancels the attempt, which closes its connection, and treats it as failed: it is resumed at another engine, or aborted, and counts against the engine. A response that has no events is held only on a resumable route, up to the size that may be buffered for a caller.

--- a/include/dotterel/serving/EventSplitter.h
+++ b/include/dotterel/serving/EventSplitter.h
@@ -34,6 +34,11 @@
     return m_InsideEvent || m_Line != LineKind::Empty;
   }
 
+  /// Returns the number of bytes that follow the last complete event.
+  [[nodiscard]] auto incompleteBytes() const -> std::size_t {
+    return m_IncompleteBytes;
+  }
+
   /// Returns the buffered data that follows the last complete event.
   [[nodiscard]] auto incompleteEvent() const -> const std::string & {
     return m_Incomplete;
@@ -57,6 +62,7 @@
 
   std::string m_Incomplete;
   std::string m_LastId;
+  std::size_t m_IncompleteBytes = 0;
   LineKind m_Line = LineKind::Empty;
   /// Whether a field line has been completed since the last blank line.
   bool m_InsideEvent = false;
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -34,6 +34,9 @@
   /// Maximum number of bytes buffered for a caller; a stream that exceeds it is
   /// aborted.
   std::size_t m_MaxUnsentBytes = std::size_t{1} << 20U;
+  /// Maximum size of one event, which carries a few tokens. A stream that
+  /// exceeds it counts as failed.
+  std::size_t m_MaxEventBytes = std::size_t{256} << 10U;
   /// Maximum expected time to the first event, as a share of the time left.
   double m_MaxWaitShare = 0.9;
   /// Maximum retry-after time, as a share of the time left: callers that would
@@ -155,6 +158,10 @@
   auto countUsage() -> void;
   auto recordPrefill(const BackendId &Engine) -> void;
   auto forward(std::string_view Data) -> void;
+  /// Returns whether the attempt's latest event exceeds its limit.
+  [[nodiscard]] auto eventTooLong() const -> bool;
+  /// Cancels the attempt and handles it as a failed one.
+  auto failAttempt(std::string Detail) -> void;
   [[nodiscard]] auto timeLeft() const -> Duration;
   [[nodiscard]] auto retryAfter(Duration Wanted) -> Duration;
 
--- a/src/serving/EventSplitter.cpp
+++ b/src/serving/EventSplitter.cpp
@@ -35,6 +35,8 @@
     }
     m_Line = LineKind::Empty;
   }
+  m_IncompleteBytes =
+      Data.size() - EventEnd + (EventEnd == 0 ? m_IncompleteBytes : 0);
   return EventEnd;
 }
 
@@ -53,6 +55,7 @@
 
 auto EventSplitter::discardIncompleteEvent() -> void {
   m_Incomplete.clear();
+  m_IncompleteBytes = 0;
   m_Line = LineKind::Empty;
   m_InsideEvent = false;
 }
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -312,6 +312,21 @@
     cancelAttempt();
     finish("cut", "the caller does not read the response fast enough");
   }
+  if (!m_Done && eventTooLong())
+    failAttempt("an event is over the limit");
+}
+
+auto ServedRequest::eventTooLong() const -> bool {
+  const auto &Options = m_Context.m_Options;
+  if (m_EventStream)
+    return m_Events.incompleteBytes() > Options.m_MaxEventBytes;
+  // A response without events is buffered only if it could be resumed.
+  return m_Events.incompleteEvent().size() > Options.m_MaxUnsentBytes;
+}
+
+auto ServedRequest::failAttempt(std::string Detail) -> void {
+  m_Context.m_Transport.cancel(m_Attempt->m_Id);
+  onEnd({.m_Outcome = AttemptOutcome::Failed, .m_Detail = std::move(Detail)});
 }
 
 auto ServedRequest::completeAttempt(const AttemptResult &Result) -> Attempt {
--- a/tests/unit-EventSplitter.cpp
+++ b/tests/unit-EventSplitter.cpp
@@ -50,6 +50,8 @@
       CHECK(Fed.incompleteEvent() == Case.m_Text.substr(Case.m_CompleteBytes));
       CHECK(Fed.insideEvent() == Case.m_InsideEvent);
       CHECK(Fed.lastId() == Case.m_LastId);
+      CHECK(Fed.incompleteBytes() == Fed.incompleteEvent().size());
+      CHECK(Tracked.incompleteBytes() == Fed.incompleteBytes());
       CHECK(Tracked.insideEvent() == Case.m_InsideEvent);
       CHECK(Tracked.incompleteEvent().empty());
     }
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -359,6 +359,73 @@
   CHECK(TruncatedStreams == OutlierOptions().m_ConsecutiveFailures);
 }
 
+TEST_CASE("served request: an attempt whose event never ends is cancelled as "
+          "failed, and a resumable stream resumes at another engine") {
+  constexpr auto PieceBytes = std::size_t{1000};
+  constexpr auto MaxEventBytes = ServedRequestOptions().m_MaxEventBytes;
+  for (const auto *Route : {"stream", "resumable"}) {
+    CAPTURE(std::string(Route));
+    auto Test = ServingFixture();
+    fillRetryBudget(Test);
+    auto View = Test.serve(Route, "k", shortPrompt());
+    auto Index = Test.m_Transport.m_Sent.size() - 1;
+    auto First = Test.m_Transport.m_Sent[Index];
+    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onData("id: 1\ndata: a\n\n");
+    auto Sent = std::size_t{0};
+    while (!Test.m_Transport.m_Sent[Index].m_Cancelled &&
+           Sent < 10 * MaxEventBytes) {
+      First.m_Listener->onData(std::string(PieceBytes, 'x'));
+      Sent += PieceBytes;
+    }
+    CHECK(Test.m_Transport.m_Sent[Index].m_Cancelled);
+    CHECK(Sent <= MaxEventBytes + PieceBytes);
+    CHECK(Test.m_Metrics.text().find("end=\"broken\"") != std::string::npos);
+    if (std::string_view(Route) == "stream") {
+      CHECK(View->m_Aborted);
+      CHECK(Test.m_Transport.m_Sent.size() == Index + 1);
+      continue;
+    }
+    REQUIRE(Test.m_Transport.m_Sent.size() == Index + 2);
+    auto Second = Test.m_Transport.m_Sent.back();
+    CHECK(Second.m_Attempt.m_Backend != First.m_Attempt.m_Backend);
+    CHECK(Second.m_Attempt.m_ResumeAfter == "1");
+    Second.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    // An event of the maximum size is forwarded, also in pieces.
+    auto Largest = std::string(MaxEventBytes - 1, 'x') + "\n\n";
+    Second.m_Listener->onData(Largest.substr(0, MaxEventBytes));
+    Second.m_Listener->onData(Largest.substr(MaxEventBytes));
+    Test.m_Transport.end(complete(200));
+    CHECK(View->m_Finished);
+    CHECK(View->m_Body == "id: 1\ndata: a\n\n" + Largest);
+  }
+}
+
+TEST_CASE("served request: a response without events on a stream's route may "
+          "be larger than an event, but is not buffered without limit") {
+  constexpr auto PieceBytes = std::size_t{1000};
+  constexpr auto Options = ServedRequestOptions();
+  for (const auto *Route : {"stream", "resumable"}) {
+    CAPTURE(std::string(Route));
+    auto Test = ServingFixture();
+    Test.serve(Route, "k", shortPrompt());
+    auto &Sent = Test.m_Transport.m_Sent;
+    auto *Listener = Sent[0].m_Listener;
+    Listener->onBegin(
+        {.m_Status = 200, .m_Headers = {{"Content-Type", "application/json"}}},
+        std::nullopt);
+    auto Bytes = std::size_t{0};
+    for (; !Sent[0].m_Cancelled && Bytes < 2 * Options.m_MaxUnsentBytes;
+         Bytes += PieceBytes)
+      Listener->onData(std::string(PieceBytes, 'x'));
+    auto Buffered = std::string_view(Route) == "resumable";
+    CHECK(Sent[0].m_Cancelled == Buffered);
+    CHECK(Bytes > Options.m_MaxEventBytes);
+    if (Buffered)
+      CHECK(Bytes <= Options.m_MaxUnsentBytes + PieceBytes);
+  }
+}
+
 // Guards against rejected prefills that are not counted against the retry
 // budget.
 TEST_CASE("served request: if engines reject all requests, extra attempts stay "
