Bound the response bodies that a host buffers at the same time

A few servers that sent bodies without end made a host buffer up to 64 MB for each call, more in all than the memory that many hosts have for everything. A host that is killed for its memory breaks the requests of all its callers.

Cause: the limit was a constant for one call, unrelated to the host's memory, and nothing limited the sum.

The client now has a limit for each buffered body and one for their sum, which a host derives from its memory limit. When the sum is exceeded, the call that buffers most ends as broken and closes its connection, so that small responses are not affected by a large one. Streams are not buffered by the client and keep the limit of their call.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -50,12 +50,26 @@
           .m_PrefillShare = Share("prefill-percent")};
 }
 
+/// Limits the bodies that the host buffers while it receives them. The rest of
+/// its memory is for copies that are being decoded or sent to callers, and for
+/// the host's state.
+auto clientOptions(const HostSettings &Settings) -> PooledHttpClientOptions {
+  constexpr auto MegabyteBytes = std::size_t{1} << 20U;
+  constexpr auto MaxResponseShare = 1.0 / 16;
+  constexpr auto MaxBufferedShare = 1.0 / 8;
+  auto Memory = static_cast<double>(Settings.m_MemoryMegabytes * MegabyteBytes);
+  return {.m_MaxResponseBytes =
+              static_cast<std::size_t>(Memory * MaxResponseShare),
+          .m_MaxBufferedBytes =
+              static_cast<std::size_t>(Memory * MaxBufferedShare)};
+}
+
 auto runHost(const Settings &Values) -> int {
   setLogLevel(Values.text("log-level"));
   const auto &Path = Values.text("platform-settings");
   auto Node = platform::readNodeSettings(Path);
   auto Loop = EventLoop();
-  auto Client = makePooledHttpClient(Loop, {});
+  auto Client = makePooledHttpClient(Loop, clientOptions(Node));
   auto Store =
       platform::PlatformStore(*Client, {.m_Address = Node.m_StoreAddress});
   auto Transport = platform::EngineTransport(*Client);
--- a/include/dotterel/io/PooledHttpClient.h
+++ b/include/dotterel/io/PooledHttpClient.h
@@ -20,6 +20,12 @@
   /// shorter time.
   Duration m_IdleTimeout = Seconds(20);
   std::size_t m_MaxIdlePerAddress = 64;
+  /// Maximum size of a body that is buffered for a call without onData, if the
+  /// call allows no smaller one.
+  std::size_t m_MaxResponseBytes = std::size_t{64} << 20U;
+  /// Maximum size of all bodies that are buffered for calls in progress. If it
+  /// is exceeded, the call with the largest body ends as broken.
+  std::size_t m_MaxBufferedBytes = std::size_t{256} << 20U;
 };
 
 /// Creates a client that sends each call at most once: it never re-sends a call
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -72,6 +72,11 @@
   /// Closes the connection without calling the call's callbacks.
   auto close() -> void;
 
+  /// Ends the call because all calls together buffer too much.
+  auto onBufferLimit() -> void {
+    finish(HttpOutcome::Broken, "the answers are over the client's limit");
+  }
+
   /// Ends the call because its timeout has expired.
   auto onTimeout() -> void;
 
@@ -79,6 +84,9 @@
     return m_Address;
   }
   [[nodiscard]] auto idleUntil() const -> MonotonicTime { return m_IdleUntil; }
+  [[nodiscard]] auto bufferedBytes() const -> std::size_t {
+    return m_BufferedBytes;
+  }
   [[nodiscard]] auto closed() const -> bool { return m_Closed; }
 
 private:
@@ -89,6 +97,9 @@
   auto armTimeout(Duration Delay) -> void;
   auto onHeaders(unsigned Status, const HttpHeaders &Headers) -> void;
   auto onData(std::string_view Data) -> void;
+  [[nodiscard]] auto maxBodyBytes() const -> std::size_t;
+  /// Stops counting the body as buffered by a call in progress.
+  auto releaseBuffer() -> void;
 
   PooledClient &m_Client;
   std::string m_Address;
@@ -101,6 +112,7 @@
   HttpCallResult m_Result;
   std::string m_SendBuffer;
   std::size_t m_SentBytes = 0;
+  std::size_t m_BufferedBytes = 0; ///< Of m_Result's body.
   MonotonicTime m_Deadline;
   MonotonicTime m_IdleUntil;
   std::optional<TimerId> m_Timer;
@@ -124,6 +136,10 @@
   auto returnToPool(PooledConnection &Target, Duration Idle) -> void;
   auto retire(PooledConnection &Target) -> void;
   auto removeActive(HttpCallId Call) -> void { m_Active.erase(Call.number()); }
+  /// Counts bytes that a call buffers. Ends the call that buffers most if the
+  /// limit is exceeded.
+  auto addBuffered(std::size_t Bytes) -> void;
+  auto removeBuffered(std::size_t Bytes) -> void { m_BufferedBytes -= Bytes; }
 
   [[nodiscard]] auto loop() -> EventLoop & { return m_Loop; }
   [[nodiscard]] auto options() const -> const PooledHttpClientOptions & {
@@ -146,6 +162,7 @@
   /// of the event loop.
   std::unordered_map<std::uint64_t, TimerId> m_FailedStarts;
   std::uint64_t m_LastId = 0;
+  std::size_t m_BufferedBytes = 0; ///< Of all calls in progress.
   RepeatingTimer m_SweepTimer;
 };
 
@@ -171,8 +188,7 @@
   m_Reader = std::make_unique<detail::ResponseReader>(
       detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
                                     .m_EchoedHeader = m_Call->m_EchoedHeader,
-                                    .m_MaxBodyBytes =
-                                        m_Call->m_MaxResponseBytes},
+                                    .m_MaxBodyBytes = maxBodyBytes()},
       detail::ResponseReader::Callbacks{
           .m_OnHeaders =
               [this](unsigned Status, const HttpHeaders &Headers) {
@@ -269,12 +285,28 @@
 }
 
 auto PooledConnection::onData(std::string_view Data) -> void {
+  // The callback of an earlier piece may have cancelled the call, or the call
+  // may have ended because all calls together buffer too much.
   if (m_Closed)
     return;
-  if (m_Call->m_OnData)
+  if (m_Call->m_OnData) {
     m_Call->m_OnData(Data);
-  else
-    m_Result.m_Body.append(Data);
+    return;
+  }
+  m_Result.m_Body.append(Data);
+  m_BufferedBytes += Data.size();
+  m_Client.addBuffered(Data.size());
+}
+
+auto PooledConnection::maxBodyBytes() const -> std::size_t {
+  if (m_Call->m_OnData)
+    return m_Call->m_MaxResponseBytes;
+  return std::min(m_Call->m_MaxResponseBytes,
+                  m_Client.options().m_MaxResponseBytes);
+}
+
+auto PooledConnection::releaseBuffer() -> void {
+  m_Client.removeBuffered(std::exchange(m_BufferedBytes, 0));
 }
 
 auto PooledConnection::handleReaderState(detail::ResponseReader::State State)
@@ -296,6 +328,7 @@
   auto Call = std::move(*m_Call);
   m_Call.reset();
   m_Client.removeActive(m_Id);
+  releaseBuffer();
   m_Result.m_Outcome = Outcome;
   m_Result.m_Detail = Detail;
   auto Result = std::move(m_Result);
@@ -320,6 +353,7 @@
   if (m_Closed)
     return;
   m_Closed = true;
+  releaseBuffer();
   m_ReadWatcher.enable(false);
   m_WriteWatcher.enable(false);
   if (m_Timer)
@@ -394,6 +428,18 @@
   Target->close();
 }
 
+auto PooledClient::addBuffered(std::size_t Bytes) -> void {
+  m_BufferedBytes += Bytes;
+  if (m_BufferedBytes <= m_Options.m_MaxBufferedBytes)
+    return;
+  auto Largest = std::max_element(m_Active.begin(), m_Active.end(),
+                                  [](const auto &Left, const auto &Right) {
+                                    return Left.second->bufferedBytes() <
+                                           Right.second->bufferedBytes();
+                                  });
+  Largest->second->onBufferLimit();
+}
+
 auto PooledClient::returnToPool(PooledConnection &Target, Duration Idle)
     -> void {
   auto &Connections = m_Idle[Target.address()];
--- a/tests/unit-PooledHttpClient.cpp
+++ b/tests/unit-PooledHttpClient.cpp
@@ -170,7 +170,8 @@
 
   auto start(HttpCall Call) -> std::shared_ptr<std::optional<HttpCallResult>> {
     auto Slot = std::make_shared<std::optional<HttpCallResult>>();
-    Call.m_Url = m_Server.url();
+    if (Call.m_Url.empty())
+      Call.m_Url = m_Server.url();
     Call.m_EchoedHeader = {.m_Name = "X-Id", .m_Value = "7"};
     Call.m_OnDone = [Slot](HttpCallResult Result) {
       *Slot = std::move(Result);
@@ -258,6 +259,55 @@
     }
 }
 
+TEST_CASE("pooled client: endless bodies of several calls are bounded together "
+          "and do not break a small response") {
+  constexpr auto Calls = std::size_t{4};
+  auto Test = Exchange(
+      {.m_Begin = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n", .m_Block = "x"},
+      {.m_MaxBufferedBytes = MebiByte});
+  auto Small = ByteServer(
+      Test.m_Loop,
+      {.m_Begin = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 20\r\n\r\n",
+       .m_Block = "x",
+       .m_Pause = Milliseconds(5)});
+  auto SmallResult =
+      Test.start({.m_Url = Small.url(), .m_Timeout = Seconds(30)});
+  auto Results = std::vector<std::shared_ptr<std::optional<HttpCallResult>>>();
+  for (auto Index = std::size_t{0}; Index < Calls; ++Index)
+    Results.push_back(Test.start({.m_Timeout = Seconds(30)}));
+  auto Received = std::size_t{0};
+  for (const auto &Result : Results) {
+    Test.run([&] { return Result->has_value(); });
+    CHECK((*Result)->m_Outcome == HttpOutcome::Broken);
+    Received += (*Result)->m_Body.size();
+  }
+  CHECK(Received <= Calls * MebiByte);
+  Test.run([&] { return SmallResult->has_value(); });
+  CHECK((*SmallResult)->m_Outcome == HttpOutcome::Complete);
+  Test.run([&] { return Test.m_Server.open() == 0; });
+  CHECK(Test.m_Server.sentBytes() < Calls * SocketBufferBytes);
+  // The buffers of the calls that ended are free again.
+  Test.m_Server.setScript({.m_Begin = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n" +
+                                      std::string(MebiByte, 'x')});
+  for (auto Index = 0; Index < 2; ++Index)
+    CHECK(Test.call({}).m_Outcome == HttpOutcome::Complete);
+}
+
+TEST_CASE("pooled client: the client's limit applies to a buffered body, and "
+          "not to a streamed one") {
+  for (auto Streamed : {false, true}) {
+    CAPTURE(Streamed);
+    auto Test = Exchange({.m_Begin = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n" +
+                                     std::string(2 * MebiByte, 'x')},
+                         {.m_MaxResponseBytes = MebiByte});
+    auto Call = HttpCall();
+    if (Streamed)
+      Call.m_OnData = [](std::string_view) {};
+    CHECK(Test.call(std::move(Call)).m_Outcome ==
+          (Streamed ? HttpOutcome::Complete : HttpOutcome::Broken));
+  }
+}
+
 TEST_CASE("pooled client: a response that trickles in ends at the call's "
           "timeout") {
   for (const auto *Begin :
