--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -35,6 +35,37 @@
     "header_timeout_ms":3000,"idle_timeout_ms":15000},
   "tenants":[{"name":"o","api_keys":["k1","k2"],"priority":1}]})");
 
+/// Records calls. The test responds to them through their callbacks.
+class FakeClient final : public HttpClient {
+public:
+  auto start(HttpCall Call) -> HttpCallId override {
+    m_Calls.push_back(std::move(Call));
+    return HttpCallId{m_Calls.size()};
+  }
+  auto cancel(HttpCallId Call) -> void override {
+    m_Cancelled.push_back(Call.number());
+  }
+
+  std::vector<HttpCall> m_Calls;
+  std::vector<std::uint64_t> m_Cancelled;
+};
+
+class RecordingListener final : public AttemptListener {
+public:
+  auto onBegin(const ResponseHead & /*Head*/,
+               const std::optional<LoadReport> & /*Load*/) -> void override {
+    m_Begun = true;
+  }
+  auto onData(std::string_view Data) -> void override { m_Data += Data; }
+  auto onEnd(AttemptResult Result) -> void override {
+    m_Results.push_back(std::move(Result));
+  }
+
+  bool m_Begun = false;
+  std::string m_Data;
+  std::vector<AttemptResult> m_Results;
+};
+
 auto message(HttpHeaders Headers) -> HttpRequest {
   Headers.push_back({.m_Name = "Host", .m_Value = "h"});
   return {.m_Method = "POST",
@@ -244,3 +275,45 @@
               .m_Outcome == Current.m_Outcome);
   }
 }
+
+TEST_CASE("platform transport: a response to a prefill and to a release has a "
+          "small limit") {
+  auto Client = FakeClient();
+  auto Transport = EngineTransport(Client);
+  auto Listener = RecordingListener();
+  auto Request = CallerRequest();
+  Transport.send({.m_Request = &Request, .m_Purpose = AttemptPurpose::Prefill},
+                 true, Listener);
+  Transport.release({.m_Address = "a:1", .m_Handle = "h"});
+  constexpr auto MaxHandleBytes = std::size_t{64} << 10U;
+  for (const auto &Call : Client.m_Calls)
+    CHECK(Call.m_MaxResponseBytes <= MaxHandleBytes);
+}
+
+TEST_CASE("platform transport: the body of a failure on a stream's route is "
+          "buffered up to a limit, beyond which the attempt fails") {
+  constexpr auto PieceBytes = std::size_t{1000};
+  constexpr auto MaxBytes = std::size_t{256} << 10U;
+  constexpr auto MaxSentBytes = 4 * MaxBytes;
+  for (auto Status : {200U, 500U}) {
+    CAPTURE(Status);
+    auto Client = FakeClient();
+    auto Transport = EngineTransport(Client);
+    auto Listener = RecordingListener();
+    auto Request = CallerRequest();
+    auto Id = Transport.send({.m_Request = &Request}, true, Listener);
+    const auto &Call = Client.m_Calls[0];
+    // A response without the server's signature does not begin a stream.
+    Call.m_OnHeaders(Status, {});
+    auto Sent = std::size_t{0};
+    for (; Client.m_Cancelled.empty() && Sent < MaxSentBytes;
+         Sent += PieceBytes)
+      Call.m_OnData(std::string(PieceBytes, 'x'));
+    CHECK(Sent <= MaxBytes + PieceBytes);
+    CHECK(Client.m_Cancelled == std::vector{Id.number()});
+    REQUIRE(Listener.m_Results.size() == 1);
+    CHECK(Listener.m_Results[0].m_Outcome == AttemptOutcome::Failed);
+    CHECK_FALSE(Listener.m_Begun);
+    CHECK(Listener.m_Data.empty());
+  }
+}
