Bound the trailers that the libcurl client reads

A server that sent trailers without end made a gate store all of them until the call's timeout.

Cause: libcurl limits heads, also interim ones, but hands any number of trailers to the header callback, which appended them to the response's headers.

The callback now counts the bytes of all heads and trailers of a call and ends it as broken beyond 64 KiB.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Maximum size of all heads and trailers of a call. libcurl limits only the
+/// heads.
+constexpr auto MaxHeaderBytes = std::size_t{64} << 10U;
+
 struct Transfer {
   ~Transfer() {
     curl_slist_free_all(m_HeaderList);
@@ -27,6 +31,7 @@
   bool m_HeadersReported = false;
   bool m_Cancelled = false;
   std::size_t m_ReceivedBytes = 0;
+  std::size_t m_HeaderBytes = 0;
 };
 
 struct SocketWatch {
@@ -68,6 +73,9 @@
     -> std::size_t {
   auto &Current = *static_cast<Transfer *>(Target);
   auto Line = std::string_view(Data, Size * Count);
+  Current.m_HeaderBytes += Line.size();
+  if (Current.m_HeaderBytes > MaxHeaderBytes)
+    return 0;
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
   // A status line starts a new response, for example after "100 Continue".
