End a read of the store whose pages do not end

A host read pages without end, and kept them all, when the store said that more pages followed but sent an empty page or the same one again. An empty first page with more to follow counted as a complete, empty range, which would remove every server or key from the host's view.

Cause: the next page was asked for whenever has_more was set and any page had had an item, and the sum of the pages had no limit.

unit-Platform before the fix:

platform store: a read whose pages never end fails ERROR: CHECK_FALSE( Reply->m_Response ) is NOT correct! (empty pages) CHECK( Pages <= Case.m_MaxPages ): 10000 <= 2 (the same page) FATAL ERROR: REQUIRE( Reply ) is NOT correct! test cases: 2 | 1 passed | 1 failed

A page that is empty or ends with the key it was to follow, with more to come, is now a response that cannot be used, and so is a read over the limit, which a host derives from its memory limit.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -70,8 +70,9 @@
   auto Node = platform::readNodeSettings(Path);
   auto Loop = EventLoop();
   auto Client = makePooledHttpClient(Loop, clientOptions(Node));
-  auto Store =
-      platform::PlatformStore(*Client, {.m_Address = Node.m_StoreAddress});
+  auto Store = platform::PlatformStore(
+      *Client, {.m_Address = Node.m_StoreAddress,
+                .m_MaxReadBytes = clientOptions(Node).m_MaxBufferedBytes});
   auto Transport = platform::EngineTransport(*Client);
   auto Fleet = platform::PlatformFleetCalls(
       *Client,
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -3,9 +3,11 @@
 #include "platform/EngineTransport.h"
 #include "platform/HeaderFilter.h"
 #include "platform/NodeSettings.h"
+#include "platform/PlatformStore.h"
 #include "platform/RecordDecoder.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace dotterel;
 using namespace dotterel::platform;
@@ -317,3 +319,74 @@
     CHECK(Listener.m_Data.empty());
   }
 }
+
+TEST_CASE("platform store: a read whose pages never end fails") {
+  constexpr auto MaxReadBytes = std::size_t{100'000};
+  constexpr auto MaxPages = std::size_t{10'000};
+  struct Endless {
+    std::string m_Name;
+    /// Returns the items of a page.
+    std::function<std::string(std::size_t)> m_Items;
+    std::size_t m_MaxPages;
+  };
+  auto Item = [](std::size_t Number) {
+    return fmt::format(R"({{"key":"a/{:06}","value":"eA==","revision":1}})",
+                       Number);
+  };
+  const auto Cases = std::vector<Endless>{
+      {"empty pages", [](std::size_t) { return std::string(); }, 1},
+      {"the same page", [&](std::size_t) { return Item(0); }, 2},
+      {"empty pages after the first",
+       [&](std::size_t Page) { return Page == 0 ? Item(0) : std::string(); },
+       2},
+      {"pages with other items", Item, MaxReadBytes / Item(0).size()}};
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.m_Name);
+    auto Client = FakeClient();
+    auto Store = PlatformStore(
+        Client, {.m_Address = "s:1", .m_MaxReadBytes = MaxReadBytes});
+    auto Reply = std::optional<StoreReply<RangeResult>>();
+    Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+      Reply = std::move(Given);
+    });
+    auto Pages = std::size_t{0};
+    for (; !Reply && Pages < MaxPages; ++Pages) {
+      REQUIRE(Client.m_Calls.size() == Pages + 1);
+      auto Done = Client.m_Calls[Pages].m_OnDone;
+      Done({.m_Outcome = HttpOutcome::Complete,
+            .m_Status = 200,
+            .m_Body = fmt::format(R"({{"items":[{}],"has_more":true,"at":5}})",
+                                  Case.m_Items(Pages))});
+    }
+    CHECK(Pages <= Case.m_MaxPages);
+    REQUIRE(Reply);
+    CHECK_FALSE(Reply->m_Response);
+    CHECK(Reply->m_Failure == StoreFailure::Unknown);
+  }
+}
+
+TEST_CASE("platform store: a read combines its pages") {
+  auto Client = FakeClient();
+  auto Store = PlatformStore(Client, {.m_Address = "s:1"});
+  auto Reply = std::optional<StoreReply<RangeResult>>();
+  Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+    Reply = std::move(Given);
+  });
+  for (auto Page = std::size_t{0}; Page < 3; ++Page) {
+    CHECK_FALSE(Reply);
+    auto Done = Client.m_Calls.at(Page).m_OnDone;
+    Done({.m_Outcome = HttpOutcome::Complete,
+          .m_Status = 200,
+          .m_Body = fmt::format(
+              R"({{"items":[{}],"has_more":{},"at":{}}})",
+              Page == 2 ? std::string()
+                        : fmt::format(
+                              R"({{"key":"a/{}","value":"eA==","revision":1}})",
+                              Page),
+              Page < 2, 5 + Page)});
+  }
+  REQUIRE(Reply);
+  REQUIRE(Reply->m_Response);
+  CHECK(Reply->m_Response->m_Values.size() == 2);
+  CHECK(Reply->m_Response->m_Revision == StoreRevision{5});
+}
