--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -3,9 +3,11 @@
 #include "platform/EngineTransport.h"
 #include "platform/HeaderFilter.h"
 #include "platform/NodeSettings.h"
+#include "platform/PlatformStore.h"
 #include "platform/RecordDecoder.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace dotterel;
 using namespace dotterel::platform;
@@ -35,6 +37,37 @@
     "header_timeout_ms":3000,"idle_timeout_ms":15000},
   "tenants":[{"name":"o","api_keys":["k1","k2"],"priority":1}]})");
 
+/// Records calls. The test responds to them through their callbacks.
+class FakeClient final : public HttpClient {
+public:
+  auto start(HttpCall Call) -> HttpCallId override {
+    m_Calls.push_back(std::move(Call));
+    return HttpCallId{m_Calls.size()};
+  }
+  auto cancel(HttpCallId Call) -> void override {
+    m_Cancelled.push_back(Call.number());
+  }
+
+  std::vector<HttpCall> m_Calls;
+  std::vector<std::uint64_t> m_Cancelled;
+};
+
+class RecordingListener final : public AttemptListener {
+public:
+  auto onBegin(const ResponseHead & /*Head*/,
+               const std::optional<LoadReport> & /*Load*/) -> void override {
+    m_Begun = true;
+  }
+  auto onData(std::string_view Data) -> void override { m_Data += Data; }
+  auto onEnd(AttemptResult Result) -> void override {
+    m_Results.push_back(std::move(Result));
+  }
+
+  bool m_Begun = false;
+  std::string m_Data;
+  std::vector<AttemptResult> m_Results;
+};
+
 auto message(HttpHeaders Headers) -> HttpRequest {
   Headers.push_back({.m_Name = "Host", .m_Value = "h"});
   return {.m_Method = "POST",
@@ -272,3 +305,116 @@
               .m_Outcome == Current.m_Outcome);
   }
 }
+
+TEST_CASE("platform transport: a response to a prefill and to a release has a "
+          "small limit") {
+  auto Client = FakeClient();
+  auto Transport = EngineTransport(Client);
+  auto Listener = RecordingListener();
+  auto Request = CallerRequest();
+  Transport.send({.m_Request = &Request, .m_Purpose = AttemptPurpose::Prefill},
+                 true, Listener);
+  Transport.release({.m_Address = "a:1", .m_Handle = "h"});
+  constexpr auto MaxHandleBytes = std::size_t{64} << 10U;
+  for (const auto &Call : Client.m_Calls)
+    CHECK(Call.m_MaxResponseBytes <= MaxHandleBytes);
+}
+
+TEST_CASE("platform transport: the body of a failure on a stream's route is "
+          "buffered up to a limit, beyond which the attempt fails") {
+  constexpr auto PieceBytes = std::size_t{1000};
+  constexpr auto MaxBytes = std::size_t{256} << 10U;
+  constexpr auto MaxSentBytes = 4 * MaxBytes;
+  for (auto Status : {200U, 500U}) {
+    CAPTURE(Status);
+    auto Client = FakeClient();
+    auto Transport = EngineTransport(Client);
+    auto Listener = RecordingListener();
+    auto Request = CallerRequest();
+    auto Id = Transport.send({.m_Request = &Request}, true, Listener);
+    const auto &Call = Client.m_Calls[0];
+    // A response without the server's signature does not begin a stream.
+    Call.m_OnHeaders(Status, {});
+    auto Sent = std::size_t{0};
+    for (; Client.m_Cancelled.empty() && Sent < MaxSentBytes;
+         Sent += PieceBytes)
+      Call.m_OnData(std::string(PieceBytes, 'x'));
+    CHECK(Sent <= MaxBytes + PieceBytes);
+    CHECK(Client.m_Cancelled == std::vector{Id.number()});
+    REQUIRE(Listener.m_Results.size() == 1);
+    CHECK(Listener.m_Results[0].m_Outcome == AttemptOutcome::Failed);
+    CHECK_FALSE(Listener.m_Begun);
+    CHECK(Listener.m_Data.empty());
+  }
+}
+
+TEST_CASE("platform store: a read whose pages never end fails") {
+  constexpr auto MaxReadBytes = std::size_t{100'000};
+  constexpr auto MaxPages = std::size_t{10'000};
+  struct Endless {
+    std::string m_Name;
+    /// Returns the items of a page.
+    std::function<std::string(std::size_t)> m_Items;
+    std::size_t m_MaxPages;
+  };
+  auto Item = [](std::size_t Number) {
+    return fmt::format(R"({{"key":"a/{:06}","value":"eA==","revision":1}})",
+                       Number);
+  };
+  const auto Cases = std::vector<Endless>{
+      {"empty pages", [](std::size_t) { return std::string(); }, 1},
+      {"the same page", [&](std::size_t) { return Item(0); }, 2},
+      {"empty pages after the first",
+       [&](std::size_t Page) { return Page == 0 ? Item(0) : std::string(); },
+       2},
+      {"pages with other items", Item, MaxReadBytes / Item(0).size()}};
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.m_Name);
+    auto Client = FakeClient();
+    auto Store = PlatformStore(
+        Client, {.m_Address = "s:1", .m_MaxReadBytes = MaxReadBytes});
+    auto Reply = std::optional<StoreReply<RangeResult>>();
+    Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+      Reply = std::move(Given);
+    });
+    auto Pages = std::size_t{0};
+    for (; !Reply && Pages < MaxPages; ++Pages) {
+      REQUIRE(Client.m_Calls.size() == Pages + 1);
+      auto Done = Client.m_Calls[Pages].m_OnDone;
+      Done({.m_Outcome = HttpOutcome::Complete,
+            .m_Status = 200,
+            .m_Body = fmt::format(R"({{"items":[{}],"has_more":true,"at":5}})",
+                                  Case.m_Items(Pages))});
+    }
+    CHECK(Pages <= Case.m_MaxPages);
+    REQUIRE(Reply);
+    CHECK_FALSE(Reply->m_Response);
+    CHECK(Reply->m_Failure == StoreFailure::Unknown);
+  }
+}
+
+TEST_CASE("platform store: a read combines its pages") {
+  auto Client = FakeClient();
+  auto Store = PlatformStore(Client, {.m_Address = "s:1"});
+  auto Reply = std::optional<StoreReply<RangeResult>>();
+  Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+    Reply = std::move(Given);
+  });
+  for (auto Page = std::size_t{0}; Page < 3; ++Page) {
+    CHECK_FALSE(Reply);
+    auto Done = Client.m_Calls.at(Page).m_OnDone;
+    Done({.m_Outcome = HttpOutcome::Complete,
+          .m_Status = 200,
+          .m_Body = fmt::format(
+              R"({{"items":[{}],"has_more":{},"at":{}}})",
+              Page == 2 ? std::string()
+                        : fmt::format(
+                              R"({{"key":"a/{}","value":"eA==","revision":1}})",
+                              Page),
+              Page < 2, 5 + Page)});
+  }
+  REQUIRE(Reply);
+  REQUIRE(Reply->m_Response);
+  CHECK(Reply->m_Response->m_Values.size() == 2);
+  CHECK(Reply->m_Response->m_Revision == StoreRevision{5});
+}
