Send requests that run alone on connections of their own

What callers saw: when a data centre lost its engines at once, a request that had run on one of them was refused as quarantined, and both gates listed it.

Cause: the request lost its engine and was retried alone on another engine that was lost at the same moment, on which this gate ran nothing and of whose loss it did not know. libcurl wrote the request to a connection kept from an earlier call, sent it again by itself and could not connect. Since bytes had been sent, the gate checked the engine, found it lost and counted a second loss for the request, alone.

Evidence: two instances of "e2e: the loss of all engines of a data centre" side by side fail 2 of 30 runs, both in this way. In the logs of the first, loses runner0 at 12.304, is sent alone to runner6 at 12.309, fails with "Couldn't connect to server" at 12.311, when backend.lost of runner6 counts one running request; refused at 12.312. In the second, loses runner0 and fails to connect to runner3. The new test before the change:

CHECK( Test.verdict("request") == CrashVerdict::Suspect ) is NOT correct! CHECK( 422 == 200 ), code quarantined

On a connection of its own a request to an engine that is gone is not sent, which is no evidence and costs no attempt.

--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -199,6 +199,9 @@
   Call.m_Body = m_Position == 0 ? Completion.m_EngineBody
                                 : Completion.resumeBody(m_Position);
   Call.m_Timeout = m_Services.m_Limits.m_RequestTimeout;
+  // On a kept connection to an engine that is already lost, the call would
+  // count as sent, and the loss as caused by this request.
+  Call.m_DedicatedConnection = Query.m_Alone;
   Call.m_OnHeaders = [Self](unsigned Status, const HttpHeaders &) {
     if (auto Call = Self.lock())
       Call->onStatus(Status);
