Send no requests to engines under check; date losses from the first break

What callers saw: a request that had lost one engine was refused as quarantined after it had been sent to a second one whose loss others had already noticed.

Cause: an engine was taken out of use only when its check had ended, so that requests went on to be sent to it for up to 500 ms. Those that broke there joined the check and were recorded as running on it, and the loss was dated from the check's end.

Evidence: in the logs of a failed run of "e2e: the loss of all engines of a data centre", a connection to runner3 breaks at 12.308, is sent alone to runner3 at 12.309, then backend.lost. There the connection failed, so this did no harm in that run. The new tests without the two changes (the field for the send time in place):

CHECK( Test.m_Client.sentTo("e1") == 1 ) is NOT correct! 2 == 1 CHECK( First->m_Response.m_Status == StatusOk ) is NOT correct! 422 == 200 CHECK( Test.m_Crashes.verdict(Later) == CrashVerdict::Clear ) is NOT correct!

An engine under check gets no requests. A loss is recorded as of the first broken connection, with the time at which each request was sent, so that the registry passes over those sent later.

--- a/include/dotterel/gate/BackendLossDetector.h
+++ b/include/dotterel/gate/BackendLossDetector.h
@@ -33,8 +33,9 @@
       : m_Scheduler(Scheduler), m_Client(Client), m_Engines(Engines),
         m_Crashes(Crashes), m_Announce(std::move(Announce)) {}
 
-  /// Checks the backend server \p Id. If it is lost, records the loss for all
-  /// requests that this gate has in flight there. Calls \p Done with whether
+  /// Checks the backend server \p Id, which gets no requests meanwhile. If it
+  /// is lost, records the loss, as of the first call, for all requests that
+  /// this gate has in flight there. Calls \p Done with whether
   /// the server is lost, after the evidence was recorded here and sent to the
   /// other gates. Calls for a server that is being checked share one check.
   auto checkBackend(const BackendId &Id, std::function<void(bool)> Done)
@@ -42,8 +43,9 @@
 
 private:
   struct Check {
-    /// Requests in flight, and whether each had the server for itself.
-    std::map<RequestDigest, bool> m_RanAloneByDigest;
+    /// When the first broken connection was noticed.
+    MonotonicTime m_NoticedAt;
+    std::map<RequestDigest, RunningRequest> m_Running;
     std::vector<std::function<void(bool)>> m_Callbacks;
   };
 
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -59,6 +59,7 @@
   Work m_Work;
   std::vector<std::uint64_t> m_PrefixBlocks;
   bool m_Alone = false; ///< No other request may run on the engine.
+  MonotonicTime m_SentAt;
 };
 
 /// Requirements that a request has for its engine.
@@ -96,6 +97,10 @@
   /// load again or m_UnreachableRetryDelay has passed.
   auto markUnreachable(const BackendId &Id, MonotonicTime Now) -> void;
 
+  /// Sets whether a server is being checked for its loss. It gets no requests
+  /// meanwhile.
+  auto setUnderCheck(const BackendId &Id, bool UnderCheck) -> void;
+
   /// Marks a server as leaving, regardless of the platform's list.
   auto markLeaving(const BackendId &Id) -> void;
   [[nodiscard]] auto leaving() const -> std::vector<BackendId>;
@@ -176,6 +181,7 @@
     double m_OtherGatesRunning = 0;
     double m_OtherGatesMean = 0; ///< Averaged over the reports.
     bool m_RunsAlone = false;
+    bool m_UnderCheck = false;
     RequestId m_ReservedFor; ///< Empty when not reserved.
     PrefixIndex m_Prefixes;
   };
--- a/src/gate/BackendLossDetector.cpp
+++ b/src/gate/BackendLossDetector.cpp
@@ -3,6 +3,7 @@
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterel {
@@ -17,11 +18,16 @@
                                        std::function<void(bool)> Done) -> void {
   auto IsFirst = !m_Checks.contains(Id);
   auto &Item = m_Checks[Id];
-  for (const auto &Request : m_Engines.runningOn(Id))
-    Item.m_RanAloneByDigest[Request.m_Digest] = Request.m_Alone;
+  for (const auto &Request : m_Engines.runningOn(Id)) {
+    auto &Known =
+        Item.m_Running.emplace(Request.m_Digest, Request).first->second;
+    Known.m_SentAt = std::min(Known.m_SentAt, Request.m_SentAt);
+  }
   Item.m_Callbacks.push_back(std::move(Done));
   if (!IsFirst)
     return;
+  Item.m_NoticedAt = m_Scheduler.now();
+  m_Engines.setUnderCheck(Id, true);
   const auto *Server = m_Engines.find(Id);
   auto KnownLoad = m_Engines.load(Id);
   if (Server == nullptr || !KnownLoad) {
@@ -49,6 +55,7 @@
 
 auto BackendLossDetector::finishCheck(const BackendId &Id, bool Lost) -> void {
   auto Item = std::move(m_Checks.extract(Id).mapped());
+  m_Engines.setUnderCheck(Id, false);
   auto NotifyCallers = [Item, Lost] {
     for (const auto &Callback : Item.m_Callbacks)
       Callback(Lost);
@@ -60,13 +67,13 @@
   m_Engines.markUnreachable(Id, m_Scheduler.now());
   const auto *Server = m_Engines.find(Id);
   logWarning("backend.lost",
-             {{"backend", Id}, {"running", Item.m_RanAloneByDigest.size()}});
+             {{"backend", Id}, {"running", Item.m_Running.size()}});
   auto Running = std::vector<RunningRequest>();
-  for (const auto &[Digest, Alone] : Item.m_RanAloneByDigest)
-    Running.push_back({.m_Digest = Digest, .m_Alone = Alone});
+  for (const auto &[Digest, Request] : Item.m_Running)
+    Running.push_back(Request);
   m_Crashes.recordLoss(
       Id, Server != nullptr ? Server->m_DataCentre : DataCentreId{}, Running,
-      m_Scheduler.now());
+      Item.m_NoticedAt);
   m_Announce(NotifyCallers);
 }
 
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -181,12 +181,14 @@
       AttemptId{fmt::format("{}.{}", m_Input.m_Request.text(), m_Attempts)};
   m_Stream.emplace(m_Attempt, Completion.m_Shape, m_Position);
   auto Query = query();
-  m_Services.m_Engines.begin(Engine, {.m_Request = m_Input.m_Request,
-                                      .m_Attempt = m_Attempt,
-                                      .m_Digest = m_Digest,
-                                      .m_Work = Query.m_Work,
-                                      .m_PrefixBlocks = m_PieceDigests,
-                                      .m_Alone = Query.m_Alone});
+  m_Services.m_Engines.begin(Engine,
+                             {.m_Request = m_Input.m_Request,
+                              .m_Attempt = m_Attempt,
+                              .m_Digest = m_Digest,
+                              .m_Work = Query.m_Work,
+                              .m_PrefixBlocks = m_PieceDigests,
+                              .m_Alone = Query.m_Alone,
+                              .m_SentAt = m_Services.m_Scheduler.now()});
   auto Self = weak_from_this();
   auto Call = HttpCall();
   Call.m_Method = "POST";
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -126,6 +126,12 @@
     Found->second.m_UnreachableUntil = Now + m_Options.m_UnreachableRetryDelay;
 }
 
+auto EngineTable::setUnderCheck(const BackendId &Id, bool UnderCheck) -> void {
+  auto Found = m_Entries.find(Id);
+  if (Found != m_Entries.end())
+    Found->second.m_UnderCheck = UnderCheck;
+}
+
 auto EngineTable::markLeaving(const BackendId &Id) -> void {
   if (m_Entries.contains(Id))
     m_Leaving.insert(Id);
@@ -139,7 +145,7 @@
                            MonotonicTime Now) const -> bool {
   const auto &Server = Item.m_Backend;
   if (!Server.m_Service.empty() || !Item.m_Load || Server.m_Stopped ||
-      Now < Item.m_UnreachableUntil)
+      Item.m_UnderCheck || Now < Item.m_UnreachableUntil)
     return false;
   if (Server.m_Cheap && !Query.m_CheapAllowed)
     return false;
@@ -377,7 +383,9 @@
   if (Found == m_Entries.end())
     return Running;
   for (const auto &[Attempt, Flight] : Found->second.m_InFlight)
-    Running.push_back({.m_Digest = Flight.m_Digest, .m_Alone = Flight.m_Alone});
+    Running.push_back({.m_Digest = Flight.m_Digest,
+                       .m_Alone = Flight.m_Alone,
+                       .m_SentAt = Flight.m_SentAt});
   return Running;
 }
 
--- a/tests/fault-CrashContainment.cpp
+++ b/tests/fault-CrashContainment.cpp
@@ -223,7 +223,7 @@
   EngineTable m_Engines{
       {.m_DataCentre = DataCentreId{"a"}, .m_Region = RegionId{"r"}}, {}};
   std::unique_ptr<RoutingPolicy> m_Routing =
-      makeRoutingPolicy("expected-first-token");
+      makeRoutingPolicy("least-connections");
   std::unique_ptr<WaitingQueue> m_Queue =
       makeWaitingQueue("fair", {.m_Utilisation = [] { return 0.0; }});
   Dispatcher m_Dispatcher{m_Scheduler, m_Engines, *m_Queue};
@@ -293,6 +293,55 @@
   CHECK(Caller->m_Response.m_Status == StatusOk);
 }
 
+// Guards against blaming a request for the loss of an engine on which other
+// requests had noticed it before.
+TEST_CASE(
+    "crash containment: an engine that is being checked gets no requests") {
+  auto Test = Gate({"a", "a"});
+  auto First = Test.start("first");
+  auto Second = Test.start("second");
+  REQUIRE(Test.m_Client.sentTo("e0") == 1);
+  REQUIRE(Test.m_Client.sentTo("e1") == 1);
+  constexpr auto LongCheck = Milliseconds(300);
+  Test.m_Client.m_ProbeDelay = LongCheck;
+  Test.m_Client.lose("e1", EngineState::Closing);
+  Test.m_Scheduler.advance(Milliseconds(10));
+  Test.m_Client.m_ProbeDelay = NetworkDelay;
+  Test.m_Client.lose("e0");
+  Test.m_Scheduler.advance(Milliseconds(100));
+  Test.m_Dispatcher.dispatchReady();
+  Test.m_Scheduler.advance(LongCheck);
+  CHECK(Test.m_Client.sentTo("e1") == 1);
+  CHECK(Test.verdict("first") == CrashVerdict::Suspect);
+  Test.recover("e1");
+  CHECK(First->m_Response.m_Status == StatusOk);
+  CHECK(Second->m_Response.m_Status == StatusOk);
+}
+
+TEST_CASE("crash containment: a loss dates from the first broken connection, "
+          "and requests sent later are not suspect") {
+  auto Test = Gate({"a"});
+  auto Begin = [&Test](const char *Name, RequestDigest Digest) {
+    Test.m_Engines.begin(BackendId{"e0"}, {.m_Request = RequestId{Name},
+                                           .m_Attempt = AttemptId{Name},
+                                           .m_Digest = Digest,
+                                           .m_Alone = true,
+                                           .m_SentAt = Test.m_Scheduler.now()});
+    Test.m_LossDetector.checkBackend(BackendId{"e0"}, [](bool) {});
+    Test.m_Engines.end(BackendId{"e0"}, AttemptId{Name});
+  };
+  constexpr auto Earlier = RequestDigest{1};
+  constexpr auto Later = RequestDigest{2};
+  Test.m_Client.m_ProbeDelay = Milliseconds(300);
+  Test.m_Client.lose("e0");
+  Begin("earlier", Earlier);
+  Test.m_Scheduler.advance(Milliseconds(10));
+  Begin("later", Later);
+  Test.m_Scheduler.advance(Seconds(1));
+  CHECK(Test.m_Crashes.verdict(Earlier) == CrashVerdict::Suspect);
+  CHECK(Test.m_Crashes.verdict(Later) == CrashVerdict::Clear);
+}
+
 // A request must still be quarantined after the second engine that it crashes.
 TEST_CASE("crash containment: a request that crashes its engines gets two") {
   auto Test = Gate({"a", "a", "b", "b"});
