Log the requests that ran on a lost engine

backend.lost told the number of requests on the engine, but not which ones, so that a failed run did not show what a quarantine was based on. It now tells, for up to eight requests, the digest, the verdict after the loss, whether the request ran alone, and the time since it was sent; and how long the check took.

--- a/src/gate/BackendLossDetector.cpp
+++ b/src/gate/BackendLossDetector.cpp
@@ -4,6 +4,7 @@
 #include "dotterel/base/Log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace dotterel {
@@ -12,6 +13,37 @@
 
 constexpr auto ProbeTimeout = Milliseconds(500);
 
+auto verdictName(CrashVerdict Verdict) -> const char * {
+  switch (Verdict) {
+  case CrashVerdict::Clear:
+    return "clear";
+  case CrashVerdict::Suspect:
+    return "suspect";
+  case CrashVerdict::Quarantined:
+    break;
+  }
+  return "quarantined";
+}
+
+/// Formats the requests that ran on a lost server, with their verdicts and the
+/// time from sending to the loss, for the log. Lists at most MaxShownRequests.
+auto describeRunning(const std::vector<RunningRequest> &Running,
+                     const CrashRegistry &Crashes, MonotonicTime LostAt)
+    -> std::string {
+  constexpr auto MaxShownRequests = std::size_t{8};
+  auto Text = std::string();
+  for (auto Index = std::size_t{0};
+       Index < std::min(MaxShownRequests, Running.size()); ++Index) {
+    const auto &Request = Running[Index];
+    Text += fmt::format(
+        "{}{:016x}:{},alone={},age={}ms", Index == 0 ? "" : ";",
+        Request.m_Digest.number(),
+        verdictName(Crashes.verdict(Request.m_Digest)), Request.m_Alone,
+        toMilliseconds(LostAt - Request.m_SentAt.value_or(LostAt)));
+  }
+  return Text;
+}
+
 } // namespace
 
 auto BackendLossDetector::checkBackend(const BackendId &Id,
@@ -66,14 +98,18 @@
   }
   m_Engines.markUnreachable(Id, m_Scheduler.now());
   const auto *Server = m_Engines.find(Id);
-  logWarning("backend.lost",
-             {{"backend", Id}, {"running", Item.m_Running.size()}});
   auto Running = std::vector<RunningRequest>();
   for (const auto &[Digest, Request] : Item.m_Running)
     Running.push_back(Request);
   m_Crashes.recordLoss(
       Id, Server != nullptr ? Server->m_DataCentre : DataCentreId{}, Running,
       Item.m_NoticedAt);
+  logWarning(
+      "backend.lost",
+      {{"backend", Id},
+       {"running", Running.size()},
+       {"check_ms", toMilliseconds(m_Scheduler.now() - Item.m_NoticedAt)},
+       {"requests", describeRunning(Running, m_Crashes, Item.m_NoticedAt)}});
   m_Announce(NotifyCallers);
 }
 
--- a/tests/fault-CrashContainment.cpp
+++ b/tests/fault-CrashContainment.cpp
@@ -2,6 +2,7 @@
 #include "support/PeerNetwork.h"
 
 #include "dotterel/admission/WaitingQueue.h"
+#include "dotterel/base/Log.h"
 #include "dotterel/gate/BackendLossDetector.h"
 #include "dotterel/gate/CompletionCall.h"
 #include "dotterel/gate/Dispatcher.h"
@@ -342,6 +343,34 @@
   CHECK(Test.m_Crashes.verdict(Later) == CrashVerdict::Clear);
 }
 
+// Operators find the cause of a quarantine in the log.
+TEST_CASE(
+    "crash containment: the log tells which requests ran on a lost engine "
+    "and their verdicts, on one line of bounded length") {
+  auto Lines = std::vector<std::string>();
+  setLogSink([&Lines](std::string_view Line) {
+    if (Line.find("event=backend.lost") != std::string_view::npos)
+      Lines.emplace_back(Line);
+  });
+  auto Test = Gate({"a"});
+  constexpr auto RequestCount = std::uint64_t{1000};
+  for (auto Number = RequestCount; Number > 0; --Number)
+    Test.m_Engines.begin(
+        BackendId{"e0"},
+        {.m_Attempt = AttemptId{fmt::format("{}", Number)},
+         .m_Digest = RequestDigest{Number},
+         .m_SentAt = Test.m_Scheduler.now() - Milliseconds(250)});
+  Test.m_Client.lose("e0");
+  Test.m_LossDetector.checkBackend(BackendId{"e0"}, [](bool) {});
+  Test.m_Scheduler.advance(Seconds(1));
+  setLogSink({});
+  REQUIRE(Lines.size() == 1);
+  CHECK(Lines[0].find("running=1000") != std::string::npos);
+  CHECK(Lines[0].find("0000000000000001:suspect,alone=false,age=250ms") !=
+        std::string::npos);
+  CHECK(Lines[0].size() < 1000);
+}
+
 // A request must still be quarantined after the second engine that it crashes.
 TEST_CASE("crash containment: a request that crashes its engines gets two") {
   auto Test = Gate({"a", "a", "b", "b"});
