Retry requests that lost an engine in another data centre

What callers saw: a request that ran in a data centre whose engines were lost one after another could be refused as quarantined.

Cause: the retry, alone, preferred the nearest engine, which is in the same data centre and the next to be lost. The second loss then came with the request alone, so that it was quarantined before the third loss showed the reclaim; and a reclaim does not clear what is quarantined.

The new test before the change:

CHECK( Test.m_Client.sentTo("e3") == 1 ) is NOT correct! 0 == 1 CHECK( Caller->m_Response.m_Status == StatusOk ) is NOT correct! code quarantined

A request that must run alone now uses a data centre where it lost an engine only when no engine elsewhere is reachable. This goes before the preference for engines that belong to the gate.

--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -95,6 +95,7 @@
   std::uint32_t m_Attempts = 0;
   std::uint32_t m_UnreachableAttempts = 0; ///< Subset of m_Attempts.
   std::set<BackendId> m_TriedEngines;
+  std::set<DataCentreId> m_LostIn; ///< Data centres of the engines lost.
   std::uint64_t m_Position = 0;
   std::string m_ResponseText;
   std::string m_FinishReason;
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -73,6 +73,9 @@
   /// Engines that were tried before; they are used again only when no other
   /// engine is reachable.
   std::set<BackendId> m_Tried;
+  /// Data centres where the request lost engines. A request that must run
+  /// alone uses them only when no engine elsewhere is reachable.
+  std::set<DataCentreId> m_LostIn;
 };
 
 /// Table of backend servers.
@@ -212,6 +215,10 @@
       -> double;
   /// Removes engines that run requests of any gate, unless all do.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
+  /// Removes engines in data centres where the request lost engines, unless
+  /// none would remain.
+  static auto preferOtherDataCentres(std::vector<const Entry *> &Engines,
+                                     const EngineQuery &Query) -> void;
   /// Removes engines on which this gate may not run requests alone, unless none
   /// would remain. A busy engine of its own is waited for in preference to
   /// using another gate's.
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -118,7 +118,8 @@
       .m_CheapAllowed =
           m_Services.m_Configuration.current()->presetInForce().m_CheapServers,
       .m_Alone = Suspect,
-      .m_Tried = m_TriedEngines};
+      .m_Tried = m_TriedEngines,
+      .m_LostIn = m_LostIn};
 }
 
 auto CompletionCall::enqueue() -> void {
@@ -359,12 +360,17 @@
     retry(RequestSent, false);
     return;
   }
+  const auto *Server = m_Services.m_Engines.find(m_Engine);
+  auto DataCentre = Server != nullptr ? Server->m_DataCentre : DataCentreId{};
   // Called before endAttempt(), so that this request's digest is still among
   // those running on the engine.
   m_Services.m_LossDetector.checkBackend(
-      m_Engine, [Self = shared_from_this()](bool ServerLost) {
-        if (!Self->m_Ended)
-          Self->retry(true, ServerLost);
+      m_Engine, [Self = shared_from_this(), DataCentre](bool ServerLost) {
+        if (Self->m_Ended)
+          return;
+        if (ServerLost)
+          Self->m_LostIn.insert(DataCentre);
+        Self->retry(true, ServerLost);
       });
   endAttempt();
 }
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -173,8 +173,10 @@
     if (isUsable(Item, Query, Now))
       (Query.m_Tried.contains(Id) ? Tried : Untried).push_back(&Item);
   auto Engines = std::move(Untried.empty() ? Tried : Untried);
-  if (Query.m_Alone)
+  if (Query.m_Alone) {
+    preferOtherDataCentres(Engines, Query);
     preferOwned(Engines);
+  }
   return Engines;
 }
 
@@ -202,6 +204,17 @@
   return Healthy;
 }
 
+auto EngineTable::preferOtherDataCentres(std::vector<const Entry *> &Engines,
+                                         const EngineQuery &Query) -> void {
+  // The engines of a data centre that is lost or reclaimed go one after
+  // another: on the next one the request would be alone when it is lost.
+  auto LostThere = [&Query](const Entry *Item) {
+    return Query.m_LostIn.contains(Item->m_Backend.m_DataCentre);
+  };
+  if (!std::all_of(Engines.begin(), Engines.end(), LostThere))
+    std::erase_if(Engines, LostThere);
+}
+
 auto EngineTable::preferOwned(std::vector<const Entry *> &Engines) const
     -> void {
   auto IsNotOwned = [this](const Entry *Item) {
--- a/tests/fault-CrashContainment.cpp
+++ b/tests/fault-CrashContainment.cpp
@@ -343,6 +343,24 @@
   CHECK(Test.m_Crashes.verdict(Later) == CrashVerdict::Clear);
 }
 
+// Guards against blaming a request for the loss of its data centre, whose
+// engines are lost one after another.
+TEST_CASE("crash containment: a request that lost an engine is retried in "
+          "another data centre") {
+  auto Test = Gate({"a", "a", "a", "b"});
+  auto Caller = Test.start("request");
+  for (const auto *Engine : {"e0", "e1", "e2"}) {
+    Test.m_Client.lose(Engine);
+    Test.m_Scheduler.advance(Milliseconds(100));
+  }
+  CHECK(Test.m_Client.sentTo("e3") == 1);
+  Test.m_Client.respond("e3");
+  Test.m_Scheduler.advance(Seconds(1));
+  CAPTURE(Caller->m_Response.m_Body);
+  CHECK(Caller->m_Response.m_Status == StatusOk);
+  CHECK(Test.verdict("request") == CrashVerdict::Clear);
+}
+
 // Operators find the cause of a quarantine in the log.
 TEST_CASE(
     "crash containment: the log tells which requests ran on a lost engine "
