Count a loss as alone only if no other gate's suspect ran on the engine

What callers saw: a request that was only in flight beside a crashing one was refused as quarantined.

Cause: "alone" was true within one gate. A gate that owns no reachable engine retries its suspects on another gate's, where that gate's crashing request can run alone at the same time; the crash then quarantines both. With the names of "e2e: a request that crashes its engines" the rendezvous order gives host1's gate runner1 only, so that it owns none once runner1 is lost.

A loss is first recorded as shared and announced. The claim that the request ran alone follows after the time that another gate's check can take, unless a report shows that another suspect was lost on that engine. A crashing request that met another suspect runs once more, and costs a third engine. Its caller waits 500 ms longer for the refusal; within that time the losses of a data centre are recognised as a reclaim.

Weighed: counting losses as alone only on engines that the gate owns. A gate of a large installation owns hardly any of the engines that it tracks, so a crashing request would cost four engines instead of two.

--- a/include/dotterel/gate/BackendLossDetector.h
+++ b/include/dotterel/gate/BackendLossDetector.h
@@ -49,7 +49,22 @@
     std::vector<std::function<void(bool)>> m_Callbacks;
   };
 
+  struct DetectedLoss {
+    BackendId m_Backend;
+    DataCentreId m_DataCentre;
+    std::vector<RunningRequest> m_Running;
+    MonotonicTime m_NoticedAt;
+  };
+
   auto finishCheck(const BackendId &Id, bool Lost) -> void;
+  /// Records the loss as one of requests that ran together.
+  auto recordShared(DetectedLoss Loss) -> void;
+  /// Records the loss again for a request that ran alone, unless another gate
+  /// ran a suspect on the server too.
+  auto recordAlone(const DetectedLoss &Loss) -> void;
+  [[nodiscard]] auto ranOtherSuspect(const DetectedLoss &Loss,
+                                     RequestDigest Digest) const -> bool;
+  auto logLoss(const DetectedLoss &Loss) const -> void;
 
   Scheduler &m_Scheduler;
   HttpClient &m_Client;
--- a/src/gate/BackendLossDetector.cpp
+++ b/src/gate/BackendLossDetector.cpp
@@ -98,19 +98,76 @@
   }
   m_Engines.markUnreachable(Id, m_Scheduler.now());
   const auto *Server = m_Engines.find(Id);
-  auto Running = std::vector<RunningRequest>();
+  auto Loss = DetectedLoss{.m_Backend = Id, .m_NoticedAt = Item.m_NoticedAt};
+  if (Server != nullptr)
+    Loss.m_DataCentre = Server->m_DataCentre;
   for (const auto &[Digest, Request] : Item.m_Running)
-    Running.push_back(Request);
-  m_Crashes.recordLoss(
-      Id, Server != nullptr ? Server->m_DataCentre : DataCentreId{}, Running,
-      Item.m_NoticedAt);
+    Loss.m_Running.push_back(Request);
+  recordShared(Loss);
+  if (std::none_of(Loss.m_Running.begin(), Loss.m_Running.end(),
+                   [](const RunningRequest &Item) { return Item.m_Alone; })) {
+    logLoss(Loss);
+    m_Announce(NotifyCallers);
+    return;
+  }
+  // Another gate may have run a suspect there too, and then either of them can
+  // be the cause. That gate reports it once its own check has ended.
+  m_Announce([] {});
+  m_Scheduler.schedule(ProbeTimeout, [this, Loss, NotifyCallers] {
+    recordAlone(Loss);
+    logLoss(Loss);
+    m_Announce(NotifyCallers);
+  });
+}
+
+auto BackendLossDetector::recordShared(DetectedLoss Loss) -> void {
+  for (auto &Request : Loss.m_Running)
+    Request.m_Alone = false;
+  m_Crashes.recordLoss(Loss.m_Backend, Loss.m_DataCentre, Loss.m_Running,
+                       Loss.m_NoticedAt);
+}
+
+auto BackendLossDetector::recordAlone(const DetectedLoss &Loss) -> void {
+  auto Alone = std::vector<RunningRequest>();
+  for (const auto &Request : Loss.m_Running)
+    if (Request.m_Alone && !ranOtherSuspect(Loss, Request.m_Digest))
+      Alone.push_back(Request);
+  if (!Alone.empty())
+    m_Crashes.recordLoss(Loss.m_Backend, Loss.m_DataCentre, Alone,
+                         Loss.m_NoticedAt);
+}
+
+auto BackendLossDetector::ranOtherSuspect(const DetectedLoss &Loss,
+                                          RequestDigest Digest) const -> bool {
+  auto Now = m_Scheduler.now();
+  auto SinceLost = Now - Loss.m_NoticedAt;
+  auto Reports = m_Crashes.reports(Now);
+  return std::any_of(
+      Reports.begin(), Reports.end(), [&](const CrashReport &Report) {
+        auto Found = Report.m_Losses.find(Loss.m_Backend);
+        if (Report.m_Digest == Digest || Found == Report.m_Losses.end())
+          return false;
+        // An earlier loss of a server that was restarted.
+        if (std::chrono::abs(Found->second.m_SinceLost - SinceLost) >
+            ProbeTimeout)
+          return false;
+        // It was a suspect when it was sent there, so it ran alone there.
+        return std::any_of(Report.m_Losses.begin(), Report.m_Losses.end(),
+                           [&](const auto &Item) {
+                             return Item.second.m_SinceLost >
+                                    Found->second.m_SinceSent;
+                           });
+      });
+}
+
+auto BackendLossDetector::logLoss(const DetectedLoss &Loss) const -> void {
   logWarning(
       "backend.lost",
-      {{"backend", Id},
-       {"running", Running.size()},
-       {"check_ms", toMilliseconds(m_Scheduler.now() - Item.m_NoticedAt)},
-       {"requests", describeRunning(Running, m_Crashes, Item.m_NoticedAt)}});
-  m_Announce(NotifyCallers);
+      {{"backend", Loss.m_Backend},
+       {"running", Loss.m_Running.size()},
+       {"noticed_ms", toMilliseconds(m_Scheduler.now() - Loss.m_NoticedAt)},
+       {"requests",
+        describeRunning(Loss.m_Running, m_Crashes, Loss.m_NoticedAt)}});
 }
 
 } // namespace dotterel
--- a/tests/fault-CrashContainment.cpp
+++ b/tests/fault-CrashContainment.cpp
@@ -389,6 +389,36 @@
   CHECK(Lines[0].size() < 1000);
 }
 
+// Guards against blaming a request for the crash that another gate's suspect
+// causes: gates that have no engine of their own left use each other's.
+TEST_CASE("crash containment: of two gates' suspects that were lost on one "
+          "engine, none ran alone") {
+  for (auto OtherWasSuspect : {true, false}) {
+    CAPTURE(OtherWasSuspect);
+    auto Test = Gate({"a", "b", "c"});
+    auto Caller = Test.start("request");
+    Test.m_Client.lose("e0");
+    Test.m_Scheduler.advance(Milliseconds(100));
+    auto Second = Test.m_Client.sentTo("e1") > 0 ? "e1" : "e2";
+    REQUIRE(Test.m_Client.sentTo(Second) == 1);
+    Test.m_Client.lose(Second);
+    Test.m_Scheduler.advance(Milliseconds(200));
+    // The other gate's report arrives after this gate's check.
+    auto Other = CrashReport{.m_Digest = RequestDigest{1}};
+    Other.m_Losses[BackendId{Second}] = {.m_SinceSent = Milliseconds(250),
+                                         .m_SinceLost = Milliseconds(199)};
+    if (OtherWasSuspect)
+      Other.m_Losses[BackendId{"e0"}] = {.m_SinceSent = Milliseconds(400),
+                                         .m_SinceLost = Milliseconds(299)};
+    Test.m_Crashes.merge(Other, Test.m_Scheduler.now());
+    Test.m_Scheduler.advance(Seconds(1));
+    CHECK(
+        Test.verdict("request") ==
+        (OtherWasSuspect ? CrashVerdict::Suspect : CrashVerdict::Quarantined));
+    CHECK((Caller->m_Response.m_Status == 0) == OtherWasSuspect);
+  }
+}
+
 // A request must still be quarantined after the second engine that it crashes.
 TEST_CASE("crash containment: a request that crashes its engines gets two") {
   auto Test = Gate({"a", "a", "b", "b"});
