--- a/include/dotterel/gate/BackendLossDetector.h
+++ b/include/dotterel/gate/BackendLossDetector.h
@@ -33,8 +33,9 @@
       : m_Scheduler(Scheduler), m_Client(Client), m_Engines(Engines),
         m_Crashes(Crashes), m_Announce(std::move(Announce)) {}
 
-  /// Checks the backend server \p Id. If it is lost, records the loss for all
-  /// requests that this gate has in flight there. Calls \p Done with whether
+  /// Checks the backend server \p Id, which gets no requests meanwhile. If it
+  /// is lost, records the loss, as of the first call, for all requests that
+  /// this gate has in flight there. Calls \p Done with whether
   /// the server is lost, after the evidence was recorded here and sent to the
   /// other gates. Calls for a server that is being checked share one check.
   auto checkBackend(const BackendId &Id, std::function<void(bool)> Done)
@@ -42,12 +43,28 @@
 
 private:
   struct Check {
-    /// Requests in flight, and whether each had the server for itself.
-    std::map<RequestDigest, bool> m_RanAloneByDigest;
+    /// When the first broken connection was noticed.
+    MonotonicTime m_NoticedAt;
+    std::map<RequestDigest, RunningRequest> m_Running;
     std::vector<std::function<void(bool)>> m_Callbacks;
   };
 
+  struct DetectedLoss {
+    BackendId m_Backend;
+    DataCentreId m_DataCentre;
+    std::vector<RunningRequest> m_Running;
+    MonotonicTime m_NoticedAt;
+  };
+
   auto finishCheck(const BackendId &Id, bool Lost) -> void;
+  /// Records the loss as one of requests that ran together.
+  auto recordShared(DetectedLoss Loss) -> void;
+  /// Records the loss again for a request that ran alone, unless another gate
+  /// ran a suspect on the server too.
+  auto recordAlone(const DetectedLoss &Loss) -> void;
+  [[nodiscard]] auto ranOtherSuspect(const DetectedLoss &Loss,
+                                     RequestDigest Digest) const -> bool;
+  auto logLoss(const DetectedLoss &Loss) const -> void;
 
   Scheduler &m_Scheduler;
   HttpClient &m_Client;
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -59,6 +59,7 @@
   Work m_Work;
   std::vector<std::uint64_t> m_PrefixBlocks;
   bool m_Alone = false; ///< No other request may run on the engine.
+  MonotonicTime m_SentAt;
 };
 
 /// Requirements that a request has for its engine.
@@ -72,6 +73,9 @@
   /// Engines that were tried before; they are used again only when no other
   /// engine is reachable.
   std::set<BackendId> m_Tried;
+  /// Data centres where the request lost engines. A request that must run
+  /// alone uses them only when no engine elsewhere is reachable.
+  std::set<DataCentreId> m_LostIn;
 };
 
 /// Table of backend servers.
@@ -96,6 +100,10 @@
   /// load again or m_UnreachableRetryDelay has passed.
   auto markUnreachable(const BackendId &Id, MonotonicTime Now) -> void;
 
+  /// Sets whether a server is being checked for its loss. It gets no requests
+  /// meanwhile.
+  auto setUnderCheck(const BackendId &Id, bool UnderCheck) -> void;
+
   /// Marks a server as leaving, regardless of the platform's list.
   auto markLeaving(const BackendId &Id) -> void;
   [[nodiscard]] auto leaving() const -> std::vector<BackendId>;
@@ -176,6 +184,7 @@
     double m_OtherGatesRunning = 0;
     double m_OtherGatesMean = 0; ///< Averaged over the reports.
     bool m_RunsAlone = false;
+    bool m_UnderCheck = false;
     RequestId m_ReservedFor; ///< Empty when not reserved.
     PrefixIndex m_Prefixes;
   };
@@ -206,6 +215,10 @@
       -> double;
   /// Removes engines that run requests of any gate, unless all do.
   static auto preferIdle(std::vector<Candidate> &Engines) -> void;
+  /// Removes engines in data centres where the request lost engines, unless
+  /// none would remain.
+  static auto preferOtherDataCentres(std::vector<const Entry *> &Engines,
+                                     const EngineQuery &Query) -> void;
   /// Removes engines on which this gate may not run requests alone, unless none
   /// would remain. A busy engine of its own is waited for in preference to
   /// using another gate's.
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -118,7 +118,8 @@
       .m_CheapAllowed =
           m_Services.m_Configuration.current()->presetInForce().m_CheapServers,
       .m_Alone = Suspect,
-      .m_Tried = m_TriedEngines};
+      .m_Tried = m_TriedEngines,
+      .m_LostIn = m_LostIn};
 }
 
 auto CompletionCall::enqueue() -> void {
@@ -181,12 +182,14 @@
       AttemptId{fmt::format("{}.{}", m_Input.m_Request.text(), m_Attempts)};
   m_Stream.emplace(m_Attempt, Completion.m_Shape, m_Position);
   auto Query = query();
-  m_Services.m_Engines.begin(Engine, {.m_Request = m_Input.m_Request,
-                                      .m_Attempt = m_Attempt,
-                                      .m_Digest = m_Digest,
-                                      .m_Work = Query.m_Work,
-                                      .m_PrefixBlocks = m_PieceDigests,
-                                      .m_Alone = Query.m_Alone});
+  m_Services.m_Engines.begin(Engine,
+                             {.m_Request = m_Input.m_Request,
+                              .m_Attempt = m_Attempt,
+                              .m_Digest = m_Digest,
+                              .m_Work = Query.m_Work,
+                              .m_PrefixBlocks = m_PieceDigests,
+                              .m_Alone = Query.m_Alone,
+                              .m_SentAt = m_Services.m_Scheduler.now()});
   auto Self = weak_from_this();
   auto Call = HttpCall();
   Call.m_Method = "POST";
@@ -199,6 +202,9 @@
   Call.m_Body = m_Position == 0 ? Completion.m_EngineBody
                                 : Completion.resumeBody(m_Position);
   Call.m_Timeout = m_Services.m_Limits.m_RequestTimeout;
+  // On a kept connection to an engine that is already lost, the call would
+  // count as sent, and the loss as caused by this request.
+  Call.m_DedicatedConnection = Query.m_Alone;
   Call.m_OnHeaders = [Self](unsigned Status, const HttpHeaders &) {
     if (auto Call = Self.lock())
       Call->onStatus(Status);
@@ -354,12 +360,17 @@
     retry(RequestSent, false);
     return;
   }
+  const auto *Server = m_Services.m_Engines.find(m_Engine);
+  auto DataCentre = Server != nullptr ? Server->m_DataCentre : DataCentreId{};
   // Called before endAttempt(), so that this request's digest is still among
   // those running on the engine.
   m_Services.m_LossDetector.checkBackend(
-      m_Engine, [Self = shared_from_this()](bool ServerLost) {
-        if (!Self->m_Ended)
-          Self->retry(true, ServerLost);
+      m_Engine, [Self = shared_from_this(), DataCentre](bool ServerLost) {
+        if (Self->m_Ended)
+          return;
+        if (ServerLost)
+          Self->m_LostIn.insert(DataCentre);
+        Self->retry(true, ServerLost);
       });
   endAttempt();
 }
