--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -309,7 +309,8 @@
 TEST_CASE("platform transport: a response to a prefill and to a release has a "
           "small limit") {
   auto Client = FakeClient();
-  auto Transport = EngineTransport(Client);
+  auto Loop = EventLoop();
+  auto Transport = EngineTransport(Loop, Client);
   auto Listener = RecordingListener();
   auto Request = CallerRequest();
   Transport.send({.m_Request = &Request, .m_Purpose = AttemptPurpose::Prefill},
@@ -328,7 +329,8 @@
   for (auto Status : {200U, 500U}) {
     CAPTURE(Status);
     auto Client = FakeClient();
-    auto Transport = EngineTransport(Client);
+    auto Loop = EventLoop();
+    auto Transport = EngineTransport(Loop, Client);
     auto Listener = RecordingListener();
     auto Request = CallerRequest();
     auto Id = Transport.send({.m_Request = &Request}, true, Listener);
