Take a request from a silent server only if another one can have it

What callers saw: a stream was cut, or a request refused, with most of its time left, although its server was sound and only silent; on a host that had just been busy, for example with a change of the configuration, all servers looked silent. Change: an attempt is cancelled only if there is another candidate; a stream that the others refuse waits and is placed again until its time is over; a check that runs 100 ms late or more does not judge.

--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -29,6 +29,9 @@
   Duration m_DeadlineGrace = Milliseconds(190);
   /// Interval of the checks for an unresponsive server.
   Duration m_ActivityCheckInterval = Milliseconds(200);
+  /// Delay from which a check is skipped: a host that was busy or suspended has
+  /// not read yet what the server has sent.
+  Duration m_MaxActivityCheckDelay = Milliseconds(100);
   /// Maximum number of placements of a request, including those whose attempts
   /// failed before the request was executed.
   std::uint32_t m_MaxPlacements = 4;
@@ -161,6 +164,11 @@
   /// Sends a repeatable request to another server if the current one is
   /// unresponsive.
   auto checkActivity() -> void;
+  /// Returns whether a server other than the current one may take the request.
+  [[nodiscard]] auto hasAlternative(MonotonicTime Now) const -> bool;
+  /// Places a stream again after a while that was taken from an unresponsive
+  /// server. Returns false if that is not allowed.
+  [[nodiscard]] auto placeLater() -> bool;
   auto scheduleActivityCheck() -> void;
   auto cancelAttempt() -> void;
   auto countUsage() -> void;
@@ -199,6 +207,10 @@
   bool m_PrefillAccepted = false;
   /// Whether the latest attempt was charged to the budget.
   bool m_Charged = false;
+  /// Whether an attempt was cancelled because its server was unresponsive.
+  bool m_TakenFromServer = false;
+  /// When the next activity check is due.
+  MonotonicTime m_ActivityCheckAt;
   /// Whether the next attempt is already charged.
   bool m_ChargedInAdvance = false;
   bool m_Streaming = false;
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -243,6 +243,8 @@
   if (m_Attempt->m_Purpose == AttemptPurpose::Prefill ||
       !m_Parameters.m_Route->repeatable())
     return;
+  m_ActivityCheckAt =
+      m_Context.m_Scheduler.now() + m_Context.m_Options.m_ActivityCheckInterval;
   m_ActivityTimer = m_Context.m_Scheduler.schedule(
       m_Context.m_Options.m_ActivityCheckInterval, [this] {
         m_ActivityTimer.reset();
@@ -256,12 +258,17 @@
     return;
   auto Allowed =
       mayRepeat() && m_Runs + 1 < m_Parameters.m_Route->m_MaxAttempts;
-  if (!Allowed || !m_Context.m_Loads.unresponsive(m_Attempt->m_Backend, Now) ||
+  auto Delayed =
+      Now - m_ActivityCheckAt >= m_Context.m_Options.m_MaxActivityCheckDelay;
+  if (!Allowed || Delayed ||
+      !m_Context.m_Loads.unresponsive(m_Attempt->m_Backend, Now) ||
+      !hasAlternative(Now) ||
       !m_Context.m_Retries.tryAcquire(m_Parameters.m_Service->m_Id, Now)) {
     scheduleActivityCheck();
     return;
   }
   m_ChargedInAdvance = true;
+  m_TakenFromServer = true;
   m_Context.m_Health.recordFailure(m_Attempt->m_Backend, Now);
   m_Excluded.insert(m_Attempt->m_Backend);
   ++m_Runs;
@@ -270,6 +277,31 @@
   place();
 }
 
+auto ServedRequest::hasAlternative(MonotonicTime Now) const -> bool {
+  auto Excluded = m_Excluded;
+  Excluded.insert(m_Attempt->m_Backend);
+  auto Others =
+      candidates(m_Context.view(), m_Parameters.m_Service->m_Id, Excluded, Now);
+  return std::any_of(Others.begin(), Others.end(), [](const auto *Item) {
+    return Item->m_Stage != EngineStage::Prefill;
+  });
+}
+
+auto ServedRequest::placeLater() -> bool {
+  if (!m_TakenFromServer || !mayRepeat())
+    return false;
+  m_Excluded.clear();
+  m_Placements = 0;
+  if (m_ActivityTimer)
+    m_Context.m_Scheduler.cancel(*m_ActivityTimer);
+  m_ActivityTimer = m_Context.m_Scheduler.schedule(
+      m_Context.m_Options.m_ActivityCheckInterval, [this] {
+        m_ActivityTimer.reset();
+        place();
+      });
+  return true;
+}
+
 auto ServedRequest::countUsage() -> void {
   if (std::exchange(m_UsageCounted, true) ||
       m_Parameters.m_Organisation.empty())
@@ -566,6 +598,10 @@
   if (m_Done)
     return;
   if (m_Streaming) {
+    // Its server may have been healthy, so the caller keeps the stream as long
+    // as another server may take it.
+    if (Code != RefusalCode::Quarantined && placeLater())
+      return;
     finish("cut", Detail);
     return;
   }
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -781,3 +781,68 @@
   CHECK_FALSE(Test.reachesServer("stream", sharedPrompt({"doc"}, "crashing")));
   CHECK(Test.reachesServer("stream", sharedPrompt({"doc"}, "sound")));
 }
+
+// Guards against ending a request sooner because its server sends nothing: it
+// is taken from that server only if another one can take it.
+TEST_CASE(
+    "served request: an unresponsive server keeps a request that no other "
+    "server can take") {
+  auto Test = ServingFixture();
+  Test.m_Core.directory().remove(BackendId{"d2"});
+  Test.m_Core.directory().remove(BackendId{"d3"});
+  auto View = Test.serve("safe");
+  Test.m_Scheduler.advance(Milliseconds(1500));
+  CHECK(Test.m_Transport.m_Sent.size() == 1);
+  CHECK_FALSE(Test.m_Transport.m_Sent[0].m_Cancelled);
+  CHECK_FALSE(View->m_Refusal);
+  auto Stream = Test.serve("resumable", "k", shortPrompt());
+  auto First = Test.m_Transport.m_Sent.back();
+  First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  First.m_Listener->onData("id: 1\ndata: a\n\n");
+  for (const auto *Id : {"g1", "g2", "p1", "p2"})
+    if (First.m_Attempt.m_Backend.text() != Id)
+      Test.m_Core.directory().remove(BackendId{Id});
+  Test.m_Scheduler.advance(Milliseconds(1500));
+  CHECK(Test.m_Transport.m_Sent.size() == 2);
+  CHECK_FALSE(Test.m_Transport.m_Sent.back().m_Cancelled);
+  CHECK_FALSE(Stream->m_Aborted);
+}
+
+// Guards against a stream that is cut because the engines that it is moved to
+// refuse it, although it has time left.
+TEST_CASE("served request: a stream that was taken from an unresponsive engine "
+          "waits until another engine takes it") {
+  for (auto Engines : {2, 3}) {
+    CAPTURE(Engines);
+    auto Test = ServingFixture();
+    if (Engines == 3) {
+      auto Third = *Test.m_Core.directory().find(BackendId{"g1"});
+      Third.m_Id = BackendId{"g3"};
+      Third.m_Address = "g3:1";
+      Test.m_Core.directory().put(Third);
+    }
+    auto View = Test.serve("resumable", "k", shortPrompt());
+    auto First = Test.m_Transport.m_Sent.back();
+    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onData("id: 1\ndata: a\n\n");
+    Test.m_Scheduler.advance(Milliseconds(1000));
+    REQUIRE(Test.m_Transport.m_Sent.size() == 2);
+    Test.m_Transport.end(endedWith(AttemptOutcome::NotExecuted));
+    CHECK_FALSE(View->m_Aborted);
+    Test.m_Scheduler.advance(Milliseconds(2000));
+    // The time of the request is over.
+    CHECK(View->m_Aborted);
+  }
+}
+
+// Guards against taking all requests from their servers after the host itself
+// has not run, for example because it applied a large configuration.
+TEST_CASE("served request: a check that runs late does not judge the server") {
+  auto Test = ServingFixture();
+  Test.serve("safe");
+  Test.m_Scheduler.pause(Milliseconds(900));
+  Test.m_Scheduler.advance(Milliseconds(1));
+  CHECK_FALSE(Test.m_Transport.m_Sent[0].m_Cancelled);
+  Test.m_Scheduler.advance(Milliseconds(400));
+  CHECK(Test.m_Transport.m_Sent[0].m_Cancelled);
+}
