--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -29,12 +29,12 @@
 
 /// Parses the response to one call.
 ///
-/// \invariant The bytes that are read and the bytes that are stored are
-/// bounded, whatever the peer sends: bodies by m_MaxBodyBytes, all other bytes
-/// by MaxOverheadBytes, plus MaxOverheadPerBodyByte for each byte of the
-/// response's own body. \invariant onHeaders is called at most once, before any
-/// onData, and not for a response whose echoed header has another value than
-/// the expected one.
+/// \invariant onHeaders is called at most once, before any onData, and not for
+/// a response whose echoed header has another value than the expected one.
+///
+/// \invariant The bytes that are read are bounded, whatever the peer sends:
+/// bodies by m_MaxBodyBytes, all other bytes by MaxOverheadBytes, plus
+/// MaxOverheadPerBodyByte for each byte of the response's own body.
 class ResponseReader {
 public:
   struct Callbacks {
@@ -47,6 +47,7 @@
   static constexpr auto MaxOverheadBytes = std::size_t{64} << 10U;
   /// Chunks of one byte have five bytes of framing.
   static constexpr auto MaxOverheadPerBodyByte = std::size_t{8};
+  /// Maximum number of headers of one response.
   static constexpr auto MaxHeaders = std::size_t{512};
 
   ResponseReader(ResponseReaderOptions Options, Callbacks Callbacks);
