Count the idle time of a connection from the last byte that was sent

What callers see: a response is cut although its caller reads it steadily, if that takes longer than the idle timeout, or if the request took longer and the response closes its connection, as all do after SIGTERM; a configuration with a shorter timeout cuts them at once. Cause: the time counted from the request, and neither the response nor its bytes renewed it. Test: 'strict server: a response is sent completely ...' failed before (nothing more arrived).

--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -376,6 +376,9 @@
       return;
     }
     m_SentBytes += static_cast<std::size_t>(Count);
+    // A caller that reads its response is not idle.
+    if (!hasExchange() && !m_Lingering && !m_Reader.started())
+      m_WaitingSince = m_Server.m_Loop.now();
   }
   m_SendBuffer.clear();
   m_SentBytes = 0;
@@ -386,6 +389,8 @@
 
 auto StrictHttpServer::Impl::Connection::closeAfterFlush(const char *Reason)
     -> void {
+  if (!m_CloseWhenSent)
+    m_WaitingSince = m_Server.m_Loop.now();
   m_CloseWhenSent = true;
   m_CloseReason = Reason;
   if (unsentBytes() == 0 && !m_Lingering)
@@ -444,8 +449,8 @@
   }
   // The rest of the request may have arrived since the socket was last read.
   readable();
-  if (!m_Closed && !hasExchange() && !m_Lingering && m_Reader.started() &&
-      timedOut(Now))
+  if (!m_Closed && !hasExchange() && !m_Lingering && !m_CloseWhenSent &&
+      !m_NextRequestTimer && m_Reader.started() && timedOut(Now))
     refuse(408, "the request did not come in time");
 }
 
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace dotterel;
 
@@ -18,22 +19,32 @@
 /// Responds to each request with its path, and to /large with a large body.
 class EchoHandler final : public HttpHandler {
 public:
+  explicit EchoHandler(EventLoop &Loop) : m_Loop(Loop) {}
+
   auto handle(HttpExchangePtr Exchange) -> void override {
     auto Body = Exchange->request().m_Path;
     if (Body == "/large")
       Body.assign(LargeBodyBytes, 'x');
-    Exchange->respond({.m_Status = 200, .m_Body = std::move(Body)});
+    m_Loop.schedule(m_Delay, [Exchange, Body] {
+      Exchange->respond({.m_Status = 200, .m_Body = Body});
+    });
   }
   auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
     return {.m_Status = 413};
   }
+
+  Duration m_Delay = Duration::zero();
+
+private:
+  EventLoop &m_Loop;
 };
 
 /// A server on the loopback interface, whose loop runs only when the test says
 /// so: meanwhile the process is busy.
 struct Server {
   explicit Server(const CallerLimits &Limits = {})
-      : m_Server(m_Loop, m_Handler,
+      : m_Handler(m_Loop),
+        m_Server(m_Loop, m_Handler,
                  {.m_Address = SocketAddress::parse("127.0.0.1:0"),
                   .m_Limits = Limits}) {}
 
@@ -50,8 +61,11 @@
 /// A blocking connection of a caller.
 class Caller {
 public:
-  explicit Caller(Server &Target)
+  explicit Caller(Server &Target, int ReceiveBufferBytes = 0)
       : m_Target(Target), m_Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (ReceiveBufferBytes > 0)
+      REQUIRE(::setsockopt(m_Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+                           sizeof(ReceiveBufferBytes)) == 0);
     auto Raw = Target.m_Server.address().raw();
     REQUIRE(::connect(m_Fd, reinterpret_cast<const sockaddr *>(&Raw),
                       sizeof(Raw)) == 0);
@@ -79,6 +93,12 @@
       Text.append(Buffer.data(), static_cast<std::size_t>(Count));
     }
   }
+  /// Returns how many of at most \p Limit bytes have arrived.
+  [[nodiscard]] auto take(std::size_t Limit) const -> std::size_t {
+    auto Buffer = std::vector<char>(Limit);
+    auto Count = ::recv(m_Fd, Buffer.data(), Limit, MSG_DONTWAIT);
+    return Count > 0 ? static_cast<std::size_t>(Count) : 0;
+  }
   /// Returns whether the server has ended the connection.
   auto ended() -> bool {
     m_Target.runFor(Milliseconds(50));
@@ -218,6 +238,32 @@
   CHECK(Test.m_Server.busyConnections() == 0);
 }
 
+// Guards against timeouts that count from the request: they would cut a
+// response that the caller is reading.
+TEST_CASE("strict server: a response is sent completely to a caller that reads "
+          "it steadily for longer than the idle timeout") {
+  for (auto Closing : {false, true}) {
+    CAPTURE(Closing);
+    auto Test = Server({.m_IdleTimeout = Milliseconds(300)});
+    Test.m_Handler.m_Delay = Milliseconds(Closing ? 500 : 0);
+    constexpr auto ReceiveBufferBytes = 1 << 18;
+    auto Slow = Caller(Test, ReceiveBufferBytes);
+    Slow.send(Closing ? "GET /large HTTP/1.1\r\nHost: h\r\nConnection: "
+                        "close\r\n\r\n"
+                      : "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    Test.runFor(Milliseconds(510));
+    auto Bytes = std::size_t{0};
+    auto Reads = 0;
+    while (Bytes < LargeBodyBytes) {
+      auto Part = Slow.take(std::size_t{1} << 20U);
+      // Nothing arrives any more.
+      REQUIRE(++Reads < 1000);
+      Bytes += Part;
+      Test.runFor(Milliseconds(10));
+    }
+  }
+}
+
 // The same fault on the other side: a response that has arrived is lost if the
 // deadline of its call, or a timer that cancels the call, expires before the
 // response is read.
