Do not reset a connection whose response is in transit

What callers see: a response that lies in the socket's buffer is lost if its connection is closed as idle and the caller sends its next request early.

--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <http_parser.h>
 #include <memory>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -412,12 +413,15 @@
   readable();
   if (m_Closed || !isIdle())
     return;
-  if (unsentBytes() > 0) {
+  // A reset would destroy a response that the caller has not received yet.
+  auto InTransit = 0;
+  if (unsentBytes() > 0 ||
+      (::ioctl(m_Socket.fd(), TIOCOUTQ, &InTransit) == 0 && InTransit > 0)) {
     closeAfterFlush(Reason);
     return;
   }
-  // No response is in transit that a reset could destroy. A request that
-  // crosses the close is reset, so that its caller knows it was not read.
+  // A request that crosses the close is reset, so that its caller knows it was
+  // not read.
   close();
 }
 
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -264,6 +264,25 @@
   }
 }
 
+// Guards against a reset that destroys a response which the caller has not read
+// yet, when its connection is closed as idle and it sends early.
+TEST_CASE("strict server: a response in transit survives the closing of its "
+          "connection as idle") {
+  auto Test = Server();
+  constexpr auto ReceiveBufferBytes = 8192;
+  auto Early = Caller(Test, ReceiveBufferBytes);
+  auto Path = "/" + std::string(std::size_t{14} << 10U, 'x');
+  Early.request(Path);
+  Test.runFor(Milliseconds(50));
+  Test.m_Server.closeIdle();
+  Test.runFor(Milliseconds(20));
+  Early.request("/early");
+  auto Text = std::string();
+  for (auto Round = 0; Round < 5; ++Round)
+    Text += Early.received();
+  CHECK(Text.size() > Path.size());
+}
+
 // The same fault on the other side: a response that has arrived is lost if the
 // deadline of its call, or a timer that cancels the call, expires before the
 // response is read.
