Apply new limits to the next request of a kept connection

What callers see: a request that a new configuration allows is refused with 413 or 431 on a connection that was open before. Cause: limits were read when the previous request ended. Test: 'strict server: new limits apply ...' failed before.

--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -310,8 +310,10 @@
                                    {"reason", m_CloseReason}});
     return;
   }
-  if (!m_Reader.started())
+  if (!m_Reader.started()) {
     m_WaitingSince = m_Server.m_Loop.now();
+    m_Reader.setLimits(m_Server.m_Options.m_Limits);
+  }
   auto Data = std::string_view(Buffer.data(), static_cast<std::size_t>(Count));
   if (hasExchange() || m_NextRequestTimer) {
     m_Reader.feed(Data);
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -283,6 +283,20 @@
   CHECK(Text.size() > Path.size());
 }
 
+// Guards against limits that hold for a kept connection as they were when its
+// previous request ended.
+TEST_CASE("strict server: new limits apply to the next request of a kept "
+          "connection") {
+  auto Test = Server({.m_MaxBodyBytes = 10});
+  auto Kept = Caller(Test);
+  Kept.request("/first");
+  CHECK(contains(Kept.received(), "/first"));
+  Test.m_Server.setLimits({.m_MaxBodyBytes = 1000});
+  Kept.send("POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: "
+            "20\r\n\r\n01234567890123456789");
+  CHECK(contains(Kept.received(), "/second"));
+}
+
 // The same fault on the other side: a response that has arrived is lost if the
 // deadline of its call, or a timer that cancels the call, expires before the
 // response is read.
