Read a response that arrived in time completely before its call times out

What callers see: a large response is replaced by a failure after the host was busy. Cause: one read takes 32 KiB at most, and a call was read once before it timed out. Test: 'pooled client: a large response ...' failed before (65,493 of 100,000 bytes).

--- a/include/dotterel/io/EventLoop.h
+++ b/include/dotterel/io/EventLoop.h
@@ -66,8 +66,9 @@
   std::function<void()> m_OnReload;
 };
 
-/// Watches one file descriptor during its own lifetime. In each iteration of the
-/// loop, descriptors that are ready are handled before expired timers.
+/// Watches one file descriptor during its own lifetime. In each iteration of
+/// the loop, the descriptors that were found ready are handled before the
+/// timers that have expired.
 class FdWatcher {
 public:
   /// Starts to watch \p Fd for \p Events (EV_READ, EV_WRITE) and calls
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -90,7 +90,8 @@
   [[nodiscard]] auto closed() const -> bool { return m_Closed; }
 
 private:
-  auto readable() -> void;
+  /// Reads once. \returns whether bytes were read.
+  auto readable() -> bool;
   auto writable() -> void;
   auto handleReaderState(detail::ResponseReader::State State) -> void;
   auto finish(HttpOutcome Outcome, const char *Detail) -> void;
@@ -216,8 +217,8 @@
 auto PooledConnection::onTimeout() -> void {
   // The response may have arrived since the socket was last read.
   auto Id = m_Id;
-  if (m_Connected)
-    readable();
+  while (m_Connected && readable() && !m_Closed && m_Call && m_Id == Id) {
+  }
   if (m_Closed || !m_Call || m_Id != Id)
     return;
   finish(m_SentBytes > 0 ? HttpOutcome::TimedOut : HttpOutcome::NotSent,
@@ -258,28 +259,29 @@
   m_WriteWatcher.enable(false);
 }
 
-auto PooledConnection::readable() -> void {
+auto PooledConnection::readable() -> bool {
   auto Buffer = std::array<char, ReadBlockBytes>();
   auto Count = ::recv(m_Socket.fd(), Buffer.data(), Buffer.size(), 0);
   if (Count < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
+    return false;
   if (!m_Call) {
     // The peer closed the connection or sent bytes that belong to no call.
     close();
-    return;
+    return false;
   }
   if (Count <= 0) {
     auto State = m_Reader->end(Count == 0);
     if (State != detail::ResponseReader::State::Complete) {
       finish(m_SentBytes > 0 ? HttpOutcome::Broken : HttpOutcome::NotSent,
              "the connection ended before the answer did");
-      return;
+      return false;
     }
     handleReaderState(State);
-    return;
+    return false;
   }
   handleReaderState(m_Reader->feed(
       std::string_view(Buffer.data(), static_cast<std::size_t>(Count))));
+  return true;
 }
 
 auto PooledConnection::onHeaders(unsigned Status, const HttpHeaders &Headers)
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -329,3 +329,27 @@
   CHECK(Result.m_Outcome == HttpOutcome::Complete);
   CHECK(Result.m_Body == "ok");
 }
+
+// The same for a response that is read in several pieces.
+TEST_CASE("pooled client: a large response that arrived in time is delivered "
+          "though the deadline of its call has expired") {
+  auto Loop = EventLoop();
+  auto Client = makePooledHttpClient(Loop, {});
+  auto Server = OneResponseServer();
+  auto Result = HttpCallResult();
+  Client->start({.m_Url = Server.url(),
+                 .m_Timeout = Milliseconds(200),
+                 .m_OnDone = [&](HttpCallResult Ended) {
+                   Result = std::move(Ended);
+                   Loop.stop();
+                 }});
+  constexpr auto BodyBytes = std::size_t{100'000};
+  Loop.schedule(Milliseconds(100), [&Server] {
+    Server.respond("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" +
+                   std::string(BodyBytes, 'x'));
+    std::this_thread::sleep_for(Milliseconds(400));
+  });
+  Loop.run();
+  CHECK(Result.m_Outcome == HttpOutcome::Complete);
+  CHECK(Result.m_Body.size() == BodyBytes);
+}
