Log unreadable messages of other hosts at most once a second

A host of a later version may send many messages that this one cannot read, for example crash reports during an update: a warning is not limited by LogOutput.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -23,6 +23,7 @@
 #include "dotterel/supervision/Supervisor.h"
 #include "dotterel/usage/UsageRecorder.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -98,6 +99,8 @@
   auto applyConfigurationChange(const KeyChange &Change) -> void;
   auto applyBackendChange(const KeyChange &Change) -> void;
   auto receive(const std::string &Address, std::string_view Bytes) -> void;
+  auto logUnreadable(const std::string &Address, const std::string &Reason)
+      -> void;
   auto mergeCrashReport(const CrashReport &Report, MonotonicTime Now) -> bool;
   auto reload() -> void;
   auto tick() -> void;
@@ -134,6 +137,8 @@
   /// Newest time at which the list of registered servers was known to be
   /// current.
   std::optional<MonotonicTime> m_BackendsConfirmedAt;
+  std::optional<MonotonicTime> m_UnreadableLoggedAt;
+  std::uint64_t m_UnreadableCount = 0; ///< Since then.
   bool m_Failed = false;
 };
 
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -48,6 +48,8 @@
 /// servers.
 constexpr auto ReservedDescriptors = 700U;
 constexpr auto MaxConnections = 3000U;
+/// Minimum interval between log lines on messages that cannot be read.
+constexpr auto UnreadableLogInterval = Seconds(1);
 
 auto scaled(Duration Value, double Share) -> Duration {
   return std::chrono::duration_cast<Duration>(Value * Share);
@@ -261,11 +263,25 @@
     else
       m_Relay.receive(Message, Address);
   } catch (const ProtocolError &Failure) {
-    logWarning("peer.unreadable",
-               {{"address", Address}, {"reason", Failure.what()}});
+    logUnreadable(Address, Failure.what());
   }
 }
 
+auto HostProcess::logUnreadable(const std::string &Address,
+                                const std::string &Reason) -> void {
+  // Hosts of a later version may send many messages that this one cannot read.
+  ++m_UnreadableCount;
+  auto Now = m_Loop.now();
+  if (m_UnreadableLoggedAt &&
+      Now - *m_UnreadableLoggedAt < UnreadableLogInterval)
+    return;
+  m_UnreadableLoggedAt = Now;
+  logWarning("peer.unreadable",
+             {{"address", Address},
+              {"reason", Reason},
+              {"messages", std::exchange(m_UnreadableCount, 0)}});
+}
+
 auto HostProcess::mergeCrashReport(const CrashReport &Report, MonotonicTime Now)
     -> bool {
   const auto &Known = m_Core.crashes().registry();
