--- a/tests/fault-CrashExchange.cpp
+++ b/tests/fault-CrashExchange.cpp
@@ -376,6 +376,9 @@
     for (auto Digest : Digests)
       Test.m_Hosts[static_cast<std::size_t>(Number)]->release(Digest);
   }
+  auto BitsPerSecond = [](std::size_t Bytes) {
+    return 8.0 * static_cast<double>(Bytes) / Duration;
+  };
   auto Result = Traffic();
   Result.m_Quarantined = std::all_of(
       Test.m_Hosts.begin(), Test.m_Hosts.end(), [&](const auto &Item) {
@@ -386,10 +389,10 @@
     for (const auto &[Address, Bytes] : Item->m_Counting.m_SentBytes) {
       Sum += Bytes;
       Result.m_LargestPeerBits =
-          std::max(Result.m_LargestPeerBits, 8.0 * Bytes / Duration);
+          std::max(Result.m_LargestPeerBits, BitsPerSecond(Bytes));
     }
     Result.m_LargestHostBits =
-        std::max(Result.m_LargestHostBits, 8.0 * Sum / Duration);
+        std::max(Result.m_LargestHostBits, BitsPerSecond(Sum));
     Result.m_LargestMessage =
         std::max(Result.m_LargestMessage, Item->m_Counting.m_LargestMessage);
   }
