Check a server again at each break, also if it was just reachable

What callers saw: nothing yet; a crash within a second after a check that found the server reachable was no evidence, so a part that crashes servers could go on. Cause: the result was reused for a second, and breaks in it were dropped.

--- a/src/serving/CrashMonitor.cpp
+++ b/src/serving/CrashMonitor.cpp
@@ -88,6 +88,12 @@
   removeOldChecks();
   auto LossId = Server.lossId();
   auto Found = m_Checks.find(LossId);
+  // The server may have ended since it was found reachable.
+  if (Found != m_Checks.end() &&
+      Found->second.m_State == CheckState::Reachable) {
+    m_Checks.erase(Found);
+    Found = m_Checks.end();
+  }
   if (Found == m_Checks.end()) {
     if (m_Checks.size() >= m_Options.m_MaxChecks)
       return;
--- a/tests/unit-CrashMonitor.cpp
+++ b/tests/unit-CrashMonitor.cpp
@@ -356,3 +356,21 @@
   Done(false);
   Done(true);
 }
+
+// Guards against losing a loss: an idle connection that its server closed starts
+// a check, the request is sent to the same server again, and crashes it.
+TEST_CASE("crash monitor: a crash soon after a check that found the server "
+          "reachable is evidence") {
+  auto Test = MonitorFixture();
+  for (auto Number = 1; Number <= 3; ++Number) {
+    auto Server = MonitorFixture::server(Number);
+    auto Crashing = prompt(fmt::format("own{}", Number), {"crashing"});
+    Test.m_Monitor.attemptBroken(Server, Crashing, Test.m_Scheduler.now());
+    Test.m_Transport.endChecks();
+    Test.m_Scheduler.advance(Milliseconds(100));
+    Test.m_Transport.endChecks();
+    Test.m_Scheduler.advance(Milliseconds(100));
+    Test.crash(Server, Crashing);
+  }
+  CHECK(Test.m_Monitor.quarantined(prompt("x", {"crashing"})));
+}
