End a trial of a part once another trial has crashed a server

What callers saw: nothing yet; a request that was being prefilled as a trial went on to a decode engine and crashed it, although the loss of another host's trial had shown that the part crashes servers. Cause: whether a trial is justified was asked only when it began. Test: 'crash monitor: a trial ends ...' failed before.

--- a/src/serving/CrashMonitor.cpp
+++ b/src/serving/CrashMonitor.cpp
@@ -208,9 +208,11 @@
 auto CrashMonitor::quarantined(const RequestDigests &Digests,
                                const CrashTrial *Trial) const
     -> std::optional<RequestDigest> {
-  auto IsQuarantined = [this, Trial](RequestDigest Digest) {
+  auto IsQuarantined = [&](RequestDigest Digest) {
     return m_Registry.verdict(Digest) == CrashVerdict::Quarantined &&
-           (Trial == nullptr || !Trial->covers(Digest));
+           !(Trial != nullptr && Trial->covers(Digest) &&
+             m_Quarantined.contains(Digest) &&
+             explainedByOther(Digest, Digests));
   };
   // A part explains more than the one request does.
   for (const auto &Item : Digests.m_Parts)
--- a/tests/unit-CrashMonitor.cpp
+++ b/tests/unit-CrashMonitor.cpp
@@ -357,8 +357,8 @@
   Done(true);
 }
 
-// Guards against losing a loss: an idle connection that its server closed starts
-// a check, the request is sent to the same server again, and crashes it.
+// Guards against losing a loss: an idle connection that its server closed
+// starts a check, the request is sent to the same server again, and crashes it.
 TEST_CASE("crash monitor: a crash soon after a check that found the server "
           "reachable is evidence") {
   auto Test = MonitorFixture();
@@ -374,3 +374,20 @@
   }
   CHECK(Test.m_Monitor.quarantined(prompt("x", {"crashing"})));
 }
+
+// Guards against a trial that goes on to a second engine although the trial of
+// another host has shown meanwhile that the part crashes servers.
+TEST_CASE(
+    "crash monitor: a trial ends when the loss of another trial shows that "
+    "the part crashes servers") {
+  auto Test = MonitorFixture();
+  for (auto Number = 1; Number <= 3; ++Number)
+    Test.crash(MonitorFixture::server(Number),
+               prompt(fmt::format("own{}", Number), {"shared", "crashing"}));
+  auto Request = prompt("x", {"other", "crashing"});
+  auto Trial = Test.m_Monitor.beginTrial(Request);
+  REQUIRE(Trial);
+  CHECK_FALSE(Test.m_Monitor.quarantined(Request, Trial.get()));
+  Test.crash(MonitorFixture::server(4), prompt("y", {"third", "crashing"}));
+  CHECK(Test.m_Monitor.quarantined(Request, Trial.get()));
+}
