Do not take the crash of a server for the end of its response

What callers saw: nothing yet; a response with neither a length nor chunks ends with its connection, and so does one whose server crashes. It counted as a success and cleared the part that crashes servers, on all hosts. Cause: the end of the connection was the only sign of completeness that was asked for. Change: after such a response the server is checked, as after a broken one, and the response clears nothing. Test: 'served request: a response that ends with the connection of a lost server ...' failed before.

--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -35,6 +35,9 @@
   /// Whether the connection had carried an earlier call. The peer may have
   /// closed such a connection before it read this call.
   bool m_Reused = false;
+  /// Whether the response had no length and ended with its connection. The
+  /// pooled client alone reports it.
+  bool m_EndedByClose = false;
 };
 
 struct HttpCall {
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -87,6 +87,9 @@
   /// The server announced that it closes the connection.
   bool m_ConnectionClosing = false;
   bool m_ReusedConnection = false;
+  /// The response had no length and ended with its connection, which also ends
+  /// when the server crashes.
+  bool m_EndedByClose = false;
 };
 
 /// Receives the response to an attempt.
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -144,6 +144,8 @@
   /// a trial. Returns whether it did.
   [[nodiscard]] auto refuseIfQuarantined() -> bool;
   auto completeAttempt(const AttemptResult &Result) -> Attempt;
+  /// Has the server of an attempt checked whose connection ended.
+  auto reportBroken(const Attempt &Ended) -> void;
   /// Counts the next attempt. Returns false if the retry budget is exhausted.
   [[nodiscard]] auto chargeAttempt() -> bool;
   /// Stops counting the latest attempt and refunds its charge.
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -276,6 +276,7 @@
              "the connection ended before the answer did");
       return false;
     }
+    m_Result.m_EndedByClose = true;
     handleReaderState(State);
     return false;
   }
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -384,6 +384,14 @@
   onEnd({.m_Outcome = AttemptOutcome::Failed, .m_Detail = std::move(Detail)});
 }
 
+auto ServedRequest::reportBroken(const Attempt &Ended) -> void {
+  m_Context.m_Crashes.attemptBroken({.m_Id = Ended.m_Backend,
+                                     .m_StartedAt = Ended.m_ServerStartedAt,
+                                     .m_Address = Ended.m_Address,
+                                     .m_DataCentre = Ended.m_DataCentre},
+                                    m_Digests, Ended.m_StartedAt);
+}
+
 auto ServedRequest::completeAttempt(const AttemptResult &Result) -> Attempt {
   auto Ended = *m_Attempt;
   m_Attempt.reset();
@@ -407,8 +415,12 @@
       m_Context.m_Health.recordSuccess(Ended.m_Backend);
     else
       m_Context.m_Health.recordFailure(Ended.m_Backend, Now);
-    if (Ended.m_Purpose == AttemptPurpose::Serve &&
-        successful(Result.m_Head.m_Status))
+    // A response that ends with its connection also ends when the server
+    // crashes.
+    if (Result.m_EndedByClose)
+      reportBroken(Ended);
+    else if (Ended.m_Purpose == AttemptPurpose::Serve &&
+             successful(Result.m_Head.m_Status))
       m_Context.m_Crashes.attemptSucceeded(m_Digests);
     break;
   case AttemptOutcome::NotExecuted:
@@ -426,11 +438,7 @@
       // A trial is not retried, since it may have crashed its server.
       m_TrialFailed = m_TrialFailed || m_Trial != nullptr;
       m_Trial.reset();
-      m_Context.m_Crashes.attemptBroken({.m_Id = Ended.m_Backend,
-                                         .m_StartedAt = Ended.m_ServerStartedAt,
-                                         .m_Address = Ended.m_Address,
-                                         .m_DataCentre = Ended.m_DataCentre},
-                                        m_Digests, Ended.m_StartedAt);
+      reportBroken(Ended);
     }
     break;
   }
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -846,3 +846,20 @@
   Test.m_Scheduler.advance(Milliseconds(400));
   CHECK(Test.m_Transport.m_Sent[0].m_Cancelled);
 }
+
+// Guards against taking the crash of a server for the end of its response, when
+// the response has neither a length nor chunks: as a success it would clear the
+// part that crashes servers.
+TEST_CASE("served request: a response that ends with the connection of a lost "
+          "server is no success") {
+  auto Test = CrashFixture();
+  for (auto Number = 0; Number < 3; ++Number) {
+    Test.serve("stream", "k",
+               sharedPrompt({"crashing"}, fmt::format("own{}", Number)));
+    Test.crash({.m_Outcome = AttemptOutcome::Complete,
+                .m_Head = {.m_Status = 200},
+                .m_EndedByClose = true});
+  }
+  CHECK_FALSE(Test.reachesServer("stream", sharedPrompt({"crashing"}, "x")));
+  CHECK(Test.reachesServer("stream", sharedPrompt({"sound"}, "x")));
+}
