Do not count the end of a draining server as a crash

What callers saw: nothing yet; when servers are taken away one after another as announced, and no request with a part succeeds between, the part was refused for ten minutes. Cause: the check tells whether a server ended, not why. Test: 'served request: the end of a draining server ...' failed before.

--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -385,6 +385,10 @@
 }
 
 auto ServedRequest::reportBroken(const Attempt &Ended) -> void {
+  // A server that is to leave ends without a crash.
+  const auto *Server = m_Context.m_Directory.find(Ended.m_Backend);
+  if (Server != nullptr && Server->m_Draining)
+    return;
   m_Context.m_Crashes.attemptBroken({.m_Id = Ended.m_Backend,
                                      .m_StartedAt = Ended.m_ServerStartedAt,
                                      .m_Address = Ended.m_Address,
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -863,3 +863,25 @@
   CHECK_FALSE(Test.reachesServer("stream", sharedPrompt({"crashing"}, "x")));
   CHECK(Test.reachesServer("stream", sharedPrompt({"sound"}, "x")));
 }
+
+// Guards against blaming requests for servers that were taken away one after
+// another, as announced.
+TEST_CASE("served request: the end of a draining server is no evidence against "
+          "the requests that ran there") {
+  auto Test = CrashFixture();
+  for (auto Number = 0; Number < 4; ++Number) {
+    auto Before = Test.m_Transport.m_Sent.size();
+    Test.serve("stream", "k",
+               sharedPrompt({"sound"}, fmt::format("own{}", Number)));
+    REQUIRE(Test.m_Transport.m_Sent.size() == Before + 1);
+    auto Record = *Test.m_Core.directory().find(
+        Test.m_Transport.m_Sent.back().m_Attempt.m_Backend);
+    Record.m_Draining = true;
+    Test.m_Core.directory().put(Record);
+    Test.crash();
+    Record.m_Draining = false;
+    ++Record.m_StartedAt;
+    Test.m_Core.directory().put(Record);
+  }
+  CHECK(Test.reachesServer("stream", sharedPrompt({"sound"}, "x")));
+}
