--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -170,6 +170,7 @@
   bool m_CloseWhenSent = false;
   bool m_Lingering = false;
   bool m_Closed = false;
+  bool m_DropLogged = false;
   const char *m_CloseReason = "";
   std::optional<TimerId> m_NextRequestTimer;
   FdWatcher m_ReadWatcher;
@@ -306,8 +307,11 @@
     return;
   }
   if (m_Lingering) {
-    logWarning("request.dropped", {{"bytes", static_cast<std::int64_t>(Count)},
-                                   {"reason", m_CloseReason}});
+    // Once, since the rest of a rejected body may follow in many pieces.
+    if (!std::exchange(m_DropLogged, true))
+      logWarning("request.dropped",
+                 {{"bytes", static_cast<std::int64_t>(Count)},
+                  {"reason", m_CloseReason}});
     return;
   }
   if (!m_Reader.started()) {
