Log and count the request rates that servers name

Callers saw nothing yet; operators could not see which hosts know a server's limit. platform/ decodes it, and a host logs backend.rate-limited and backend.rate-unlimited and counts limited servers. Placement is unchanged. A response states the limit when its headers arrive: the end of a long stream neither sets nor ends one, and neither does a server that has taken over the address of another (whose load is still recorded as before).

--- a/include/dotterel/base/Units.h
+++ b/include/dotterel/base/Units.h
@@ -61,6 +61,22 @@
   std::uint64_t m_Value = 0;
 };
 
+/// A number of requests per second.
+class RequestRate {
+public:
+  constexpr RequestRate() = default;
+  explicit constexpr RequestRate(double PerSecond) : m_PerSecond(PerSecond) {}
+
+  [[nodiscard]] constexpr auto perSecond() const -> double {
+    return m_PerSecond;
+  }
+
+  auto operator<=>(const RequestRate &) const = default;
+
+private:
+  double m_PerSecond = 0;
+};
+
 } // namespace dotterel
 
 #endif // DOTTEREL_BASE_UNITS_H
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -93,6 +93,8 @@
       -> void;
   [[nodiscard]] auto backendConfirmationAge() const -> Duration;
   auto confirmBackends(MonotonicTime At) -> void;
+  /// Tells the core which hosts send requests to the servers.
+  auto updateSenders() -> void;
   [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
   [[nodiscard]] auto neededEngines() const -> std::optional<double>;
   [[nodiscard]] auto mayCampaign() const -> bool;
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -62,6 +62,14 @@
   std::uint32_t m_Slots = 0;
 };
 
+/// What a server reports about itself with a response.
+struct ServerReport {
+  std::optional<LoadReport> m_Load;
+  /// Requests per second that the server takes from all hosts together. Empty:
+  /// it has no limit.
+  std::optional<RequestRate> m_RateLimit;
+};
+
 /// Outcome of an attempt.
 enum class AttemptOutcome : std::uint8_t {
   Complete,    ///< The complete response was received.
@@ -82,7 +90,7 @@
   ResponseHead m_Head;
   std::string m_Body; ///< Body of a response that was not streamed.
   std::optional<CacheHandle> m_Cache; ///< KV cache that a prefill produced.
-  std::optional<LoadReport> m_Load;
+  ServerReport m_Report;
   std::string m_Detail;
   /// The server announced that it closes the connection.
   bool m_ConnectionClosing = false;
@@ -98,8 +106,8 @@
   virtual ~AttemptListener() = default;
 
   /// Called when a successful response to a streaming request begins.
-  virtual auto onBegin(const ResponseHead &Head,
-                       const std::optional<LoadReport> &Load) -> void = 0;
+  virtual auto onBegin(const ResponseHead &Head, const ServerReport &Report)
+      -> void = 0;
   virtual auto onData(std::string_view Data) -> void = 0;
   virtual auto onEnd(AttemptResult Result) -> void = 0;
 };
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -9,6 +9,7 @@
 #define DOTTEREL_SERVING_SERVEDREQUEST_H
 
 #include "dotterel/base/DemandMeter.h"
+#include "dotterel/routing/ServerRateLimits.h"
 #include "dotterel/serving/CrashMonitor.h"
 #include "dotterel/serving/EnginePlacement.h"
 #include "dotterel/serving/EventSplitter.h"
@@ -64,6 +65,7 @@
   PartCaches &m_Caches;
   PrefillSpeed &m_Speed;
   RetryWindow &m_Retries;
+  ServerRateLimits &m_RateLimits;
   CrashMonitor &m_Crashes;
   ServingMetrics &m_Metrics;
   const ServerChoice &m_ServerChoice;
@@ -112,7 +114,7 @@
 
   auto start() -> void;
 
-  auto onBegin(const ResponseHead &Head, const std::optional<LoadReport> &Load)
+  auto onBegin(const ResponseHead &Head, const ServerReport &Report)
       -> void override;
   auto onData(std::string_view Data) -> void override;
   auto onEnd(AttemptResult Result) -> void override;
@@ -129,6 +131,7 @@
     double m_PlannedTokens = 0; ///< Prompt tokens expected to be prefilled.
     /// Whether the server was asked to fetch cached parts.
     bool m_FetchedParts = false;
+    bool m_Begun = false; ///< Whether a streamed response has begun.
     MonotonicTime m_StartedAt;
     /// KV cache that the server was asked to fetch.
     std::optional<CacheHandle> m_Cache;
@@ -144,6 +147,10 @@
   /// a trial. Returns whether it did.
   [[nodiscard]] auto refuseIfQuarantined() -> bool;
   auto completeAttempt(const AttemptResult &Result) -> Attempt;
+  /// \param StatesRateLimit whether the report states the server's present
+  /// limit: it is about that server, and has just been sent.
+  auto recordReport(const Attempt &Source, const ServerReport &Report,
+                    bool StatesRateLimit) -> void;
   /// Has the server of an attempt checked whose connection ended.
   auto reportBroken(const Attempt &Ended) -> void;
   /// Counts the next attempt. Returns false if the retry budget is exhausted.
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -25,6 +25,7 @@
   /// missing or too old.
   bool m_RequireConfirmation = true;
   RetryWindowOptions m_Retries;
+  ServerRateLimitOptions m_RateLimits;
   OutlierOptions m_Outliers;
   LoadTrackerOptions m_Loads;
   PrefillSpeedOptions m_Speed;
@@ -68,6 +69,7 @@
   auto applyLoads(const std::string &Origin, const LoadSummary &Loads) -> void;
 
   [[nodiscard]] auto directory() -> BackendDirectory & { return m_Directory; }
+  [[nodiscard]] auto rateLimits() -> ServerRateLimits & { return m_RateLimits; }
   [[nodiscard]] auto crashes() -> CrashMonitor & { return m_Crashes; }
   /// Returns the active configuration, or null if there is none yet.
   [[nodiscard]] auto configuration() const -> const ServingConfiguration * {
@@ -93,6 +95,7 @@
   PartCaches m_Caches;
   PrefillSpeed m_Speed;
   RetryWindow m_Retries;
+  ServerRateLimits m_RateLimits;
   CrashMonitor m_Crashes;
   FreshnessTracker m_Freshness;
   ServerChoice m_ServerChoice;
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -36,6 +36,7 @@
   /// broke.
   auto countLostServer() -> void;
   auto setQuarantinedDigests(double Count) -> void;
+  auto setRateLimitedServers(double Count) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -181,6 +181,7 @@
       [this](const KeyChange &Change) { applyBackendChange(Change); });
   m_BackendMirror.onConfirmed(
       [this](MonotonicTime At) { confirmBackends(At); });
+  m_Hosts.onChange([this] { updateSenders(); });
   m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
     m_CrashExchange.announce(Digests);
   });
@@ -201,6 +202,14 @@
   m_BackendsConfirmedAt = std::max(At, m_BackendsConfirmedAt.value_or(At));
 }
 
+auto HostProcess::updateSenders() -> void {
+  auto Others = std::vector<std::string>();
+  for (const auto &[Host, Record] : m_Hosts.others())
+    Others.push_back(Host.text());
+  m_Core.rateLimits().setSenders(m_Hosts.self().m_Host.text(),
+                                 std::move(Others), m_Loop.now());
+}
+
 auto HostProcess::relayHooks() -> StoreRelayHooks {
   return {
       .m_ConfirmationAge =
@@ -357,6 +366,8 @@
   auto Age = m_Core.confirmationAge();
   if (Age != Duration::max())
     m_Metrics.setConfirmationAge(std::chrono::duration<double>(Age).count());
+  m_Metrics.setRateLimitedServers(
+      static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
   m_Metrics.setDutyHeld(m_Duty.held());
   m_Metrics.setLogLinesDropped(static_cast<double>(m_Log.dropped()));
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -322,14 +322,25 @@
         {.m_Engine = Engine, .m_Parts = Prompt->m_Parts});
 }
 
+auto ServedRequest::recordReport(const Attempt &Source,
+                                 const ServerReport &Report,
+                                 bool StatesRateLimit) -> void {
+  auto Now = m_Context.m_Scheduler.now();
+  if (Report.m_Load)
+    m_Context.m_Loads.recordReport(Source.m_Backend, *Report.m_Load, Now);
+  if (StatesRateLimit)
+    m_Context.m_RateLimits.recordResponse(Source.m_Backend, Report.m_RateLimit,
+                                          Now);
+}
+
 auto ServedRequest::onBegin(const ResponseHead &Head,
-                            const std::optional<LoadReport> &Load) -> void {
+                            const ServerReport &Report) -> void {
   auto Now = m_Context.m_Scheduler.now();
   m_Context.m_Loads.recordActivity(m_Attempt->m_Backend, Now);
   m_Context.m_Loads.prefillDone(m_Attempt->m_Backend,
                                 m_Attempt->m_PendingTokens);
-  if (Load)
-    m_Context.m_Loads.recordReport(m_Attempt->m_Backend, *Load, Now);
+  recordReport(*m_Attempt, Report, true);
+  m_Attempt->m_Begun = true;
   m_Attempt->m_PendingTokens = 0;
   // A resumed stream keeps the response head of its first server.
   if (!std::exchange(m_Streaming, true)) {
@@ -402,10 +413,12 @@
   auto Now = m_Context.m_Scheduler.now();
   m_Context.m_Loads.prefillDone(Ended.m_Backend, Ended.m_PendingTokens);
   m_Context.m_Loads.endAttempt(Ended.m_Backend);
-  if (Result.m_Load)
-    m_Context.m_Loads.recordReport(Ended.m_Backend, *Result.m_Load, Now);
-  if (Result.m_Head.m_Status != 0)
+  if (Result.m_Head.m_Status != 0) {
     m_Context.m_Loads.recordActivity(Ended.m_Backend, Now);
+    recordReport(Ended, Result.m_Report,
+                 Result.m_Outcome != AttemptOutcome::WrongServer &&
+                     !Ended.m_Begun);
+  }
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_Outcome);
   m_AttemptLog += fmt::format(
       " {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -24,7 +24,7 @@
                          const ServingCoreOptions &Options)
     : m_Scheduler(Scheduler), m_Options(Options), m_Loads(Options.m_Loads),
       m_Health(Options.m_Outliers), m_Speed(Options.m_Speed),
-      m_Retries(Options.m_Retries),
+      m_Retries(Options.m_Retries), m_RateLimits(Options.m_RateLimits),
       m_Crashes(Scheduler, Transport, Metrics, Options.m_Crashes),
       m_Freshness({.m_MaxAge = Options.m_MaxConfirmationAge}),
       m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
@@ -39,6 +39,7 @@
                                     .m_Caches = m_Caches,
                                     .m_Speed = m_Speed,
                                     .m_Retries = m_Retries,
+                                    .m_RateLimits = m_RateLimits,
                                     .m_Crashes = m_Crashes,
                                     .m_Metrics = Metrics,
                                     .m_ServerChoice = m_ServerChoice,
@@ -50,6 +51,7 @@
   m_Directory.onInvalidate([this](const BackendId &Id) {
     m_Loads.remove(Id);
     m_Health.remove(Id);
+    m_RateLimits.remove(Id);
     m_Caches.remove(Id);
   });
 }
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -106,6 +106,9 @@
       gauge(m_Registry, "dotterel_serving_quarantined_digests",
             "Requests and parts of prompts that are refused since servers "
             "crashed while they ran.");
+  Gauge &m_RateLimitedServers =
+      gauge(m_Registry, "dotterel_serving_rate_limited_servers",
+            "Servers that limit the rate of their requests.");
   Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
                           "Requests being handled.");
   Gauge &m_ConfigRevision =
@@ -165,6 +168,10 @@
   m_Impl->m_QuarantinedDigests.Set(Count);
 }
 
+auto ServingMetrics::setRateLimitedServers(double Count) -> void {
+  m_Impl->m_RateLimitedServers.Set(Count);
+}
+
 auto ServingMetrics::setActive(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -54,8 +54,8 @@
 
 class RecordingListener final : public AttemptListener {
 public:
-  auto onBegin(const ResponseHead & /*Head*/,
-               const std::optional<LoadReport> & /*Load*/) -> void override {
+  auto onBegin(const ResponseHead & /*Head*/, const ServerReport & /*Report*/)
+      -> void override {
     m_Begun = true;
   }
   auto onData(std::string_view Data) -> void override { m_Data += Data; }
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -243,7 +243,7 @@
   REQUIRE(Test.m_Transport.m_Sent.size() == 2);
   auto &Serve = Test.m_Transport.m_Sent[1];
   CHECK(Serve.m_Attempt.m_Cache->m_Handle == "h1");
-  Serve.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  Serve.m_Listener->onBegin({.m_Status = 200}, {});
   Serve.m_Listener->onData("id: 1\ndata: a\n\n");
   Test.m_Transport.end(complete(200));
   CHECK(View->m_Finished);
@@ -280,13 +280,13 @@
   auto View = Test.serve("resumable", "k", shortPrompt());
   auto &First = Test.m_Transport.m_Sent.back();
   auto FirstEngine = First.m_Attempt.m_Backend;
-  First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  First.m_Listener->onBegin({.m_Status = 200}, {});
   First.m_Listener->onData("id: 1\ndata: a\n\nid: 2\nda");
   Test.m_Transport.end(endedWith(AttemptOutcome::Failed));
   auto &Second = Test.m_Transport.m_Sent.back();
   CHECK(Second.m_Attempt.m_Backend != FirstEngine);
   CHECK(Second.m_Attempt.m_ResumeAfter == "1");
-  Second.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  Second.m_Listener->onBegin({.m_Status = 200}, {});
   Second.m_Listener->onData("id: 2\ndata: b\n\n");
   Test.m_Transport.end(complete(200));
   CHECK(View->m_Body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -298,7 +298,7 @@
   auto Test = ServingFixture();
   auto View = Test.serve("stream", "k", shortPrompt());
   auto &Sent = Test.m_Transport.m_Sent.back();
-  Sent.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  Sent.m_Listener->onBegin({.m_Status = 200}, {});
   Sent.m_Listener->onData("id: 1\ndata: a\n\n");
   Test.m_Transport.end(endedWith(AttemptOutcome::Failed));
   CHECK(View->m_Aborted);
@@ -318,7 +318,7 @@
     fillRetryBudget(Test);
     auto View = Test.serve("resumable", "k", shortPrompt());
     auto First = Test.m_Transport.m_Sent.back();
-    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onBegin({.m_Status = 200}, {});
     First.m_Listener->onData("id: 1\ndata: a\n\n");
     First.m_Listener->onData(Incomplete);
     Test.m_Transport.end(complete(200));
@@ -328,7 +328,7 @@
     REQUIRE_FALSE(Second.m_Ended);
     CHECK(Second.m_Attempt.m_Backend != First.m_Attempt.m_Backend);
     CHECK(Second.m_Attempt.m_ResumeAfter == "1");
-    Second.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Second.m_Listener->onBegin({.m_Status = 200}, {});
     Second.m_Listener->onData("id: 2\ndata: b\n\n");
     Test.m_Transport.end(complete(200));
     CHECK(View->m_Body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -344,7 +344,7 @@
   for (auto Attempt = 0; Attempt < 2; ++Attempt) {
     REQUIRE_FALSE(Test.m_Transport.m_Sent.back().m_Ended);
     auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
-    Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Listener->onBegin({.m_Status = 200}, {});
     Listener->onData("id: 1\ndata: a");
     Test.m_Transport.end(complete(200));
   }
@@ -361,7 +361,7 @@
     auto Test = ServingFixture();
     auto View = Test.serve("stream", "k", shortPrompt());
     auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
-    Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Listener->onBegin({.m_Status = 200}, {});
     Listener->onData("data: a\n\n");
     Listener->onData(Incomplete);
     CHECK(View->m_Body == std::string("data: a\n\n") + Incomplete);
@@ -386,7 +386,7 @@
       Listener->onBegin(
           {.m_Status = 200,
            .m_Headers = {{"Content-Type", "Text/Event-Stream; charset=utf-8"}}},
-          std::nullopt);
+          {});
       for (const auto *Next = Text; *Next != '\0'; ++Next)
         Listener->onData(std::string_view(Next, 1));
       Test.m_Transport.end(complete(200));
@@ -404,7 +404,7 @@
     auto *Listener = Test.m_Transport.m_Sent.back().m_Listener;
     Listener->onBegin(
         {.m_Status = 200, .m_Headers = {{"Content-Type", "application/json"}}},
-        std::nullopt);
+        {});
     Listener->onData("{\"text\":");
     Listener->onData("\"a\"}");
     Test.m_Transport.end(complete(200));
@@ -426,7 +426,7 @@
       Faulty = Sent.m_Attempt.m_Backend;
     auto Truncated = Sent.m_Attempt.m_Backend == *Faulty;
     TruncatedStreams += Truncated ? 1U : 0U;
-    Sent.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Sent.m_Listener->onBegin({.m_Status = 200}, {});
     Sent.m_Listener->onData(Truncated ? "data: a" : "data: a\n\n");
     Test.m_Transport.end(complete(200));
   }
@@ -444,7 +444,7 @@
     auto View = Test.serve(Route, "k", shortPrompt());
     auto Index = Test.m_Transport.m_Sent.size() - 1;
     auto First = Test.m_Transport.m_Sent[Index];
-    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onBegin({.m_Status = 200}, {});
     First.m_Listener->onData("id: 1\ndata: a\n\n");
     auto Sent = std::size_t{0};
     while (!Test.m_Transport.m_Sent[Index].m_Cancelled &&
@@ -464,7 +464,7 @@
     auto Second = Test.m_Transport.m_Sent.back();
     CHECK(Second.m_Attempt.m_Backend != First.m_Attempt.m_Backend);
     CHECK(Second.m_Attempt.m_ResumeAfter == "1");
-    Second.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    Second.m_Listener->onBegin({.m_Status = 200}, {});
     // An event of the maximum size is forwarded, also in pieces.
     auto Largest = std::string(MaxEventBytes - 1, 'x') + "\n\n";
     Second.m_Listener->onData(Largest.substr(0, MaxEventBytes));
@@ -487,7 +487,7 @@
     auto *Listener = Sent[0].m_Listener;
     Listener->onBegin(
         {.m_Status = 200, .m_Headers = {{"Content-Type", "application/json"}}},
-        std::nullopt);
+        {});
     auto Bytes = std::size_t{0};
     for (; !Sent[0].m_Cancelled && Bytes < 2 * Options.m_MaxUnsentBytes;
          Bytes += PieceBytes)
@@ -689,7 +689,7 @@
                            sharedPrompt({"crashing", "doc"}, "first"));
     auto &Listener = *Test.m_Transport.m_Sent.back().m_Listener;
     if (Current.m_Streaming) {
-      Listener.onBegin({.m_Status = 200}, std::nullopt);
+      Listener.onBegin({.m_Status = 200}, {});
       Listener.onData("id: 1\ndata: a\n\n");
     }
     Test.quarantinePart("crashing");
@@ -797,7 +797,7 @@
   CHECK_FALSE(View->m_Refusal);
   auto Stream = Test.serve("resumable", "k", shortPrompt());
   auto First = Test.m_Transport.m_Sent.back();
-  First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+  First.m_Listener->onBegin({.m_Status = 200}, {});
   First.m_Listener->onData("id: 1\ndata: a\n\n");
   for (const auto *Id : {"g1", "g2", "p1", "p2"})
     if (First.m_Attempt.m_Backend.text() != Id)
@@ -823,7 +823,7 @@
     }
     auto View = Test.serve("resumable", "k", shortPrompt());
     auto First = Test.m_Transport.m_Sent.back();
-    First.m_Listener->onBegin({.m_Status = 200}, std::nullopt);
+    First.m_Listener->onBegin({.m_Status = 200}, {});
     First.m_Listener->onData("id: 1\ndata: a\n\n");
     Test.m_Scheduler.advance(Milliseconds(1000));
     REQUIRE(Test.m_Transport.m_Sent.size() == 2);
