Record the request rates that servers name at gates, too

The gate's servers state a limit in x-rate-limit, as those of the users' platform do in their own header. The engine table holds the limits in the same class, with the gates among which a limit is to be shared. Placement is unchanged.

--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -55,7 +55,7 @@
   auto enqueue() -> void;
   auto onDispatch(const std::vector<Candidate> &Engines) -> void;
   auto startAttempt(const BackendId &Engine) -> void;
-  auto onStatus(unsigned Status) -> void;
+  auto onHeaders(unsigned Status, const HttpHeaders &Headers) -> void;
   auto onData(std::string_view Data) -> void;
   auto onEvent(const EngineEvent &Event) -> void;
   auto onDone(const HttpCallResult &Result) -> void;
--- a/include/dotterel/gate/GateServices.h
+++ b/include/dotterel/gate/GateServices.h
@@ -85,6 +85,11 @@
 auto recheckAuthorization(const GateServices &Services, const Caller &Caller)
     -> std::optional<Refusal>;
 
+/// Records what a response of \p Server states about its request rate in the
+/// header x-rate-limit.
+auto recordRateLimit(const GateServices &Services, const BackendId &Server,
+                     const HttpHeaders &Headers) -> void;
+
 /// A request in progress.
 class GateCall {
 public:
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -13,6 +13,7 @@
 #include "dotterel/routing/Candidate.h"
 #include "dotterel/routing/OutlierDetector.h"
 #include "dotterel/routing/PrefixIndex.h"
+#include "dotterel/routing/ServerRateLimits.h"
 
 #include <functional>
 #include <map>
@@ -49,6 +50,7 @@
   /// Time constant for averaging the other gates' requests on an engine.
   Duration m_AveragingTime = Seconds(3);
   OutlierOptions m_Outliers;
+  ServerRateLimitOptions m_RateLimits;
 };
 
 /// An attempt of a request that was sent to an engine and has not ended.
@@ -86,7 +88,7 @@
 public:
   EngineTable(Location Self, const EngineTableOptions &Options)
       : m_Self(std::move(Self)), m_Options(Options),
-        m_Outliers(Options.m_Outliers) {}
+        m_Outliers(Options.m_Outliers), m_RateLimits(Options.m_RateLimits) {}
 
   /// Updates the table from the platform's list. A server that is leaving
   /// according to the list or to a peer gets no new requests.
@@ -171,6 +173,7 @@
   [[nodiscard]] auto all() const -> std::vector<Backend>;
   [[nodiscard]] auto inFlight(const BackendId &Id) const -> std::size_t;
   [[nodiscard]] auto outliers() -> OutlierDetector & { return m_Outliers; }
+  [[nodiscard]] auto rateLimits() -> ServerRateLimits & { return m_RateLimits; }
 
 private:
   struct Entry {
@@ -235,6 +238,7 @@
   std::set<BackendId> m_Drained;
   std::function<bool(const BackendId &)> m_ExclusiveOwner;
   OutlierDetector m_Outliers;
+  ServerRateLimits m_RateLimits;
   std::size_t m_NextService = 0;
 };
 
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -205,9 +205,9 @@
   // On a kept connection to an engine that is already lost, the call would
   // count as sent, and the loss as caused by this request.
   Call.m_DedicatedConnection = Query.m_Alone;
-  Call.m_OnHeaders = [Self](unsigned Status, const HttpHeaders &) {
+  Call.m_OnHeaders = [Self](unsigned Status, const HttpHeaders &Headers) {
     if (auto Call = Self.lock())
-      Call->onStatus(Status);
+      Call->onHeaders(Status, Headers);
   };
   Call.m_OnData = [Self](std::string_view Data) {
     if (auto Call = Self.lock())
@@ -239,8 +239,12 @@
               "no data from the engine within the stall timeout");
 }
 
-auto CompletionCall::onStatus(unsigned Status) -> void {
-  if (m_Ended || !m_EngineCall || Status == StatusOk)
+auto CompletionCall::onHeaders(unsigned Status, const HttpHeaders &Headers)
+    -> void {
+  if (m_Ended || !m_EngineCall)
+    return;
+  recordRateLimit(m_Services, m_Engine, Headers);
+  if (Status == StatusOk)
     return;
   constexpr auto BadRequest = 400U;
   if (Status == BadRequest) {
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -25,6 +25,8 @@
 constexpr auto MaxDecisions = std::size_t{20'000};
 constexpr auto DemandTimeConstant = Seconds(10);
 constexpr auto TickInterval = Milliseconds(100);
+/// Interval of the updates of the gates among which request rates are shared.
+constexpr auto SenderInterval = Seconds(1);
 constexpr auto ReplicaSweepInterval = Seconds(2);
 constexpr auto UsageDrainTimeout = Seconds(10);
 
@@ -60,6 +62,8 @@
   auto addUsage() -> void;
   auto addServers() -> void;
   auto tick() -> void;
+  /// Tells the engine table which gates send requests to the servers.
+  auto updateSenders() -> void;
   auto sendUsageReplica(const UsageSegment &Segment,
                         std::function<void(bool)> Done) -> void;
   auto usageReplicaAddress() const -> std::string;
@@ -89,6 +93,7 @@
   std::optional<HttpServer> m_CallerServer;
   std::optional<HttpServer> m_AdminServer;
   std::optional<RepeatingTimer> m_TickTimer;
+  std::optional<RepeatingTimer> m_SenderTimer;
   std::optional<RepeatingTimer> m_ReplicaTimer;
   Supervisor m_Supervisor;
 };
@@ -188,8 +193,14 @@
       .m_Start =
           [this] {
             m_TickTimer.emplace(m_Loop, TickInterval, [this] { tick(); });
+            m_SenderTimer.emplace(m_Loop, SenderInterval,
+                                  [this] { updateSenders(); });
           },
-      .m_Reset = [this] { m_TickTimer.reset(); }}));
+      .m_Reset =
+          [this] {
+            m_TickTimer.reset();
+            m_SenderTimer.reset();
+          }}));
 }
 
 auto GateProcess::addUsage() -> void {
@@ -245,6 +256,16 @@
           }}));
 }
 
+auto GateProcess::updateSenders() -> void {
+  auto Others = std::vector<std::string>();
+  for (const auto &Gate :
+       m_Core.m_Members.serving(ProcessRole::Gate, m_Loop.now()))
+    Others.push_back(Gate.m_Process.text());
+  m_Core.m_Engines.rateLimits().setSenders(
+      m_Core.m_Members.self().m_Process.text(), std::move(Others),
+      m_Loop.now());
+}
+
 auto GateProcess::tick() -> void {
   m_Demand.update(m_Loop.now());
   m_Core.m_Members.self().m_PrefillTokensPerSecond =
--- a/src/gate/GateServices.cpp
+++ b/src/gate/GateServices.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/gate/GateServices.h"
 
 #include "dotterel/auth/KeyDigest.h"
+#include "dotterel/base/Log.h"
 
 namespace dotterel {
 
@@ -48,4 +49,17 @@
   return std::nullopt;
 }
 
+auto recordRateLimit(const GateServices &Services, const BackendId &Server,
+                     const HttpHeaders &Headers) -> void {
+  auto Limit = std::optional<RequestRate>();
+  if (auto Value = findHeader(Headers, "x-rate-limit")) {
+    Limit = parseRequestRate(*Value);
+    if (!Limit)
+      logWarning("backend.unreadable-rate-limit",
+                 {{"backend", Server}, {"value", *Value}});
+  }
+  Services.m_Engines.rateLimits().recordResponse(Server, Limit,
+                                                 Services.m_Scheduler.now());
+}
+
 } // namespace dotterel
--- a/src/gate/ServiceCall.cpp
+++ b/src/gate/ServiceCall.cpp
@@ -206,6 +206,8 @@
 
 auto ServiceCall::onDone(const HttpCallResult &Result) -> void {
   m_Call.reset();
+  if (Result.m_Outcome == HttpOutcome::Complete)
+    recordRateLimit(m_Services, m_Server, Result.m_Headers);
   if (Result.m_Outcome == HttpOutcome::Complete && isResponseToAttempt(Result))
     onResponse(Result);
   else
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -38,7 +38,10 @@
   }
   std::erase_if(m_Entries, [&](const auto &Item) {
     // A server stays in the table until this gate's requests on it have ended.
-    return !Present.contains(Item.first) && Item.second.m_InFlight.empty();
+    auto Gone = !Present.contains(Item.first) && Item.second.m_InFlight.empty();
+    if (Gone)
+      m_RateLimits.remove(Item.first);
+    return Gone;
   });
   // The list may lag: a server stays marked as leaving until it is no longer
   // listed.
@@ -99,6 +102,7 @@
   if (Item.m_Load && Item.m_Load->m_Incarnation != Load.m_Incarnation) {
     Item.m_Prefixes.clear();
     Item.m_Load.reset();
+    m_RateLimits.remove(Id);
   }
   updateOtherGatesLoad(Item, Load, Now);
   Item.m_Load = Load;
