--- /dev/null
+++ b/tests/fault-RequestRateLimit.cpp
@@ -0,0 +1,307 @@
+#include "dotterel/base/Log.h"
+#include "dotterel/routing/EngineTable.h"
+#include "support/ServingFakes.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <memory>
+#include <set>
+
+using namespace dotterel;
+using namespace dotterel::test;
+
+namespace {
+
+const auto Limited = BackendId{"d1"};
+constexpr auto Step = Milliseconds(10);
+constexpr auto Window = Seconds(4);
+/// Time after the first statement of a limit from which it must be kept.
+constexpr auto Notice = Seconds(4);
+
+/// Returns the maximum number of requests in any window, if a server names \p
+/// Limit.
+auto allowed(double Limit) -> double {
+  constexpr auto Slack = 1.5;
+  constexpr auto Extra = 5;
+  return Slack * Limit * 4 + Extra;
+}
+
+/// Returns the largest number of \p Times, which are sorted, in any window.
+auto mostInWindow(const std::vector<Duration> &Times) -> std::size_t {
+  auto Most = std::size_t{0};
+  auto First = std::size_t{0};
+  for (auto Last = std::size_t{0}; Last < Times.size(); ++Last) {
+    while (Times[Last] - Times[First] >= Window)
+      ++First;
+    Most = std::max(Most, Last - First + 1);
+  }
+  return Most;
+}
+
+/// Suppresses the log lines of the thousands of requests of a run.
+struct QuietLog {
+  QuietLog() {
+    setLogSink([](std::string_view) {});
+  }
+  ~QuietLog() { setLogSink({}); }
+};
+
+/// Hosts before the servers d1, d2 and d3, of which d1 limits its requests.
+class LimitedServerTest {
+public:
+  LimitedServerTest(std::size_t Count, double Limit, std::uint64_t Seed)
+      : m_Random(Seed), m_Limit(Limit) {
+    for (auto Index = std::size_t{0}; Index < Count; ++Index)
+      add();
+  }
+
+  auto add() -> void {
+    m_Hosts.push_back({.m_Name = fmt::format("h{}", ++m_LastName)});
+    start(m_Hosts.back());
+    announceSenders();
+  }
+
+  auto leave(std::size_t Index) -> void {
+    m_Hosts.erase(m_Hosts.begin() + static_cast<std::ptrdiff_t>(Index));
+    announceSenders();
+  }
+
+  auto restart(std::size_t Index) -> void { start(m_Hosts[Index]); }
+
+  auto cut(std::size_t Index, bool Cut) -> void { m_Hosts[Index].m_Cut = Cut; }
+
+  /// Serves \p PerSecond requests of callers a second.
+  auto run(Duration Span, double PerSecond) -> void {
+    for (auto End = m_Now + Span; m_Now < End; m_Now += Step) {
+      m_Due += PerSecond * std::chrono::duration<double>(Step).count();
+      for (; m_Due >= 1; --m_Due)
+        serve(m_Hosts[m_Random.below(m_Hosts.size())]);
+      for (auto &Item : m_Hosts) {
+        Item.m_Core->m_Scheduler.advance(Step);
+        Item.m_Core->m_Core.recordConfirmation(Item.m_Core->m_Scheduler.now());
+        startResponses(Item);
+        if (Item.m_SendersDueAt <= m_Now && !Item.m_Cut)
+          setSenders(Item);
+      }
+      if (m_Now.count() % Duration(Milliseconds(100)).count() == 0)
+        exchangeLoads();
+    }
+  }
+
+  auto count() const -> std::size_t { return m_Hosts.size(); }
+  auto random() -> Random & { return m_Random; }
+  auto arrivals() const -> const std::vector<Duration> & { return m_Arrivals; }
+  auto responses() const -> std::size_t { return m_Responses; }
+
+  double m_ErrorRate = 0; ///< Of the servers without a limit.
+
+private:
+  struct Host {
+    std::string m_Name;
+    std::unique_ptr<ServingFixture> m_Core;
+    std::size_t m_Seen = 0; ///< Attempts whose responses are scheduled.
+    bool m_Cut = false;     ///< From the other hosts.
+    Duration m_SendersDueAt = Duration::max();
+  };
+
+  auto start(Host &Item) -> void {
+    Item.m_Core = std::make_unique<ServingFixture>();
+    Item.m_Core->m_Random = Random(m_Random.below(1'000'000));
+    Item.m_Core->m_Scheduler.advance(m_Now);
+    Item.m_Seen = 0;
+    Item.m_SendersDueAt = m_Now;
+  }
+
+  /// Each host learns of a change of the hosts at another time.
+  auto announceSenders() -> void {
+    for (auto &Item : m_Hosts)
+      if (m_Now > Duration::zero())
+        Item.m_SendersDueAt =
+            m_Now + Milliseconds(static_cast<int>(m_Random.below(5000)));
+  }
+
+  auto setSenders(Host &Item) -> void {
+    Item.m_SendersDueAt = Duration::max();
+    auto Others = std::vector<std::string>();
+    for (const auto &Other : m_Hosts)
+      if (Other.m_Name != Item.m_Name)
+        Others.push_back(Other.m_Name);
+    Item.m_Core->m_Core.rateLimits().setSenders(Item.m_Name, std::move(Others),
+                                                Item.m_Core->m_Scheduler.now());
+  }
+
+  auto serve(Host &Item) -> void {
+    auto Route = m_Random.unit() < 0.5 ? "safe" : "unsafe";
+    Item.m_Core->serve(Route);
+    startResponses(Item);
+  }
+
+  auto startResponses(Host &Item) -> void {
+    for (auto &Sent = Item.m_Core->m_Transport.m_Sent;
+         Item.m_Seen < Sent.size(); ++Item.m_Seen) {
+      auto &Attempt = Sent[Item.m_Seen].m_Attempt;
+      auto ToLimited = Attempt.m_Backend == Limited;
+      if (ToLimited && m_Now >= Notice)
+        m_Arrivals.push_back(m_Now);
+      auto Result = AttemptResult{
+          .m_Outcome = AttemptOutcome::Complete,
+          .m_Head = {.m_Status = m_Random.unit() < m_ErrorRate && !ToLimited
+                                     ? 500U
+                                     : 200U}};
+      if (ToLimited)
+        Result.m_Report.m_RateLimit = RequestRate{m_Limit};
+      constexpr auto ResponseTime = Milliseconds(50);
+      Item.m_Core->m_Scheduler.schedule(
+          ResponseTime,
+          [this, &Core = *Item.m_Core, Index = Item.m_Seen, Result] {
+            auto &Ended = Core.m_Transport.m_Sent[Index];
+            if (Ended.m_Cancelled || std::exchange(Ended.m_Ended, true))
+              return;
+            ++m_Responses;
+            Ended.m_Listener->onEnd(Result);
+          });
+    }
+  }
+
+  auto exchangeLoads() -> void {
+    for (auto &From : m_Hosts) {
+      auto Loads = From.m_Core->m_Core.collectLoads();
+      for (auto &To : m_Hosts)
+        if (&From != &To && !From.m_Cut && !To.m_Cut)
+          To.m_Core->m_Core.applyLoads(From.m_Name, Loads);
+    }
+  }
+
+  Random m_Random;
+  double m_Limit;
+  std::vector<Host> m_Hosts;
+  std::uint64_t m_LastName = 0;
+  Duration m_Now{};
+  double m_Due = 0;
+  std::vector<Duration> m_Arrivals; ///< At the limited server, after Notice.
+  std::size_t m_Responses = 0;
+};
+
+} // namespace
+
+// Guards against hosts that ignore the rate to which a server limits all of
+// them together, or that each claim the whole rate for themselves.
+TEST_CASE("fault: all hosts together keep to the request rate that a server "
+          "names, and make use of it") {
+  auto Quiet = QuietLog();
+  constexpr auto PerHost = 8.0;
+  for (auto Count : {1U, 3U, 9U, 40U})
+    for (auto Limit : {0.4, 2.3, 4.2, 11.0}) {
+      CAPTURE(Count);
+      CAPTURE(Limit);
+      auto Test = LimitedServerTest(Count, Limit, Count);
+      Test.m_ErrorRate = 0.1;
+      Test.run(Seconds(24), PerHost * Count);
+      CHECK(mostInWindow(Test.arrivals()) <= allowed(Limit));
+      // With fewer callers than the rate allows, other servers take a part.
+      auto Wanted = std::min(Limit, PerHost * Count / 3);
+      CHECK(Test.arrivals().size() >= 0.25 * Wanted * 20);
+    }
+}
+
+// Guards against rates that grow while hosts disagree on who shares them.
+TEST_CASE("fault: all hosts together keep to the request rate that a server "
+          "names, as hosts join, leave, restart and are cut off") {
+  auto Quiet = QuietLog();
+  for (auto Seed = 1U; Seed <= 12; ++Seed)
+    for (auto Limit : {2.3, 4.2}) {
+      CAPTURE(Seed);
+      CAPTURE(Limit);
+      auto Test = LimitedServerTest(9, Limit, Seed);
+      Test.m_ErrorRate = 0.1;
+      Test.run(Seconds(6), 60);
+      for (auto Round = 0; Round < 8; ++Round) {
+        auto Chosen = Test.random().below(Test.count());
+        switch (Test.random().below(4)) {
+        case 0:
+          Test.add();
+          break;
+        case 1:
+          if (Test.count() > 3)
+            Test.leave(Chosen);
+          break;
+        case 2:
+          Test.restart(Chosen);
+          break;
+        default:
+          Test.cut(Chosen, Test.random().below(2) == 0);
+        }
+        Test.run(
+            Milliseconds(500 + static_cast<int>(Test.random().below(3000))),
+            60);
+      }
+      Test.run(Seconds(6), 60);
+      CHECK(mostInWindow(Test.arrivals()) <= allowed(Limit));
+    }
+}
+
+// Guards against requests that are held, or sent all the same, when the rates
+// of all servers are used up.
+TEST_CASE("fault: a request is refused at once, as not run, when the request "
+          "rates of all servers of its service are used up") {
+  auto Test = ServingFixture();
+  Test.m_Core.rateLimits().setSenders("h1", {}, Test.m_Scheduler.now());
+  for (const auto *Id : {"d1", "d2", "d3"})
+    Test.m_Core.rateLimits().recordResponse(BackendId{Id}, RequestRate{2},
+                                            Test.m_Scheduler.now());
+  Test.m_Scheduler.advance(Milliseconds(550));
+  auto Views = std::vector<std::shared_ptr<CallerView>>();
+  for (auto Index = 0; Index < 4; ++Index)
+    Views.push_back(Test.serve("unsafe"));
+  CHECK(Test.m_Transport.m_Sent.size() == 3);
+  REQUIRE(Views.back()->m_Refusal);
+  CHECK(Views.back()->m_Refusal->code() == RefusalCode::QueueFull);
+  CHECK(Views.back()->m_Refusal->execution() == Execution::NotRun);
+  CHECK(Views.back()->m_RetryAfter);
+}
+
+// Guards against gates that ignore the rate to which a server limits all of
+// them together.
+TEST_CASE("fault: all gates together keep to the request rate that a server "
+          "names") {
+  for (auto Count : {1U, 9U, 40U}) {
+    CAPTURE(Count);
+    constexpr auto Limit = 4.2;
+    auto Gates = std::vector<std::unique_ptr<EngineTable>>();
+    auto Names = std::vector<std::string>();
+    for (auto Index = 0U; Index < Count; ++Index)
+      Names.push_back(fmt::format("g{}", Index));
+    auto Now = MonotonicTime(Seconds(100));
+    for (const auto &Name : Names) {
+      auto Others = Names;
+      std::erase(Others, Name);
+      Gates.push_back(std::make_unique<EngineTable>(
+          Location{.m_Host = HostId{Name}}, EngineTableOptions{}));
+      auto &Table = *Gates.back();
+      Table.updateList({{.m_Id = BackendId{"e"}, .m_Models = {ModelId{"m"}}},
+                        {.m_Id = Limited, .m_Service = "desk"}});
+      Table.updateLoad(BackendId{"e"}, {.m_Slots = 1000}, Now);
+      Table.rateLimits().setSenders(Name, Others, Now);
+      for (const auto &Id : {BackendId{"e"}, Limited})
+        Table.rateLimits().recordResponse(Id, RequestRate{Limit}, Now);
+    }
+    auto ToEngine = std::vector<Duration>();
+    auto ToService = std::vector<Duration>();
+    for (auto Elapsed = Duration(); Elapsed < Seconds(12); Elapsed += Step) {
+      auto &Table = *Gates[static_cast<std::size_t>(Elapsed / Step) % Count];
+      auto At = Now + Elapsed;
+      if (!Table.candidates({.m_Model = ModelId{"m"}}, At).empty()) {
+        Table.begin(BackendId{"e"},
+                    {.m_Attempt = AttemptId{fmt::format("{}", Elapsed.count())},
+                     .m_SentAt = At});
+        ToEngine.push_back(Elapsed);
+      }
+      if (Table.pickService("desk", true, {}, At))
+        ToService.push_back(Elapsed);
+    }
+    for (const auto &Times : {ToEngine, ToService}) {
+      CHECK(mostInWindow(Times) <= allowed(Limit));
+      CHECK(Times.size() >= 0.25 * Limit * 12);
+    }
+  }
+}
