--- a/include/dotterel/membership/Gossip.h
+++ b/include/dotterel/membership/Gossip.h
@@ -72,10 +72,20 @@
       std::function<std::vector<BackendId>()> Report,
       std::function<void(const std::vector<BackendId> &)> Receive) -> void;
 
+  /// Sets \p Report, which returns the request rates that servers have stated,
+  /// and \p Receive, which gets those that peers report.
+  auto setRateLimits(
+      std::function<std::vector<RateLimitReport>()> Report,
+      std::function<void(const std::vector<RateLimitReport> &)> Receive)
+      -> void;
+
 private:
   auto exchangeWith(const std::string &Address, std::function<void()> Done = {})
       -> void;
   auto mergeView(const PeerView &View) -> void;
+  /// Passes on the request rates of a reply to an exchange that began at
+  /// \p SentAt.
+  auto mergeRateLimits(const PeerView &Reply, MonotonicTime SentAt) -> void;
   auto fetchNewerConfiguration(const std::string &Address,
                                ConfigRevision PeerRevision,
                                std::function<void()> Done) -> void;
@@ -96,6 +106,8 @@
   std::set<ProcessId> m_ListedIds;
   std::function<std::vector<BackendId>()> m_LeavingBackendsSource;
   std::function<void(const std::vector<BackendId> &)> m_OnLeavingBackends;
+  std::function<std::vector<RateLimitReport>()> m_RateLimitsSource;
+  std::function<void(const std::vector<RateLimitReport> &)> m_OnRateLimits;
 };
 
 } // namespace dotterel
--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -64,6 +64,8 @@
   [[nodiscard]] auto others() const -> const std::map<HostId, HostRecord> & {
     return m_Others;
   }
+  /// Returns whether others() has been read from the store since the start.
+  [[nodiscard]] auto complete() const -> bool { return m_Complete; }
   [[nodiscard]] auto self() const -> const HostRecord & { return m_Self; }
 
 private:
@@ -79,6 +81,7 @@
   HostRegistryOptions m_Options;
   KeyspaceMirror m_Mirror;
   std::map<HostId, HostRecord> m_Others;
+  bool m_Complete = false;
   LeaseId m_Lease;
   std::optional<TimerId> m_Timer;
   std::function<void()> m_OnChange;
--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -95,6 +95,7 @@
   std::map<HostId, ReceivedLoads> m_LocalLoads;
   std::map<DataCentreId, RemoteDemand> m_RemoteDemands;
   LoadSummary m_OwnLoads;
+  MonotonicTime m_OwnLoadsAt;            ///< When m_OwnLoads was collected.
   std::vector<PromptRead> m_UnsentReads; ///< To be sent to other data centres.
   std::optional<RepeatingTimer> m_LocalTimer;
   std::optional<RepeatingTimer> m_RemoteTimer;
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -147,11 +147,17 @@
   [[nodiscard]] auto models() const -> std::vector<ModelId>;
 
   /// Returns a backend server of a plain service, by round robin over the
-  /// nearest ones; nothing when no server is available.
+  /// nearest ones; nothing when no server is available. A request that is sent
+  /// to it is counted against the server's request rate.
   auto pickService(const std::string &Service, bool CheapAllowed,
                    const std::set<BackendId> &Excluded, MonotonicTime Now)
       -> std::optional<Backend>;
 
+  /// Returns whether the request rate of a server of a plain service is used
+  /// up.
+  [[nodiscard]] auto rateUsedUp(const std::string &Service,
+                                MonotonicTime Now) const -> bool;
+
   /// Records that an attempt was sent to the engine.
   auto begin(const BackendId &Id, const InFlightRequest &Flight) -> void;
   /// Records that an attempt has ended; does nothing when it is unknown.
--- a/include/dotterel/rpc/Peer.h
+++ b/include/dotterel/rpc/Peer.h
@@ -11,6 +11,7 @@
 #include "dotterel/ledger/Claim.h"
 #include "dotterel/membership/Member.h"
 #include "dotterel/poison/CrashRegistry.h"
+#include "dotterel/routing/ServerRateLimits.h"
 #include "dotterel/usage/Usage.h"
 
 #include <functional>
@@ -29,6 +30,7 @@
   /// Duration::max(): the sender knows of none.
   Duration m_ConfirmationAge = Duration::max();
   std::vector<BackendId> m_LeavingBackends;
+  std::vector<RateLimitReport> m_RateLimits;
 };
 
 /// The shards of a configuration that differ from those of the calling process.
--- a/include/dotterel/serving/BackendLoad.h
+++ b/include/dotterel/serving/BackendLoad.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_BACKENDLOAD_H
 #define DOTTEREL_SERVING_BACKENDLOAD_H
 
+#include "dotterel/routing/ServerRateLimits.h"
 #include "dotterel/serving/CallerExchange.h"
 
 #include <vector>
@@ -36,6 +37,8 @@
   double m_PrefillTokensPerSecond = 0;
   /// Prompts prefilled since the sender's previous message.
   std::vector<PromptRead> m_Reads;
+  /// Request rates that servers have recently stated to the sender's hosts.
+  std::vector<RateLimitReport> m_RateLimits;
 };
 
 } // namespace dotterel
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -81,6 +81,7 @@
     return {.m_Directory = m_Directory,
             .m_Loads = m_Loads,
             .m_Health = m_Health,
+            .m_RateLimits = m_RateLimits,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -167,6 +168,9 @@
   [[nodiscard]] auto mayRepeat() const -> bool;
   auto refuse(RefusalCode Code, std::string Detail,
               std::optional<Duration> RetryAfter = std::nullopt) -> void;
+  /// Refuses the request because no server may receive it. \p Reason says why,
+  /// unless their request rates are used up.
+  auto refuseWithoutServer(const char *Reason) -> void;
   auto finish(const std::string &Outcome, const std::string &Detail) -> void;
   auto handleDisconnect() -> void;
   auto handleDeadline() -> void;
--- a/include/dotterel/serving/ServerChoice.h
+++ b/include/dotterel/serving/ServerChoice.h
@@ -13,6 +13,7 @@
 #include "dotterel/serving/Distance.h"
 #include "dotterel/serving/LoadTracker.h"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,17 +24,25 @@
   const BackendDirectory &m_Directory;
   const LoadTracker &m_Loads;
   const OutlierDetector &m_Health;
+  const ServerRateLimits &m_RateLimits;
   const Distance &m_Distance;
   Random &m_Random;
 };
 
-/// Returns the servers of \p Service that may receive a request: those not in
-/// \p Excluded and not ejected. Ejected servers are included if too many are
-/// ejected. Servers in backoff are returned only if no other server is left.
+/// Returns the servers of \p Service that may receive a request: those that are
+/// not in \p Excluded, whose request rates permit one, and that are not
+/// ejected. Ejected servers are included if too many are ejected. Servers in
+/// backoff are returned only if no other server is left.
 auto candidates(const ChoiceView &View, const ServiceId &Service,
                 const std::set<BackendId> &Excluded, MonotonicTime Now)
     -> std::vector<const BackendRecord *>;
 
+/// Returns the shortest time after which a server of \p Service permits a
+/// request whose request rate is used up now; nothing if there is no such
+/// server.
+auto timeToRatePermit(const ChoiceView &View, const ServiceId &Service,
+                      MonotonicTime Now) -> std::optional<Duration>;
+
 struct ServerChoiceOptions {
   /// Estimated time of one request, by which load is compared with distance.
   Duration m_WorkTime = Milliseconds(60);
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -39,6 +39,7 @@
   engines @1 :List(EngineLoad);
   reads @2 :List(PromptRead);  # since the sender's previous message
   prefillTokensPerSecond @3 :Float32;
+  rateLimits @4 :List(RateLimit);
 
   struct EngineLoad {
     engine @0 :Text;
@@ -56,6 +57,14 @@
     id @0 :Text;
     tokens @1 :UInt32;
   }
+
+  # What a response of a server stated about its request rate.
+  struct RateLimit {
+    backend @0 :Text;
+    limited @1 :Bool;
+    perSecond @2 :Float64;
+    ageMs @3 :UInt32;  # since the response arrived
+  }
 }
 
 # Asks a relay how recently its copy of the store was confirmed.
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(adbb1ab576a33d54);
 CAPNP_DECLARE_SCHEMA(c448cf29b7a33d18);
 CAPNP_DECLARE_SCHEMA(caad8f8abe8fbdc1);
+CAPNP_DECLARE_SCHEMA(a1422d732847a32d);
 CAPNP_DECLARE_SCHEMA(a0a65383703625f5);
 CAPNP_DECLARE_SCHEMA(f955f3c4e04af797);
 CAPNP_DECLARE_SCHEMA(b88d1c92a0e9910f);
@@ -98,9 +99,10 @@
   struct EngineLoad;
   struct PromptRead;
   struct Part;
+  struct RateLimit;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -152,6 +154,21 @@
   };
 };
 
+struct LoadSummary::RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1422d732847a32d, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Question {
   Question() = delete;
 
@@ -593,6 +610,9 @@
 
   inline float getPrefillTokensPerSecond() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -641,6 +661,13 @@
   inline float getPrefillTokensPerSecond();
   inline void setPrefillTokensPerSecond(float value);
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -935,6 +962,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadSummary::RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadSummary::RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadSummary::RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Question::Reader {
 public:
   typedef Question Reads;
@@ -1952,6 +2075,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadSummary::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader LoadSummary::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setRateLimits( ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>> LoadSummary::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool LoadSummary::EngineLoad::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2130,6 +2287,82 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadSummary::RateLimit::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::RateLimit::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadSummary::RateLimit::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadSummary::RateLimit::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::RateLimit::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadSummary::RateLimit::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::RateLimit::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadSummary::RateLimit::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSummary::RateLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadSummary::RateLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::RateLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double LoadSummary::RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double LoadSummary::RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::RateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadSummary::RateLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSummary::RateLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::RateLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Question::Reader::getSentAt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/Peer.capnp
+++ b/schema/Peer.capnp
@@ -38,11 +38,20 @@
   msSinceLost @5 :List(UInt32);  # for each server, since it was lost
 }
 
+# What a response of a backend server stated about its request rate.
+struct RateLimit {
+  backend @0 :Text;
+  limited @1 :Bool;
+  perSecond @2 :Float64;
+  ageMs @3 :UInt32;  # since the response arrived
+}
+
 struct View {
   members @0 :List(Member);
   crashes @1 :List(CrashReport);
   evidenceAgeMs @2 :UInt32;  # time since the newest known read of the store
   leavingBackends @3 :List(Text);
+  rateLimits @4 :List(RateLimit);
 }
 
 struct Shard {
--- a/schema/Peer.capnp.h
+++ b/schema/Peer.capnp.h
@@ -27,6 +27,7 @@
 };
 CAPNP_DECLARE_ENUM(Role, 945b38626b6b5851);
 CAPNP_DECLARE_SCHEMA(e0419c4cf6a07929);
+CAPNP_DECLARE_SCHEMA(9f20988331038ca8);
 CAPNP_DECLARE_SCHEMA(afd1543130c02757);
 CAPNP_DECLARE_SCHEMA(e39d800515b89d80);
 CAPNP_DECLARE_SCHEMA(940ce1b7c80ebb6e);
@@ -93,6 +94,21 @@
   };
 };
 
+struct RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f20988331038ca8, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct View {
   View() = delete;
 
@@ -101,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afd1543130c02757, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(afd1543130c02757, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -664,6 +680,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline bool getLimited() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class View::Reader {
 public:
   typedef View Reads;
@@ -692,6 +804,9 @@
   inline bool hasLeavingBackends() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeavingBackends() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -745,6 +860,13 @@
   inline void adoptLeavingBackends(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeavingBackends();
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2750,6 +2872,82 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool RateLimit::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateLimit::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateLimit::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateLimit::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateLimit::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateLimit::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateLimit::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateLimit::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RateLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool View::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2870,6 +3068,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool View::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool View::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader View::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder View::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void View::Builder::setRateLimits( ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder View::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void View::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>> View::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Shard::Reader::getIndex() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -173,6 +173,13 @@
         for (const auto &Id : Leaving)
           m_Core.m_Engines.markLeaving(Id);
       });
+  m_Core.m_Gossip.setRateLimits(
+      [this] { return m_Core.m_Engines.rateLimits().allReports(m_Loop.now()); },
+      [this](const std::vector<RateLimitReport> &Reports) {
+        for (const auto &Report : Reports)
+          if (m_Core.m_Engines.find(Report.m_Backend) != nullptr)
+            m_Core.m_Engines.rateLimits().merge(Report, m_Loop.now());
+      });
   m_Core.m_Discovery.onLoad([this] { m_Dispatcher.scheduleDispatch(); });
   m_Core.m_Engines.setExclusiveOwner(
       [this](const BackendId &Id) { return mayRunAloneOn(Id); });
--- a/src/gate/ServiceCall.cpp
+++ b/src/gate/ServiceCall.cpp
@@ -152,6 +152,13 @@
   auto Server = m_Services.m_Engines.pickService(m_Input.m_Route.m_Service,
                                                  Cheap, m_TriedServers,
                                                  m_Services.m_Scheduler.now());
+  if (!Server && !m_MayHaveRun &&
+      m_Services.m_Engines.rateUsedUp(m_Input.m_Route.m_Service,
+                                      m_Services.m_Scheduler.now())) {
+    refuse(Refusal(RefusalCode::QueueFull, Execution::NotRun,
+                   "the request rates of the service's servers are used up"));
+    return;
+  }
   if (!Server) {
     refuse(m_TriedServers.empty() ? Refusal(RefusalCode::NoBackend)
            : m_MayHaveRun
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -181,7 +181,6 @@
       [this](const KeyChange &Change) { applyBackendChange(Change); });
   m_BackendMirror.onConfirmed(
       [this](MonotonicTime At) { confirmBackends(At); });
-  m_Hosts.onChange([this] { updateSenders(); });
   m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
     m_CrashExchange.announce(Digests);
   });
@@ -203,6 +202,8 @@
 }
 
 auto HostProcess::updateSenders() -> void {
+  if (!m_Hosts.complete())
+    return;
   auto Others = std::vector<std::string>();
   for (const auto &[Host, Record] : m_Hosts.others())
     Others.push_back(Host.text());
@@ -366,6 +367,7 @@
   auto Age = m_Core.confirmationAge();
   if (Age != Duration::max())
     m_Metrics.setConfirmationAge(std::chrono::duration<double>(Age).count());
+  updateSenders();
   m_Metrics.setRateLimitedServers(
       static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -20,6 +20,13 @@
   m_OnLeavingBackends = std::move(Receive);
 }
 
+auto Gossip::setRateLimits(
+    std::function<std::vector<RateLimitReport>()> Report,
+    std::function<void(const std::vector<RateLimitReport> &)> Receive) -> void {
+  m_RateLimitsSource = std::move(Report);
+  m_OnRateLimits = std::move(Receive);
+}
+
 auto Gossip::setListed(std::vector<ListedProcess> Listed) -> void {
   m_Listed = std::move(Listed);
   m_ListedIds.clear();
@@ -87,6 +94,8 @@
                        .m_ConfirmationAge = m_Freshness.age(Now)};
   if (m_LeavingBackendsSource)
     View.m_LeavingBackends = m_LeavingBackendsSource();
+  if (m_RateLimitsSource)
+    View.m_RateLimits = m_RateLimitsSource();
   return View;
 }
 
@@ -113,6 +122,7 @@
           return;
         }
         mergeView(*Reply);
+        mergeRateLimits(*Reply, SentAt);
         auto PeerRevision = Reply->m_Members.front().m_ConfigRevision;
         auto Age = Reply->m_ConfirmationAge;
         fetchNewerConfiguration(
@@ -157,6 +167,19 @@
     m_OnLeavingBackends(View.m_LeavingBackends);
 }
 
+auto Gossip::mergeRateLimits(const PeerView &Reply, MonotonicTime SentAt)
+    -> void {
+  if (!m_OnRateLimits)
+    return;
+  // Dated from before the exchange, so that a report never becomes newer on its
+  // way through several processes. The transit time of a caller's view is
+  // unknown, so only replies count.
+  auto Reports = Reply.m_RateLimits;
+  for (auto &Report : Reports)
+    Report.m_Age += m_Scheduler.now() - SentAt;
+  m_OnRateLimits(Reports);
+}
+
 auto Gossip::handleExchange(const PeerView &View) -> PeerView {
   mergeView(View);
   // The confirmation of a caller is ignored, since the transit time of its
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -2,6 +2,7 @@
 
 #include "HostExchange.capnp.h"
 #include "dotterel/base/Errors.h"
+#include "dotterel/rpc/detail/RateLimitCodec.h"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -15,6 +16,14 @@
 
 namespace {
 
+auto encodeRateLimits(const std::vector<RateLimitReport> &Reports,
+                      schema::LoadSummary::Builder Target) -> void {
+  auto List = Target.initRateLimits(static_cast<unsigned>(Reports.size()));
+  auto Index = 0U;
+  for (const auto &Report : Reports)
+    detail::encodeRateLimit(Report, List[Index++]);
+}
+
 auto encodeLoads(const LoadSummary &Loads, schema::LoadSummary::Builder Target)
     -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
@@ -29,6 +38,7 @@
     Entry.setRequests(static_cast<float>(Item.m_Requests));
     Entry.setUnreadTokens(static_cast<float>(Item.m_PendingPrefillTokens));
   }
+  encodeRateLimits(Loads.m_RateLimits, Target);
   auto Reads = Target.initReads(static_cast<unsigned>(Loads.m_Reads.size()));
   Index = 0;
   for (const auto &Item : Loads.m_Reads) {
@@ -60,6 +70,8 @@
                               .m_Tokens = TokenCount{Part.getTokens()}});
     Loads.m_Reads.push_back(std::move(Read));
   }
+  for (auto Item : Source.getRateLimits())
+    Loads.m_RateLimits.push_back(detail::decodeRateLimit(Item));
   return Loads;
 }
 
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -34,6 +34,7 @@
                 .m_MinWatchInterval = Options.m_MinWatchInterval,
                 .m_RetentionAfterOutage = Options.m_RetentionAfterOutage}) {
   m_Mirror.onChange([this](const KeyChange &Change) { applyChange(Change); });
+  m_Mirror.onConfirmed([this](MonotonicTime) { m_Complete = true; });
 }
 
 HostRegistry::~HostRegistry() {
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -17,6 +17,18 @@
   }
 }
 
+/// Keeps the newer one of two reports on a server. \p Elapsed is the time since
+/// \p Loads was received.
+auto addRateLimits(std::map<BackendId, RateLimitReport> &Newest,
+                   const LoadSummary &Loads, Duration Elapsed) -> void {
+  for (auto Report : Loads.m_RateLimits) {
+    Report.m_Age += Elapsed;
+    auto [Found, New] = Newest.try_emplace(Report.m_Backend, Report);
+    if (!New && Report.m_Age < Found->second.m_Age)
+      Found->second = Report;
+  }
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(Scheduler &Scheduler, DatagramPort &Port,
@@ -42,6 +54,7 @@
 
 auto LoadExchange::sendLocal() -> void {
   m_OwnLoads = m_Source();
+  m_OwnLoadsAt = m_Scheduler.now();
   m_UnsentReads.insert(m_UnsentReads.end(), m_OwnLoads.m_Reads.begin(),
                        m_OwnLoads.m_Reads.end());
   sendToLocalHosts(message(m_OwnLoads));
@@ -68,12 +81,15 @@
     return;
   auto Now = m_Scheduler.now();
   auto Sum = std::map<BackendId, BackendLoad>();
+  auto RateLimits = std::map<BackendId, RateLimitReport>();
   addLoads(Sum, m_OwnLoads);
+  addRateLimits(RateLimits, m_OwnLoads, Now - m_OwnLoadsAt);
   auto Demand = m_OwnLoads.m_PrefillTokensPerSecond;
   for (const auto &[Host, Entry] : m_LocalLoads) {
     if (Now - Entry.m_ReceivedAt >= m_Options.m_LivenessTimeout)
       continue;
     addLoads(Sum, Entry.m_Loads);
+    addRateLimits(RateLimits, Entry.m_Loads, Now - Entry.m_ReceivedAt);
     Demand += Entry.m_Loads.m_PrefillTokensPerSecond;
   }
   auto Total = LoadSummary{.m_WholeDataCentre = true,
@@ -81,6 +97,8 @@
                            .m_Reads = std::move(Reads)};
   for (auto &[Engine, Load] : Sum)
     Total.m_Engines.push_back(std::move(Load));
+  for (auto &[Backend, Report] : RateLimits)
+    Total.m_RateLimits.push_back(std::move(Report));
   auto Bytes = message(std::move(Total));
   auto Sent = std::map<DataCentreId, std::size_t>();
   for (const auto &[Host, Record] : m_Registry.others())
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -153,7 +153,8 @@
     return false;
   if (Server.m_Cheap && !Query.m_CheapAllowed)
     return false;
-  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id))
+  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id) ||
+      !m_RateLimits.permits(Server.m_Id, Now))
     return false;
   return std::find(Server.m_Models.begin(), Server.m_Models.end(),
                    Query.m_Model) != Server.m_Models.end();
@@ -334,7 +335,8 @@
     const auto &Server = Item.m_Backend;
     if (Server.m_Service != Service || Server.m_Stopped ||
         m_Leaving.contains(Id) || m_Drained.contains(Id) ||
-        Excluded.contains(Id) || (Server.m_Cheap && !CheapAllowed))
+        Excluded.contains(Id) || (Server.m_Cheap && !CheapAllowed) ||
+        !m_RateLimits.permits(Id, Now))
       continue;
     (m_Outliers.ejected(Id, Now) ? Ejected : Healthy).push_back(Server);
   }
@@ -351,7 +353,17 @@
   std::erase_if(Healthy, [&](const Backend &Server) {
     return roundTripTo(Server) > Nearest;
   });
-  return Healthy[m_NextService++ % Healthy.size()];
+  const auto &Picked = Healthy[m_NextService++ % Healthy.size()];
+  m_RateLimits.recordRequest(Picked.m_Id, Now);
+  return Picked;
+}
+
+auto EngineTable::rateUsedUp(const std::string &Service,
+                             MonotonicTime Now) const -> bool {
+  return std::any_of(m_Entries.begin(), m_Entries.end(), [&](const auto &Item) {
+    return Item.second.m_Backend.m_Service == Service &&
+           !m_RateLimits.permits(Item.first, Now);
+  });
 }
 
 auto EngineTable::begin(const BackendId &Id, const InFlightRequest &Flight)
@@ -360,6 +372,7 @@
   assert(Found != m_Entries.end() && "begin() requires a server of the table");
   auto &Item = Found->second;
   unreserve(Flight.m_Request);
+  m_RateLimits.recordRequest(Id, Flight.m_SentAt);
   Item.m_InFlight[Flight.m_Attempt] = Flight;
   Item.m_OwnPrefillTokens += static_cast<double>(Flight.m_Work.m_PrefillTokens);
   Item.m_RunsAlone = Item.m_RunsAlone || Flight.m_Alone;
--- a/src/rpc/detail/PeerCodec.cpp
+++ b/src/rpc/detail/PeerCodec.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/rpc/detail/PeerCodec.h"
 
+#include "dotterel/rpc/detail/RateLimitCodec.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -120,6 +122,10 @@
   Index = 0;
   for (const auto &Item : Value.m_LeavingBackends)
     Leaving.set(Index++, Item.text());
+  auto RateLimits = Target.initRateLimits(Value.m_RateLimits.size());
+  Index = 0;
+  for (const auto &Item : Value.m_RateLimits)
+    encodeRateLimit(Item, RateLimits[Index++]);
 }
 
 auto decode(schema::View::Reader Source) -> PeerView {
@@ -147,6 +153,8 @@
   Value.m_ConfirmationAge = decodeAge(Source.getEvidenceAgeMs());
   for (auto Item : Source.getLeavingBackends())
     Value.m_LeavingBackends.emplace_back(text(Item));
+  for (auto Item : Source.getRateLimits())
+    Value.m_RateLimits.push_back(decodeRateLimit(Item));
   return Value;
 }
 
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -128,8 +128,7 @@
       m_Context.view(), m_Parameters.m_Service->m_Id, m_Excluded,
       m_Context.m_Scheduler.now());
   if (Target == nullptr) {
-    refuse(RefusalCode::NoBackend, "no server of the service is registered",
-           retryAfter(timeLeft()));
+    refuseWithoutServer("no server of the service is registered");
     return;
   }
   send(*Target, AttemptPurpose::Serve, 0, {});
@@ -141,8 +140,7 @@
       m_Context.view(), m_Context.m_Caches, m_Context.m_Speed,
       *m_Parameters.m_Service, Prompt, m_Excluded, m_Context.m_Scheduler.now());
   if (!Plan.possible()) {
-    refuse(RefusalCode::NoBackend, "no engine of the service is registered",
-           retryAfter(timeLeft()));
+    refuseWithoutServer("no engine of the service is registered");
     return;
   }
   m_Estimate = Plan.m_Estimate;
@@ -171,8 +169,7 @@
         m_Context.view(), m_Context.m_Speed, *m_Parameters.m_Service,
         *Plan.m_Prefill, m_Excluded, m_Context.m_Scheduler.now());
   if (Target == nullptr) {
-    refuse(RefusalCode::NoBackend, "no engine generates",
-           retryAfter(timeLeft()));
+    refuseWithoutServer("no engine generates");
     return;
   }
   send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom);
@@ -227,6 +224,7 @@
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
     Current.m_Cache = Sent.m_Cache;
   }
+  m_Context.m_RateLimits.recordRequest(Target.m_Id, Current.m_StartedAt);
   m_Context.m_Loads.beginAttempt(Target.m_Id, Tokens, Current.m_StartedAt);
   Current.m_Id = m_Context.m_Transport.send(
       Sent, m_Parameters.m_Route->m_Kind == RequestKind::Stream, *this);
@@ -511,8 +509,7 @@
       m_Context.view(), m_Context.m_Speed, *m_Parameters.m_Service, Record,
       m_Excluded, m_Context.m_Scheduler.now());
   if (Target == nullptr) {
-    refuse(RefusalCode::NoBackend, "no engine generates",
-           retryAfter(timeLeft()));
+    refuseWithoutServer("no engine generates");
     return;
   }
   send(*Target, AttemptPurpose::Serve, 0, {});
@@ -637,6 +634,18 @@
   finish(std::string(definitionOf(Code).m_Name), Detail);
 }
 
+auto ServedRequest::refuseWithoutServer(const char *Reason) -> void {
+  if (auto Time =
+          timeToRatePermit(m_Context.view(), m_Parameters.m_Service->m_Id,
+                           m_Context.m_Scheduler.now())) {
+    refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
+           "the request rates of the service's servers are used up",
+           retryAfter(*Time));
+    return;
+  }
+  refuse(RefusalCode::NoBackend, Reason, retryAfter(timeLeft()));
+}
+
 auto ServedRequest::cancelAttempt() -> void {
   if (m_Cache) {
     m_Context.m_Transport.release(*m_Cache);
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -18,6 +18,7 @@
   auto InBackoff = std::vector<const BackendRecord *>();
   for (const auto *Item : Usable) {
     if (Excluded.contains(Item->m_Id) ||
+        !View.m_RateLimits.permits(Item->m_Id, Now) ||
         (ExcludeEjected && View.m_Health.ejected(Item->m_Id, Now)))
       continue;
     (View.m_Loads.inBackoff(Item->m_Id, Now) ? InBackoff : Result)
@@ -26,6 +27,17 @@
   return Result.empty() ? InBackoff : Result;
 }
 
+auto timeToRatePermit(const ChoiceView &View, const ServiceId &Service,
+                      MonotonicTime Now) -> std::optional<Duration> {
+  auto Shortest = std::optional<Duration>();
+  for (const auto *Item : View.m_Directory.usable(Service)) {
+    auto Time = View.m_RateLimits.timeToPermit(Item->m_Id, Now);
+    if (Time > Duration::zero())
+      Shortest = std::min(Time, Shortest.value_or(Duration::max()));
+  }
+  return Shortest;
+}
+
 auto ServerChoice::choose(const ChoiceView &View, const ServiceId &Service,
                           const std::set<BackendId> &Excluded,
                           MonotonicTime Now) const -> const BackendRecord * {
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -86,12 +86,16 @@
               Demand.biasCorrection() > 0
                   ? Demand.prefillRate() / Demand.biasCorrection()
                   : 0,
-          .m_Reads = std::exchange(m_Context.m_Reads, {})};
+          .m_Reads = std::exchange(m_Context.m_Reads, {}),
+          .m_RateLimits = m_RateLimits.ownReports(m_Scheduler.now())};
 }
 
 auto ServingCore::applyLoads(const std::string &Origin,
                              const LoadSummary &Loads) -> void {
   m_Loads.setPeerLoads(Origin, Loads.m_Engines, m_Scheduler.now());
+  for (const auto &Report : Loads.m_RateLimits)
+    if (m_Directory.find(Report.m_Backend) != nullptr)
+      m_RateLimits.merge(Report, m_Scheduler.now());
   for (const auto &Prompt : Loads.m_Reads) {
     const auto *Engine = m_Directory.find(Prompt.m_Engine);
     if (Engine == nullptr || !m_Configuration)
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -1,5 +1,8 @@
 #include "dotterel/base/Log.h"
+#include "dotterel/peers/LoadExchange.h"
 #include "dotterel/routing/EngineTable.h"
+#include "support/DatagramNetwork.h"
+#include "support/ScriptedStore.h"
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
@@ -182,6 +185,50 @@
   std::size_t m_Responses = 0;
 };
 
+/// A host that tells the others what servers state about their request rates.
+struct ReportingHost {
+  ReportingHost(VirtualScheduler &Scheduler, DatagramNetwork &Network,
+                const std::string &Name, const std::string &DataCentre)
+      : m_Port(Network, Name),
+        m_Registry(Scheduler, m_Store, m_Store, m_Random,
+                   {.m_Host = HostId{Name},
+                    .m_DataCentre = DataCentreId{DataCentre},
+                    .m_Address = Name},
+                   {}),
+        m_Exchange(
+            Scheduler, m_Port, m_Registry,
+            [this, &Scheduler] {
+              return LoadSummary{.m_RateLimits =
+                                     m_Limits.ownReports(Scheduler.now())};
+            },
+            [this, &Scheduler](const std::string &, const LoadSummary &Loads) {
+              for (const auto &Report : Loads.m_RateLimits)
+                m_Limits.merge(Report, Scheduler.now());
+            },
+            {}) {
+    m_Port.onReceive([this](const std::string &From, std::string_view Bytes) {
+      m_Exchange.receive(decodeHostMessage(Bytes), From, Bytes);
+    });
+    m_Registry.start();
+    auto Listed = RangeResult();
+    for (const auto *Host : {"a1", "a2", "a3", "b1", "b2", "b3"})
+      Listed.m_Values.push_back(
+          {.m_Key = fmt::format("hosts/{}", Host),
+           .m_Value = fmt::format(R"({{"address":"{}","data_centre":"{}"}})",
+                                  Host, Host[0]),
+           .m_Modified = StoreRevision{1}});
+    m_Store.respondToRead(Listed);
+    m_Exchange.start();
+  }
+
+  ScriptedStore m_Store;
+  Random m_Random{1};
+  DatagramNetwork::Port m_Port;
+  HostRegistry m_Registry;
+  ServerRateLimits m_Limits{ServerRateLimitOptions{}};
+  LoadExchange m_Exchange;
+};
+
 } // namespace
 
 // Guards against hosts that ignore the rate to which a server limits all of
@@ -305,3 +352,27 @@
     }
   }
 }
+
+// Guards against hosts that keep sending at full rate, or keep a server out of
+// use, since only another host has heard from it.
+TEST_CASE("fault: what a server states about its request rate to one host "
+          "reaches the hosts of all data centres") {
+  auto Scheduler = VirtualScheduler();
+  auto Network = DatagramNetwork(Scheduler);
+  Network.m_LossRate = 0.1;
+  auto Hosts = std::vector<std::unique_ptr<ReportingHost>>();
+  for (const auto *Name : {"a1", "a2", "a3", "b1", "b2", "b3"})
+    Hosts.push_back(std::make_unique<ReportingHost>(Scheduler, Network, Name,
+                                                    std::string(1, Name[0])));
+  Scheduler.advance(Seconds(1));
+  Hosts.back()->m_Limits.recordResponse(Limited, RequestRate{3},
+                                        Scheduler.now());
+  Scheduler.advance(Milliseconds(700));
+  for (const auto &Host : Hosts)
+    CHECK(Host->m_Limits.limit(Limited, Scheduler.now()) == RequestRate{3});
+  Hosts.front()->m_Limits.recordResponse(Limited, std::nullopt,
+                                         Scheduler.now());
+  Scheduler.advance(Milliseconds(700));
+  for (const auto &Host : Hosts)
+    CHECK(!Host->m_Limits.limit(Limited, Scheduler.now()));
+}
--- a/tests/fault-StoreRelay.cpp
+++ b/tests/fault-StoreRelay.cpp
@@ -249,15 +249,21 @@
                          .m_Requests = 3,
                          .m_PendingPrefillTokens = 512}},
           .m_PrefillTokensPerSecond = 40,
-          .m_Reads = {
-              {.m_Engine = BackendId{"e"},
-               .m_Parts = {{.m_Id = "p", .m_Tokens = TokenCount{7}}}}}}};
+          .m_Reads = {{.m_Engine = BackendId{"e"},
+                       .m_Parts = {{.m_Id = "p", .m_Tokens = TokenCount{7}}}}},
+          .m_RateLimits = {{.m_Backend = BackendId{"e"},
+                            .m_Limit = RequestRate{2.3},
+                            .m_Age = Milliseconds(40)},
+                           {.m_Backend = BackendId{"f"}}}}};
   auto Read = decodeHostMessage(encodeHostMessage(Message));
   const auto &Loads = std::get<LoadSummary>(Read.m_Content);
   CHECK(Loads.m_WholeDataCentre);
   CHECK(Loads.m_Engines.at(0).m_PendingPrefillTokens == 512);
   CHECK(Loads.m_Reads.at(0).m_Parts.at(0).m_Tokens == TokenCount{7});
   CHECK(Loads.m_PrefillTokensPerSecond == 40);
+  CHECK(Loads.m_RateLimits.at(0).m_Limit == RequestRate{2.3});
+  CHECK(Loads.m_RateLimits.at(0).m_Age >= Milliseconds(40));
+  CHECK(!Loads.m_RateLimits.at(1).m_Limit);
   CHECK_THROWS_AS(decodeHostMessage("no message at all"), ProtocolError);
   CHECK_THROWS_AS(decodeHostMessage(""), ProtocolError);
 }
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -28,6 +28,7 @@
     return {.m_Directory = m_Directory,
             .m_Loads = m_Loads,
             .m_Health = m_Health,
+            .m_RateLimits = m_RateLimits,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -46,6 +47,7 @@
   BackendDirectory m_Directory;
   LoadTracker m_Loads{LoadTrackerOptions{}};
   OutlierDetector m_Health{OutlierOptions{}};
+  ServerRateLimits m_RateLimits{ServerRateLimitOptions{}};
   Distance m_Distance{
       {.m_Host = HostId{"h"},
        .m_DataCentre = DataCentreId{"a"},
--- a/tests/unit-PeerRpc.cpp
+++ b/tests/unit-PeerRpc.cpp
@@ -73,6 +73,10 @@
                             .m_Releases = 13});
   Sent.m_ConfirmationAge = Milliseconds(100);
   Sent.m_LeavingBackends.emplace_back("e3");
+  Sent.m_RateLimits = {{.m_Backend = BackendId{"e4"},
+                        .m_Limit = RequestRate{2.3},
+                        .m_Age = Milliseconds(40)},
+                       {.m_Backend = BackendId{"e5"}}};
   auto Received = std::optional<PeerView>();
   Test.m_Caller->exchange(Test.m_Address, Sent, [&](auto Reply) {
     Received = std::move(Reply);
@@ -98,6 +102,11 @@
   // encoding rounds up.
   CHECK(Received->m_ConfirmationAge >= Sent.m_ConfirmationAge);
   CHECK(Received->m_LeavingBackends == Sent.m_LeavingBackends);
+  REQUIRE(Received->m_RateLimits.size() == 2);
+  CHECK(Received->m_RateLimits[0].m_Backend.text() == "e4");
+  CHECK(Received->m_RateLimits[0].m_Limit == RequestRate{2.3});
+  CHECK(Received->m_RateLimits[0].m_Age >= Milliseconds(40));
+  CHECK(!Received->m_RateLimits[1].m_Limit);
 }
 
 TEST_CASE("peer call to an address without a listener fails") {
--- a/tests/unit-ServerRateLimits.cpp
+++ b/tests/unit-ServerRateLimits.cpp
@@ -4,6 +4,7 @@
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -81,3 +82,57 @@
   Test.m_Transport.end(Result);
   CHECK(!Test.m_Core.rateLimits().limit(Used, Test.m_Scheduler.now()));
 }
+
+TEST_CASE("server rate limits: no request is permitted before the senders are "
+          "known, nor at a rate of zero") {
+  auto Limits = ServerRateLimits({});
+  auto Now = MonotonicTime(Seconds(100));
+  Limits.recordResponse(Server, RequestRate{2}, Now);
+  CHECK(!Limits.permits(Server, Now + Seconds(9)));
+  CHECK(Limits.timeToPermit(Server, Now + Seconds(9)) == Duration::max());
+  Limits.setSenders("h1", {}, Now + Seconds(9));
+  CHECK(!Limits.permits(Server, Now + Seconds(9)));
+  CHECK(Limits.timeToPermit(Server, Now + Seconds(9)) == Milliseconds(500));
+  CHECK(Limits.permits(Server, Now + Milliseconds(9500)));
+  Limits.recordResponse(Server, RequestRate{0}, Now + Milliseconds(9500));
+  Limits.recordRequest(Server, Now + Milliseconds(9500));
+  CHECK(!Limits.permits(Server, Now + Seconds(30)));
+}
+
+TEST_CASE("server rate limits: the newest report of any process counts, and "
+          "none that is too old") {
+  auto Limits = ServerRateLimits({});
+  auto Now = MonotonicTime(Seconds(100));
+  Limits.merge({.m_Backend = Server, .m_Limit = RequestRate{2}}, Now);
+  Limits.merge({.m_Backend = Server, .m_Age = Seconds(1)}, Now);
+  CHECK(Limits.limit(Server, Now) == RequestRate{2});
+  CHECK(Limits.ownReports(Now).empty());
+  CHECK(Limits.allReports(Now).size() == 1);
+  Limits.recordResponse(Server, RequestRate{5}, Now - Milliseconds(1));
+  CHECK(Limits.limit(Server, Now) == RequestRate{2});
+  Limits.merge({.m_Backend = Server}, Now + Seconds(1));
+  CHECK(!Limits.limit(Server, Now + Seconds(1)));
+  Limits.recordResponse(Server, RequestRate{5}, Now + Seconds(2));
+  CHECK(Limits.limit(Server, Now + Seconds(32)));
+  CHECK(!Limits.limit(Server, Now + Seconds(33)));
+  CHECK(Limits.allReports(Now + Seconds(33)).empty());
+  CHECK(Limits.permits(Server, Now + Seconds(33)));
+}
+
+TEST_CASE("server rate limits: a process that becomes a sharer, and a server "
+          "that names a limit again, start without permits") {
+  auto Limits = ServerRateLimits({.m_MinSharers = 1});
+  auto Now = MonotonicTime(Seconds(100));
+  auto Others = std::vector<std::string>();
+  for (auto Index = 0; Index < 40; ++Index)
+    Others.push_back(fmt::format("h{}", Index));
+  Limits.setSenders("self", Others, Now);
+  Limits.recordResponse(Server, RequestRate{1}, Now);
+  REQUIRE(Limits.timeToPermit(Server, Now) == Duration::max());
+  Limits.setSenders("self", {}, Now + Seconds(20));
+  CHECK(Limits.timeToPermit(Server, Now + Seconds(20)) == Seconds(1));
+  Limits.recordResponse(Server, std::nullopt, Now + Seconds(22));
+  CHECK(Limits.permits(Server, Now + Seconds(22)));
+  Limits.recordResponse(Server, RequestRate{1}, Now + Seconds(25));
+  CHECK(!Limits.permits(Server, Now + Seconds(25)));
+}
