--- a/include/dotterel/base/Ids.h
+++ b/include/dotterel/base/Ids.h
@@ -65,6 +65,9 @@
 /// Identifies one run of a process: each restart yields a new identifier.
 using IncarnationId = TextId<struct IncarnationTag>;
 
+/// Identifies a history of the platform's key-value store. It increases each
+/// time the store is restored from a copy; 0: the store does not state it.
+using StoreEra = NumberId<struct StoreEraTag>;
 /// A revision of the platform's key-value store; 0: the key is absent.
 using StoreRevision = NumberId<struct StoreRevisionTag>;
 /// A revision of the configuration; increases with each accepted change.
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -37,6 +37,7 @@
   auto countLostServer() -> void;
   auto setQuarantinedDigests(double Count) -> void;
   auto setRateLimitedServers(double Count) -> void;
+  auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
--- a/include/dotterel/store/KeyValueStore.h
+++ b/include/dotterel/store/KeyValueStore.h
@@ -10,6 +10,7 @@
 
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
+#include "dotterel/store/StoreHistory.h"
 
 #include <functional>
 #include <optional>
@@ -90,6 +91,12 @@
 public:
   virtual ~KeyValueStore() = default;
 
+  /// Returns the history that the store's responses belong to.
+  [[nodiscard]] auto history() -> StoreHistory & { return m_History; }
+  [[nodiscard]] auto history() const -> const StoreHistory & {
+    return m_History;
+  }
+
   virtual auto read(KeyRange Range, StoreCallback<RangeResult> Callback)
       -> void = 0;
   virtual auto commit(StoreTransaction Transaction,
@@ -102,6 +109,9 @@
       -> void = 0;
   virtual auto revokeLease(LeaseId Lease, StoreCallback<bool> Callback)
       -> void = 0;
+
+private:
+  StoreHistory m_History;
 };
 
 } // namespace dotterel
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -370,6 +370,8 @@
   updateSenders();
   m_Metrics.setRateLimitedServers(
       static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
+  m_Metrics.setStoreEra(
+      static_cast<double>(m_Dependencies.m_Store.history().era().number()));
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
   m_Metrics.setDutyHeld(m_Duty.held());
   m_Metrics.setLogLinesDropped(static_cast<double>(m_Log.dropped()));
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -109,6 +109,10 @@
   Gauge &m_RateLimitedServers =
       gauge(m_Registry, "dotterel_serving_rate_limited_servers",
             "Servers that limit the rate of their requests.");
+  Gauge &m_StoreEra =
+      gauge(m_Registry, "dotterel_serving_store_era",
+            "Newest history of the store that was observed; it rises when the "
+            "store is restored from a copy.");
   Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
                           "Requests being handled.");
   Gauge &m_ConfigRevision =
@@ -172,6 +176,10 @@
   m_Impl->m_RateLimitedServers.Set(Count);
 }
 
+auto ServingMetrics::setStoreEra(double Era) -> void {
+  m_Impl->m_StoreEra.Set(Era);
+}
+
 auto ServingMetrics::setActive(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
--- a/src/store/HttpStore.cpp
+++ b/src/store/HttpStore.cpp
@@ -13,6 +13,8 @@
 using Json = nlohmann::json;
 
 constexpr auto StatusOk = 200U;
+/// Names the store's history; absent if the store is never restored.
+constexpr auto EraHeader = "x-store-era";
 
 /// Reads a 64-bit number, which the interface carries as a string; 0 if it is
 /// absent.
@@ -117,8 +119,9 @@
         {.m_Name = "Content-Type", .m_Value = "application/json"}};
     Call.m_Body = Body.dump();
     Call.m_Timeout = m_Options.m_CallTimeout;
-    Call.m_OnDone = [Callback = std::move(Callback),
+    Call.m_OnDone = [this, Callback = std::move(Callback),
                      Parser](const HttpCallResult &Result) {
+      history().observe(parseStoreEra(findHeader(Result.m_Headers, EraHeader)));
       Callback(interpret<Response>(Result, Parser));
     };
     m_Client.start(std::move(Call));
