--- a/include/dotterel/store/InMemoryStore.h
+++ b/include/dotterel/store/InMemoryStore.h
@@ -11,14 +11,41 @@
 
 #include "dotterel/base/Scheduler.h"
 #include "dotterel/store/KeyValueStore.h"
+#include "dotterel/store/StoreWatch.h"
 
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace dotterel {
 
 /// A store of keys, revisions and leases.
 class InMemoryStore {
+  struct Record {
+    std::string m_Value;
+    StoreRevision m_Modified;
+    LeaseId m_Lease;
+  };
+  struct Lease {
+    Seconds m_Term;
+    MonotonicTime m_Expires;
+  };
+  struct State {
+    std::map<std::string, Record> m_Records;
+    std::map<LeaseId, Lease> m_Leases;
+    std::vector<KeyChange> m_Changes; ///< All since the start, oldest first.
+    std::uint64_t m_Revision = 0;
+    std::uint64_t m_LastLease = 0;
+  };
+
 public:
+  /// The contents of a store at one moment.
+  class Copy {
+    friend class InMemoryStore;
+    State m_State;
+  };
+
   explicit InMemoryStore(Scheduler &Scheduler) : m_Scheduler(Scheduler) {}
 
   auto read(const KeyRange &Range) -> RangeResult;
@@ -26,6 +53,18 @@
   auto grantLease(Seconds Term) -> LeaseId;
   auto renewLease(LeaseId Lease) -> Seconds;
   auto revokeLease(LeaseId Lease) -> bool;
+  /// Returns the changes of keys with \p Prefix after revision \p After, which
+  /// are lost if the store has no such revision.
+  [[nodiscard]] auto changes(const std::string &Prefix, StoreRevision After)
+      -> WatchResult;
+
+  [[nodiscard]] auto copy() const -> Copy;
+  /// Replaces the contents: writes after the copy are lost, and their revisions
+  /// and leases will be assigned again. Leases do not run between copy and
+  /// restore.
+  auto restore(const Copy &Source, Duration CopyAge) -> void;
+  [[nodiscard]] auto era() const -> StoreEra { return m_Era; }
+
   /// Extends all leases by \p Span, as if no time had passed for them.
   auto extendLeases(Duration Span) -> void;
 
@@ -34,24 +73,15 @@
   [[nodiscard]] auto reads() const -> std::uint64_t { return m_ReadCount; }
 
 private:
-  struct Record {
-    std::string m_Value;
-    StoreRevision m_Modified;
-    LeaseId m_Lease;
-  };
-  struct Lease {
-    Seconds m_Term;
-    MonotonicTime m_Expires;
-  };
-
   auto removeExpiredLeases() -> void;
   auto removeLease(LeaseId Lease) -> void;
 
+  auto recordChange(const std::string &Key, std::optional<std::string> Value)
+      -> void;
+
   Scheduler &m_Scheduler;
-  std::map<std::string, Record> m_Records;
-  std::map<LeaseId, Lease> m_Leases;
-  std::uint64_t m_Revision = 0;
-  std::uint64_t m_LastLease = 0;
+  State m_State;
+  StoreEra m_Era{1};
   std::uint64_t m_WriteCount = 0;
   std::uint64_t m_ReadCount = 0;
 };
--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -27,7 +27,7 @@
 };
 
 /// Delays each call and injects faults by call number, counted from 1.
-class FaultyStore final : public KeyValueStore {
+class FaultyStore final : public KeyValueStore, public StoreWatch {
 public:
   FaultyStore(VirtualScheduler &Scheduler, InMemoryStore &Model)
       : m_Scheduler(Scheduler), m_Model(Model) {}
@@ -78,8 +78,33 @@
     run<bool>([this, Lease] { return m_Model.revokeLease(Lease); },
               std::move(Callback));
   }
+  auto watch(const std::string &Prefix, StoreRevision After, Duration Wait,
+             StoreCallback<WatchResult> Callback) -> void override {
+    poll(Prefix, After, m_Scheduler.now() + Wait, std::move(Callback));
+  }
 
 private:
+  /// Repeats the call until there are changes or \p Until has come.
+  auto poll(const std::string &Prefix, StoreRevision After, MonotonicTime Until,
+            StoreCallback<WatchResult> Callback) -> void {
+    constexpr auto PollInterval = Milliseconds(10);
+    run<WatchResult>(
+        [this, Prefix, After] { return m_Model.changes(Prefix, After); },
+        [this, Prefix, After, Until, Callback,
+         PollInterval](const auto &Reply) {
+          auto Idle = Reply && !Reply->m_HistoryLost &&
+                      Reply->m_Changes.empty() && m_Scheduler.now() < Until;
+          if (!Idle) {
+            Callback(Reply);
+            return;
+          }
+          m_Scheduler.schedule(PollInterval,
+                               [this, Prefix, After, Until, Callback] {
+                                 poll(Prefix, After, Until, Callback);
+                               });
+        });
+  }
+
   template <typename Response, typename Effect>
   auto run(Effect Action, StoreCallback<Response> Callback) -> void {
     if (m_Paused) {
@@ -98,7 +123,13 @@
     case StoreFault::None:
       m_Scheduler.schedule(OneWay, [this, Action, Callback, OneWay] {
         auto Result = StoreReply<Response>{.m_Response = Action()};
-        m_Scheduler.schedule(OneWay, [Result, Callback] { Callback(Result); });
+        auto Era = m_Model.era();
+        m_Scheduler.schedule(OneWay, [this, Result, Callback, Era] {
+          if (history().observe(Era))
+            Callback(Result);
+          else
+            Callback({.m_Failure = StoreFailure::Unknown});
+        });
       });
       return;
     case StoreFault::Refuse:
