Do not compare store revisions of different histories

Hosts read all keys every 10 ms.

Cause: a mirror keeps the larger of two revisions. The store had given out the old numbers again, so that whatever was written counted as known, and each watch went on at a revision that the store did not have.

Change: a StoreRevision holds the era of its history, which compares first; one type serves both request paths. A mirror reads all keys once it learns of a restore and retains for some seconds what the copy lacks. Relayed changes and confirmations name their history, and count for hosts of the same one only; others read the store.

--- a/include/dotterel/base/Ids.h
+++ b/include/dotterel/base/Ids.h
@@ -68,8 +68,30 @@
 /// Identifies a history of the platform's key-value store. It increases each
 /// time the store is restored from a copy; 0: the store does not state it.
 using StoreEra = NumberId<struct StoreEraTag>;
+
 /// A revision of the platform's key-value store; 0: the key is absent.
-using StoreRevision = NumberId<struct StoreRevisionTag>;
+///
+/// A restored store assigns revisions again, so that numbers of different
+/// histories must not be compared: a revision of a later history is the higher
+/// one.
+class StoreRevision {
+public:
+  constexpr StoreRevision() = default;
+  explicit constexpr StoreRevision(std::uint64_t Number, StoreEra Era = {})
+      : m_Era(Era), m_Number(Number) {}
+
+  [[nodiscard]] constexpr auto number() const -> std::uint64_t {
+    return m_Number;
+  }
+  [[nodiscard]] constexpr auto era() const -> StoreEra { return m_Era; }
+
+  auto operator<=>(const StoreRevision &) const = default;
+
+private:
+  StoreEra m_Era; // Compared first.
+  std::uint64_t m_Number = 0;
+};
+
 /// A revision of the configuration; increases with each accepted change.
 using ConfigRevision = NumberId<struct ConfigRevisionTag>;
 /// Fencing token of a duty: increases with each grant of the duty. Backend
--- a/include/dotterel/base/Log.h
+++ b/include/dotterel/base/Log.h
@@ -42,6 +42,9 @@
   LogField(std::string_view Key, const NumberId<Tag> &Value)
       : m_Key(Key), m_Value(std::to_string(Value.number())) {}
 
+  LogField(std::string_view Key, StoreRevision Value)
+      : m_Key(Key), m_Value(std::to_string(Value.number())) {}
+
   [[nodiscard]] auto key() const -> std::string_view { return m_Key; }
   [[nodiscard]] auto value() const -> const std::string & { return m_Value; }
 
--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -32,6 +32,7 @@
   Duration m_ConfirmationAge{};
   ConfigRevision m_ConfigRevision;
   std::uint64_t m_BackendsDigest = 0;
+  StoreEra m_StoreEra;
 };
 
 /// Changes of store records that a relay has observed, in their order.
--- a/include/dotterel/peers/StoreRelay.h
+++ b/include/dotterel/peers/StoreRelay.h
@@ -43,6 +43,10 @@
   std::function<Duration()> m_ConfirmationAge;
   std::function<ConfigRevision()> m_ConfigRevision;
   std::function<std::uint64_t()> m_BackendsDigest;
+  /// Returns the newest history of the store that this host has observed.
+  std::function<StoreEra()> m_StoreEra;
+  /// Gets the history that another host has observed.
+  std::function<void(StoreEra)> m_OnStoreEra;
   std::function<void(MonotonicTime)> m_OnConfigurationConfirmed;
   /// Gets a time at which the servers known to this host matched the store.
   std::function<void(MonotonicTime)> m_OnBackendsConfirmed;
@@ -57,7 +61,7 @@
 /// confirmation is sent in the reply to a query and is dated from before the
 /// query was sent, so that no delay, pause or repetition makes it appear
 /// newer than it is. It counts only for a host that holds the configuration of
-/// the relay.
+/// the relay and has observed the same history of the store.
 class StoreRelay {
 public:
   StoreRelay(Scheduler &Scheduler, DatagramPort &Port,
--- a/include/dotterel/store/InMemoryStore.h
+++ b/include/dotterel/store/InMemoryStore.h
@@ -76,6 +76,7 @@
   auto removeExpiredLeases() -> void;
   auto removeLease(LeaseId Lease) -> void;
 
+  [[nodiscard]] auto revision() const -> StoreRevision;
   auto recordChange(const std::string &Key, std::optional<std::string> Value)
       -> void;
 
--- a/include/dotterel/store/KeyValueStore.h
+++ b/include/dotterel/store/KeyValueStore.h
@@ -68,6 +68,15 @@
   std::vector<StoreWrite> m_Writes;
 };
 
+/// Returns the number that stands for the compared revision in a call to a
+/// store with the history \p Era. A revision of another history is replaced by
+/// one that no key has: the store may have assigned its number again.
+auto comparedNumber(const StoreCompare &Compare, StoreEra Era) -> std::uint64_t;
+
+/// Returns whether the revisions that \p Transaction compares are all of the
+/// history \p Era.
+auto comparesOnly(StoreEra Era, const StoreTransaction &Transaction) -> bool;
+
 struct TransactionResult {
   bool m_Applied = false;
   StoreRevision m_Revision; ///< Revision of the whole store after the call.
--- a/include/dotterel/store/KeyspaceMirror.h
+++ b/include/dotterel/store/KeyspaceMirror.h
@@ -42,7 +42,9 @@
 
 /// A local copy of all keys with a prefix.
 ///
-/// \invariant The revision of a key never decreases.
+/// \invariant The revision of a key never decreases. One of a later history of
+/// the store is higher, so that a restored store replaces what was known, apart
+/// from keys that are retained until they are written again.
 class KeyspaceMirror {
 public:
   KeyspaceMirror(Scheduler &Scheduler, KeyValueStore &Store, StoreWatch &Watch,
@@ -80,6 +82,9 @@
   /// Reads all keys once, unless a call is in flight.
   auto refresh() -> void;
 
+  /// Returns the revision up to which the copy is complete.
+  [[nodiscard]] auto revision() const -> StoreRevision { return m_Revision; }
+
   /// Applies a change that another process has observed, unless the local copy
   /// is newer.
   auto apply(const KeyChange &Change) -> void;
@@ -99,7 +104,9 @@
   auto remove(const std::string &Key, StoreRevision Revision) -> void;
   auto eraseEntry(const std::string &Key, StoreRevision Revision) -> void;
   auto recordRemoval(const std::string &Key, StoreRevision Revision) -> void;
-  auto beginRetention() -> void;
+  /// \p Observed is the revision of the response that is being applied.
+  auto beginRetention(StoreRevision Observed) -> void;
+  auto scheduleRetentionEnd() -> void;
   auto onCallSucceeded(MonotonicTime SentAt) -> void;
   auto onCallFailed(void (KeyspaceMirror::*Step)()) -> void;
   auto scheduleStep(Duration Delay, void (KeyspaceMirror::*Step)()) -> void;
--- a/include/dotterel/store/StoreHistory.h
+++ b/include/dotterel/store/StoreHistory.h
@@ -25,14 +25,18 @@
 /// \invariant era() never decreases.
 class StoreHistory {
 public:
-  /// Returns the newest observed era; 0 before the first one.
+  /// Returns the newest observed era; 0 if none was observed.
   [[nodiscard]] auto era() const -> StoreEra { return m_Era; }
 
+  /// Returns whether the store was restored since the process first observed
+  /// it.
+  [[nodiscard]] auto restored() const -> bool { return m_Restored; }
+
   /// Records the era of a response of the store, or of another process's
   /// message.
   /// \returns whether it is the newest one; a response without an era belongs
   /// to the newest one.
-  auto observe(StoreEra Era) -> bool;
+  auto observe(std::optional<StoreEra> Era) -> bool;
 
   /// Registers a callback that is called whenever a restored store is observed.
   /// The process's first era is not a restored one.
@@ -42,12 +46,15 @@
 
 private:
   StoreEra m_Era;
+  bool m_Observed = false;
+  bool m_Restored = false;
   std::vector<std::function<void()>> m_OnRestored;
 };
 
-/// Parses an era as a header states it. Returns 0 and logs a warning if \p Text
-/// is not a number; returns 0 if it is absent.
-auto parseStoreEra(const std::optional<std::string> &Text) -> StoreEra;
+/// Parses an era as a header states it. Returns nothing if \p Text is absent,
+/// or is not a number, which is logged.
+auto parseStoreEra(const std::optional<std::string> &Text)
+    -> std::optional<StoreEra>;
 
 } // namespace dotterel
 
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -23,6 +23,7 @@
   value @1 :Data;
   removed @2 :Bool;
   revision @3 :UInt64;
+  storeEra @4 :UInt64;  # history of the store that the revision is of
 }
 
 # Usage counts that their host cannot write to the store.
@@ -77,6 +78,7 @@
   evidenceAgeMs @1 :UInt32;
   configRevision @2 :UInt64;
   backendsDigest @3 :UInt64;
+  storeEra @4 :UInt64;  # newest history of the store that the relay has observed
 }
 
 # Evidence about requests that were running on lost backend servers. By columns,
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -223,6 +223,11 @@
             return Current ? Current->m_Revision : ConfigRevision{};
           },
       .m_BackendsDigest = [this] { return m_Core.directory().digest(); },
+      .m_StoreEra = [this] { return m_Dependencies.m_Store.history().era(); },
+      .m_OnStoreEra =
+          [this](StoreEra Era) {
+            m_Dependencies.m_Store.history().observe(Era);
+          },
       .m_OnConfigurationConfirmed =
           [this](MonotonicTime At) { m_Core.recordConfirmation(At); },
       .m_OnBackendsConfirmed =
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -88,6 +88,7 @@
   Target.setKey(Change.m_Key);
   Target.setRemoved(!Change.m_Value.has_value());
   Target.setRevision(Change.m_Revision.number());
+  Target.setStoreEra(Change.m_Revision.era().number());
   if (Change.m_Value)
     Target.setValue(
         kj::arrayPtr(reinterpret_cast<const kj::byte *>(Change.m_Value->data()),
@@ -95,8 +96,10 @@
 }
 
 auto decodeChange(schema::RecordChange::Reader Source) -> KeyChange {
-  auto Change = KeyChange{.m_Key = Source.getKey().cStr(),
-                          .m_Revision = StoreRevision{Source.getRevision()}};
+  auto Change =
+      KeyChange{.m_Key = Source.getKey().cStr(),
+                .m_Revision = StoreRevision{Source.getRevision(),
+                                            StoreEra{Source.getStoreEra()}}};
   auto Value = Source.getValue();
   if (!Source.getRemoved())
     Change.m_Value = std::string(reinterpret_cast<const char *>(Value.begin()),
@@ -126,6 +129,7 @@
       static_cast<std::uint32_t>(toMilliseconds(Reply.m_ConfirmationAge)));
   Target.setConfigRevision(Reply.m_ConfigRevision.number());
   Target.setBackendsDigest(Reply.m_BackendsDigest);
+  Target.setStoreEra(Reply.m_StoreEra.number());
 }
 
 auto decodeReply(schema::Reply::Reader Source) -> RelayReply {
@@ -133,7 +137,8 @@
   return {.m_SentAt = fromMicroseconds(Source.getSentAt()),
           .m_ConfirmationAge = Milliseconds(Source.getEvidenceAgeMs() + 1),
           .m_ConfigRevision = ConfigRevision{Source.getConfigRevision()},
-          .m_BackendsDigest = Source.getBackendsDigest()};
+          .m_BackendsDigest = Source.getBackendsDigest(),
+          .m_StoreEra = StoreEra{Source.getStoreEra()}};
 }
 
 auto encodeUsage(const UsageSegment &Segment,
--- a/src/peers/StoreRelay.cpp
+++ b/src/peers/StoreRelay.cpp
@@ -54,15 +54,21 @@
   // host that has lost the store does not reply.
   if (m_Following || Age > m_Options.m_FallbackTimeout)
     return;
-  m_Port.send(Address, message(RelayReply{
-                           .m_SentAt = Query.m_SentAt,
-                           .m_ConfirmationAge = Age,
-                           .m_ConfigRevision = m_Hooks.m_ConfigRevision(),
-                           .m_BackendsDigest = m_Hooks.m_BackendsDigest()}));
+  m_Port.send(Address,
+              message(RelayReply{.m_SentAt = Query.m_SentAt,
+                                 .m_ConfirmationAge = Age,
+                                 .m_ConfigRevision = m_Hooks.m_ConfigRevision(),
+                                 .m_BackendsDigest = m_Hooks.m_BackendsDigest(),
+                                 .m_StoreEra = m_Hooks.m_StoreEra()}));
 }
 
 auto StoreRelay::handleReply(const HostId &Relay, const RelayReply &Reply)
     -> void {
+  // What a relay confirms is of the history that it has observed.
+  if (Reply.m_StoreEra != m_Hooks.m_StoreEra()) {
+    m_Hooks.m_OnStoreEra(Reply.m_StoreEra);
+    return;
+  }
   if (Reply.m_ConfigRevision > m_Hooks.m_ConfigRevision()) {
     m_Hooks.m_RefreshConfiguration();
     return;
@@ -97,8 +103,10 @@
     handleReply(Message.m_Sender, *Reply);
   else if (const auto *Relayed =
                std::get_if<RelayedChanges>(&Message.m_Content))
-    for (const auto &Change : Relayed->m_Changes)
+    for (const auto &Change : Relayed->m_Changes) {
+      m_Hooks.m_OnStoreEra(Change.m_Revision.era());
       m_Hooks.m_OnBackendChange(Change);
+    }
 }
 
 auto StoreRelay::relayChange(const KeyChange &Change) -> void {
--- a/src/store/HttpStore.cpp
+++ b/src/store/HttpStore.cpp
@@ -26,25 +26,25 @@
                             : Found->get<std::uint64_t>();
 }
 
-auto parseRevision(const Json &Response) -> StoreRevision {
-  return StoreRevision{parseNumber(Response.at("header"), "revision")};
+auto parseRevision(const Json &Response, StoreEra Era) -> StoreRevision {
+  return StoreRevision{parseNumber(Response.at("header"), "revision"), Era};
 }
 
-auto parseRange(const Json &Response) -> RangeResult {
-  auto Result = RangeResult{.m_Revision = parseRevision(Response)};
+auto parseRange(const Json &Response, StoreEra Era) -> RangeResult {
+  auto Result = RangeResult{.m_Revision = parseRevision(Response, Era)};
   for (const auto &Item : Response.value("kvs", Json::array()))
     Result.m_Values.push_back(
         {.m_Key = decodeBase64(Item.at("key").get<std::string>()),
          .m_Value = decodeBase64(Item.value("value", "")),
-         .m_Modified = StoreRevision{parseNumber(Item, "mod_revision")}});
+         .m_Modified = StoreRevision{parseNumber(Item, "mod_revision"), Era}});
   return Result;
 }
 
-auto toJson(const StoreCompare &Compare) -> Json {
+auto toJson(const StoreCompare &Compare, StoreEra Era) -> Json {
   return {{"key", encodeBase64(Compare.m_Key)},
           {"target", "MOD"},
           {"result", "EQUAL"},
-          {"mod_revision", std::to_string(Compare.m_Modified.number())}};
+          {"mod_revision", std::to_string(comparedNumber(Compare, Era))}};
 }
 
 auto toJson(const StoreWrite &Write) -> Json {
@@ -67,22 +67,32 @@
     auto Body = Json{{"key", encodeBase64(Range.m_First)}};
     if (!Range.m_End.empty())
       Body["range_end"] = encodeBase64(Range.m_End);
-    post<RangeResult>("/v3/kv/range", Body, std::move(Callback), parseRange);
+    post<RangeResult>("/v3/kv/range", Body, std::move(Callback),
+                      [this](const Json &Response) {
+                        return parseRange(Response, history().era());
+                      });
   }
 
   auto commit(StoreTransaction Transaction,
               StoreCallback<TransactionResult> Callback) -> void override {
     auto Body = Json{{"compare", Json::array()}, {"success", Json::array()}};
     for (const auto &Compare : Transaction.m_Compares)
-      Body["compare"].push_back(toJson(Compare));
+      Body["compare"].push_back(toJson(Compare, history().era()));
     for (const auto &Write : Transaction.m_Writes)
       Body["success"].push_back(toJson(Write));
-    post<TransactionResult>("/v3/kv/txn", Body, std::move(Callback),
-                            [](const Json &Response) -> TransactionResult {
-                              return {.m_Applied =
-                                          Response.value("succeeded", false),
-                                      .m_Revision = parseRevision(Response)};
-                            });
+    post<TransactionResult>(
+        "/v3/kv/txn", Body, std::move(Callback),
+        [this, Transaction = std::move(Transaction)](
+            const Json &Response) -> TransactionResult {
+          auto Era = history().era();
+          auto Applied = Response.value("succeeded", false);
+          // The store was restored while the call was on
+          // its way, and a compare held by chance.
+          if (Applied && !comparesOnly(Era, Transaction))
+            throw ProtocolError(301, "the store has been restored");
+          return {.m_Applied = Applied,
+                  .m_Revision = parseRevision(Response, Era)};
+        });
   }
 
   auto grantLease(Seconds Term, StoreCallback<LeaseId> Callback)
@@ -121,7 +131,12 @@
     Call.m_Timeout = m_Options.m_CallTimeout;
     Call.m_OnDone = [this, Callback = std::move(Callback),
                      Parser](const HttpCallResult &Result) {
-      history().observe(parseStoreEra(findHeader(Result.m_Headers, EraHeader)));
+      // The effect of a call of an earlier history may have been lost with it.
+      if (!history().observe(
+              parseStoreEra(findHeader(Result.m_Headers, EraHeader)))) {
+        Callback({.m_Failure = StoreFailure::Unknown});
+        return;
+      }
       Callback(interpret<Response>(Result, Parser));
     };
     m_Client.start(std::move(Call));
--- a/src/store/InMemoryStore.cpp
+++ b/src/store/InMemoryStore.cpp
@@ -9,16 +9,17 @@
 auto InMemoryStore::read(const KeyRange &Range) -> RangeResult {
   removeExpiredLeases();
   ++m_ReadCount;
-  auto Result = RangeResult{.m_Revision = StoreRevision{m_State.m_Revision}};
+  auto Result = RangeResult{.m_Revision = revision()};
   auto Item = m_State.m_Records.lower_bound(Range.m_First);
   for (; Item != m_State.m_Records.end(); ++Item) {
     auto Inside = Range.m_End.empty() ? Item->first == Range.m_First
                                       : Item->first < Range.m_End;
     if (!Inside)
       break;
-    Result.m_Values.push_back({.m_Key = Item->first,
-                               .m_Value = Item->second.m_Value,
-                               .m_Modified = Item->second.m_Modified});
+    Result.m_Values.push_back(
+        {.m_Key = Item->first,
+         .m_Value = Item->second.m_Value,
+         .m_Modified = StoreRevision{Item->second.m_Modified.number(), m_Era}});
   }
   return Result;
 }
@@ -31,7 +32,8 @@
     auto Found = m_State.m_Records.find(Compare.m_Key);
     auto Modified = Found == m_State.m_Records.end() ? StoreRevision{}
                                                      : Found->second.m_Modified;
-    return Modified == Compare.m_Modified;
+    // Like a store that knows nothing of its earlier histories.
+    return Modified.number() == Compare.m_Modified.number();
   };
   auto LeasesLive =
       std::all_of(Transaction.m_Writes.begin(), Transaction.m_Writes.end(),
@@ -41,8 +43,7 @@
                   });
   if (!LeasesLive || !std::all_of(Transaction.m_Compares.begin(),
                                   Transaction.m_Compares.end(), Holds))
-    return {.m_Applied = false,
-            .m_Revision = StoreRevision{m_State.m_Revision}};
+    return {.m_Applied = false, .m_Revision = revision()};
   ++m_State.m_Revision;
   for (const auto &Write : Transaction.m_Writes) {
     recordChange(Write.m_Key, Write.m_Value);
@@ -51,11 +52,10 @@
       continue;
     }
     m_State.m_Records[Write.m_Key] = {.m_Value = *Write.m_Value,
-                                      .m_Modified =
-                                          StoreRevision{m_State.m_Revision},
+                                      .m_Modified = revision(),
                                       .m_Lease = Write.m_Lease};
   }
-  return {.m_Applied = true, .m_Revision = StoreRevision{m_State.m_Revision}};
+  return {.m_Applied = true, .m_Revision = revision()};
 }
 
 auto InMemoryStore::grantLease(Seconds Term) -> LeaseId {
@@ -119,24 +119,29 @@
 auto InMemoryStore::recordChange(const std::string &Key,
                                  std::optional<std::string> Value) -> void {
   m_State.m_Changes.push_back(
-      {.m_Key = Key,
-       .m_Value = std::move(Value),
-       .m_Revision = StoreRevision{m_State.m_Revision}});
+      {.m_Key = Key, .m_Value = std::move(Value), .m_Revision = revision()});
 }
 
 auto InMemoryStore::changes(const std::string &Prefix, StoreRevision After)
     -> WatchResult {
   removeExpiredLeases();
   auto Result =
-      WatchResult{.m_Revision = StoreRevision{m_State.m_Revision},
+      WatchResult{.m_Revision = revision(),
                   .m_HistoryLost = After.number() > m_State.m_Revision};
   for (const auto &Change : m_State.m_Changes)
     if (Change.m_Revision.number() > After.number() &&
         Change.m_Key.starts_with(Prefix))
-      Result.m_Changes.push_back(Change);
+      Result.m_Changes.push_back(
+          {.m_Key = Change.m_Key,
+           .m_Value = Change.m_Value,
+           .m_Revision = StoreRevision{Change.m_Revision.number(), m_Era}});
   return Result;
 }
 
+auto InMemoryStore::revision() const -> StoreRevision {
+  return StoreRevision{m_State.m_Revision, m_Era};
+}
+
 auto InMemoryStore::copy() const -> Copy {
   auto Result = Copy();
   Result.m_State = m_State;
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -18,7 +18,16 @@
     m_Scheduler.cancel(*m_RetentionTimer);
 }
 
-auto KeyspaceMirror::start() -> void { list(); }
+auto KeyspaceMirror::start() -> void {
+  m_Store.history().onRestored([this, Alive = m_Alive] {
+    // Called while a response is being handled.
+    m_Scheduler.schedule(Duration::zero(), [this, Alive] {
+      if (*Alive && m_Revision.era() != m_Store.history().era())
+        refresh();
+    });
+  });
+  list();
+}
 
 auto KeyspaceMirror::setFollowing(bool Following) -> void {
   if (std::exchange(m_Following, Following) == Following)
@@ -87,11 +96,24 @@
     m_OnConfirmed(SentAt);
 }
 
-auto KeyspaceMirror::beginRetention() -> void {
-  if (m_Reachable)
+auto KeyspaceMirror::beginRetention(StoreRevision Observed) -> void {
+  if (m_Reachable && Observed.era() == m_Revision.era())
     return;
   m_RetainUntil = m_Scheduler.now() + m_Options.m_RetentionAfterOutage;
   m_RetainUpToRevision = m_Revision;
+  if (m_RetentionTimer) {
+    m_Scheduler.cancel(*m_RetentionTimer);
+    scheduleRetentionEnd();
+  }
+}
+
+auto KeyspaceMirror::scheduleRetentionEnd() -> void {
+  m_RetentionTimer =
+      m_Scheduler.schedule(*m_RetainUntil - m_Scheduler.now(), [this] {
+        m_RetentionTimer.reset();
+        for (const auto &[Missing, At] : std::exchange(m_Retained, {}))
+          eraseEntry(Missing, At);
+      });
 }
 
 auto KeyspaceMirror::isRetaining() const -> bool {
@@ -116,7 +138,7 @@
 
 auto KeyspaceMirror::applyList(const RangeResult &Read, MonotonicTime SentAt)
     -> void {
-  beginRetention();
+  beginRetention(Read.m_Revision);
   auto Present = std::set<std::string>();
   for (const auto &Item : Read.m_Values) {
     Present.insert(Item.m_Key);
@@ -134,6 +156,10 @@
 }
 
 auto KeyspaceMirror::watch() -> void {
+  if (m_Revision.era() != m_Store.history().era()) {
+    list();
+    return;
+  }
   auto SentAt = m_Scheduler.now();
   m_CallInFlight = true;
   m_Watch.watch(m_Options.m_Prefix, m_Revision, m_Options.m_WatchTimeout,
@@ -157,7 +183,12 @@
     list();
     return;
   }
-  beginRetention();
+  // The store was restored: the position of the watch is of an earlier history.
+  if (Result.m_Revision.era() != m_Revision.era()) {
+    list();
+    return;
+  }
+  beginRetention(Result.m_Revision);
   // Applies only the last change of each key. Intermediate changes would show a
   // server as present for a while that has been added and removed again.
   auto Last = std::map<std::string_view, const KeyChange *>();
@@ -190,8 +221,12 @@
   auto &Current = m_Entries[Key];
   if (Revision <= Current.m_Revision)
     return;
+  // A restored store has the same values at revisions of its own.
+  auto Restored = Revision.era() != Current.m_Revision.era() &&
+                  Current.m_Revision != StoreRevision{} &&
+                  Value == Current.m_Value;
   Current = {.m_Revision = Revision, .m_Value = Value};
-  if (m_OnChange)
+  if (m_OnChange && !Restored)
     m_OnChange({.m_Key = Key, .m_Value = Value, .m_Revision = Revision});
 }
 
@@ -205,14 +240,8 @@
     return;
   }
   m_Retained[Key] = Revision;
-  if (m_RetentionTimer)
-    return;
-  m_RetentionTimer =
-      m_Scheduler.schedule(*m_RetainUntil - m_Scheduler.now(), [this] {
-        m_RetentionTimer.reset();
-        for (const auto &[Missing, At] : std::exchange(m_Retained, {}))
-          eraseEntry(Missing, At);
-      });
+  if (!m_RetentionTimer)
+    scheduleRetentionEnd();
 }
 
 auto KeyspaceMirror::eraseEntry(const std::string &Key, StoreRevision Revision)
--- a/src/store/StoreHistory.cpp
+++ b/src/store/StoreHistory.cpp
@@ -7,21 +7,23 @@
 
 namespace dotterel {
 
-auto StoreHistory::observe(StoreEra Era) -> bool {
-  if (Era == StoreEra{} || Era == m_Era)
+auto StoreHistory::observe(std::optional<StoreEra> Era) -> bool {
+  if (!Era || (m_Observed && *Era == m_Era))
     return true;
-  if (Era < m_Era)
+  if (*Era < m_Era)
     return false;
-  auto Before = std::exchange(m_Era, Era);
-  if (Before == StoreEra{})
+  auto Before = std::exchange(m_Era, *Era);
+  if (!std::exchange(m_Observed, true))
     return true;
-  logWarning("store.restored", {{"era", Era}, {"before", Before}});
+  m_Restored = true;
+  logWarning("store.restored", {{"era", m_Era}, {"before", Before}});
   for (const auto &Callback : m_OnRestored)
     Callback();
   return true;
 }
 
-auto parseStoreEra(const std::optional<std::string> &Text) -> StoreEra {
+auto parseStoreEra(const std::optional<std::string> &Text)
+    -> std::optional<StoreEra> {
   if (!Text)
     return {};
   auto Number = std::uint64_t{0};
--- a/tests/fault-StoreRelay.cpp
+++ b/tests/fault-StoreRelay.cpp
@@ -34,6 +34,9 @@
                      },
                  .m_ConfigRevision = [this] { return m_ConfigRevision; },
                  .m_BackendsDigest = [this] { return m_Digest; },
+                 .m_StoreEra = [this] { return m_Store.history().era(); },
+                 .m_OnStoreEra =
+                     [this](StoreEra Era) { m_Store.history().observe(Era); },
                  .m_OnConfigurationConfirmed =
                      [this](MonotonicTime At) {
                        if (!m_ConfirmedAt || At > *m_ConfirmedAt)
