End the holding of a duty when the store is restored

What callers saw: nothing; the platform could get orders of two holders, or a token that was lower than one before, or the same for two grants.

Cause: leases and fencing tokens are numbers of the store, which a restored store assigns again. A renewal succeeded that renewed another process's lease, and a guarded transaction could hold by chance.

Change: tokens contain the era of the store's history. A restore ends the holding at once; the last holder acquires the duty anew, also if the copy still has its grant. Transactions are guarded by a key that only one grant has.

--- a/include/dotterel/lease/DutyLease.h
+++ b/include/dotterel/lease/DutyLease.h
@@ -34,6 +34,8 @@
 /// \invariant held() is true only until term minus clock drift margin after the
 /// newest successful renewal was sent, by this process's monotonic clock. The
 /// store counts the term from the arrival of the renewal, which is later.
+/// \invariant A restored store ends the holding: the grant may be unknown to
+/// it, and it may assign the number of the lease again.
 class DutyLease {
 public:
   DutyLease(Scheduler &Scheduler, KeyValueStore &Store, DutyId Duty,
@@ -60,6 +62,13 @@
   /// \pre held() was true.
   [[nodiscard]] auto fencing() const -> FencingNumber { return m_Fencing; }
 
+  /// Returns the fencing token under which this process held the duty until the
+  /// store was restored most recently; empty if another process may have held
+  /// it last.
+  [[nodiscard]] auto heldBeforeRestore() const -> std::optional<FencingNumber> {
+    return m_HeldBeforeRestore;
+  }
+
   /// Returns a compare that makes a store transaction fail once another process
   /// has acquired the duty. \pre held() was true.
   [[nodiscard]] auto guard() const -> StoreCompare;
@@ -77,13 +86,25 @@
 
 private:
   auto campaign() -> void;
-  auto acquire(LeaseId Lease, MonotonicTime SentAt) -> void;
+  auto requestLease(std::uint64_t Step, StoreRevision Replaced) -> void;
+  /// Acquires the duty if its key has the revision \p Replaced.
+  auto acquire(std::uint64_t Step, LeaseId Lease, StoreRevision Replaced,
+               MonotonicTime SentAt) -> void;
   auto renew() -> void;
-  auto handleLoss(const char *Reason) -> void;
+  auto handleLoss(const char *Reason, Duration CampaignDelay) -> void;
+  auto handleRestore() -> void;
+  auto scheduleCampaign() -> void;
+  /// Returns whether the step with the number \p Step is the newest one.
+  [[nodiscard]] auto isCurrent(std::uint64_t Step) const -> bool {
+    return m_Running && Step == m_Step;
+  }
   /// Runs \p Step after \p Delay, in place of any step that is scheduled.
   auto scheduleNext(Duration Delay, void (DutyLease::*Step)()) -> void;
   /// Returns the store key of the duty.
   [[nodiscard]] auto key() const -> std::string;
+  /// Returns a key for a new grant, which no other grant has, also in another
+  /// history of the store.
+  [[nodiscard]] auto newGrantKey() const -> std::string;
 
   Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
@@ -91,9 +112,17 @@
   ProcessId m_Self;
   DutyLeaseOptions m_Options;
   bool m_Running = false;
+  /// Incremented by each step and by a restore. A response to an earlier step
+  /// is ignored.
+  std::uint64_t m_Step = 0;
   LeaseId m_Lease;
   FencingNumber m_Fencing;
+  std::string m_GrantKey;
+  StoreRevision m_GrantedAt;
   std::optional<MonotonicTime> m_HeldUntil;
+  /// Time before which the store grants the duty to no other process.
+  std::optional<MonotonicTime> m_TermEnds;
+  std::optional<FencingNumber> m_HeldBeforeRestore;
   std::optional<TimerId> m_Timer;
   std::function<void()> m_OnGranted;
   std::function<bool()> m_Eligible;
--- a/src/fleet/OrderSender.cpp
+++ b/src/fleet/OrderSender.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
+#include "dotterel/store/FencingToken.h"
 
 #include <fmt/format.h>
 #include <utility>
@@ -139,7 +140,7 @@
             finishStep();
             return;
           }
-          send(Current, FencingNumber{Reply->m_Revision.number()});
+          send(Current, fencingToken(Reply->m_Revision));
         });
 }
 
