Register hosts again when the store is restored

What callers saw: nothing at first; a host that the others do not see gets no loads, and reads the store by itself. It stayed so if the store had assigned the number of its lease to another one, which the host then renewed.

Cause and change: the lease was taken for the same by its number.

--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -70,19 +70,25 @@
 
 private:
   auto acquireLease() -> void;
-  auto writeRecord(LeaseId Lease) -> void;
+  auto writeRecord(std::uint64_t Step, LeaseId Lease) -> void;
+  auto handleRestore() -> void;
   auto renew() -> void;
   auto scheduleStep(Duration Delay, void (HostRegistry::*Step)()) -> void;
   auto applyChange(const KeyChange &Change) -> void;
 
   Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
+  Random &m_Random;
   HostRecord m_Self;
   HostRegistryOptions m_Options;
   KeyspaceMirror m_Mirror;
   std::map<HostId, HostRecord> m_Others;
   bool m_Complete = false;
   LeaseId m_Lease;
+  bool m_Registering = false;
+  /// Incremented by each step and by a restore of the store. A response to an
+  /// earlier step is ignored.
+  std::uint64_t m_Step = 0;
   std::optional<TimerId> m_Timer;
   std::function<void()> m_OnChange;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -26,8 +26,8 @@
 HostRegistry::HostRegistry(Scheduler &Scheduler, KeyValueStore &Store,
                            StoreWatch &Watch, Random &Random, HostRecord Self,
                            const HostRegistryOptions &Options)
-    : m_Scheduler(Scheduler), m_Store(Store), m_Self(std::move(Self)),
-      m_Options(Options),
+    : m_Scheduler(Scheduler), m_Store(Store), m_Random(Random),
+      m_Self(std::move(Self)), m_Options(Options),
       m_Mirror(Scheduler, Store, Watch, Random,
                {.m_Prefix = std::string(Prefix),
                 .m_WatchTimeout = Options.m_WatchTimeout,
@@ -35,6 +35,10 @@
                 .m_RetentionAfterOutage = Options.m_RetentionAfterOutage}) {
   m_Mirror.onChange([this](const KeyChange &Change) { applyChange(Change); });
   m_Mirror.onConfirmed([this](MonotonicTime) { m_Complete = true; });
+  m_Store.history().onRestored([this, Alive = m_Alive] {
+    if (*Alive)
+      handleRestore();
+  });
 }
 
 HostRegistry::~HostRegistry() {
@@ -45,11 +49,14 @@
 
 auto HostRegistry::start() -> void {
   m_Mirror.start();
+  m_Registering = true;
   acquireLease();
 }
 
 auto HostRegistry::scheduleStep(Duration Delay, void (HostRegistry::*Step)())
     -> void {
+  if (m_Timer)
+    m_Scheduler.cancel(*m_Timer);
   m_Timer = m_Scheduler.schedule(Delay, [this, Step] {
     m_Timer.reset();
     (this->*Step)();
@@ -58,25 +65,26 @@
 
 auto HostRegistry::acquireLease() -> void {
   m_Store.grantLease(
-      m_Options.m_LeaseTerm, [this, Alive = m_Alive](const auto &Reply) {
-        if (!*Alive)
+      m_Options.m_LeaseTerm,
+      [this, Alive = m_Alive, Step = ++m_Step](const auto &Reply) {
+        if (!*Alive || Step != m_Step)
           return;
         if (!Reply) {
           scheduleStep(m_Options.m_RetryDelay, &HostRegistry::acquireLease);
           return;
         }
-        writeRecord(*Reply.m_Response);
+        writeRecord(Step, *Reply.m_Response);
       });
 }
 
-auto HostRegistry::writeRecord(LeaseId Lease) -> void {
+auto HostRegistry::writeRecord(std::uint64_t Step, LeaseId Lease) -> void {
   auto Transaction = StoreTransaction();
   Transaction.m_Writes.push_back({.m_Key = keyOf(m_Self.m_Host),
                                   .m_Value = encode(m_Self),
                                   .m_Lease = Lease});
-  m_Store.commit(std::move(Transaction), [this, Alive = m_Alive,
+  m_Store.commit(std::move(Transaction), [this, Alive = m_Alive, Step,
                                           Lease](const auto &Reply) {
-    if (!*Alive)
+    if (!*Alive || Step != m_Step)
       return;
     if (!Reply || !Reply->m_Applied) {
       scheduleStep(m_Options.m_RetryDelay, &HostRegistry::acquireLease);
@@ -89,19 +97,34 @@
 }
 
 auto HostRegistry::renew() -> void {
-  m_Store.renewLease(m_Lease, [this, Alive = m_Alive](const auto &Reply) {
-    if (!*Alive)
-      return;
-    if (Reply && *Reply.m_Response == Seconds::zero()) {
-      logWarning("host.registration-lapsed", {});
-      acquireLease();
-      return;
-    }
-    scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
-  });
+  m_Store.renewLease(
+      m_Lease, [this, Alive = m_Alive, Step = ++m_Step](const auto &Reply) {
+        if (!*Alive || Step != m_Step)
+          return;
+        if (Reply && *Reply.m_Response == Seconds::zero()) {
+          logWarning("host.registration-lapsed", {});
+          acquireLease();
+          return;
+        }
+        scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
+      });
+}
+
+auto HostRegistry::handleRestore() -> void {
+  // The lease may be unknown to the store, or another process's by now.
+  m_Lease = LeaseId{};
+  ++m_Step;
+  if (!m_Registering)
+    return;
+  // All hosts register again, within a time in which the others retain them.
+  auto Delay = std::chrono::duration_cast<Duration>(m_Options.m_RetryDelay *
+                                                    m_Random.unit());
+  scheduleStep(Delay, &HostRegistry::acquireLease);
 }
 
 auto HostRegistry::deregister() -> void {
+  m_Registering = false;
+  ++m_Step;
   if (m_Timer)
     m_Scheduler.cancel(*m_Timer);
   m_Timer.reset();
