Report no usage window twice after a restore of the store

Cause: which windows are reported was read from the store alone, and the copy did not know of the newest reports. A second report summed other segments.

Change: the record of the newest reported window names the history of the store. In a later history the holder first decides what may have been reported: if it was the last holder it knows, otherwise all windows that have ended count as reported. A report that may have arrived is repeated unchanged.

--- a/include/dotterel/usage/WindowSealer.h
+++ b/include/dotterel/usage/WindowSealer.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,11 @@
 /// 1. close: no more segments can be added to the window
 /// 2. seal: stores the sum of the segments, which can no longer change
 /// 3. report the sealed totals, and record that the platform has accepted them
+///
+/// A restored store may have lost these records. The record of the newest
+/// reported window names the history of the store that it was written in. In a
+/// later one, the holder first records which windows may have been reported,
+/// and skips these.
 class WindowSealer {
 public:
   WindowSealer(Scheduler &Scheduler, KeyValueStore &Store,
@@ -70,7 +76,19 @@
   auto step() -> void;
 
 private:
+  /// Entries of a report that was sent and is not known to be accepted.
+  struct SentReport {
+    WindowIndex m_Window;
+    std::string m_Entries;
+  };
+
   auto findNext() -> void;
+  /// Records, after a restore of the store, the newest window that may have
+  /// been reported. \p Stored is the one that the store has.
+  auto recover(WindowIndex Stored) -> void;
+  auto recordReported(WindowIndex Window) -> void;
+  /// Returns the value of the record of the newest reported window.
+  [[nodiscard]] auto encodeProgress(WindowIndex Window) const -> std::string;
   auto findFirst() -> void;
   auto closeEarly(WindowIndex Window) -> void;
   auto close(WindowIndex Window) -> void;
@@ -93,6 +111,11 @@
   UsageReportSender m_SendReport;
   WindowSealerOptions m_Options;
   bool m_Busy = false;
+  /// Newest window that any holder has reported, as known under the fencing
+  /// token m_ReportedUnder.
+  WindowIndex m_Reported;
+  FencingNumber m_ReportedUnder;
+  std::optional<SentReport> m_Unconfirmed;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
--- a/src/usage/WindowSealer.cpp
+++ b/src/usage/WindowSealer.cpp
@@ -4,6 +4,7 @@
 #include "dotterel/usage/UsageKeys.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace dotterel {
@@ -18,16 +19,32 @@
   return std::stoull(Text);
 }
 
+struct Progress {
+  WindowIndex m_Window;
+  StoreEra m_Era; ///< History of the store in which it was recorded.
+};
+
+/// Parses the window's number and, after a space, the era. Records of earlier
+/// versions have no era.
+auto parseProgress(const std::string &Text) -> Progress {
+  auto Space = Text.find(' ');
+  return {.m_Window = WindowIndex{parseNumber(Text)},
+          .m_Era = StoreEra{Space == std::string::npos
+                                ? 0
+                                : parseNumber(Text.substr(Space + 1))}};
+}
+
 } // namespace
 
 template <typename Response, typename Next>
 auto WindowSealer::continueWith(Next Continue) -> StoreCallback<Response> {
-  return [this, Alive = m_Alive,
+  return [this, Alive = m_Alive, Fencing = m_Duty.fencing(),
           Continue = std::move(Continue)](const StoreReply<Response> &Reply) {
     if (!*Alive)
       return;
-    // Without a response, or without the duty, the next step() starts over.
-    if (!Reply || !m_Duty.held()) {
+    // Without a response, or without the duty under the same grant, the next
+    // step() starts over.
+    if (!Reply || !m_Duty.held() || m_Duty.fencing() != Fencing) {
       m_Busy = false;
       return;
     }
@@ -51,11 +68,19 @@
   m_Store.read(KeyRange::single(ProgressKey),
                continueWith<RangeResult>([this](const RangeResult &Read) {
                  if (Read.m_Values.empty()) {
-                   findFirst();
+                   if (m_Store.history().restored())
+                     recover({});
+                   else
+                     findFirst();
                    return;
                  }
-                 auto Next = WindowIndex{
-                     parseNumber(Read.m_Values.front().m_Value) + 1};
+                 auto Stored = parseProgress(Read.m_Values.front().m_Value);
+                 if (Stored.m_Era != m_Store.history().era()) {
+                   recover(Stored.m_Window);
+                   return;
+                 }
+                 recordReported(Stored.m_Window);
+                 auto Next = WindowIndex{Stored.m_Window.number() + 1};
                  if (Next <= lastEnded(m_Options.m_Grace))
                    close(Next);
                  else if (m_Options.m_AllWritten &&
@@ -66,6 +91,42 @@
                }));
 }
 
+auto WindowSealer::recover(WindowIndex Stored) -> void {
+  auto Known = m_Duty.heldBeforeRestore() == m_ReportedUnder &&
+               m_ReportedUnder != FencingNumber{};
+  // Unless this process was the last one to report, any window that has ended
+  // may have been reported.
+  auto Reported =
+      std::max(Stored, Known ? m_Reported : lastEnded(Duration::zero()));
+  if (Known && m_Unconfirmed && m_Unconfirmed->m_Window == Reported)
+    Reported = WindowIndex{Reported.number() - 1};
+  logWarning("usage.recovered", {{"stored", Stored},
+                                 {"reported", Reported},
+                                 {"known", Known},
+                                 {"era", m_Store.history().era()}});
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Writes.push_back(
+      {.m_Key = ProgressKey, .m_Value = encodeProgress(Reported)});
+  m_Store.commit(std::move(Transaction),
+                 continueWith<TransactionResult>(
+                     [this, Reported](const TransactionResult &Result) {
+                       if (Result.m_Applied)
+                         recordReported(Reported);
+                       m_Busy = false;
+                     }));
+}
+
+auto WindowSealer::recordReported(WindowIndex Window) -> void {
+  m_Reported = Window;
+  m_ReportedUnder = m_Duty.fencing();
+}
+
+auto WindowSealer::encodeProgress(WindowIndex Window) const -> std::string {
+  return fmt::format("{} {}", Window.number(),
+                     m_Store.history().era().number());
+}
+
 auto WindowSealer::findFirst() -> void {
   // A new installation starts with the oldest window that has a segment.
   m_Store.read(KeyRange::prefix("usage/"),
@@ -112,11 +173,15 @@
         auto Totals = UsageTotals();
         for (const auto &Item : Read.m_Values)
           addTotals(Totals, decodeTotals(Item.m_Value));
+        // A report that may have arrived is repeated unchanged, even if a
+        // restored store has lost the sealed totals.
+        auto Sent = m_Unconfirmed && m_Unconfirmed->m_Window == Window;
+        auto Entries = Sent ? m_Unconfirmed->m_Entries : encodeTotals(Totals);
         auto Transaction = StoreTransaction();
         Transaction.m_Compares.push_back({.m_Key = sealedKey(Window)});
         Transaction.m_Compares.push_back(m_Duty.guard());
         Transaction.m_Writes.push_back(
-            {.m_Key = sealedKey(Window), .m_Value = encodeTotals(Totals)});
+            {.m_Key = sealedKey(Window), .m_Value = std::move(Entries)});
         m_Store.commit(
             std::move(Transaction),
             continueWith<TransactionResult>([this, Window](const auto &Result) {
@@ -147,14 +212,20 @@
   }
   auto Report = UsageReport{
       .m_Window = Window, .m_Fencing = m_Duty.fencing(), .m_Entries = Entries};
-  m_SendReport(Report, [this, Alive = m_Alive, Window](bool Accepted) {
+  recordReported(Window);
+  m_Unconfirmed = {.m_Window = Window, .m_Entries = Entries};
+  m_SendReport(Report, [this, Alive = m_Alive, Window,
+                        Fencing = Report.m_Fencing](bool Accepted) {
     if (!*Alive)
       return;
-    if (!Accepted) {
+    if (Accepted) {
+      logInfo("usage.reported", {{"window", Window}});
+      m_Unconfirmed.reset();
+    }
+    if (!Accepted || m_Duty.fencing() != Fencing) {
       m_Busy = false;
       return;
     }
-    logInfo("usage.reported", {{"window", Window}});
     finish(Window);
   });
 }
@@ -167,7 +238,7 @@
   Transaction.m_Writes.push_back(
       {.m_Key = reportedKey(Window), .m_Value = "1"});
   Transaction.m_Writes.push_back(
-      {.m_Key = ProgressKey, .m_Value = std::to_string(Window.number())});
+      {.m_Key = ProgressKey, .m_Value = encodeProgress(Window)});
   m_Store.commit(std::move(Transaction),
                  continueWith<TransactionResult>([this, Window](const auto &) {
                    if (Window.number() > RetainedWindows)
