Keep the fleet plan of the last holder when the store is restored

A restored store has an older plan; the next grant would have ordered servers by it. If the host held the duty to the end of the earlier history, it stores its plan again. By reading; no test shows the fault.

--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -110,10 +110,14 @@
   if (!mayAct())
     return;
   if (m_CurrentFencing != m_Lease.fencing()) {
+    // The plan of a restored store may be older than that of its last holder,
+    // which this host stores again in that case.
+    auto LastHolder = m_StoredPlan && m_Lease.heldBeforeRestore() ==
+                                          std::optional(m_CurrentFencing);
+    m_StoredPlan = LastHolder ? std::optional(FleetPlan()) : std::nullopt;
     m_CurrentFencing = m_Lease.fencing();
     m_ServerOrders.clear();
     m_StageOrders.clear();
-    m_StoredPlan.reset();
     m_TargetOrders.clear();
   }
   m_Sealer.step();
