Store the gates' configuration again after a restore of the store

What callers saw: a key that had been granted was unknown at gates started later; changes made after the restore were not in force at gates that held a higher revision, and those stopped serving keys since nothing confirmed their configuration.

Cause: gates compare the revisions of their configuration, which a restored store takes back, and nobody but the gates writes it.

Change: a gate that reads an older configuration than it holds stores its own again, guarded by a compare on the head that it has read. Changes based on an older one are refused until then.

Evidence: 'restored store: a configuration that gates had confirmed ...' failed before and passes.

--- a/include/dotterel/config/ConfigurationStore.h
+++ b/include/dotterel/config/ConfigurationStore.h
@@ -42,7 +42,8 @@
 };
 
 /// Reads and writes the configuration records `config/head` and
-/// `config/keys/<shard>`.
+/// `config/keys/<shard>`. The processes are their only writers, so that they
+/// also store what a restored store has lost.
 class ConfigurationStore {
 public:
   ConfigurationStore(Scheduler &Scheduler, KeyValueStore &Store,
@@ -67,6 +68,8 @@
   auto readAll(std::function<void(StoreReply<RangeResult>)> Done) -> void;
   auto applyHead(const std::string &Head, StoreRevision Modified,
                  MonotonicTime SentAt, std::function<void(bool)> Done) -> void;
+  /// Stores the active configuration again if the store holds an older one.
+  auto storeAgain(std::function<void(bool)> Done) -> void;
   auto commitChange(const Configuration &Before,
                     std::vector<StoreCompare> Compares,
                     const std::function<void(Configuration &)> &Edit,
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -41,6 +41,20 @@
   return assembleConfiguration(Head, Shards, nullptr);
 }
 
+/// Returns a transaction without compares that replaces the stored records of
+/// \p Before by those of \p After.
+auto changeTransaction(const Configuration &Before, const Configuration &After)
+    -> StoreTransaction {
+  auto Transaction = StoreTransaction();
+  Transaction.m_Writes.push_back(
+      {.m_Key = HeadKey, .m_Value = encodeHead(After)});
+  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
+    if (After.m_Keys.digest(Shard) != Before.m_Keys.digest(Shard))
+      Transaction.m_Writes.push_back(
+          {.m_Key = shardKey(Shard), .m_Value = After.m_Keys.document(Shard)});
+  return Transaction;
+}
+
 auto headRevision(const std::string &Head) -> ConfigRevision {
   try {
     return ConfigRevision{
@@ -87,9 +101,10 @@
                                    std::function<void(bool)> Done) -> void {
   auto Stored = headRevision(Head);
   auto Known = m_Holder.current();
-  // A delayed response contains an older head and confirms nothing.
+  // Either the response is delayed, or the store has been restored from a copy
+  // and lacks the known configuration. It confirms nothing.
   if (Known && Stored < Known->m_Revision) {
-    Done(true);
+    storeAgain(std::move(Done));
     return;
   }
   if (Known && Stored == Known->m_Revision) {
@@ -144,6 +159,13 @@
               .m_Reason = "the configuration changed while it was read"});
         return;
       }
+      if (Before->m_Revision < m_Holder.revision()) {
+        Done({.m_Kind = ChangeResult::Kind::Conflict,
+              .m_Revision = m_Holder.revision(),
+              .m_Reason = "the store was restored from an older copy, and the "
+                          "configuration in force is being stored again"});
+        return;
+      }
       auto Expected = Conditions.m_ExpectedRevision;
       if (Expected != ConfigRevision{} && Before->m_Revision != Expected) {
         Done({.m_Kind = ChangeResult::Kind::Conflict,
@@ -165,6 +187,40 @@
   });
 }
 
+auto ConfigurationStore::storeAgain(std::function<void(bool)> Done) -> void {
+  readAll([this, Done = std::move(Done)](const auto &Reply) {
+    if (!Reply) {
+      Done(false);
+      return;
+    }
+    try {
+      auto HeadRevision = StoreRevision();
+      auto Before = assembleAll(*Reply.m_Response, HeadRevision);
+      auto Known = m_Holder.current();
+      if (!Before || Before->m_Revision >= Known->m_Revision) {
+        Done(true);
+        return;
+      }
+      // Has no effect if the read was delayed: the head has changed since.
+      auto Transaction = changeTransaction(*Before, *Known);
+      Transaction.m_Compares.push_back(
+          {.m_Key = HeadKey, .m_Modified = HeadRevision});
+      m_Store.commit(
+          std::move(Transaction),
+          [Known, Stored = Before->m_Revision,
+           Done](const StoreReply<TransactionResult> &Written) {
+            if (Written && Written->m_Applied)
+              logWarning("config.stored-again",
+                         {{"revision", Known->m_Revision}, {"before", Stored}});
+            Done(static_cast<bool>(Written));
+          });
+    } catch (const ConfigurationError &Failure) {
+      logError("config.unreadable", {{"reason", Failure.what()}});
+      Done(false);
+    }
+  });
+}
+
 auto ConfigurationStore::commitChange(
     const Configuration &Before, std::vector<StoreCompare> Compares,
     const std::function<void(Configuration &)> &Edit,
@@ -173,14 +229,8 @@
   Edit(After);
   After.m_Revision = ConfigRevision{Before.m_Revision.number() + 1};
   After.validate();
-  auto Transaction = StoreTransaction();
+  auto Transaction = changeTransaction(Before, After);
   Transaction.m_Compares = std::move(Compares);
-  Transaction.m_Writes.push_back(
-      {.m_Key = HeadKey, .m_Value = encodeHead(After)});
-  for (auto Shard = std::size_t{0}; Shard < ShardCount; ++Shard)
-    if (After.m_Keys.digest(Shard) != Before.m_Keys.digest(Shard))
-      Transaction.m_Writes.push_back(
-          {.m_Key = shardKey(Shard), .m_Value = After.m_Keys.document(Shard)});
   m_Store.commit(std::move(Transaction), [this, After, Done = std::move(Done)](
                                              const auto &Reply) mutable {
     if (!Reply) {
