Grant no claim again that a restored store has lost

What callers saw: a non-idempotent request that was sent again could run twice.

Cause: at most once rests on the claim log in the store, which the store's copy cuts short.

Change: the head of a log names the history of the store. A log of an earlier one may lack claims: its horizon is raised beyond all claims that could have been granted, in the transaction that adds the next one.

--- a/include/dotterel/ledger/ClaimShard.h
+++ b/include/dotterel/ledger/ClaimShard.h
@@ -46,6 +46,9 @@
 ///
 /// \invariant Grants a claim only if its attempt is in the log as read or
 /// written by this process.
+/// \invariant A log that was written in an earlier history of the store may
+/// have lost claims. Its horizon is raised before a claim is granted, so that
+/// none of these is granted again.
 class ClaimShard {
 public:
   ClaimShard(Scheduler &Scheduler, KeyValueStore &Store, std::string Name,
@@ -107,6 +110,10 @@
   std::optional<TimerId> m_RetryTimer;
   MonotonicTime m_NextAppend;
   StoreRevision m_HeadRevision;
+  /// Whether the log as loaded may lack claims that were granted.
+  bool m_LostClaims = false;
+  /// When this process observed the newest restore of the store.
+  std::optional<WallTime> m_RestoredAt;
   std::uint64_t m_Sequence = 0;
   std::vector<ClaimEntry> m_OpenEntries;      ///< Entries of the open segment.
   std::deque<SealedSegment> m_SealedSegments; ///< Oldest first.
--- a/src/ledger/ClaimShard.cpp
+++ b/src/ledger/ClaimShard.cpp
@@ -23,15 +23,20 @@
 struct Document {
   std::uint64_t m_Sequence = 0; ///< Number of the open segment.
   WallTime m_Horizon;           ///< Claims issued before it are discarded.
+  /// History of the store that it was written in; empty in earlier versions.
+  std::optional<StoreEra> m_Era;
   std::string m_Entries;
 };
 
 auto encode(const Document &Value) -> std::string {
-  auto Bytes = Json::to_cbor(
+  auto Target =
       Json{{"sequence", Value.m_Sequence},
            {"horizon_ms", toMilliseconds(Value.m_Horizon.time_since_epoch())},
            {"entries",
-            Json::binary({Value.m_Entries.begin(), Value.m_Entries.end()})}});
+            Json::binary({Value.m_Entries.begin(), Value.m_Entries.end()})}};
+  if (Value.m_Era)
+    Target["store_era"] = Value.m_Era->number();
+  auto Bytes = Json::to_cbor(Target);
   return {Bytes.begin(), Bytes.end()};
 }
 
@@ -39,9 +44,13 @@
   try {
     auto Source = Json::from_cbor(Text);
     const auto &Bytes = Source.at("entries").get_binary();
+    auto Era = Source.find("store_era");
     return {.m_Sequence = Source.at("sequence").get<std::uint64_t>(),
             .m_Horizon = WallTime(
                 Milliseconds(Source.at("horizon_ms").get<std::int64_t>())),
+            .m_Era = Era == Source.end()
+                         ? std::nullopt
+                         : std::optional(StoreEra{Era->get<std::uint64_t>()}),
             .m_Entries = std::string(Bytes.begin(), Bytes.end())};
   } catch (const Json::exception &Failure) {
     throw ProtocolError(301, Failure.what());
@@ -68,6 +77,12 @@
                        std::string Name, const ClaimShardOptions &Options)
     : m_Scheduler(Scheduler), m_Store(Store),
       m_Prefix(fmt::format("claims/{}/", std::move(Name))), m_Options(Options) {
+  m_Store.history().onRestored([this, Alive = m_Alive] {
+    if (!*Alive)
+      return;
+    m_Loaded = false;
+    m_RestoredAt = m_Scheduler.wallNow();
+  });
 }
 
 ClaimShard::~ClaimShard() {
@@ -163,6 +178,8 @@
   for (const auto &Entry : m_OpenEntries)
     m_Log.apply(Entry);
   m_Log.discardBefore(Head.m_Horizon);
+  const auto &History = m_Store.history();
+  m_LostClaims = Head.m_Era ? *Head.m_Era != History.era() : History.restored();
 }
 
 auto ClaimShard::completeDecided() -> void {
@@ -213,6 +230,12 @@
 }
 
 auto ClaimShard::nextHorizon() const -> WallTime {
+  // Claims that were granted since the copy are lost, with any time of issue up
+  // to the largest that was acceptable when the store was restored.
+  if (m_LostClaims)
+    return std::max(m_Log.horizon(),
+                    m_RestoredAt.value_or(m_Scheduler.wallNow()) +
+                        IdentityClockSkew);
   auto Horizon = m_Scheduler.wallNow() - IdentityRetention - IdentityClockSkew;
   auto FreesSegment = !m_SealedSegments.empty() &&
                       m_SealedSegments.front().m_NewestIssuedAt < Horizon;
@@ -224,6 +247,7 @@
   auto HeadKey = m_Prefix + "head";
   auto Next = Document{.m_Sequence = m_Sequence,
                        .m_Horizon = Horizon,
+                       .m_Era = m_Store.history().era(),
                        .m_Entries = encodeEntries(Entries)};
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back(
@@ -257,6 +281,13 @@
       pumpAfter(m_Options.m_RetryDelay);
     return;
   }
+  if (std::exchange(m_LostClaims, false))
+    logWarning(
+        "claims.recovered",
+        {{"shard", m_Prefix},
+         {"era", m_Store.history().era()},
+         {"refused_for_ms", toMilliseconds(std::chrono::duration_cast<Duration>(
+                                Horizon - m_Scheduler.wallNow()))}});
   m_HeadRevision = Reply->m_Revision;
   m_OpenEntries.insert(m_OpenEntries.end(), Batch.begin(), Batch.end());
   for (auto Index = std::size_t{0};
