Confirm no configuration that was read right after a restore

What callers saw: a withdrawn key could work again at a host or gate started beside a restore of the store, which read a configuration from before the withdrawal and took it for the newest one.

Cause: a read of the store counted as a confirmation that nothing newer had been accepted, also if the copy lacked it and it was about to be written again.

Change: for some seconds after a restore, own reads do not confirm a configuration, unless it has been written since; one class for hosts and gates. A process that starts later waits as well. A host that has confirmed nothing yet answers 503 and not 404 on a route that it does not know.

--- a/include/dotterel/config/ConfigurationStore.h
+++ b/include/dotterel/config/ConfigurationStore.h
@@ -11,6 +11,7 @@
 #include "dotterel/config/ConfigurationHolder.h"
 #include "dotterel/config/Freshness.h"
 #include "dotterel/store/KeyValueStore.h"
+#include "dotterel/store/RecoveryPeriod.h"
 
 #include <functional>
 #include <optional>
@@ -49,7 +50,8 @@
   ConfigurationStore(Scheduler &Scheduler, KeyValueStore &Store,
                      ConfigurationHolder &Holder, FreshnessTracker &Freshness)
       : m_Scheduler(Scheduler), m_Store(Store), m_Holder(Holder),
-        m_Freshness(Freshness) {}
+        m_Freshness(Freshness),
+        m_Recovery(Scheduler, Store.history(), RecoveryTime) {}
 
   /// Reads the head and, if its revision is higher than the active one, all
   /// records, and applies them. Then calls \p Done with false if the store did
@@ -65,6 +67,11 @@
               std::function<void(ChangeResult)> Done) -> void;
 
 private:
+  /// Time in which processes that hold a newer configuration than a restored
+  /// store have read it and stored theirs: several intervals between reads.
+  static constexpr auto RecoveryTime = Milliseconds(2200);
+
+  auto recordOwnRead(MonotonicTime SentAt) -> void;
   auto readAll(std::function<void(StoreReply<RangeResult>)> Done) -> void;
   auto applyHead(const std::string &Head, StoreRevision Modified,
                  MonotonicTime SentAt, std::function<void(bool)> Done) -> void;
@@ -79,6 +86,7 @@
   KeyValueStore &m_Store;
   ConfigurationHolder &m_Holder;
   FreshnessTracker &m_Freshness;
+  RecoveryPeriod m_Recovery;
   // Store revision of the newest head that matched the active configuration; a
   // head that is read again at this revision needs no parsing.
   std::optional<StoreRevision> m_HeadModified;
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -20,6 +20,7 @@
 #include "dotterel/peers/UsageRelay.h"
 #include "dotterel/serving/ServingCore.h"
 #include "dotterel/store/KeyspaceMirror.h"
+#include "dotterel/store/RecoveryPeriod.h"
 #include "dotterel/supervision/Supervisor.h"
 #include "dotterel/usage/UsageRecorder.h"
 
@@ -93,6 +94,8 @@
       -> void;
   [[nodiscard]] auto backendConfirmationAge() const -> Duration;
   auto confirmBackends(MonotonicTime At) -> void;
+  /// Records that a read sent at \p SentAt found the configuration current.
+  auto confirmConfiguration(MonotonicTime SentAt) -> void;
   /// Tells the core which hosts send requests to the servers.
   auto updateSenders() -> void;
   [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
@@ -122,6 +125,7 @@
   HostRegistry m_Hosts;
   LoadExchange m_Exchange;
   StoreRelay m_Relay;
+  RecoveryPeriod m_ConfigurationRecovery;
   KeyspaceMirror m_ConfigurationMirror;
   KeyspaceMirror m_BackendMirror;
   UsageRecorder m_Usage;
--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -66,6 +66,11 @@
 
 } // namespace
 
+auto ConfigurationStore::recordOwnRead(MonotonicTime SentAt) -> void {
+  if (!m_Recovery.covers(SentAt))
+    m_Freshness.recordOwnRead(SentAt);
+}
+
 auto ConfigurationStore::refresh(std::function<void(bool)> Done) -> void {
   auto SentAt = m_Scheduler.now();
   m_Store.read(KeyRange::single(HeadKey), [this, SentAt,
@@ -81,7 +86,7 @@
                         : Reply->m_Values.front().m_Modified;
     // Fast path: nearly every read returns the active head.
     if (Modified == m_HeadModified && m_HeadRevision == m_Holder.revision()) {
-      m_Freshness.recordOwnRead(SentAt);
+      recordOwnRead(SentAt);
       Done(true);
       return;
     }
@@ -110,7 +115,7 @@
   if (Known && Stored == Known->m_Revision) {
     m_HeadModified = Modified;
     m_HeadRevision = Stored;
-    m_Freshness.recordOwnRead(SentAt);
+    recordOwnRead(SentAt);
     Done(true);
     return;
   }
@@ -125,7 +130,7 @@
       auto Value = assembleAll(*Reply.m_Response, HeadRevision);
       if (Value && (Value->m_Revision >= m_Holder.revision())) {
         m_Holder.apply(std::move(*Value));
-        m_Freshness.recordOwnRead(SentAt);
+        recordOwnRead(SentAt);
       }
       Done(true);
     } catch (const ConfigurationError &Failure) {
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -46,6 +46,9 @@
 /// Delay between two watches of the servers' entries, which change all the
 /// time, as a share of the promised drain bound.
 constexpr auto BackendPauseShare = 0.25;
+/// Time in which the operators and servers write again what a restored store
+/// lacks.
+constexpr auto RecoveryTime = KeyspaceMirrorOptions().m_RetentionAfterOutage;
 /// File descriptors kept for files, the store, the platform and backend
 /// servers.
 constexpr auto ReservedDescriptors = 700U;
@@ -129,6 +132,8 @@
               {.m_FallbackTimeout =
                    scaled(confirmationBound(Options.m_Settings.m_Bounds),
                           RelayFallbackShare)}),
+      m_ConfigurationRecovery(Loop, Dependencies.m_Store.history(),
+                              RecoveryTime),
       m_ConfigurationMirror(
           Loop, Dependencies.m_Store, Dependencies.m_Watch, m_Random,
           {.m_Prefix = Dependencies.m_Records.configurationKey(),
@@ -173,7 +178,7 @@
   m_ConfigurationMirror.onChange(
       [this](const KeyChange &Change) { applyConfigurationChange(Change); });
   m_ConfigurationMirror.onConfirmed(
-      [this](MonotonicTime SentAt) { m_Core.recordConfirmation(SentAt); });
+      [this](MonotonicTime SentAt) { confirmConfiguration(SentAt); });
   m_ConfigurationMirror.onReachabilityChange([](bool Reachable) {
     logWarning(Reachable ? "store.regained" : "store.lost", {});
   });
@@ -201,6 +206,11 @@
   m_BackendsConfirmedAt = std::max(At, m_BackendsConfirmedAt.value_or(At));
 }
 
+auto HostProcess::confirmConfiguration(MonotonicTime SentAt) -> void {
+  if (!m_ConfigurationRecovery.covers(SentAt))
+    m_Core.recordConfirmation(SentAt);
+}
+
 auto HostProcess::updateSenders() -> void {
   if (!m_Hosts.complete())
     return;
@@ -317,6 +327,10 @@
   if (Change.m_Key != m_Dependencies.m_Records.configurationKey() ||
       !Change.m_Value)
     return;
+  // The copy of a restored store is read in one call. What differs later has
+  // been written since.
+  if (Change.m_Revision.era() == m_ConfigurationMirror.revision().era())
+    m_ConfigurationRecovery.end();
   try {
     if (!m_Core.apply(m_Dependencies.m_Records.configuration(*Change.m_Value)))
       return;
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -152,6 +152,11 @@
   }
   const auto &Request = Exchange->request();
   const auto *Route = m_Routes->find(Request.m_Host, Request.m_Path);
+  if (Route == nullptr && confirmationAge() == Duration::max()) {
+    // The configuration may be an old one, of a restored store.
+    refuse(Exchange, RefusalCode::NotReady, "", NotReadyRetryAfter);
+    return;
+  }
   if (Route == nullptr) {
     refuse(Exchange, RefusalCode::UnknownRoute, "", std::nullopt);
     return;
--- a/tests/fault-RestoredStore.cpp
+++ b/tests/fault-RestoredStore.cpp
@@ -6,6 +6,7 @@
 #include "dotterel/ledger/IdempotencyKey.h"
 #include "dotterel/peers/HostRegistry.h"
 #include "dotterel/store/KeyspaceMirror.h"
+#include "dotterel/store/RecoveryPeriod.h"
 #include "dotterel/usage/SegmentWriter.h"
 #include "dotterel/usage/UsageKeys.h"
 #include "dotterel/usage/WindowSealer.h"
@@ -151,6 +152,12 @@
         {}, [this](const ChangeResult &Result) { m_Result = Result.m_Kind; });
   }
 
+  auto withdraw(const std::string &Key) -> void {
+    m_Configuration.change(
+        [Key](Configuration &Edited) { Edited.m_Keys.erase(Key); }, {},
+        [this](const ChangeResult &Result) { m_Result = Result.m_Kind; });
+  }
+
   [[nodiscard]] auto accepts(const std::string &Key) const -> bool {
     return m_Holder.current() && m_Holder.current()->m_Keys.find(Key);
   }
@@ -325,6 +332,7 @@
   Test.restore();
   Test.m_Scheduler.advance(Seconds(2));
   CHECK(First.accepts("late"));
+  Test.m_Scheduler.advance(Seconds(1));
   CHECK(First.m_Freshness.age(Test.m_Scheduler.now()) < Seconds(1));
   auto Started = ConfigurationProcess(Test);
   Test.m_Scheduler.advance(Seconds(2));
@@ -394,3 +402,49 @@
   Test.m_Scheduler.advance(Seconds(11));
   CHECK(Test.m_Model.read(KeyRange::prefix("hosts/")).m_Values.size() == 1);
 }
+
+// Guards against withdrawn keys that work again at a gate that was started
+// after a restore and reads a configuration from before their withdrawal.
+TEST_CASE("restored store: a gate started after the restore accepts no keys "
+          "before lost changes can be stored again") {
+  auto Test = World();
+  auto First = ConfigurationProcess(Test);
+  First.grant("k");
+  Test.m_Scheduler.advance(Seconds(2));
+  Test.takeCopy();
+  First.withdraw("k");
+  Test.m_Scheduler.advance(Seconds(2));
+  REQUIRE(First.m_Result == ChangeResult::Kind::Accepted);
+  First.m_Store.pause();
+  Test.restore();
+  auto Started = ConfigurationProcess(Test);
+  Test.m_Scheduler.advance(Seconds(1));
+  REQUIRE(Started.accepts("k"));
+  CHECK(Started.m_Freshness.age(Test.m_Scheduler.now()) == Duration::max());
+  First.m_Store.resume();
+  Test.m_Scheduler.advance(Seconds(3));
+  CHECK_FALSE(Started.accepts("k"));
+  CHECK(Started.m_Freshness.age(Test.m_Scheduler.now()) < Seconds(1));
+}
+
+TEST_CASE(
+    "restored store: the period of recovery begins with the first response "
+    "of a later history, and ends early once the record is written") {
+  auto Scheduler = VirtualScheduler();
+  auto History = StoreHistory();
+  auto Period = RecoveryPeriod(Scheduler, History, Seconds(2));
+  auto Covered = [&] { return Period.covers(Scheduler.now()); };
+  History.observe(StoreEra{1});
+  CHECK_FALSE(Covered());
+  History.observe(StoreEra{2});
+  CHECK(Covered());
+  Scheduler.advance(Milliseconds(2100));
+  CHECK_FALSE(Covered());
+  CHECK(Period.covers(Scheduler.now() - Seconds(1)));
+  History.observe(StoreEra{3});
+  CHECK(Covered());
+  Period.end();
+  CHECK_FALSE(Covered());
+  auto Started = RecoveryPeriod(Scheduler, History, Seconds(2));
+  CHECK(Started.covers(Scheduler.now()));
+}
