Confirm a configuration at once that was written again after a restore

Change: what a copy holds keeps its revision. A known value at another revision has been written since the restore and confirms at once; without one the wait stays, and the configuration is read as soon as it is over. A process that starts later takes any era above the first as a sign of a restore, also for claims and usage.

--- a/include/dotterel/fakes/FakePlatform.h
+++ b/include/dotterel/fakes/FakePlatform.h
@@ -86,6 +86,9 @@
 
   Scheduler &m_Scheduler;
   InMemoryStore m_Store;
+  /// Taken by `copy_store`, which `restore_store` restores.
+  InMemoryStore::Copy m_StoreCopy;
+  MonotonicTime m_StoreCopiedAt;
   PlatformFaults m_Faults;
   Json m_Hosts = Json::array();
   Json m_Backends = Json::array();
--- a/include/dotterel/store/KeyspaceMirror.h
+++ b/include/dotterel/store/KeyspaceMirror.h
@@ -60,6 +60,14 @@
     m_OnChange = std::move(Callback);
   }
 
+  /// Sets the callback for keys that a restored store holds with the known
+  /// value at another revision: these have been written since the restore,
+  /// while what the copy holds keeps its revision.
+  auto onWrittenAgain(std::function<void(const std::string &)> Callback)
+      -> void {
+    m_OnWrittenAgain = std::move(Callback);
+  }
+
   /// Sets the callback for each successful call. It gets the time at which the
   /// call was sent: the copy contains everything that the store had accepted by
   /// then.
@@ -134,6 +142,7 @@
   std::optional<TimerId> m_Timer;
   std::optional<TimerId> m_RetentionTimer;
   std::function<void(const KeyChange &)> m_OnChange;
+  std::function<void(const std::string &)> m_OnWrittenAgain;
   std::function<void(MonotonicTime)> m_OnConfirmed;
   std::function<void(bool)> m_OnReachabilityChange;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/include/dotterel/store/StoreHistory.h
+++ b/include/dotterel/store/StoreHistory.h
@@ -28,9 +28,11 @@
   /// Returns the newest observed era; 0 if none was observed.
   [[nodiscard]] auto era() const -> StoreEra { return m_Era; }
 
-  /// Returns whether the store was restored since the process first observed
-  /// it.
-  [[nodiscard]] auto restored() const -> bool { return m_Restored; }
+  /// Returns whether the store has been restored at any time, perhaps before
+  /// this process started.
+  [[nodiscard]] auto restored() const -> bool {
+    return m_Restored || m_Era > FirstEra;
+  }
 
   /// Records the era of a response of the store, or of another process's
   /// message.
@@ -45,6 +47,9 @@
   }
 
 private:
+  /// The era counts restores from the first history on.
+  static constexpr auto FirstEra = StoreEra{1};
+
   StoreEra m_Era;
   bool m_Observed = false;
   bool m_Restored = false;
--- a/src/fakes/FakePlatform.cpp
+++ b/src/fakes/FakePlatform.cpp
@@ -166,15 +166,17 @@
                                 {{"error", "unavailable"}}));
     return;
   }
-  auto Response = callStore(Path, Json::parse(Request.m_Body));
+  auto Response = jsonReply(200, callStore(Path, Json::parse(Request.m_Body)));
+  Response.m_Headers.push_back(
+      {.m_Name = "x-store-era",
+       .m_Value = std::to_string(m_Store.era().number())});
   if (Write && m_Faults.m_LoseResponses > 0) {
     // The write has taken effect; the caller only gets no response.
     --m_Faults.m_LoseResponses;
     return;
   }
-  m_Scheduler.schedule(
-      Milliseconds(m_Faults.m_StoreDelayMs),
-      [Exchange, Response] { Exchange->respond(jsonReply(200, Response)); });
+  m_Scheduler.schedule(Milliseconds(m_Faults.m_StoreDelayMs),
+                       [Exchange, Response] { Exchange->respond(Response); });
 }
 
 auto FakePlatform::recordLists() -> void {
@@ -321,6 +323,12 @@
       Body.value("lose_order_answers", F.m_LoseOrderResponses);
   F.m_UnavailableDataCentre =
       Body.value("unavailable_data_centre", F.m_UnavailableDataCentre);
+  if (Body.value("copy_store", false)) {
+    m_StoreCopy = m_Store.copy();
+    m_StoreCopiedAt = m_Scheduler.now();
+  }
+  if (Body.value("restore_store", false))
+    m_Store.restore(m_StoreCopy, m_Scheduler.now() - m_StoreCopiedAt);
   Exchange->respond(jsonReply(200, {{"store_writes", m_Store.writes()},
                                     {"store_reads", m_Store.reads()}}));
 }
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -177,6 +177,8 @@
       m_Tree(Loop, "host", {}) {
   m_ConfigurationMirror.onChange(
       [this](const KeyChange &Change) { applyConfigurationChange(Change); });
+  m_ConfigurationMirror.onWrittenAgain(
+      [this](const std::string &) { m_ConfigurationRecovery.end(); });
   m_ConfigurationMirror.onConfirmed(
       [this](MonotonicTime SentAt) { confirmConfiguration(SentAt); });
   m_ConfigurationMirror.onReachabilityChange([](bool Reachable) {
@@ -184,6 +186,13 @@
   });
   m_BackendMirror.onChange(
       [this](const KeyChange &Change) { applyBackendChange(Change); });
+  Dependencies.m_Store.history().onRestored([this] {
+    // Reads the configuration as soon as a read confirms it again.
+    m_Loop.schedule(RecoveryTime, [this] {
+      if (!m_Relay.following())
+        m_ConfigurationMirror.refresh();
+    });
+  });
   m_BackendMirror.onConfirmed(
       [this](MonotonicTime At) { confirmBackends(At); });
   m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -225,7 +225,10 @@
   auto Restored = Revision.era() != Current.m_Revision.era() &&
                   Current.m_Revision != StoreRevision{} &&
                   Value == Current.m_Value;
+  auto Again = Restored && Revision.number() != Current.m_Revision.number();
   Current = {.m_Revision = Revision, .m_Value = Value};
+  if (Again && m_OnWrittenAgain)
+    m_OnWrittenAgain(Key);
   if (m_OnChange && !Restored)
     m_OnChange({.m_Key = Key, .m_Value = Value, .m_Revision = Revision});
 }
--- a/src/store/RecoveryPeriod.cpp
+++ b/src/store/RecoveryPeriod.cpp
@@ -14,9 +14,7 @@
 }
 
 auto RecoveryPeriod::covers(MonotonicTime SentAt) -> bool {
-  // The era counts restores from the first history on.
-  constexpr auto FirstEra = StoreEra{1};
-  if (!std::exchange(m_Started, true) && m_History.era() > FirstEra)
+  if (!std::exchange(m_Started, true) && m_History.restored())
     m_Until = m_Scheduler.now() + m_Length;
   return m_Until && SentAt < *m_Until;
 }
--- a/tests/e2e-Faults.cpp
+++ b/tests/e2e-Faults.cpp
@@ -359,6 +359,33 @@
                [&] { return isComplete(Test.call(Test.chatCall(2, Key))); });
 }
 
+// Guards against confirmed changes that are lost with a restored store, and a
+// filing that runs twice.
+TEST_CASE(
+    "e2e: after the store is restored from a copy, keys granted since the "
+    "copy work, also at a new gate, and no filing runs again") {
+  auto Test = Cluster({});
+  auto Early = Test.grantKey("ghent");
+  Test.setFaults(Test.m_PlatformUrl, {{"copy_store", true}});
+  auto Late = Test.grantKey("leuven");
+  Test.setRoute("filings", {{"idempotent", false}});
+  auto IdempotencyKey = Test.makeIdempotencyKey();
+  REQUIRE(isComplete(
+      Test.call(Test.serviceCall(0, Late, "/filings/1", IdempotencyKey))));
+  Test.setFaults(Test.m_PlatformUrl, {{"restore_store", true}});
+  Test.m_Gates[2]->signal(SIGKILL);
+  Test.startGate(2);
+  Test.publishHosts();
+  for (auto Gate = std::size_t{0}; Gate < 3; ++Gate)
+    for (const auto &Key : {Early, Late})
+      Test.waitFor("service for both keys", [&] {
+        return isComplete(Test.call(Test.chatCall(Gate, Key)));
+      });
+  for (auto Gate = std::size_t{0}; Gate < 3; ++Gate)
+    Test.call(Test.serviceCall(Gate, Late, "/filings/1", IdempotencyKey));
+  CHECK(executionCount(Test, IdempotencyKey) == 1);
+}
+
 TEST_CASE(
     "e2e: of concurrent changes by operators one succeeds and the others get "
     "a conflict") {
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -213,6 +213,30 @@
   });
 }
 
+// Guards against routes that are not served after the store came back from an
+// older copy, whose revisions are lower than those that hosts had seen.
+TEST_CASE("host: a key that is granted after the store was restored works at "
+          "every host, also at those that follow others") {
+  auto Test = Platform(3);
+  Test.m_Store.takeCopy();
+  for (auto Version = 2; Version < 6; ++Version) {
+    Test.configure(Version, {"key-1", "key-2"});
+    Test.runFor(Milliseconds(200));
+  }
+  Test.m_Store.m_Unresponsive = true;
+  Test.runFor(Milliseconds(500));
+  Test.m_Store.m_Unresponsive = false;
+  Test.m_Store.restore();
+  Test.registerServer(0, "ready");
+  Test.registerServer(1, "ready");
+  Test.configure(7, {"key-1", "key-3"});
+  Test.runFor(Seconds(3));
+  for (auto Host = 0; Host < 3; ++Host) {
+    CHECK(Test.call(Test.request("safe", "key-3", Host)).m_Status == 200);
+    CHECK(Test.call(Test.request("safe", "key-2", Host)).m_Status == 401);
+  }
+}
+
 TEST_CASE("host: a request that may be executed only once is not retried after "
           "a truncated response, and its status does not claim otherwise") {
   auto Test = Platform();
--- a/tests/fault-RestoredStore.cpp
+++ b/tests/fault-RestoredStore.cpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
@@ -448,3 +449,122 @@
   auto Started = RecoveryPeriod(Scheduler, History, Seconds(2));
   CHECK(Started.covers(Scheduler.now()));
 }
+
+TEST_CASE("restored store: a mirror tells values that were written again from "
+          "those of the copy") {
+  auto Test = World();
+  Test.put("p/copied", "1");
+  Test.takeCopy();
+  Test.put("p/lost", "1");
+  auto Process = MirrorProcess(Test);
+  auto Again = std::vector<std::string>();
+  Process.m_Mirror.onWrittenAgain(
+      [&](const std::string &Key) { Again.push_back(Key); });
+  Test.m_Scheduler.advance(Seconds(1));
+  Test.restore();
+  Test.put("p/other", "1");
+  Test.put("p/lost", "1");
+  Test.m_Scheduler.advance(Seconds(3));
+  CHECK(Again == std::vector<std::string>{"p/lost"});
+}
+
+TEST_CASE(
+    "restored store: with generated writes, outages and restores, mirrors "
+    "end with what the store has") {
+  auto Passed = rc::check([] {
+    auto Source = Random(*rc::gen::arbitrary<std::uint32_t>());
+    auto Test = World();
+    auto Watching = MirrorProcess(Test);
+    auto Relayed = MirrorProcess(Test);
+    Watching.m_Mirror.onChange([&](const KeyChange &Change) {
+      // A relayed change may arrive late.
+      auto Delay = Milliseconds(Source.below(800));
+      Test.m_Scheduler.schedule(Delay, [&Relayed, Change] {
+        Relayed.m_Store.history().observe(Change.m_Revision.era());
+        Relayed.m_Mirror.apply(Change);
+      });
+    });
+    Test.takeCopy();
+    constexpr auto Steps = 120;
+    for (auto Step = 0; Step < Steps; ++Step) {
+      auto Key = "p/" + std::to_string(Source.below(6));
+      switch (Source.below(8)) {
+      case 0:
+        Test.takeCopy();
+        break;
+      case 1:
+        Test.restore();
+        break;
+      case 2:
+        Watching.m_Store.setOutage(StoreFault::LoseRequest);
+        break;
+      case 3:
+        Watching.m_Store.setOutage(StoreFault::None);
+        break;
+      case 4:
+        Relayed.m_Mirror.setFollowing(Source.below(2) == 0);
+        break;
+      case 5:
+        CHECK(Test.m_Model.commit({.m_Writes = {{.m_Key = Key}}}).m_Applied);
+        break;
+      default:
+        Test.put(Key, std::to_string(Step));
+      }
+      Test.m_Scheduler.advance(Milliseconds(Source.below(400)));
+    }
+    Watching.m_Store.setOutage(StoreFault::None);
+    Relayed.m_Mirror.setFollowing(false);
+    Test.m_Scheduler.advance(Seconds(8));
+    auto Stored = Contents();
+    for (const auto &Item : Test.m_Model.read(KeyRange::prefix("p/")).m_Values)
+      Stored[Item.m_Key] = Item.m_Value;
+    RC_ASSERT(Relayed.m_Contents == Stored);
+  });
+  CHECK(Passed);
+}
+
+TEST_CASE(
+    "restored store: with generated outages, ends of holders and restores, "
+    "tokens rise and no window is reported with two counts") {
+  auto Passed = rc::check([] {
+    auto Source = Random(*rc::gen::arbitrary<std::uint32_t>());
+    auto Test = World();
+    auto Reports = std::vector<UsageReport>();
+    auto Writer = UsageWriter(Test);
+    auto Processes = std::vector<std::unique_ptr<Reporter>>();
+    for (auto Name : {"0", "1", "2"})
+      Processes.push_back(std::make_unique<Reporter>(Test, Reports, Name));
+    Test.m_Scheduler.advance(Seconds(12));
+    Test.takeCopy();
+    constexpr auto Steps = 400;
+    auto Holders = std::map<FencingNumber, const Reporter *>();
+    for (auto Step = 0; Step < Steps; ++Step) {
+      auto &Target = *Processes[Source.below(Processes.size())];
+      switch (Source.below(50)) {
+      case 0:
+        Test.takeCopy();
+        break;
+      case 1:
+        Test.restore();
+        break;
+      case 2:
+        Target.m_Store.setOutage(StoreFault::LoseRequest);
+        break;
+      case 3:
+        Target.m_Duty.abandon();
+        Test.m_Scheduler.schedule(Seconds(2),
+                                  [&Target] { Target.m_Duty.start(); });
+        break;
+      default:
+        Target.m_Store.setOutage(StoreFault::None);
+      }
+      Test.m_Scheduler.advance(Milliseconds(Source.below(400)));
+      for (const auto &Process : Processes)
+        if (Process->m_Duty.held())
+          RC_ASSERT(Holders.emplace(Process->m_Duty.fencing(), Process.get())
+                        .first->second == Process.get());
+    }
+    RC_ASSERT(consistent(Reports));
+  });
+  CHECK(Passed);
+}
--- a/tests/fault-StoreRelay.cpp
+++ b/tests/fault-StoreRelay.cpp
@@ -241,6 +241,41 @@
   CHECK(Test.m_Hosts[3]->m_BackendReads > 0);
 }
 
+// Guards against confirmations and changes of an earlier history, relayed by a
+// host that has not seen the restore of the store yet.
+TEST_CASE(
+    "store relay: what a relay confirms counts only in the history of the "
+    "store that it has observed") {
+  auto Test = DataCentreFixture();
+  for (auto &Current : Test.m_Hosts)
+    Current->m_Store.history().observe(StoreEra{1});
+  Test.advanceWithRelays(Seconds(3));
+  auto &Follower = *Test.m_Hosts[3];
+  REQUIRE(Follower.m_Following);
+  SUBCASE("the follower has observed the restore first") {
+    Follower.m_Store.history().observe(StoreEra{2});
+    auto ConfirmedAt = Follower.m_ConfirmedAt;
+    Test.advanceWithRelays(Seconds(1));
+    CHECK(Follower.m_ConfirmedAt == ConfirmedAt);
+    CHECK(Follower.m_Store.history().era() == StoreEra{2});
+  }
+  SUBCASE("a relay has observed it first, and others learn of it") {
+    Test.m_Hosts[0]->m_Store.history().observe(StoreEra{2});
+    Test.advanceWithRelays(Seconds(1));
+    CHECK(Follower.m_Store.history().era() == StoreEra{2});
+  }
+  SUBCASE("changes name their history") {
+    Test.m_Hosts[0]->m_Relay.relayChange(
+        {.m_Key = "servers/i",
+         .m_Value = "v",
+         .m_Revision = StoreRevision{3, StoreEra{2}}});
+    Test.advanceWithRelays(Milliseconds(100));
+    REQUIRE(Follower.m_Changes.size() == 1);
+    CHECK(Follower.m_Changes[0].m_Revision == StoreRevision{3, StoreEra{2}});
+    CHECK(Follower.m_Store.history().era() == StoreEra{2});
+  }
+}
+
 TEST_CASE("host messages: decoding restores the encoded message, and other "
           "bytes are rejected") {
   auto Message = HostMessage{
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -93,6 +93,28 @@
   m_History.clear();
 }
 
+auto FakeStore::takeCopy() -> void {
+  m_Copy = m_Model.copy();
+  m_CopiedAt = m_Loop.now();
+  m_CopiedRevision = m_Revision;
+}
+
+auto FakeStore::restore() -> void {
+  m_Model.restore(m_Copy, m_Loop.now() - m_CopiedAt);
+  m_Revision = m_CopiedRevision;
+  std::erase_if(m_History, [this](const Change &Entry) {
+    return Entry.m_Revision > m_Revision;
+  });
+}
+
+auto FakeStore::respond(const HttpExchangePtr &Exchange,
+                        HttpResponse Response) const -> void {
+  Response.m_Headers.push_back(
+      {.m_Name = "Store-Era",
+       .m_Value = std::to_string(m_Model.era().number())});
+  Exchange->respond(std::move(Response));
+}
+
 auto FakeStore::events(const std::string &Prefix, std::uint64_t After) -> Json {
   auto Events = Json::array();
   for (const auto &Entry : m_History) {
@@ -113,8 +135,9 @@
   if (m_Unresponsive)
     return;
   for (auto Current = m_Watches.begin(); Current != m_Watches.end();) {
-    if (Current->m_After < m_DiscardedRevision) {
-      Current->m_Exchange->respond({.m_Status = 410});
+    if (Current->m_After < m_DiscardedRevision ||
+        Current->m_After > m_Revision) {
+      respond(Current->m_Exchange, {.m_Status = 410});
       Current = m_Watches.erase(Current);
       continue;
     }
@@ -123,7 +146,8 @@
       ++Current;
       continue;
     }
-    Current->m_Exchange->respond(
+    respond(
+        Current->m_Exchange,
         jsonResponse(200, Json{{"events", Events}, {"at", m_Revision}}.dump()));
     Current = m_Watches.erase(Current);
   }
@@ -160,7 +184,7 @@
   if (m_Unresponsive)
     return;
   if (m_Unavailable) {
-    Exchange->respond({.m_Status = 503});
+    respond(Exchange, {.m_Status = 503});
     return;
   }
   const auto &Path = Request.m_Path;
@@ -183,38 +207,39 @@
     for (const auto &Value : Found.m_Values)
       Items.push_back(encodeItem(Value));
     if (Single && Items.empty()) {
-      Exchange->respond({.m_Status = 404});
+      respond(Exchange, {.m_Status = 404});
       return;
     }
     auto Document =
         Single ? Items.front() : Json{{"items", Items}, {"has_more", false}};
     Document["at"] = m_Revision;
-    Exchange->respond(jsonResponse(200, Document.dump()));
+    respond(Exchange, jsonResponse(200, Document.dump()));
     return;
   }
   if (Path == "/dotterelpoint/kv-txn") {
     auto Response = commit(Json::parse(Request.m_Body));
     if (!m_DropWriteResponses)
-      Exchange->respond(std::move(Response));
+      respond(Exchange, std::move(Response));
     return;
   }
   if (Path == "/dotterelpoint/kv-lease") {
     auto Lease = m_Model.grantLease(std::chrono::ceil<Seconds>(Milliseconds(
         Json::parse(Request.m_Body).at("ttl_ms").get<std::int64_t>())));
-    Exchange->respond(
-        jsonResponse(200, Json{{"lease", Lease.number()}}.dump()));
+    respond(Exchange,
+            jsonResponse(200, Json{{"lease", Lease.number()}}.dump()));
     return;
   }
   auto Lease = LeaseId{parseNumber(Path.substr(Path.rfind('/') + 1))};
   if (Path.starts_with("/dotterelpoint/kv-keep/")) {
     auto Left = m_Model.renewLease(Lease);
-    Exchange->respond(
+    respond(
+        Exchange,
         Left == Seconds::zero()
             ? HttpResponse{.m_Status = 404}
             : jsonResponse(200, Json{{"ttl_ms", toMilliseconds(Left)}}.dump()));
     return;
   }
-  Exchange->respond({.m_Status = m_Model.revokeLease(Lease) ? 200U : 404U});
+  respond(Exchange, {.m_Status = m_Model.revokeLease(Lease) ? 200U : 404U});
 }
 
 FakeServer::FakeServer(EventLoop &Loop, std::string Id)
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -43,6 +43,10 @@
   }
   [[nodiscard]] auto model() -> InMemoryStore & { return m_Model; }
 
+  auto takeCopy() -> void;
+  /// Restores the copy; history and revisions since are lost.
+  auto restore() -> void;
+
   /// Discards the history of changes. Watches that start from an earlier
   /// revision receive status 410.
   auto discardHistory() -> void;
@@ -69,8 +73,14 @@
   auto events(const std::string &Prefix, std::uint64_t After) -> nlohmann::json;
   auto commit(const nlohmann::json &Body) -> HttpResponse;
 
+  auto respond(const HttpExchangePtr &Exchange, HttpResponse Response) const
+      -> void;
+
   EventLoop &m_Loop;
   InMemoryStore m_Model;
+  InMemoryStore::Copy m_Copy;
+  MonotonicTime m_CopiedAt;
+  std::uint64_t m_CopiedRevision = 0;
   std::uint64_t m_Revision = 0;
   /// Revision up to which the history is discarded.
   std::uint64_t m_DiscardedRevision = 0;
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -420,3 +420,99 @@
   CHECK(Reply->m_Response->m_Values.size() == 2);
   CHECK(Reply->m_Response->m_Revision == StoreRevision{5});
 }
+
+namespace {
+
+/// Returns the store's response with \p Body in the history \p Era.
+auto storeResponse(const char *Era, std::string Body, unsigned Status = 200)
+    -> HttpCallResult {
+  return {.m_Outcome = HttpOutcome::Complete,
+          .m_Status = Status,
+          .m_Headers = {{.m_Name = "Store-Era", .m_Value = Era}},
+          .m_Body = std::move(Body)};
+}
+
+} // namespace
+
+// Guards against revisions of an earlier history that are taken for present
+// ones: in late responses, and in compares that a restored store fulfils by
+// chance.
+TEST_CASE(
+    "platform store: responses and compares of an earlier history have no "
+    "effect") {
+  auto Client = FakeClient();
+  auto Store = PlatformStore(Client, {.m_Address = "s:1"});
+  auto Reads = std::vector<StoreReply<RangeResult>>();
+  for (auto Number = 0; Number < 3; ++Number)
+    Store.read(KeyRange::prefix("a/"), [&](StoreReply<RangeResult> Reply) {
+      Reads.push_back(std::move(Reply));
+    });
+  const auto Page =
+      std::string(R"({"items":[{"key":"a/1","value":"eA==","revision":4}],)"
+                  R"("has_more":false,"at":7})");
+  Client.m_Calls[0].m_OnDone(storeResponse("3", Page));
+  Client.m_Calls[1].m_OnDone(storeResponse("4", Page));
+  Client.m_Calls[2].m_OnDone(storeResponse("3", Page));
+  REQUIRE(Reads[0]);
+  CHECK(Reads[0]->m_Revision == StoreRevision{7, StoreEra{3}});
+  REQUIRE(Reads[1]);
+  CHECK(Reads[1]->m_Values.at(0).m_Modified == StoreRevision{4, StoreEra{4}});
+  CHECK(Reads[1]->m_Revision > Reads[0]->m_Revision);
+  CHECK_FALSE(Reads[2]);
+  CHECK(Reads[2].m_Failure == StoreFailure::Unknown);
+
+  auto Commits = std::vector<StoreReply<TransactionResult>>();
+  auto Commit = [&](StoreRevision Compared) {
+    Store.commit({.m_Compares = {{.m_Key = "k", .m_Modified = Compared}}},
+                 [&](StoreReply<TransactionResult> Reply) {
+                   Commits.push_back(std::move(Reply));
+                 });
+    return Client.m_Calls.back();
+  };
+  auto Old = Commit(StoreRevision{4, StoreEra{3}});
+  CHECK(Old.m_Body.find(R"("revision":4})") == std::string::npos);
+  auto Present = Commit(StoreRevision{4, StoreEra{4}});
+  CHECK(Present.m_Body.find(R"("revision":4})") != std::string::npos);
+  Present.m_OnDone(storeResponse("4", R"({"revision":8})"));
+  REQUIRE(Commits.size() == 1);
+  CHECK(Commits[0]->m_Applied);
+  // Restored while the call is on its way.
+  auto Crossing = Commit(StoreRevision{8, StoreEra{4}});
+  Crossing.m_OnDone(storeResponse("5", R"({"revision":9})"));
+  REQUIRE(Commits.size() == 2);
+  CHECK_FALSE(Commits[1]);
+  CHECK(Commits[1].m_Failure == StoreFailure::Unknown);
+  CHECK(Store.history().era() == StoreEra{5});
+}
+
+TEST_CASE("platform store: pages of two histories are not combined") {
+  auto Client = FakeClient();
+  auto Store = PlatformStore(Client, {.m_Address = "s:1"});
+  auto Reply = std::optional<StoreReply<RangeResult>>();
+  Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+    Reply = std::move(Given);
+  });
+  auto FirstDone = Client.m_Calls.at(0).m_OnDone;
+  FirstDone(storeResponse(
+      "1", R"({"items":[{"key":"a/1","value":"eA==","revision":4}],)"
+           R"("has_more":true,"at":7})"));
+  auto SecondDone = Client.m_Calls.at(1).m_OnDone;
+  SecondDone(storeResponse("2", R"({"items":[],"has_more":false,"at":5})"));
+  REQUIRE(Reply);
+  CHECK_FALSE(*Reply);
+}
+
+TEST_CASE("platform store: an era that is no number is ignored") {
+  auto Client = FakeClient();
+  auto Store = PlatformStore(Client, {.m_Address = "s:1"});
+  auto Reply = std::optional<StoreReply<RangeResult>>();
+  Store.history().observe(StoreEra{2});
+  Store.read(KeyRange::prefix("a/"), [&Reply](StoreReply<RangeResult> Given) {
+    Reply = std::move(Given);
+  });
+  Client.m_Calls.at(0).m_OnDone(
+      storeResponse("x", R"({"items":[],"has_more":false,"at":5})"));
+  REQUIRE(Reply);
+  CHECK(*Reply);
+  CHECK(Store.history().era() == StoreEra{2});
+}
