Let a prefilled prompt wait for the request rate of a decode engine

Cause: a decode engine is chosen when the prompt has been prefilled. If other requests had used the permits meanwhile, the request was refused, though a permit would have come within a fraction of a second and the prefill had used one already.

Change: such a request waits until the rate permits it, for at most a quarter of the time that it has left, and is refused at once if that is too short.

Evidence: two new cases of unit-ServedRequest failed before and pass; 326 of 326 unit tests pass.

--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -44,6 +44,9 @@
   std::size_t m_MaxEventBytes = std::size_t{256} << 10U;
   /// Maximum expected time to the first event, as a share of the time left.
   double m_MaxWaitShare = 0.9;
+  /// Maximum time for which a prefilled prompt waits until the request rate of
+  /// a decode engine permits it, as a share of the time left.
+  double m_MaxPermitWaitShare = 0.25;
   /// Maximum retry-after time, as a share of the time left: callers that would
   /// retry later give up.
   double m_MaxRetryAfterShare = 0.3;
@@ -142,6 +145,9 @@
   auto placePrompt() -> void;
   auto placePlain() -> void;
   auto sendToDecodeEngine(const Attempt &PrefillAttempt) -> void;
+  /// Waits until the request rate of a decode engine permits the request,
+  /// unless that takes too long. \returns whether it waits.
+  auto waitForDecodeEngine() -> bool;
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
   /// Refuses the request if one of its digests is quarantined and it cannot be
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -509,12 +509,36 @@
       m_Context.view(), m_Context.m_Speed, *m_Parameters.m_Service, Record,
       m_Excluded, m_Context.m_Scheduler.now());
   if (Target == nullptr) {
-    refuseWithoutServer("no engine generates");
+    if (!waitForDecodeEngine())
+      refuseWithoutServer("no engine generates");
     return;
   }
   send(*Target, AttemptPurpose::Serve, 0, {});
 }
 
+auto ServedRequest::waitForDecodeEngine() -> bool {
+  auto Shortest = Duration::max();
+  for (const auto *Item :
+       m_Context.m_Directory.usable(m_Parameters.m_Service->m_Id))
+    if (Item->m_Stage == EngineStage::Decode &&
+        !m_Excluded.contains(Item->m_Id))
+      Shortest =
+          std::min(Shortest, m_Context.m_RateLimits.timeToPermit(
+                                 Item->m_Id, m_Context.m_Scheduler.now()));
+  auto MaxWait = std::chrono::duration_cast<Duration>(
+      timeLeft() * m_Context.m_Options.m_MaxPermitWaitShare);
+  // Without a time an engine is excluded for another reason than its rate.
+  if (Shortest <= Duration::zero() || Shortest > MaxWait)
+    return false;
+  if (m_ActivityTimer)
+    m_Context.m_Scheduler.cancel(*m_ActivityTimer);
+  m_ActivityTimer = m_Context.m_Scheduler.schedule(Shortest, [this] {
+    m_ActivityTimer.reset();
+    sendToDecodeEngine(m_PrefillAttempt);
+  });
+  return true;
+}
+
 auto ServedRequest::serveEnded(const Attempt &Ended, AttemptResult Result)
     -> void {
   switch (Result.m_Outcome) {
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -651,6 +651,59 @@
   }
 }
 
+// Guards against prompts that are prefilled in vain, since the rates of the
+// decode engines are used up for the moment.
+TEST_CASE("served request: a prefilled prompt waits for a decode engine whose "
+          "request rate permits it soon, and is refused at once otherwise") {
+  struct Case {
+    double m_Limit;
+    bool m_Waits;
+  };
+  for (auto Current : {Case{2, true}, Case{0.05, false}}) {
+    CAPTURE(Current.m_Limit);
+    auto Test = ServingFixture();
+    auto &Limits = Test.m_Core.rateLimits();
+    Limits.setSenders("h1", {}, Test.m_Scheduler.now());
+    auto View = Test.serve("stream", "k", longPrompt("doc"));
+    REQUIRE(Test.m_Transport.m_Sent.size() == 1);
+    REQUIRE(Test.m_Transport.m_Sent[0].m_Attempt.m_Purpose ==
+            AttemptPurpose::Prefill);
+    for (const auto *Id : {"g1", "g2"})
+      Limits.recordResponse(BackendId{Id}, RequestRate{Current.m_Limit},
+                            Test.m_Scheduler.now());
+    Test.m_Transport.m_Sent[0].m_Listener->onEnd(
+        {.m_Outcome = AttemptOutcome::Complete,
+         .m_Cache = CacheHandle{"p1:1", "h1"}});
+    CHECK(Test.m_Transport.m_Sent.size() == 1);
+    CHECK(View->m_Refusal.has_value() == !Current.m_Waits);
+    Test.m_Scheduler.advance(Milliseconds(600));
+    CHECK(Test.m_Transport.m_Sent.size() == (Current.m_Waits ? 2 : 1));
+    CHECK(Test.m_Transport.m_Released.empty() == Current.m_Waits);
+  }
+}
+
+// Guards against a caller that leaves during that wait: nothing is sent for it.
+TEST_CASE(
+    "served request: a caller that leaves while its prefilled prompt waits "
+    "releases the cache") {
+  auto Test = ServingFixture();
+  auto &Limits = Test.m_Core.rateLimits();
+  Limits.setSenders("h1", {}, Test.m_Scheduler.now());
+  auto View = Test.serve("stream", "k", longPrompt("doc"));
+  REQUIRE(Test.m_Transport.m_Sent.size() == 1);
+  for (const auto *Id : {"g1", "g2"})
+    Limits.recordResponse(BackendId{Id}, RequestRate{2},
+                          Test.m_Scheduler.now());
+  Test.m_Transport.m_Sent[0].m_Listener->onEnd(
+      {.m_Outcome = AttemptOutcome::Complete,
+       .m_Cache = CacheHandle{"p1:1", "h1"}});
+  REQUIRE(View->m_OnDisconnect);
+  View->m_OnDisconnect();
+  Test.m_Scheduler.advance(Seconds(1));
+  CHECK(Test.m_Transport.m_Sent.size() == 1);
+  CHECK(Test.m_Transport.m_Released == std::vector<std::string>{"h1"});
+}
+
 TEST_CASE("served request: a prefilled prompt with a quarantined part is not "
           "passed to a decode engine, and its cache is released") {
   auto Test = CrashFixture();
