Store usage counts again that a restored store has lost

What callers saw: nothing; the report of a window lacked requests whose counts the store had taken after the copy (price of the platform, and wrong bills).

Cause: counts that the store had acknowledged were forgotten by their host.

Change: the segments of the last windows are kept, and after a restore written again to their own windows while these are open. A closed window may have been reported with them, so that nothing is added to it or to a later one.

Also a constant that clang does not take for a constant expression is one now.

--- a/include/dotterel/usage/SegmentWriter.h
+++ b/include/dotterel/usage/SegmentWriter.h
@@ -12,6 +12,8 @@
 #include "dotterel/store/KeyValueStore.h"
 #include "dotterel/usage/Usage.h"
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -24,6 +26,9 @@
   /// unavailable.
   Duration m_RetryDelay = Milliseconds(200);
   Duration m_MaxRetryDelay = Milliseconds(1600);
+  /// Number of windows whose stored segments are kept, to be stored again if
+  /// the store is restored from a copy that lacks them.
+  std::uint64_t m_KeptWindows = 12;
 };
 
 /// Writes segments and retries until the outcome is known.
@@ -33,6 +38,10 @@
 /// first transaction requires that the segment's window is not closed, the
 /// second that the segment was not written in its own window. So at most one of
 /// the keys is ever written.
+///
+/// When the store is restored, recent segments are written again, but only to
+/// their own windows: if one is closed there, it may have been reported with
+/// the segment.
 class SegmentWriter {
 public:
   /// Receives the totals that the store holds for the segment: those passed to
@@ -40,8 +49,7 @@
   using DoneCallback = std::function<void(const UsageTotals &)>;
 
   SegmentWriter(Scheduler &Scheduler, KeyValueStore &Store,
-                const SegmentWriterOptions &Options)
-      : m_Scheduler(Scheduler), m_Store(Store), m_Options(Options) {}
+                const SegmentWriterOptions &Options);
   SegmentWriter(const SegmentWriter &) = delete;
   auto operator=(const SegmentWriter &) -> SegmentWriter & = delete;
   ~SegmentWriter() { *m_Alive = false; }
@@ -56,6 +64,7 @@
     UsageSegment m_Segment;
     DoneCallback m_Done;
     std::uint32_t m_Failures = 0; ///< Number of consecutive failures.
+    bool m_Again = false; ///< Whether the store had it before a restore.
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -66,10 +75,14 @@
   auto writeToLaterWindow(const JobPtr &Item) -> void;
   auto readMovedRecord(const JobPtr &Item) -> void;
   auto retry(const JobPtr &Item) -> void;
+  /// Keeps a segment that its own window holds.
+  auto keep(const UsageSegment &Segment) -> void;
+  auto storeAgain() -> void;
 
   Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
   SegmentWriterOptions m_Options;
+  std::deque<UsageSegment> m_Kept;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -48,7 +48,7 @@
 constexpr auto BackendPauseShare = 0.25;
 /// Time in which the operators and servers write again what a restored store
 /// lacks.
-constexpr auto RecoveryTime = KeyspaceMirrorOptions().m_RetentionAfterOutage;
+constexpr auto RecoveryTime = Milliseconds(2200);
 /// File descriptors kept for files, the store, the platform and backend
 /// servers.
 constexpr auto ReservedDescriptors = 700U;
@@ -145,7 +145,8 @@
           {.m_Prefix = Dependencies.m_Records.backendPrefix(),
            .m_WatchTimeout = BackendWatchTimeout,
            .m_MinWatchInterval =
-               scaled(Options.m_Settings.m_Bounds.m_Drain, BackendPauseShare)}),
+               scaled(Options.m_Settings.m_Bounds.m_Drain, BackendPauseShare),
+           .m_RetentionAfterOutage = RecoveryTime}),
       m_Usage(
           m_Time, Dependencies.m_Store, IncarnationId{m_Random.hex()},
           // Counts are not replicated first: they are soon written to the
--- a/src/usage/SegmentWriter.cpp
+++ b/src/usage/SegmentWriter.cpp
@@ -8,6 +8,33 @@
 
 namespace dotterel {
 
+SegmentWriter::SegmentWriter(Scheduler &Scheduler, KeyValueStore &Store,
+                             const SegmentWriterOptions &Options)
+    : m_Scheduler(Scheduler), m_Store(Store), m_Options(Options) {
+  m_Store.history().onRestored([this, Alive = m_Alive] {
+    // Called while a response is being handled.
+    m_Scheduler.schedule(Duration::zero(), [this, Alive] {
+      if (*Alive)
+        storeAgain();
+    });
+  });
+}
+
+auto SegmentWriter::keep(const UsageSegment &Segment) -> void {
+  m_Kept.push_back(Segment);
+  while (m_Kept.front().m_Id.m_Window.number() + m_Options.m_KeptWindows <
+         Segment.m_Id.m_Window.number())
+    m_Kept.pop_front();
+}
+
+auto SegmentWriter::storeAgain() -> void {
+  for (auto &Segment : std::exchange(m_Kept, {}))
+    writeToOwnWindow(
+        std::make_shared<Job>(Job{.m_Segment = std::move(Segment),
+                                  .m_Done = [](const UsageTotals &) {},
+                                  .m_Again = true}));
+}
+
 auto SegmentWriter::write(UsageSegment Segment, DoneCallback Done) -> void {
   writeToOwnWindow(std::make_shared<Job>(
       Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)}));
@@ -33,28 +60,34 @@
                      checkStored(Item);
                      return;
                    }
+                   keep(Item->m_Segment);
                    Item->m_Done(Item->m_Segment.m_Totals);
                  });
 }
 
 auto SegmentWriter::checkStored(const JobPtr &Item) -> void {
   auto Key = segmentKey(Item->m_Segment.m_Id);
-  m_Store.read(KeyRange::single(Key),
-               [this, Alive = m_Alive, Item](const auto &Reply) {
-                 if (!*Alive)
-                   return;
-                 if (!Reply) {
-                   retry(Item);
-                   return;
-                 }
-                 if (Reply->m_Values.empty()) {
-                   // The window is closed, or its records were deleted after
-                   // its report.
-                   writeToLaterWindow(Item);
-                   return;
-                 }
-                 Item->m_Done(decodeTotals(Reply->m_Values.front().m_Value));
-               });
+  m_Store.read(
+      KeyRange::single(Key), [this, Alive = m_Alive, Item](const auto &Reply) {
+        if (!*Alive)
+          return;
+        if (!Reply) {
+          retry(Item);
+          return;
+        }
+        if (Reply->m_Values.empty() && Item->m_Again)
+          return;
+        if (Reply->m_Values.empty()) {
+          // The window is closed, or its records were deleted after
+          // its report.
+          writeToLaterWindow(Item);
+          return;
+        }
+        auto Stored = Item->m_Segment;
+        Stored.m_Totals = decodeTotals(Reply->m_Values.front().m_Value);
+        keep(Stored);
+        Item->m_Done(Stored.m_Totals);
+      });
 }
 
 auto SegmentWriter::writeToLaterWindow(const JobPtr &Item) -> void {
--- a/tests/fault-RestoredStore.cpp
+++ b/tests/fault-RestoredStore.cpp
@@ -318,6 +318,48 @@
     }
 }
 
+// Guards against counts that are missing in a report, because the store took
+// them after the copy that it was restored from.
+TEST_CASE(
+    "restored store: counts that the store has lost are stored again, but "
+    "not in a window that is closed") {
+  auto Test = World();
+  auto Store = FaultyStore(Test.m_Scheduler, Test.m_Model);
+  auto Writer = SegmentWriter(Test.m_Scheduler, Store,
+                              {.m_WindowLength = Reporter::Window});
+  auto Index = windowAt(Test.m_Scheduler.wallNow(), Reporter::Window);
+  auto Write = [&](std::uint64_t Number) {
+    Writer.write({.m_Id = {.m_Window = Index,
+                           .m_Incarnation = IncarnationId{"h"},
+                           .m_Number = Number},
+                  .m_Totals = {{UsageKey{.m_Organisation = OrganisationId{"o"}},
+                                UsageFigures{.m_Requests = Number}}}},
+                 [](const UsageTotals &) {});
+    Test.m_Scheduler.advance(Milliseconds(100));
+  };
+  auto Segments = [&] {
+    return Test.m_Model.read(KeyRange::prefix("usage/")).m_Values;
+  };
+  Write(1);
+  Test.takeCopy();
+  Write(2);
+  REQUIRE(Segments().size() == 2);
+  auto Before = Segments().back().m_Value;
+  Test.restore();
+  auto Closed = false;
+  SUBCASE("open window") {}
+  SUBCASE("closed window") {
+    Test.put(closedKey(Index), "1");
+    Closed = true;
+  }
+  // Any call shows the restore.
+  Store.read(KeyRange::single("any"), [](const auto &) {});
+  Test.m_Scheduler.advance(Seconds(30));
+  REQUIRE(Segments().size() == (Closed ? 1 : 2));
+  if (!Closed)
+    CHECK(Segments().back().m_Value == Before);
+}
+
 // Guards against a confirmed change that is no longer in force: gates are the
 // only writers of their configuration, so nobody else writes it again.
 TEST_CASE("restored store: a configuration that gates had confirmed is stored "
