--- a/tests/fault-FleetDuty.cpp
+++ b/tests/fault-FleetDuty.cpp
@@ -173,6 +173,34 @@
   CHECK(Test.m_Fleet.m_Changes == Changes);
 }
 
+// Guards against orders by an older plan, which the store has after it was
+// restored from a copy.
+TEST_CASE("fleet duty: when the store is restored, its last holder keeps the "
+          "orders in force and stores its plan again") {
+  auto Test = World();
+  Test.add("first");
+  Test.advanceTime(Seconds(12));
+  auto Copy = Test.m_Model.copy();
+  Test.reclaimServers();
+  Test.advanceTime(Seconds(3));
+  REQUIRE(Test.m_Fleet.m_Counts[false] == MaxServers);
+  auto Plan = [&] {
+    return Test.m_Model.read(KeyRange::single("fleet-plan"))
+        .m_Values.at(0)
+        .m_Value;
+  };
+  auto Stored = Plan();
+  auto Changes = Test.m_Fleet.m_Changes;
+  Test.m_Fleet.m_MinTotal = MaxServers;
+  Test.m_Model.restore(Copy, Seconds(4));
+  REQUIRE(Plan() != Stored);
+  Test.advanceTime(Seconds(5));
+  CHECK(Test.m_Holders[0]->m_Duty.held());
+  CHECK(Test.m_Fleet.m_MinTotal == MaxServers);
+  CHECK(Test.m_Fleet.m_Changes == Changes);
+  CHECK(Plan() == Stored);
+}
+
 TEST_CASE(
     "fleet duty: nothing is ordered before the previous holder's plan has "
     "been read and the new plan has been stored") {
