Let the linter pass over the tests of a restored store

Cause: a callback was passed by value where a reference does, and a trivially copyable reply was moved.

Change: a reference, and a copy. No check of a test changes.

--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -80,13 +80,13 @@
   }
   auto watch(const std::string &Prefix, StoreRevision After, Duration Wait,
              StoreCallback<WatchResult> Callback) -> void override {
-    poll(Prefix, After, m_Scheduler.now() + Wait, std::move(Callback));
+    poll(Prefix, After, m_Scheduler.now() + Wait, Callback);
   }
 
 private:
   /// Repeats the call until there are changes or \p Until has come.
   auto poll(const std::string &Prefix, StoreRevision After, MonotonicTime Until,
-            StoreCallback<WatchResult> Callback) -> void {
+            const StoreCallback<WatchResult> &Callback) -> void {
     constexpr auto PollInterval = Milliseconds(10);
     run<WatchResult>(
         [this, Prefix, After] { return m_Model.changes(Prefix, After); },
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -463,10 +463,9 @@
 
   auto Commits = std::vector<StoreReply<TransactionResult>>();
   auto Commit = [&](StoreRevision Compared) {
-    Store.commit({.m_Compares = {{.m_Key = "k", .m_Modified = Compared}}},
-                 [&](StoreReply<TransactionResult> Reply) {
-                   Commits.push_back(std::move(Reply));
-                 });
+    Store.commit(
+        {.m_Compares = {{.m_Key = "k", .m_Modified = Compared}}},
+        [&](StoreReply<TransactionResult> Reply) { Commits.push_back(Reply); });
     return Client.m_Calls.back();
   };
   auto Old = Commit(StoreRevision{4, StoreEra{3}});
