Use a server's request rate only while the own registration is in force

What callers saw: nothing yet; found by looking for the same cause elsewhere. A host that the store turns away goes on serving. Its registration expires, the others divide its shares of the limited servers among themselves, and it keeps using them.

Cause: a host took the list of senders as valid for as long as it could not read a newer one. A share is held under the registration's lease, and was not given up with it.

Change: the registry tells the term of the registration as this host knows it, counted from the sending of the grant or renewal; shares are used within it alone. The end of the use is logged (`backend.rate-shares`). What derives the senders from the registry has a file of its own, so that tests run it.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -96,8 +96,6 @@
   auto confirmBackends(MonotonicTime At) -> void;
   /// Records that a read sent at \p SentAt found the configuration current.
   auto confirmConfiguration(MonotonicTime SentAt) -> void;
-  /// Tells the core which hosts send requests to the servers.
-  auto updateSenders() -> void;
   [[nodiscard]] auto relayHooks() -> StoreRelayHooks;
   [[nodiscard]] auto neededEngines() const -> std::optional<double>;
   [[nodiscard]] auto mayCampaign() const -> bool;
--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_PEERS_HOSTREGISTRY_H
 
 #include "dotterel/membership/Member.h"
+#include "dotterel/routing/ServerRateLimits.h"
 #include "dotterel/store/KeyspaceMirror.h"
 
 #include <functional>
@@ -38,6 +39,8 @@
   /// Hosts whose leases expired during an outage of the store are retained for
   /// this time, in which they register again.
   Duration m_RetentionAfterOutage = Milliseconds(10000);
+  /// Part of the lease's term that is not used, for clocks of different rates.
+  Duration m_ClockDriftMargin = Milliseconds(200);
 };
 
 /// Registers this host and tracks the others.
@@ -67,10 +70,18 @@
   /// Returns whether others() has been read from the store since the start.
   [[nodiscard]] auto complete() const -> bool { return m_Complete; }
   [[nodiscard]] auto self() const -> const HostRecord & { return m_Self; }
+  /// Returns the time in which the others list this host. It ends with the
+  /// lease as this host knows it, and so before a host that the store turns
+  /// away is removed; it is empty before the first registration.
+  [[nodiscard]] auto term() const -> const SenderTerm & { return m_Term; }
 
 private:
   auto acquireLease() -> void;
-  auto writeRecord(std::uint64_t Step, LeaseId Lease) -> void;
+  auto writeRecord(std::uint64_t Step, LeaseId Lease, MonotonicTime GrantSentAt)
+      -> void;
+  /// Extends the term by a lease that was granted or renewed by a call sent at
+  /// \p SentAt.
+  auto extendTerm(MonotonicTime SentAt) -> void;
   auto handleRestore() -> void;
   auto renew() -> void;
   auto scheduleStep(Duration Delay, void (HostRegistry::*Step)()) -> void;
@@ -85,6 +96,7 @@
   std::map<HostId, HostRecord> m_Others;
   bool m_Complete = false;
   LeaseId m_Lease;
+  SenderTerm m_Term{.m_End = MonotonicTime::min()};
   bool m_Registering = false;
   /// Incremented by each step and by a restore of the store. A response to an
   /// earlier step is ignored.
--- a/include/dotterel/routing/ServerRateLimits.h
+++ b/include/dotterel/routing/ServerRateLimits.h
@@ -41,6 +41,18 @@
   Duration m_Age{};                   ///< Time since the response arrived.
 };
 
+/// The time in which other processes count this one among the senders.
+struct SenderTerm {
+  MonotonicTime m_Begin = MonotonicTime::min();
+  MonotonicTime m_End = MonotonicTime::max();
+
+  auto operator==(const SenderTerm &) const -> bool = default;
+
+  [[nodiscard]] auto contains(MonotonicTime Time) const -> bool {
+    return m_Begin <= Time && Time < m_End;
+  }
+};
+
 /// Request rates to which backend servers limit all senders together.
 ///
 /// The rate of a server is shared equally by a few senders, chosen by
@@ -63,6 +75,11 @@
   auto setSenders(const std::string &Self, std::vector<std::string> Others,
                   MonotonicTime Now) -> void;
 
+  /// Sets the time in which this process uses its shares: outside it, the
+  /// others may have divided them among themselves. Unlimited before the first
+  /// call.
+  auto setTerm(const SenderTerm &Term, MonotonicTime Now) -> void;
+
   /// Records a response of the server: it names \p Limit, or no limit if that
   /// is empty.
   auto recordResponse(const BackendId &Backend,
@@ -125,8 +142,8 @@
       -> std::optional<RequestRate>;
   /// Returns the number of senders that share \p Limit.
   [[nodiscard]] auto sharerCount(RequestRate Limit) const -> std::size_t;
-  [[nodiscard]] auto shareOf(const Entry &Item, RequestRate Limit) const
-      -> RequestRate;
+  [[nodiscard]] auto shareOf(const Entry &Item, RequestRate Limit,
+                             MonotonicTime Now) const -> RequestRate;
   [[nodiscard]] auto permitsOf(const Entry &Item, RequestRate Limit,
                                MonotonicTime Now) const -> double;
   [[nodiscard]] auto rankFor(const BackendId &Backend) const
@@ -142,6 +159,8 @@
   ServerRateLimitOptions m_Options;
   std::string m_Self; ///< Empty: the senders are not known yet.
   std::vector<std::string> m_Others;
+  SenderTerm m_Term;
+  bool m_SharesUsed = true; ///< As of the latest setTerm().
   std::map<BackendId, Entry> m_Entries;
 };
 
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
+#include "dotterel/peers/RateSenders.h"
 #include "dotterel/supervision/FunctionComponent.h"
 
 #include <algorithm>
@@ -221,16 +222,6 @@
     m_Core.recordConfirmation(SentAt);
 }
 
-auto HostProcess::updateSenders() -> void {
-  if (!m_Hosts.complete())
-    return;
-  auto Others = std::vector<std::string>();
-  for (const auto &[Host, Record] : m_Hosts.others())
-    Others.push_back(Host.text());
-  m_Core.rateLimits().setSenders(m_Hosts.self().m_Host.text(),
-                                 std::move(Others), m_Loop.now());
-}
-
 auto HostProcess::relayHooks() -> StoreRelayHooks {
   return {
       .m_ConfirmationAge =
@@ -396,7 +387,7 @@
   auto Age = m_Core.confirmationAge();
   if (Age != Duration::max())
     m_Metrics.setConfirmationAge(std::chrono::duration<double>(Age).count());
-  updateSenders();
+  updateSenders(m_Hosts, m_Core.rateLimits(), Now);
   m_Metrics.setRateLimitedServers(
       static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
   m_Metrics.setStoreEra(
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -63,27 +63,33 @@
   });
 }
 
+auto HostRegistry::extendTerm(MonotonicTime SentAt) -> void {
+  m_Term.m_End = SentAt + m_Options.m_LeaseTerm - m_Options.m_ClockDriftMargin;
+}
+
 auto HostRegistry::acquireLease() -> void {
+  auto SentAt = m_Scheduler.now();
   m_Store.grantLease(
       m_Options.m_LeaseTerm,
-      [this, Alive = m_Alive, Step = ++m_Step](const auto &Reply) {
+      [this, Alive = m_Alive, Step = ++m_Step, SentAt](const auto &Reply) {
         if (!*Alive || Step != m_Step)
           return;
         if (!Reply) {
           scheduleStep(m_Options.m_RetryDelay, &HostRegistry::acquireLease);
           return;
         }
-        writeRecord(Step, *Reply.m_Response);
+        writeRecord(Step, *Reply.m_Response, SentAt);
       });
 }
 
-auto HostRegistry::writeRecord(std::uint64_t Step, LeaseId Lease) -> void {
+auto HostRegistry::writeRecord(std::uint64_t Step, LeaseId Lease,
+                               MonotonicTime GrantSentAt) -> void {
   auto Transaction = StoreTransaction();
   Transaction.m_Writes.push_back({.m_Key = keyOf(m_Self.m_Host),
                                   .m_Value = encode(m_Self),
                                   .m_Lease = Lease});
-  m_Store.commit(std::move(Transaction), [this, Alive = m_Alive, Step,
-                                          Lease](const auto &Reply) {
+  m_Store.commit(std::move(Transaction), [this, Alive = m_Alive, Step, Lease,
+                                          GrantSentAt](const auto &Reply) {
     if (!*Alive || Step != m_Step)
       return;
     if (!Reply || !Reply->m_Applied) {
@@ -91,23 +97,27 @@
       return;
     }
     m_Lease = Lease;
+    extendTerm(GrantSentAt);
     logInfo("host.registered", {{"address", m_Self.m_Address}});
     scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
   });
 }
 
 auto HostRegistry::renew() -> void {
-  m_Store.renewLease(
-      m_Lease, [this, Alive = m_Alive, Step = ++m_Step](const auto &Reply) {
-        if (!*Alive || Step != m_Step)
-          return;
-        if (Reply && *Reply.m_Response == Seconds::zero()) {
-          logWarning("host.registration-lapsed", {});
-          acquireLease();
-          return;
-        }
-        scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
-      });
+  auto SentAt = m_Scheduler.now();
+  m_Store.renewLease(m_Lease, [this, Alive = m_Alive, Step = ++m_Step,
+                               SentAt](const auto &Reply) {
+    if (!*Alive || Step != m_Step)
+      return;
+    if (Reply && *Reply.m_Response == Seconds::zero()) {
+      logWarning("host.registration-lapsed", {});
+      acquireLease();
+      return;
+    }
+    if (Reply)
+      extendTerm(SentAt);
+    scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
+  });
 }
 
 auto HostRegistry::handleRestore() -> void {
--- a/src/routing/ServerRateLimits.cpp
+++ b/src/routing/ServerRateLimits.cpp
@@ -31,6 +31,20 @@
     Item.m_Rank = rankFor(Backend);
 }
 
+auto ServerRateLimits::setTerm(const SenderTerm &Term, MonotonicTime Now)
+    -> void {
+  auto Used = Term.contains(Now);
+  if (std::exchange(m_SharesUsed, Used) != Used)
+    logInfo("backend.rate-shares", {{"used", Used},
+                                    {"limited", limitedCount(Now)},
+                                    {"senders", m_Others.size() + 1}});
+  if (m_Term == Term)
+    return;
+  for (auto &[Backend, Item] : m_Entries)
+    refill(Item, Now);
+  m_Term = Term;
+}
+
 auto ServerRateLimits::rankFor(const BackendId &Backend) const
     -> std::optional<std::size_t> {
   if (m_Self.empty())
@@ -86,20 +100,20 @@
              : static_cast<std::size_t>(Wanted);
 }
 
-auto ServerRateLimits::shareOf(const Entry &Item, RequestRate Limit) const
-    -> RequestRate {
+auto ServerRateLimits::shareOf(const Entry &Item, RequestRate Limit,
+                               MonotonicTime Now) const -> RequestRate {
   auto Sharers = sharerCount(Limit);
-  if (!Item.m_Rank || *Item.m_Rank >= Sharers)
+  if (!Item.m_Rank || *Item.m_Rank >= Sharers || !m_Term.contains(Now))
     return RequestRate{};
   return RequestRate{Limit.perSecond() / static_cast<double>(Sharers)};
 }
 
 auto ServerRateLimits::permitsOf(const Entry &Item, RequestRate Limit,
                                  MonotonicTime Now) const -> double {
-  auto Share = shareOf(Item, Limit).perSecond();
+  auto Share = shareOf(Item, Limit, Now).perSecond();
   auto Max = std::max(1.0, Share * seconds(m_Options.m_AccumulationTime));
-  return std::min(Max,
-                  Item.m_Permits + Share * seconds(Now - Item.m_RefilledAt));
+  auto Since = std::min(Now, std::max(Item.m_RefilledAt, m_Term.m_Begin));
+  return std::min(Max, Item.m_Permits + Share * seconds(Now - Since));
 }
 
 auto ServerRateLimits::permits(const BackendId &Backend,
@@ -116,7 +130,7 @@
   auto Limit = limitOf(Item, Now);
   if (!Limit)
     return Duration::zero();
-  auto Share = shareOf(Item, *Limit).perSecond();
+  auto Share = shareOf(Item, *Limit, Now).perSecond();
   if (Share <= 0)
     return Duration::max();
   auto Missing = 1 - permitsOf(Item, *Limit, Now);
@@ -149,7 +163,7 @@
     logInfo("backend.rate-limited",
             {{"backend", Backend},
              {"per_second", Limit->perSecond()},
-             {"share", shareOf(Item, *Limit).perSecond()},
+             {"share", shareOf(Item, *Limit, Now).perSecond()},
              {"sharers", sharerCount(*Limit)},
              {"senders", m_Others.size() + 1},
              {"age_ms", toMilliseconds(Now - newest(Item).m_At)}});
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -1,7 +1,9 @@
 #include "dotterel/base/Log.h"
 #include "dotterel/peers/LoadExchange.h"
+#include "dotterel/peers/RateSenders.h"
 #include "dotterel/routing/EngineTable.h"
 #include "support/DatagramNetwork.h"
+#include "support/FaultyStore.h"
 #include "support/ScriptedStore.h"
 #include "support/ServingFakes.h"
 
@@ -229,6 +231,101 @@
   LoadExchange m_Exchange;
 };
 
+/// Hosts that find each other in a store, and use all that they may of the
+/// request rates of some servers.
+class RegisteredHostsTest {
+public:
+  RegisteredHostsTest() {
+    setLogSink([](std::string_view) {});
+  }
+  ~RegisteredHostsTest() { setLogSink({}); }
+  RegisteredHostsTest(const RegisteredHostsTest &) = delete;
+  auto operator=(const RegisteredHostsTest &) -> RegisteredHostsTest & = delete;
+
+  auto add() -> void {
+    auto Name = fmt::format("h{}", m_Hosts.size());
+    m_Hosts.push_back(std::make_unique<Host>(m_Scheduler, m_Model, Name));
+  }
+
+  auto store(std::size_t Index) -> FaultyStore & {
+    return m_Hosts[Index]->m_Store;
+  }
+
+  auto run(Duration Span) -> void {
+    constexpr auto StateInterval = Milliseconds(500);
+    for (auto End = m_Scheduler.now() + Span; m_Scheduler.now() < End;) {
+      m_Scheduler.advance(Step);
+      auto Now = m_Scheduler.now();
+      auto Ticks = Now.time_since_epoch() % Duration(StateInterval) < Step;
+      for (auto &Item : m_Hosts) {
+        if (Ticks)
+          updateSenders(Item->m_Registry, Item->m_Limits, Now);
+        for (const auto &Server : m_Servers) {
+          if (Ticks)
+            Item->m_Limits.recordResponse(Server, RequestRate{Limit}, Now);
+          if (!Item->m_Limits.permits(Server, Now))
+            continue;
+          Item->m_Limits.recordRequest(Server, Now);
+          m_Arrivals[Server].push_back(Now.time_since_epoch());
+        }
+      }
+    }
+  }
+
+  /// Discards the requests that have been sent.
+  auto clear() -> void { m_Arrivals.clear(); }
+
+  /// Returns the largest number of requests that a server got in any window.
+  auto most() const -> std::size_t {
+    auto Most = std::size_t{0};
+    for (const auto &[Server, Times] : m_Arrivals)
+      Most = std::max(Most, mostInWindow(Times));
+    return Most;
+  }
+
+  auto arrivals() const -> std::size_t {
+    auto Count = std::size_t{0};
+    for (const auto &[Server, Times] : m_Arrivals)
+      Count += Times.size();
+    return Count;
+  }
+
+  static constexpr auto Limit = 3.0;
+  static constexpr auto ServerCount = 40;
+
+private:
+  struct Host {
+    Host(VirtualScheduler &Scheduler, InMemoryStore &Model,
+         const std::string &Name)
+        : m_Store(Scheduler, Model),
+          m_Registry(Scheduler, m_Store, m_Store, m_Random,
+                     {.m_Host = HostId{Name},
+                      .m_DataCentre = DataCentreId{"a"},
+                      .m_Address = Name},
+                     {}) {
+      m_Registry.start();
+    }
+
+    FaultyStore m_Store;
+    Random m_Random{1};
+    HostRegistry m_Registry;
+    ServerRateLimits m_Limits{ServerRateLimitOptions{}};
+  };
+
+  static auto servers() -> std::vector<BackendId> {
+    auto Result = std::vector<BackendId>();
+    for (auto Index = 0; Index < ServerCount; ++Index)
+      Result.emplace_back(fmt::format("s{}", Index));
+    return Result;
+  }
+
+  VirtualScheduler m_Scheduler;
+  InMemoryStore m_Model{m_Scheduler};
+  std::vector<std::unique_ptr<Host>> m_Hosts;
+  std::vector<BackendId> m_Servers = servers();
+  std::map<BackendId, std::vector<Duration>> m_Arrivals;
+};
+
 } // namespace
 
 // Guards against hosts that ignore the rate to which a server limits all of
@@ -376,3 +473,24 @@
   for (const auto &Host : Hosts)
     CHECK(!Host->m_Limits.limit(Limited, Scheduler.now()));
 }
+
+// Guards against hosts that keep using their shares of a rate after the others
+// have divided these among themselves.
+TEST_CASE("fault: all hosts together keep to the request rate that a server "
+          "names while the store turns some of them away") {
+  auto Test = RegisteredHostsTest();
+  constexpr auto Count = 9U;
+  for (auto Index = 0U; Index < Count; ++Index)
+    Test.add();
+  Test.run(Seconds(15));
+  Test.clear();
+  for (auto Index = 0U; Index < Count / 2; ++Index)
+    Test.store(Index).setOutage(StoreFault::Refuse);
+  Test.run(Seconds(30));
+  for (auto Index = 0U; Index < Count / 2; ++Index)
+    Test.store(Index).setOutage(StoreFault::None);
+  Test.run(Seconds(30));
+  CHECK(Test.most() <= allowed(RegisteredHostsTest::Limit));
+  CHECK(Test.arrivals() >= 0.8 * RegisteredHostsTest::Limit *
+                               RegisteredHostsTest::ServerCount * 60);
+}
