Let the other hosts observe a registration before its host uses request rates

What callers saw: nothing yet; found with the test of the registered hosts. Hosts that started at the same time each read a list in which they were alone, and each took the whole rate of a limited server until their next look at the list, five seconds later.

Cause: the same as with a registration that is over: a host used shares at a time at which the others did not count it. Here it had registered, but nobody had seen it yet.

Change: the term of a registration begins six seconds after it, unless the one before is still in force; a look at the list is due every five seconds. It ends with a deregistration. Limited servers are out of use for a host in this time.

--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -39,6 +39,8 @@
   /// Hosts whose leases expired during an outage of the store are retained for
   /// this time, in which they register again.
   Duration m_RetentionAfterOutage = Milliseconds(10000);
+  /// Time after a registration in which the others observe it.
+  Duration m_ObservationTime = Milliseconds(6000);
   /// Part of the lease's term that is not used, for clocks of different rates.
   Duration m_ClockDriftMargin = Milliseconds(200);
 };
@@ -70,9 +72,11 @@
   /// Returns whether others() has been read from the store since the start.
   [[nodiscard]] auto complete() const -> bool { return m_Complete; }
   [[nodiscard]] auto self() const -> const HostRecord & { return m_Self; }
-  /// Returns the time in which the others list this host. It ends with the
-  /// lease as this host knows it, and so before a host that the store turns
-  /// away is removed; it is empty before the first registration.
+  /// Returns the time in which the others list this host. It begins when they
+  /// have had the time to observe its registration, unless an earlier one is
+  /// still in force. It ends with the lease as this host knows it, so before
+  /// the others remove a host that the store turns away. Empty before the first
+  /// registration.
   [[nodiscard]] auto term() const -> const SenderTerm & { return m_Term; }
 
 private:
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -97,6 +98,8 @@
       return;
     }
     m_Lease = Lease;
+    if (auto Now = m_Scheduler.now(); Now >= m_Term.m_End)
+      m_Term.m_Begin = Now + m_Options.m_ObservationTime;
     extendTerm(GrantSentAt);
     logInfo("host.registered", {{"address", m_Self.m_Address}});
     scheduleStep(m_Options.m_RenewInterval, &HostRegistry::renew);
@@ -134,6 +137,7 @@
 
 auto HostRegistry::deregister() -> void {
   m_Registering = false;
+  m_Term.m_End = std::min(m_Term.m_End, m_Scheduler.now());
   ++m_Step;
   if (m_Timer)
     m_Scheduler.cancel(*m_Timer);
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -261,13 +261,14 @@
         if (Ticks)
           updateSenders(Item->m_Registry, Item->m_Limits, Now);
         for (const auto &Server : m_Servers) {
-          if (Ticks)
+          if (Ticks || !Item->m_Told)
             Item->m_Limits.recordResponse(Server, RequestRate{Limit}, Now);
           if (!Item->m_Limits.permits(Server, Now))
             continue;
           Item->m_Limits.recordRequest(Server, Now);
           m_Arrivals[Server].push_back(Now.time_since_epoch());
         }
+        Item->m_Told = true;
       }
     }
   }
@@ -310,6 +311,7 @@
     Random m_Random{1};
     HostRegistry m_Registry;
     ServerRateLimits m_Limits{ServerRateLimitOptions{}};
+    bool m_Told = false; ///< Whether the servers have named their limits.
   };
 
   static auto servers() -> std::vector<BackendId> {
@@ -494,3 +496,19 @@
   CHECK(Test.arrivals() >= 0.8 * RegisteredHostsTest::Limit *
                                RegisteredHostsTest::ServerCount * 60);
 }
+
+// Guards against hosts that use shares of a rate before the others have seen
+// that they registered.
+TEST_CASE("fault: all hosts together keep to the request rate that a server "
+          "names when several of them start at the same time") {
+  auto Test = RegisteredHostsTest();
+  for (auto Index = 0; Index < 5; ++Index)
+    Test.add();
+  Test.run(Seconds(20));
+  for (auto Index = 0; Index < 4; ++Index)
+    Test.add();
+  Test.run(Seconds(20));
+  CHECK(Test.most() <= allowed(RegisteredHostsTest::Limit));
+  CHECK(Test.arrivals() >= 0.6 * RegisteredHostsTest::Limit *
+                               RegisteredHostsTest::ServerCount * 40);
+}
