Divide a server's request rate among all listed gates, not among the reachable ones

What callers saw: nothing yet; found by looking for the same cause elsewhere. While gates were separated by a network partition, each side divided a server's rate among the gates that it could reach, so that the server got the rate once from each side. A gate that had just started, and had not read the list of hosts, took the whole rate.

Cause: liveness by gossip was taken for membership. A gate that cannot be reached still sends requests.

Change: the senders are the gates on the platform's list and live ones that are not listed yet; without a list a gate uses no limited server.

--- a/include/dotterel/membership/Gossip.h
+++ b/include/dotterel/membership/Gossip.h
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -56,6 +57,11 @@
   }
   [[nodiscard]] auto listed() -> std::set<ProcessId> & { return m_ListedIds; }
 
+  /// Returns the other gates that may send requests to servers: those that are
+  /// listed, also if this process cannot reach them, and live ones that are not
+  /// listed yet. Nothing before a list has been set. Complexity: linear.
+  [[nodiscard]] auto otherGates() const -> std::optional<std::set<ProcessId>>;
+
   /// Returns whether this process currently reads the store itself.
   [[nodiscard]] auto readsStore() const -> bool;
 
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -264,10 +264,14 @@
 }
 
 auto GateProcess::updateSenders() -> void {
+  // Also gates that are not live here: behind a network partition they use
+  // their shares.
+  auto Gates = m_Core.m_Gossip.otherGates();
+  if (!Gates)
+    return;
   auto Others = std::vector<std::string>();
-  for (const auto &Gate :
-       m_Core.m_Members.serving(ProcessRole::Gate, m_Loop.now()))
-    Others.push_back(Gate.m_Process.text());
+  for (const auto &Gate : *Gates)
+    Others.push_back(Gate.text());
   m_Core.m_Engines.rateLimits().setSenders(
       m_Core.m_Members.self().m_Process.text(), std::move(Others),
       m_Loop.now());
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -35,6 +35,20 @@
       m_ListedIds.insert(Item.m_Process);
 }
 
+auto Gossip::otherGates() const -> std::optional<std::set<ProcessId>> {
+  if (m_Listed.empty())
+    return std::nullopt;
+  auto Gates = std::set<ProcessId>();
+  for (const auto &Item : m_Listed)
+    if (Item.m_Role == ProcessRole::Gate)
+      Gates.insert(Item.m_Process);
+  for (const auto &Item :
+       m_Members.serving(ProcessRole::Gate, m_Scheduler.now()))
+    Gates.insert(Item.m_Process);
+  Gates.erase(m_Members.self().m_Process);
+  return Gates;
+}
+
 auto Gossip::relays() const -> std::vector<Member> {
   const auto &Self = m_Members.self();
   auto Nearby = m_Members.serving(ProcessRole::Gate, m_Scheduler.now());
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -1,9 +1,11 @@
 #include "dotterel/base/Log.h"
+#include "dotterel/membership/Gossip.h"
 #include "dotterel/peers/LoadExchange.h"
 #include "dotterel/peers/RateSenders.h"
 #include "dotterel/routing/EngineTable.h"
 #include "support/DatagramNetwork.h"
 #include "support/FaultyStore.h"
+#include "support/PeerNetwork.h"
 #include "support/ScriptedStore.h"
 #include "support/ServingFakes.h"
 
@@ -328,6 +330,47 @@
   std::map<BackendId, std::vector<Duration>> m_Arrivals;
 };
 
+/// A gate that finds the others by gossip and on the platform's list.
+class GossipingGate final : public PeerService {
+public:
+  GossipingGate(VirtualScheduler &Scheduler, PeerNetwork &Network,
+                const std::string &Name)
+      : m_Peers(Network, Name),
+        m_Members({.m_Process = ProcessId{Name + "/gate"}, .m_Address = Name},
+                  {}),
+        m_Gossip(Scheduler, m_Random, m_Members, m_Peers, m_Configuration,
+                 m_Freshness, m_Crashes, {}) {
+    Network.attach(Name, *this);
+    m_Rounds.emplace(Scheduler, Seconds(1), [this] { m_Gossip.runRound(); });
+  }
+
+  auto onExchange(const PeerView &View) -> PeerView override {
+    return m_Gossip.handleExchange(View);
+  }
+  auto onFetchConfiguration(const std::vector<std::uint64_t> &Known)
+      -> ConfigurationDelta override {
+    return m_Configuration.delta(Known);
+  }
+  auto onClaim(const Claim & /*Request*/, std::function<void(ClaimReply)> Done)
+      -> void override {
+    Done({});
+  }
+  auto onOutcome(const ClaimOutcome & /*Outcome*/,
+                 std::function<void(bool)> Done) -> void override {
+    Done(false);
+  }
+  auto onUsage(const UsageSegment & /*Segment*/) -> void override {}
+
+  Random m_Random{1};
+  NetworkCaller m_Peers;
+  MemberTable m_Members;
+  ConfigurationHolder m_Configuration;
+  FreshnessTracker m_Freshness{FreshnessOptions{}};
+  CrashRegistry m_Crashes{CrashRegistryOptions{}};
+  Gossip m_Gossip;
+  std::optional<RepeatingTimer> m_Rounds;
+};
+
 } // namespace
 
 // Guards against hosts that ignore the rate to which a server limits all of
@@ -512,3 +555,48 @@
   CHECK(Test.arrivals() >= 0.6 * RegisteredHostsTest::Limit *
                                RegisteredHostsTest::ServerCount * 40);
 }
+
+// Guards against gates that divide a rate among those that they can reach,
+// while the others do the same.
+TEST_CASE("fault: gates on both sides of a network partition agree on who "
+          "sends requests") {
+  auto Scheduler = VirtualScheduler();
+  auto Network = PeerNetwork(Scheduler);
+  auto Gates = std::map<std::string, std::unique_ptr<GossipingGate>>();
+  auto Listed = std::vector<ListedProcess>();
+  for (const auto *Name : {"g1", "g2", "g3", "g4", "g5"}) {
+    Gates[Name] = std::make_unique<GossipingGate>(Scheduler, Network, Name);
+    Listed.push_back({.m_Process = ProcessId{std::string(Name) + "/gate"},
+                      .m_Role = ProcessRole::Gate,
+                      .m_Address = Name});
+  }
+  CHECK_FALSE(Gates["g1"]->m_Gossip.otherGates());
+  auto CheckAll = [&] {
+    for (const auto &[Name, Gate] : Gates) {
+      CAPTURE(Name);
+      auto Others = Gate->m_Gossip.otherGates();
+      REQUIRE(Others);
+      CHECK(Others->size() == 4);
+      CHECK_FALSE(Others->contains(ProcessId{Name + "/gate"}));
+    }
+  };
+  for (const auto &[Name, Gate] : Gates)
+    Gate->m_Gossip.setListed(Listed);
+  CheckAll();
+  for (const auto *Left : {"g1", "g2"})
+    for (const auto *Right : {"g3", "g4", "g5"})
+      Network.cut(Left, Right);
+  Scheduler.advance(Seconds(20));
+  CheckAll();
+  // A live gate that is not listed counts until it has ended.
+  Network.heal();
+  Listed.pop_back();
+  auto &First = Gates["g1"]->m_Gossip;
+  First.setListed(Listed);
+  Scheduler.advance(Milliseconds(8500));
+  CHECK(First.otherGates()->size() == 4);
+  Gates["g5"]->m_Rounds.reset();
+  Network.detach("g5");
+  Scheduler.advance(Seconds(8));
+  CHECK(First.otherGates()->size() == 3);
+}
