Keep the limit of a server that is not listed for a while

What callers saw: nothing yet; found by looking for the same cause elsewhere. A server whose entry expired during an outage of the store, or that was cut off from the store for some seconds, came back without its limit: all hosts sent to it as if it had named none, until its first response.

Cause: what a server has stated about its rate was discarded with its entry, though the server had not changed.

Change: on both paths the statement is discarded when the server has restarted, or once it is too old to count. Statements of servers that have ended are erased when the next server names a limit.

--- a/include/dotterel/routing/ServerRateLimits.h
+++ b/include/dotterel/routing/ServerRateLimits.h
@@ -89,7 +89,8 @@
   /// Records what another process has reported.
   auto merge(const RateLimitReport &Report, MonotonicTime Now) -> void;
 
-  /// Discards the state of \p Backend.
+  /// Discards what \p Backend stated before it restarted. Servers that have
+  /// ended are discarded once their reports no longer count.
   auto remove(const BackendId &Backend) -> void;
 
   /// Returns the limit in force, or nothing if there is none.
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -38,10 +38,7 @@
   }
   std::erase_if(m_Entries, [&](const auto &Item) {
     // A server stays in the table until this gate's requests on it have ended.
-    auto Gone = !Present.contains(Item.first) && Item.second.m_InFlight.empty();
-    if (Gone)
-      m_RateLimits.remove(Item.first);
-    return Gone;
+    return !Present.contains(Item.first) && Item.second.m_InFlight.empty();
   });
   // The list may lag: a server stays marked as leaving until it is no longer
   // listed.
--- a/src/routing/ServerRateLimits.cpp
+++ b/src/routing/ServerRateLimits.cpp
@@ -180,6 +180,10 @@
   if (Found == m_Entries.end()) {
     if (!Value.m_Limit)
       return;
+    // Bounds the number of servers that have ended.
+    std::erase_if(m_Entries, [&](const auto &Item) {
+      return Now - newest(Item.second).m_At > m_Options.m_MaxReportAge;
+    });
     Found = m_Entries.emplace(Backend, Entry{.m_Rank = rankFor(Backend)}).first;
   }
   auto &Item = Found->second;
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -51,7 +51,9 @@
   m_Directory.onInvalidate([this](const BackendId &Id) {
     m_Loads.remove(Id);
     m_Health.remove(Id);
-    m_RateLimits.remove(Id);
+    // A server that is not listed, perhaps for a while only, keeps its limit.
+    if (m_Directory.find(Id) != nullptr)
+      m_RateLimits.remove(Id);
     m_Caches.remove(Id);
   });
 }
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -600,3 +600,38 @@
   Scheduler.advance(Seconds(8));
   CHECK(First.otherGates()->size() == 3);
 }
+
+// Guards against a limit that is forgotten while a server is not listed, for
+// example since its entry expired during an outage: all hosts would send to it
+// without a limit when it is back.
+TEST_CASE(
+    "fault: a server that was not listed for a while keeps its limit, one "
+    "that has restarted does not") {
+  SUBCASE("at a host") {
+    auto Test = ServingFixture();
+    auto &Limits = Test.m_Core.rateLimits();
+    auto Record = *Test.m_Core.directory().find(Limited);
+    Limits.recordResponse(Limited, RequestRate{3}, Test.m_Scheduler.now());
+    Test.m_Core.directory().remove(Limited);
+    Test.m_Scheduler.advance(Seconds(4));
+    Test.m_Core.directory().put(Record);
+    CHECK(Limits.limit(Limited, Test.m_Scheduler.now()) == RequestRate{3});
+    ++Record.m_StartedAt;
+    Test.m_Core.directory().put(Record);
+    CHECK(!Limits.limit(Limited, Test.m_Scheduler.now()));
+  }
+  SUBCASE("at a gate") {
+    auto Table = EngineTable(Location{.m_Host = HostId{"g"}}, {});
+    auto &Limits = Table.rateLimits();
+    auto Now = MonotonicTime(Seconds(100));
+    Table.updateList({{.m_Id = Limited, .m_Models = {ModelId{"m"}}}});
+    Table.updateLoad(Limited, {.m_Incarnation = "1", .m_Slots = 8}, Now);
+    Limits.recordResponse(Limited, RequestRate{3}, Now);
+    Table.updateList({});
+    Table.updateList({{.m_Id = Limited, .m_Models = {ModelId{"m"}}}});
+    Table.updateLoad(Limited, {.m_Incarnation = "1", .m_Slots = 8}, Now);
+    CHECK(Limits.limit(Limited, Now) == RequestRate{3});
+    Table.updateLoad(Limited, {.m_Incarnation = "2", .m_Slots = 8}, Now);
+    CHECK(!Limits.limit(Limited, Now));
+  }
+}
