Give no revision of the configuration to another content after a restore

A restored store lacks the newest change of the gates' configuration. If the next change was made through a gate that did not know it either, both got the same revision: gates that held the lost change took the stored head for their own, confirmed it, and kept another content for good.

Cause: the last number that was still compared across histories: a revision counts on from what the store holds.

Change: revisions of a later history begin above all that earlier ones can have given, by the era of the store. The first history numbers as before.

--- a/src/config/ConfigurationStore.cpp
+++ b/src/config/ConfigurationStore.cpp
@@ -3,6 +3,7 @@
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -55,6 +56,16 @@
   return Transaction;
 }
 
+/// Returns the revision of a change of the configuration with the revision
+/// \p Before. Those of a later history of the store are higher than all that an
+/// earlier one may have lost.
+auto nextRevision(ConfigRevision Before, StoreEra Era) -> ConfigRevision {
+  constexpr auto BitsOfHistory = 32U;
+  auto Restores = Era.number() > 0 ? Era.number() - 1 : 0;
+  return ConfigRevision{std::max(Before.number(), Restores << BitsOfHistory) +
+                        1};
+}
+
 auto headRevision(const std::string &Head) -> ConfigRevision {
   try {
     return ConfigRevision{
@@ -232,7 +243,7 @@
     std::function<void(ChangeResult)> Done) -> void {
   auto After = Before;
   Edit(After);
-  After.m_Revision = ConfigRevision{Before.m_Revision.number() + 1};
+  After.m_Revision = nextRevision(Before.m_Revision, m_Store.history().era());
   After.validate();
   auto Transaction = changeTransaction(Before, After);
   Transaction.m_Compares = std::move(Compares);
--- a/tests/fault-RestoredStore.cpp
+++ b/tests/fault-RestoredStore.cpp
@@ -387,6 +387,38 @@
   CHECK(First.accepts("late"));
 }
 
+// Guards against gates that confirm different configurations for good, since a
+// restored store lost one, and its revision was given to another one.
+TEST_CASE("restored store: a change after the restore has a revision that no "
+          "lost one had") {
+  auto Test = World();
+  auto First = ConfigurationProcess(Test);
+  First.grant("early");
+  Test.m_Scheduler.advance(Seconds(2));
+  Test.takeCopy();
+  First.grant("lost");
+  Test.m_Scheduler.advance(Seconds(2));
+  REQUIRE(First.m_Result == ChangeResult::Kind::Accepted);
+  First.m_Store.pause();
+  Test.restore();
+  auto Started = ConfigurationProcess(Test);
+  Test.m_Scheduler.advance(Seconds(4));
+  Started.grant("new");
+  Test.m_Scheduler.advance(Seconds(2));
+  REQUIRE(Started.m_Result == ChangeResult::Kind::Accepted);
+  First.m_Store.resume();
+  Test.m_Scheduler.advance(Seconds(4));
+  CHECK(Started.m_Holder.revision() == First.m_Holder.revision());
+  for (const auto *Key : {"early", "lost", "new"}) {
+    CAPTURE(Key);
+    CHECK(Started.accepts(Key) == First.accepts(Key));
+  }
+  CHECK(First.accepts("new"));
+  First.grant("next");
+  Test.m_Scheduler.advance(Seconds(2));
+  CHECK(Started.accepts("next"));
+}
+
 // Guards against a non-idempotent request that runs twice, because its claim
 // was lost with the restore.
 TEST_CASE("restored store: a claim that was granted before is not granted "
