Let the linter read the test of gates behind a partition

What developers saw: clang-tidy could not parse the test, since a lambda in a check's message referred to a structured binding.

Change: the loop names the element. The checks are the same, and pass.

--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -572,9 +572,10 @@
   }
   CHECK_FALSE(Gates["g1"]->m_Gossip.otherGates());
   auto CheckAll = [&] {
-    for (const auto &[Name, Gate] : Gates) {
+    for (const auto &Gate : Gates) {
+      const auto &Name = Gate.first;
       CAPTURE(Name);
-      auto Others = Gate->m_Gossip.otherGates();
+      auto Others = Gate.second->m_Gossip.otherGates();
       REQUIRE(Others);
       CHECK(Others->size() == 4);
       CHECK_FALSE(Others->contains(ProcessId{Name + "/gate"}));
