Use a third of a request rate while the store is away for all hosts

Once the store had been away for some eight seconds, the registrations of all hosts were over by their clocks, and no host sent anything to a server that named a limit.

Cause: a host that the store turns away, while the others have removed it, was not told from a host in an outage of the whole store; it cannot be, without a reply of the store.

Change: a host that has been registered uses a third of its shares beyond the term of its registration. If the others have divided these among themselves, all together send at most 4/3 of the rate. A host that has just started uses none, as before.

Evidence: the new case of fault-RequestRateLimit (nine hosts, the store away for 35 s) saw no request to limited servers before, and passes, as do the cases of hosts that are turned away or start together.

--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -43,6 +43,9 @@
   Duration m_ObservationTime = Milliseconds(6000);
   /// Part of the lease's term that is not used, for clocks of different rates.
   Duration m_ClockDriftMargin = Milliseconds(200);
+  /// Part of its shares of request rates that a host uses once its registration
+  /// may be over: the others have removed it, or the store is away for all.
+  double m_LapsedPart = 1.0 / 3;
 };
 
 /// Registers this host and tracks the others.
--- a/include/dotterel/routing/ServerRateLimits.h
+++ b/include/dotterel/routing/ServerRateLimits.h
@@ -45,6 +45,9 @@
 struct SenderTerm {
   MonotonicTime m_Begin = MonotonicTime::min();
   MonotonicTime m_End = MonotonicTime::max();
+  /// Part of its shares that this process uses outside the term, when others
+  /// may use them as well.
+  double m_PartOutside = 0;
 
   auto operator==(const SenderTerm &) const -> bool = default;
 
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -66,6 +66,9 @@
 
 auto HostRegistry::extendTerm(MonotonicTime SentAt) -> void {
   m_Term.m_End = SentAt + m_Options.m_LeaseTerm - m_Options.m_ClockDriftMargin;
+  // A host that knows the others, and is known to them.
+  if (m_Scheduler.now() >= m_Term.m_Begin)
+    m_Term.m_PartOutside = m_Options.m_LapsedPart;
 }
 
 auto HostRegistry::acquireLease() -> void {
@@ -138,6 +141,7 @@
 auto HostRegistry::deregister() -> void {
   m_Registering = false;
   m_Term.m_End = std::min(m_Term.m_End, m_Scheduler.now());
+  m_Term.m_PartOutside = 0;
   ++m_Step;
   if (m_Timer)
     m_Scheduler.cancel(*m_Timer);
--- a/src/routing/ServerRateLimits.cpp
+++ b/src/routing/ServerRateLimits.cpp
@@ -103,9 +103,10 @@
 auto ServerRateLimits::shareOf(const Entry &Item, RequestRate Limit,
                                MonotonicTime Now) const -> RequestRate {
   auto Sharers = sharerCount(Limit);
-  if (!Item.m_Rank || *Item.m_Rank >= Sharers || !m_Term.contains(Now))
+  if (!Item.m_Rank || *Item.m_Rank >= Sharers)
     return RequestRate{};
-  return RequestRate{Limit.perSecond() / static_cast<double>(Sharers)};
+  auto Part = m_Term.contains(Now) ? 1 : m_Term.m_PartOutside;
+  return RequestRate{Part * Limit.perSecond() / static_cast<double>(Sharers)};
 }
 
 auto ServerRateLimits::permitsOf(const Entry &Item, RequestRate Limit,
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -540,6 +540,28 @@
                                RegisteredHostsTest::ServerCount * 60);
 }
 
+// Guards against limited servers that get no requests at all, since the
+// registrations of all hosts are over.
+TEST_CASE("fault: servers that name a request rate stay in use while the store "
+          "is away for all hosts") {
+  auto Test = RegisteredHostsTest();
+  constexpr auto Count = 9U;
+  for (auto Index = 0U; Index < Count; ++Index)
+    Test.add();
+  Test.run(Seconds(20));
+  for (auto Index = 0U; Index < Count; ++Index)
+    Test.store(Index).setOutage(StoreFault::Refuse);
+  Test.run(Seconds(15));
+  Test.clear();
+  Test.run(Seconds(20));
+  CHECK(Test.arrivals() >= 0.25 * RegisteredHostsTest::Limit *
+                               RegisteredHostsTest::ServerCount * 20);
+  for (auto Index = 0U; Index < Count; ++Index)
+    Test.store(Index).setOutage(StoreFault::None);
+  Test.run(Seconds(20));
+  CHECK(Test.most() <= allowed(RegisteredHostsTest::Limit));
+}
+
 // Guards against hosts that use shares of a rate before the others have seen
 // that they registered.
 TEST_CASE("fault: all hosts together keep to the request rate that a server "
