Credit the third of a rate also while a new registration is observed

After an outage of the store for all hosts, limited servers got no request for six seconds, in which hosts use a third of their shares until their new registrations have been observed.

Cause: permits were credited from the beginning of the term only, also for the part of a share that is used before it.

Change: the beginning of the term matters for a share that becomes a whole one alone.

--- a/include/dotterel/routing/ServerRateLimits.h
+++ b/include/dotterel/routing/ServerRateLimits.h
@@ -78,7 +78,7 @@
   auto setSenders(const std::string &Self, std::vector<std::string> Others,
                   MonotonicTime Now) -> void;
 
-  /// Sets the time in which this process uses its shares: outside it, the
+  /// Sets the time in which this process uses its shares whole: outside it, the
   /// others may have divided them among themselves. Unlimited before the first
   /// call.
   auto setTerm(const SenderTerm &Term, MonotonicTime Now) -> void;
--- a/src/routing/ServerRateLimits.cpp
+++ b/src/routing/ServerRateLimits.cpp
@@ -113,7 +113,10 @@
                                  MonotonicTime Now) const -> double {
   auto Share = shareOf(Item, Limit, Now).perSecond();
   auto Max = std::max(1.0, Share * seconds(m_Options.m_AccumulationTime));
-  auto Since = std::min(Now, std::max(Item.m_RefilledAt, m_Term.m_Begin));
+  // A share that becomes a whole one starts without permits.
+  auto Since = m_Term.contains(Now)
+                   ? std::max(Item.m_RefilledAt, m_Term.m_Begin)
+                   : Item.m_RefilledAt;
   return std::min(Max, Item.m_Permits + Share * seconds(Now - Since));
 }
 
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -558,6 +558,10 @@
                                RegisteredHostsTest::ServerCount * 20);
   for (auto Index = 0U; Index < Count; ++Index)
     Test.store(Index).setOutage(StoreFault::None);
+  auto Before = Test.arrivals();
+  Test.run(Seconds(6));
+  CHECK(Test.arrivals() - Before >= 0.25 * RegisteredHostsTest::Limit *
+                                        RegisteredHostsTest::ServerCount * 6);
   Test.run(Seconds(20));
   CHECK(Test.most() <= allowed(RegisteredHostsTest::Limit));
 }
