--- a/include/dotterel/fleet/Discovery.h
+++ b/include/dotterel/fleet/Discovery.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_FLEET_DISCOVERY_H
 
 #include "dotterel/base/Scheduler.h"
+#include "dotterel/fleet/BackendClient.h"
 #include "dotterel/io/HttpClient.h"
 #include "dotterel/membership/HostList.h"
 #include "dotterel/routing/EngineTable.h"
@@ -30,8 +31,8 @@
 /// Polls server lists and load reports and updates an engine table with them.
 class Discovery {
 public:
-  Discovery(Scheduler &Scheduler, HttpClient &Client, EngineTable &Engines,
-            const DiscoveryOptions &Options);
+  Discovery(Scheduler &Scheduler, HttpClient &Client, BackendClient &Backends,
+            EngineTable &Engines, const DiscoveryOptions &Options);
 
   /// Registers a callback that is called with each host list received.
   auto onHostList(std::function<void(std::vector<ListedProcess>)> Callback)
@@ -55,13 +56,18 @@
 private:
   auto pollLists() -> void;
   auto pollLoads() -> void;
-  /// Fetches \p Url and passes the body of a successful response to \p Handler.
-  /// Does nothing if a request for the URL is in flight.
-  auto fetch(const std::string &Url, Duration Timeout,
-             std::function<void(const std::string &)> Handler) -> void;
+  /// Returns a call that fetches \p Url and passes the body of a successful
+  /// response to \p Handler; nothing if one for the URL is in flight.
+  auto makeCall(const std::string &Url, Duration Timeout,
+                std::function<void(const std::string &)> Handler)
+      -> std::optional<HttpCall>;
+  auto fetchFromPlatform(const std::string &Path,
+                         std::function<void(const std::string &)> Handler)
+      -> void;
 
   Scheduler &m_Scheduler;
   HttpClient &m_Client;
+  BackendClient &m_Backends;
   EngineTable &m_Engines;
   DiscoveryOptions m_Options;
   std::optional<RepeatingTimer> m_ListTimer;
--- a/include/dotterel/fleet/HttpEngineOrders.h
+++ b/include/dotterel/fleet/HttpEngineOrders.h
@@ -7,8 +7,8 @@
 #ifndef DOTTEREL_FLEET_HTTPENGINEORDERS_H
 #define DOTTEREL_FLEET_HTTPENGINEORDERS_H
 
+#include "dotterel/fleet/BackendClient.h"
 #include "dotterel/fleet/Order.h"
-#include "dotterel/io/HttpClient.h"
 #include "dotterel/routing/EngineTable.h"
 
 #include <memory>
@@ -17,7 +17,7 @@
 
 /// Returns a channel for orders to the engines in \p Engines. Both arguments
 /// must outlive the channel.
-auto makeHttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
+auto makeHttpEngineOrders(BackendClient &Backends, const EngineTable &Engines)
     -> std::unique_ptr<OrderChannel>;
 
 } // namespace dotterel
--- a/include/dotterel/gate/BackendLossDetector.h
+++ b/include/dotterel/gate/BackendLossDetector.h
@@ -8,7 +8,7 @@
 #define DOTTEREL_GATE_BACKENDLOSSDETECTOR_H
 
 #include "dotterel/base/Scheduler.h"
-#include "dotterel/io/HttpClient.h"
+#include "dotterel/fleet/BackendClient.h"
 #include "dotterel/poison/CrashRegistry.h"
 #include "dotterel/routing/EngineTable.h"
 
@@ -27,10 +27,10 @@
 public:
   /// \p Announce sends new evidence to the other gates and calls back when
   /// they have received it, or after a short timeout.
-  BackendLossDetector(Scheduler &Scheduler, HttpClient &Client,
+  BackendLossDetector(Scheduler &Scheduler, BackendClient &Backends,
                       EngineTable &Engines, CrashRegistry &Crashes,
                       std::function<void(std::function<void()>)> Announce)
-      : m_Scheduler(Scheduler), m_Client(Client), m_Engines(Engines),
+      : m_Scheduler(Scheduler), m_Backends(Backends), m_Engines(Engines),
         m_Crashes(Crashes), m_Announce(std::move(Announce)) {}
 
   /// Checks the backend server \p Id, which gets no requests meanwhile. If it
@@ -67,7 +67,7 @@
   auto logLoss(const DetectedLoss &Loss) const -> void;
 
   Scheduler &m_Scheduler;
-  HttpClient &m_Client;
+  BackendClient &m_Backends;
   EngineTable &m_Engines;
   CrashRegistry &m_Crashes;
   std::function<void(std::function<void()>)> m_Announce;
--- a/include/dotterel/gate/GateServices.h
+++ b/include/dotterel/gate/GateServices.h
@@ -12,11 +12,11 @@
 #include "dotterel/base/Scheduler.h"
 #include "dotterel/config/ConfigurationHolder.h"
 #include "dotterel/config/Freshness.h"
+#include "dotterel/fleet/BackendClient.h"
 #include "dotterel/gate/Credentials.h"
 #include "dotterel/gate/DecisionLog.h"
 #include "dotterel/gate/Metrics.h"
 #include "dotterel/gate/Refusal.h"
-#include "dotterel/io/HttpClient.h"
 #include "dotterel/io/HttpServer.h"
 #include "dotterel/ledger/ClaimRouter.h"
 #include "dotterel/poison/CrashRegistry.h"
@@ -53,7 +53,8 @@
 struct GateServices {
   Scheduler &m_Scheduler;
   Random &m_Random;
-  HttpClient &m_Client;
+  /// The only way to backend servers.
+  BackendClient &m_Backends;
   ConfigurationHolder &m_Configuration;
   FreshnessTracker &m_Freshness;
   MemberTable &m_Members;
--- a/include/dotterel/gate/Refusal.h
+++ b/include/dotterel/gate/Refusal.h
@@ -9,6 +9,7 @@
 #define DOTTEREL_GATE_REFUSAL_H
 
 #include "dotterel/base/Ids.h"
+#include "dotterel/base/Units.h"
 #include "dotterel/io/HttpMessage.h"
 
 #include <cstdint>
@@ -75,6 +76,10 @@
   explicit Refusal(RefusalCode Code, std::string Detail = {});
   Refusal(RefusalCode Code, Execution Execution, std::string Detail = {});
 
+  /// Sets the time after which the request may succeed, in place of the
+  /// default.
+  auto setRetryAfter(Duration Time) -> void { m_RetryAfter = Time; }
+
   [[nodiscard]] auto code() const -> RefusalCode { return m_Code; }
   [[nodiscard]] auto execution() const -> Execution { return m_Execution; }
 
@@ -88,6 +93,10 @@
   RefusalCode m_Code;
   Execution m_Execution;
   std::string m_Detail;
+  std::optional<Duration> m_RetryAfter;
+
+  /// Returns the whole seconds that the response states.
+  [[nodiscard]] auto retryAfterSeconds() const -> std::int64_t;
 };
 
 } // namespace dotterel
--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -44,6 +44,7 @@
 /// State of the host that the fleet duty bases its decisions on.
 struct FleetDutyInputs {
   const BackendDirectory &m_Directory;
+  ServerAccess &m_Access;
   /// Returns the current configuration, or null before the first one.
   std::function<const ServingConfiguration *()> m_Configuration;
   /// Returns whether this host has no request in flight.
--- a/include/dotterel/process/ProcessCore.h
+++ b/include/dotterel/process/ProcessCore.h
@@ -60,6 +60,7 @@
   ConfigurationStore m_ConfigurationStore;
   Gossip m_Gossip;
   EngineTable m_Engines;
+  BackendClient m_Backends;
   Discovery m_Discovery;
 
 private:
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -13,6 +13,7 @@
 #include "dotterel/routing/Candidate.h"
 #include "dotterel/routing/OutlierDetector.h"
 #include "dotterel/routing/PrefixIndex.h"
+#include "dotterel/routing/ServerAccess.h"
 #include "dotterel/routing/ServerRateLimits.h"
 
 #include <functional>
@@ -51,6 +52,7 @@
   Duration m_AveragingTime = Seconds(3);
   OutlierOptions m_Outliers;
   ServerRateLimitOptions m_RateLimits;
+  ServerAccessOptions m_Access;
 };
 
 /// An attempt of a request that was sent to an engine and has not ended.
@@ -86,9 +88,7 @@
 /// the sum over its requests in flight there.
 class EngineTable {
 public:
-  EngineTable(Location Self, const EngineTableOptions &Options)
-      : m_Self(std::move(Self)), m_Options(Options),
-        m_Outliers(Options.m_Outliers), m_RateLimits(Options.m_RateLimits) {}
+  EngineTable(Location Self, const EngineTableOptions &Options);
 
   /// Updates the table from the platform's list. A server that is leaving
   /// according to the list or to a peer gets no new requests.
@@ -147,16 +147,30 @@
   [[nodiscard]] auto models() const -> std::vector<ModelId>;
 
   /// Returns a backend server of a plain service, by round robin over the
-  /// nearest ones; nothing when no server is available. A request that is sent
-  /// to it is counted against the server's request rate.
+  /// nearest ones; nothing when no server is available.
   auto pickService(const std::string &Service, bool CheapAllowed,
                    const std::set<BackendId> &Excluded, MonotonicTime Now)
       -> std::optional<Backend>;
 
-  /// Returns whether the request rate of a server of a plain service is used
-  /// up.
-  [[nodiscard]] auto rateUsedUp(const std::string &Service,
-                                MonotonicTime Now) const -> bool;
+  /// Returns the shortest time after which a server of a plain service may
+  /// receive requests again, if a pause or its request rate is the reason why
+  /// it may not; nothing if there is no such server.
+  [[nodiscard]] auto timeToOpen(const std::string &Service,
+                                MonotonicTime Now) const
+      -> std::optional<Duration>;
+
+  /// Returns why \p Id may be sent nothing of this kind now.
+  [[nodiscard]] auto check(const BackendId &Id, SendPurpose Purpose,
+                           MonotonicTime Now) const -> SendDenial;
+
+  /// Returns the permission to send to \p Id now. A request is counted against
+  /// the server's rate.
+  [[nodiscard]] auto admit(const BackendId &Id, SendPurpose Purpose,
+                           MonotonicTime Now) -> SendDecision;
+
+  /// Records what a response of the server states.
+  auto recordNotice(const BackendId &Id, const ServerNotice &Notice,
+                    MonotonicTime Now) -> void;
 
   /// Records that an attempt was sent to the engine.
   auto begin(const BackendId &Id, const InFlightRequest &Flight) -> void;
@@ -179,7 +193,9 @@
   [[nodiscard]] auto all() const -> std::vector<Backend>;
   [[nodiscard]] auto inFlight(const BackendId &Id) const -> std::size_t;
   [[nodiscard]] auto outliers() -> OutlierDetector & { return m_Outliers; }
-  [[nodiscard]] auto rateLimits() -> ServerRateLimits & { return m_RateLimits; }
+  [[nodiscard]] auto rateLimits() -> ServerRateLimits & {
+    return m_Access.rateLimits();
+  }
 
 private:
   struct Entry {
@@ -236,6 +252,7 @@
                                    MonotonicTime Now) const -> Candidate;
   /// Returns the assumed round-trip time to \p Server.
   [[nodiscard]] auto roundTripTo(const Backend &Server) const -> Duration;
+  [[nodiscard]] auto targetOf(const Entry &Item) const -> SendTarget;
 
   Location m_Self;
   EngineTableOptions m_Options;
@@ -244,7 +261,7 @@
   std::set<BackendId> m_Drained;
   std::function<bool(const BackendId &)> m_ExclusiveOwner;
   OutlierDetector m_Outliers;
-  ServerRateLimits m_RateLimits;
+  ServerAccess m_Access;
   std::size_t m_NextService = 0;
 };
 
--- a/include/dotterel/serving/BackendRecord.h
+++ b/include/dotterel/serving/BackendRecord.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_BACKENDRECORD_H
 #define DOTTEREL_SERVING_BACKENDRECORD_H
 
+#include "dotterel/routing/ServerAccess.h"
 #include "dotterel/serving/ServingConfiguration.h"
 
 #include <string>
@@ -43,6 +44,17 @@
   }
 };
 
+/// Returns the server as a target, which refers to \p Server.
+[[nodiscard]] inline auto targetOf(const BackendRecord &Server,
+                                   bool Ejected = false) -> SendTarget {
+  return {.m_Backend = Server.m_Id,
+          .m_Address = Server.m_Address,
+          .m_Start = Server.m_StartedAt,
+          .m_StartsOrdered = true,
+          .m_Draining = Server.m_Draining,
+          .m_Ejected = Ejected};
+}
+
 } // namespace dotterel
 
 #endif // DOTTEREL_SERVING_BACKENDRECORD_H
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_BACKENDTRANSPORT_H
 #define DOTTEREL_SERVING_BACKENDTRANSPORT_H
 
+#include "dotterel/routing/ServerAccess.h"
 #include "dotterel/serving/BackendRecord.h"
 #include "dotterel/serving/CallerExchange.h"
 
@@ -68,6 +69,9 @@
   /// Requests per second that the server takes from all hosts together. Empty:
   /// it has no limit.
   std::optional<RequestRate> m_RateLimit;
+  /// Whether and until when the server takes requests of this host. Also set if
+  /// the response then broke off.
+  ServerNotice m_Notice;
 };
 
 /// Outcome of an attempt.
@@ -120,19 +124,24 @@
 public:
   virtual ~BackendTransport() = default;
 
-  /// Starts an attempt. \p Listener must outlive it. If \p Stream is set, a
-  /// successful response is passed to the listener in pieces, as it arrives.
-  virtual auto send(const BackendAttempt &Attempt, bool Stream,
-                    AttemptListener &Listener) -> TransportId = 0;
+  /// Starts the attempt that \p Permit allows. \p Listener must outlive it. If
+  /// \p Stream is set, a successful response is passed to the listener in
+  /// pieces, as it arrives.
+  virtual auto send(SendPermit Permit, const BackendAttempt &Attempt,
+                    bool Stream, AttemptListener &Listener) -> TransportId = 0;
 
   /// Cancels an attempt and closes its connection. No callback follows.
   virtual auto cancel(TransportId Attempt) -> void = 0;
 
-  /// Releases a KV cache that no engine will fetch.
-  virtual auto release(const CacheHandle &Cache) -> void = 0;
+  /// Releases a KV cache that no engine will fetch. Calls \p Done with what the
+  /// server's response states, if there is one.
+  virtual auto release(SendPermit Permit, const CacheHandle &Cache,
+                       std::function<void(const ServerNotice &)> Done)
+      -> void = 0;
 
   /// Calls \p Done with whether the server at \p Address still accepts
-  /// connections. There is no callback if the transport is destroyed first.
+  /// connections. Sends no request, and so needs no permission. There is no
+  /// callback if the transport is destroyed first.
   virtual auto checkReachable(const std::string &Address,
                               std::function<void(bool)> Done) -> void = 0;
 };
--- a/include/dotterel/serving/FleetCalls.h
+++ b/include/dotterel/serving/FleetCalls.h
@@ -33,14 +33,22 @@
   EngineStage m_Stage = EngineStage::Decode;
 };
 
+/// Response to an order for an engine.
+struct StageOrderReply {
+  OrderOutcome m_Outcome = OrderOutcome::NotSent;
+  ServerNotice m_Notice;
+};
+
 class FleetCalls {
 public:
   virtual ~FleetCalls() = default;
 
   virtual auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
                             std::function<void(OrderOutcome)> Done) -> void = 0;
-  virtual auto orderStage(const StageOrder &Order, FencingNumber Fencing,
-                          std::function<void(OrderOutcome)> Done) -> void = 0;
+  virtual auto orderStage(SendPermit Permit, const StageOrder &Order,
+                          FencingNumber Fencing,
+                          std::function<void(const StageOrderReply &)> Done)
+      -> void = 0;
   virtual auto reportUsage(const UsageReport &Report,
                            std::function<void(OrderOutcome)> Done) -> void = 0;
 };
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -12,6 +12,7 @@
 #include "dotterel/serving/FleetCalls.h"
 #include "dotterel/serving/FleetPlan.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -19,6 +20,9 @@
 
 namespace dotterel {
 
+/// Returns whether an engine may be sent orders.
+using EngineFilter = std::function<bool(const BackendRecord &)>;
+
 struct FleetPlannerOptions {
   /// Share of ordinary servers in a data centre while reclaimable ones are
   /// available.
@@ -74,9 +78,11 @@
 
   /// Returns the engines that should change their stage: at most one in each
   /// data centre, or all that deviate from the plan if \p Idle is set, as no
-  /// request can be delayed then.
+  /// request can be delayed then. Engines that \p MayOrder excludes, if given,
+  /// are left out of the plan.
   [[nodiscard]] auto stages(const ServingConfiguration &Configuration,
-                            const BackendDirectory &Directory, bool Idle) const
+                            const BackendDirectory &Directory, bool Idle,
+                            const EngineFilter &MayOrder = {}) const
       -> std::vector<StageOrder>;
 
   /// Returns the state that another planner needs to continue these orders.
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -44,8 +44,8 @@
   std::size_t m_MaxEventBytes = std::size_t{256} << 10U;
   /// Maximum expected time to the first event, as a share of the time left.
   double m_MaxWaitShare = 0.9;
-  /// Maximum time for which a prefilled prompt waits until the request rate of
-  /// a decode engine permits it, as a share of the time left.
+  /// Maximum time for which a prefilled prompt waits until a decode engine may
+  /// receive it, as a share of the time left.
   double m_MaxPermitWaitShare = 0.25;
   /// Maximum retry-after time, as a share of the time left: callers that would
   /// retry later give up.
@@ -69,6 +69,7 @@
   PrefillSpeed &m_Speed;
   RetryWindow &m_Retries;
   ServerRateLimits &m_RateLimits;
+  ServerAccess &m_Access;
   CrashMonitor &m_Crashes;
   ServingMetrics &m_Metrics;
   const ServerChoice &m_ServerChoice;
@@ -79,12 +80,14 @@
   /// Prefilled prompts to be reported to other hosts.
   std::vector<PromptRead> m_Reads;
   DemandMeter m_Demand;
+  /// Ends with the context; for callbacks that can outlive it.
+  std::shared_ptr<bool> m_Lifetime = std::make_shared<bool>(true);
 
   [[nodiscard]] auto view() const -> ChoiceView {
     return {.m_Directory = m_Directory,
             .m_Loads = m_Loads,
             .m_Health = m_Health,
-            .m_RateLimits = m_RateLimits,
+            .m_Access = m_Access,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -131,6 +134,14 @@
     DataCentreId m_DataCentre;
     std::uint64_t m_ServerStartedAt = 0; ///< As in BackendRecord.
     AttemptPurpose m_Purpose = AttemptPurpose::Serve;
+    /// Returns the server as it was chosen, as a target.
+    [[nodiscard]] auto target() const -> SendTarget {
+      return {.m_Backend = m_Backend,
+              .m_Address = m_Address,
+              .m_Start = m_ServerStartedAt,
+              .m_StartsOrdered = true};
+    }
+
     double m_PendingTokens = 0; ///< Prompt tokens not yet prefilled.
     double m_PlannedTokens = 0; ///< Prompt tokens expected to be prefilled.
     /// Whether the server was asked to fetch cached parts.
@@ -145,11 +156,17 @@
   auto placePrompt() -> void;
   auto placePlain() -> void;
   auto sendToDecodeEngine(const Attempt &PrefillAttempt) -> void;
-  /// Waits until the request rate of a decode engine permits the request,
-  /// unless that takes too long. \returns whether it waits.
+  /// Waits until a pause ends or the request rate of a decode engine permits
+  /// the request, unless that takes too long. \returns whether it waits.
   auto waitForDecodeEngine() -> bool;
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
             const std::string &FetchFrom) -> void;
+  /// Returns the permission to send to \p Target.
+  [[nodiscard]] auto admit(const BackendRecord &Target, AttemptPurpose Purpose)
+      -> SendDecision;
+  /// Goes on after the permission to send to \p Target was denied.
+  auto handleDenial(const BackendRecord &Target, AttemptPurpose Purpose,
+                    SendDenial Denial) -> void;
   /// Refuses the request if one of its digests is quarantined and it cannot be
   /// a trial. Returns whether it did.
   [[nodiscard]] auto refuseIfQuarantined() -> bool;
@@ -158,6 +175,13 @@
   /// limit: it is about that server, and has just been sent.
   auto recordReport(const Attempt &Source, const ServerReport &Report,
                     bool StatesRateLimit) -> void;
+  /// Records what a response to \p Source states about whether its server takes
+  /// requests. \param FromAddress whether only the address of the server is
+  /// certain, since it is not the one that was expected there.
+  auto recordNotice(const Attempt &Source, const ServerNotice &Notice,
+                    bool FromAddress) -> void;
+  /// Releases the KV cache that is not yet passed on.
+  auto releaseCache() -> void;
   /// Has the server of an attempt checked whose connection ended.
   auto reportBroken(const Attempt &Ended) -> void;
   /// Counts the next attempt. Returns false if the retry budget is exhausted.
@@ -175,7 +199,7 @@
   auto refuse(RefusalCode Code, std::string Detail,
               std::optional<Duration> RetryAfter = std::nullopt) -> void;
   /// Refuses the request because no server may receive it. \p Reason says why,
-  /// unless their request rates are used up.
+  /// unless they will after a while.
   auto refuseWithoutServer(const char *Reason) -> void;
   auto finish(const std::string &Outcome, const std::string &Detail) -> void;
   auto handleDisconnect() -> void;
@@ -199,6 +223,9 @@
   auto failAttempt(std::string Detail) -> void;
   [[nodiscard]] auto timeLeft() const -> Duration;
   [[nodiscard]] auto retryAfter(Duration Wanted) -> Duration;
+  /// Returns a randomised retry-after time not before \p Opening, unless
+  /// callers would give up until then.
+  [[nodiscard]] auto retryAfterOpening(Duration Opening) -> Duration;
 
   ServingContext &m_Context;
   CallerExchangePtr m_Exchange;
--- a/include/dotterel/serving/ServerChoice.h
+++ b/include/dotterel/serving/ServerChoice.h
@@ -9,10 +9,12 @@
 
 #include "dotterel/base/Random.h"
 #include "dotterel/routing/OutlierDetector.h"
+#include "dotterel/routing/ServerAccess.h"
 #include "dotterel/serving/BackendDirectory.h"
 #include "dotterel/serving/Distance.h"
 #include "dotterel/serving/LoadTracker.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -24,24 +26,34 @@
   const BackendDirectory &m_Directory;
   const LoadTracker &m_Loads;
   const OutlierDetector &m_Health;
-  const ServerRateLimits &m_RateLimits;
+  const ServerAccess &m_Access;
   const Distance &m_Distance;
   Random &m_Random;
 };
 
 /// Returns the servers of \p Service that may receive a request: those that are
-/// not in \p Excluded, whose request rates permit one, and that are not
-/// ejected. Ejected servers are included if too many are ejected. Servers in
-/// backoff are returned only if no other server is left.
+/// not in \p Excluded and to which one may be sent now. Ejected servers are
+/// included if too many are ejected. Servers in backoff, which have refused a
+/// request without a time, are returned only if no other server is left.
 auto candidates(const ChoiceView &View, const ServiceId &Service,
                 const std::set<BackendId> &Excluded, MonotonicTime Now)
     -> std::vector<const BackendRecord *>;
 
-/// Returns the shortest time after which a server of \p Service permits a
-/// request whose request rate is used up now; nothing if there is no such
-/// server.
-auto timeToRatePermit(const ChoiceView &View, const ServiceId &Service,
-                      MonotonicTime Now) -> std::optional<Duration>;
+/// Why the servers of a service may not receive requests now.
+struct ServiceDenials {
+  /// Number of registered servers by reason.
+  std::map<SendDenial, std::size_t> m_Counts;
+  /// Shortest time after which one of them may receive a request again, if a
+  /// pause or a request rate is the reason.
+  std::optional<Duration> m_TimeToOpen;
+
+  /// Returns a description for the log and the caller.
+  [[nodiscard]] auto text() const -> std::string;
+};
+
+/// Complexity: linear in the number of registered servers.
+auto denialsOf(const ChoiceView &View, const ServiceId &Service,
+               MonotonicTime Now) -> ServiceDenials;
 
 struct ServerChoiceOptions {
   /// Estimated time of one request, by which load is compared with distance.
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -26,6 +26,7 @@
   bool m_RequireConfirmation = true;
   RetryWindowOptions m_Retries;
   ServerRateLimitOptions m_RateLimits;
+  ServerAccessOptions m_Access;
   OutlierOptions m_Outliers;
   LoadTrackerOptions m_Loads;
   PrefillSpeedOptions m_Speed;
@@ -69,7 +70,10 @@
   auto applyLoads(const std::string &Origin, const LoadSummary &Loads) -> void;
 
   [[nodiscard]] auto directory() -> BackendDirectory & { return m_Directory; }
-  [[nodiscard]] auto rateLimits() -> ServerRateLimits & { return m_RateLimits; }
+  [[nodiscard]] auto rateLimits() -> ServerRateLimits & {
+    return m_Access.rateLimits();
+  }
+  [[nodiscard]] auto access() -> ServerAccess & { return m_Access; }
   [[nodiscard]] auto crashes() -> CrashMonitor & { return m_Crashes; }
   /// Returns the active configuration, or null if there is none yet.
   [[nodiscard]] auto configuration() const -> const ServingConfiguration * {
@@ -95,7 +99,7 @@
   PartCaches m_Caches;
   PrefillSpeed m_Speed;
   RetryWindow m_Retries;
-  ServerRateLimits m_RateLimits;
+  ServerAccess m_Access;
   CrashMonitor m_Crashes;
   FreshnessTracker m_Freshness;
   ServerChoice m_ServerChoice;
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -28,6 +28,8 @@
   /// event request.ended.
   auto countRequest(RequestKind Kind, const std::string &Outcome) -> void;
   auto countAttempt(AttemptPurpose Purpose, AttemptOutcome Outcome) -> void;
+  /// Counts a server, or a request, that something was not sent to, or for.
+  auto countSendDenial(SendDenial Denial) -> void;
   auto observeFirstByte(RequestKind Kind, Duration Value) -> void;
   auto observeCompleteResponse(RequestKind Kind, Duration Value) -> void;
   /// Records by how much a periodic check of the event loop ran late.
@@ -37,6 +39,8 @@
   auto countLostServer() -> void;
   auto setQuarantinedDigests(double Count) -> void;
   auto setRateLimitedServers(double Count) -> void;
+  auto setLeavingServers(double Count) -> void;
+  auto setPausedServers(double Count) -> void;
   auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
--- a/src/fleet/Discovery.cpp
+++ b/src/fleet/Discovery.cpp
@@ -16,9 +16,10 @@
 } // namespace
 
 Discovery::Discovery(Scheduler &Scheduler, HttpClient &Client,
-                     EngineTable &Engines, const DiscoveryOptions &Options)
-    : m_Scheduler(Scheduler), m_Client(Client), m_Engines(Engines),
-      m_Options(Options) {}
+                     BackendClient &Backends, EngineTable &Engines,
+                     const DiscoveryOptions &Options)
+    : m_Scheduler(Scheduler), m_Client(Client), m_Backends(Backends),
+      m_Engines(Engines), m_Options(Options) {}
 
 auto Discovery::start() -> void {
   m_ListTimer.emplace(m_Scheduler, m_Options.m_ListInterval,
@@ -33,11 +34,11 @@
   m_LoadTimer.reset();
 }
 
-auto Discovery::fetch(const std::string &Url, Duration Timeout,
-                      std::function<void(const std::string &)> Handler)
-    -> void {
+auto Discovery::makeCall(const std::string &Url, Duration Timeout,
+                         std::function<void(const std::string &)> Handler)
+    -> std::optional<HttpCall> {
   if (!m_Pending.insert(Url).second)
-    return;
+    return std::nullopt;
   auto Call = HttpCall();
   Call.m_Url = Url;
   Call.m_Timeout = Timeout;
@@ -56,20 +57,26 @@
                  {{"url", Url}, {"reason", Failure.what()}});
     }
   };
-  m_Client.start(std::move(Call));
+  return Call;
+}
+
+auto Discovery::fetchFromPlatform(
+    const std::string &Path, std::function<void(const std::string &)> Handler)
+    -> void {
+  if (auto Call = makeCall(m_Options.m_PlatformUrl + Path, ListTimeout,
+                           std::move(Handler)))
+    m_Client.start(std::move(*Call));
 }
 
 auto Discovery::pollLists() -> void {
-  fetch(m_Options.m_PlatformUrl + "/platform/v1/backends", ListTimeout,
-        [this](const std::string &Body) {
-          m_Engines.updateList(parseBackends(Body));
-          pollLoads();
-        });
-  fetch(m_Options.m_PlatformUrl + "/platform/v1/hosts", ListTimeout,
-        [this](const std::string &Body) {
-          if (m_OnHostList)
-            m_OnHostList(parseHostList(Body));
-        });
+  fetchFromPlatform("/platform/v1/backends", [this](const std::string &Body) {
+    m_Engines.updateList(parseBackends(Body));
+    pollLoads();
+  });
+  fetchFromPlatform("/platform/v1/hosts", [this](const std::string &Body) {
+    if (m_OnHostList)
+      m_OnHostList(parseHostList(Body));
+  });
 }
 
 auto Discovery::pollLoads() -> void {
@@ -79,12 +86,15 @@
     if (!Server.m_Service.empty())
       continue;
     auto Id = Server.m_Id;
-    fetch(Server.m_Url + "/load", LoadTimeout,
-          [this, Id](const std::string &Body) {
-            m_Engines.updateLoad(Id, parseLoad(Body), m_Scheduler.now());
-            if (m_OnLoad)
-              m_OnLoad();
-          });
+    auto Call =
+        makeCall(Server.m_Url + "/load", LoadTimeout,
+                 [this, Id](const std::string &Body) {
+                   m_Engines.updateLoad(Id, parseLoad(Body), m_Scheduler.now());
+                   if (m_OnLoad)
+                     m_OnLoad();
+                 });
+    if (Call)
+      m_Backends.start(Id, SendPurpose::Probe, std::move(*Call));
   }
 }
 
--- a/src/fleet/HttpEngineOrders.cpp
+++ b/src/fleet/HttpEngineOrders.cpp
@@ -25,8 +25,8 @@
 
 class HttpEngineOrders final : public OrderChannel {
 public:
-  HttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
-      : m_Client(Client), m_Engines(Engines) {}
+  HttpEngineOrders(BackendClient &Backends, const EngineTable &Engines)
+      : m_Backends(Backends), m_Engines(Engines) {}
 
   auto send(const BackendId &Engine, const BackendOrder &Order,
             std::function<void(OrderOutcome)> Done) -> void override {
@@ -37,7 +37,7 @@
                                     {"fencing", Order.m_Fencing.number()}}
                          .dump(),
                      std::move(Done));
-    m_Client.start(std::move(Call));
+    m_Backends.start(Engine, SendPurpose::Order, std::move(Call));
   }
 
   auto readState(const BackendId &Engine,
@@ -47,27 +47,28 @@
     Call.m_OnDone = [Done = std::move(Done)](const HttpCallResult &Result) {
       Done(parseState(Result));
     };
-    m_Client.start(std::move(Call));
+    m_Backends.start(Engine, SendPurpose::Probe, std::move(Call));
   }
 
 private:
   auto makeCall(const BackendId &Engine) const -> HttpCall {
     const auto *Server = m_Engines.find(Engine);
-    // An unlisted engine has no address, so the call fails with NotSent.
+    // A call to an unlisted engine is not permitted, so its address is not
+    // used.
     return detail::makeOrderCall(
         (Server != nullptr ? Server->m_Url : std::string("http://")) +
         "/orders");
   }
 
-  HttpClient &m_Client;
+  BackendClient &m_Backends;
   const EngineTable &m_Engines;
 };
 
 } // namespace
 
-auto makeHttpEngineOrders(HttpClient &Client, const EngineTable &Engines)
+auto makeHttpEngineOrders(BackendClient &Backends, const EngineTable &Engines)
     -> std::unique_ptr<OrderChannel> {
-  return std::make_unique<HttpEngineOrders>(Client, Engines);
+  return std::make_unique<HttpEngineOrders>(Backends, Engines);
 }
 
 } // namespace dotterel
--- a/src/gate/BackendLossDetector.cpp
+++ b/src/gate/BackendLossDetector.cpp
@@ -67,6 +67,14 @@
                          [this, Id] { finishCheck(Id, true); });
     return;
   }
+  // A server that wants to hear nothing has just responded; whether it has
+  // ended since is not asked.
+  if (m_Engines.check(Id, SendPurpose::Probe, m_Scheduler.now()) !=
+      SendDenial::None) {
+    m_Scheduler.schedule(Duration::zero(),
+                         [this, Id] { finishCheck(Id, false); });
+    return;
+  }
   auto Call = HttpCall();
   Call.m_Url = Server->m_Url + "/load";
   Call.m_Timeout = ProbeTimeout;
@@ -82,7 +90,7 @@
     }
     finishCheck(Id, !SameIncarnation);
   };
-  m_Client.start(std::move(Call));
+  m_Backends.start(Id, SendPurpose::Probe, std::move(Call));
 }
 
 auto BackendLossDetector::finishCheck(const BackendId &Id, bool Lost) -> void {
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -217,7 +217,8 @@
     if (auto Call = Self.lock())
       Call->onDone(Result);
   };
-  m_EngineCall = m_Services.m_Client.start(std::move(Call));
+  m_EngineCall = m_Services.m_Backends.start(Engine, SendPurpose::Execute,
+                                             std::move(Call));
   restartStallTimer();
 }
 
@@ -333,7 +334,7 @@
     m_Services.m_Scheduler.cancel(*m_StallTimer);
   m_StallTimer.reset();
   if (m_EngineCall)
-    m_Services.m_Client.cancel(*m_EngineCall);
+    m_Services.m_Backends.cancel(*m_EngineCall);
   m_EngineCall.reset();
   m_Services.m_Engines.end(m_Engine, m_Attempt);
   m_Services.m_Dispatcher.scheduleDispatch();
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -117,7 +117,7 @@
                [this] { return m_Core.m_Engines.utilisation(m_Loop.now()); }})),
       m_Routing(makeRoutingPolicy(Values.text("routing-policy"))),
       m_Dispatcher(m_Loop, m_Core.m_Engines, *m_Queue),
-      m_LossDetector(m_Loop, *m_Core.m_Client, m_Core.m_Engines,
+      m_LossDetector(m_Loop, m_Core.m_Backends, m_Core.m_Engines,
                      m_Core.m_Crashes,
                      [this](std::function<void()> Done) {
                        m_Core.m_Gossip.announce(std::move(Done));
@@ -138,7 +138,7 @@
                       Values.milliseconds("usage-flush-ms") * 2 + Seconds(2)}),
       m_Services{.m_Scheduler = m_Loop,
                  .m_Random = m_Core.m_Random,
-                 .m_Client = *m_Core.m_Client,
+                 .m_Backends = m_Core.m_Backends,
                  .m_Configuration = m_Core.m_Configuration,
                  .m_Freshness = m_Core.m_Freshness,
                  .m_Members = m_Core.m_Members,
--- a/src/gate/Refusal.cpp
+++ b/src/gate/Refusal.cpp
@@ -99,6 +99,11 @@
 Refusal::Refusal(RefusalCode Code, Execution Execution, std::string Detail)
     : m_Code(Code), m_Execution(Execution), m_Detail(std::move(Detail)) {}
 
+auto Refusal::retryAfterSeconds() const -> std::int64_t {
+  return m_RetryAfter ? std::chrono::ceil<Seconds>(*m_RetryAfter).count()
+                      : RetryAfterSeconds;
+}
+
 auto Refusal::document(const RequestId &Request) const -> std::string {
   const auto &Definition = definitionOf(m_Code);
   auto Error = nlohmann::json{{"code", Definition.m_Name},
@@ -109,7 +114,7 @@
   if (!m_Detail.empty())
     Error["detail"] = m_Detail;
   if (Definition.m_Retryable)
-    Error["retry_after_seconds"] = RetryAfterSeconds;
+    Error["retry_after_seconds"] = retryAfterSeconds();
   constexpr auto Compact = -1;
   return nlohmann::json{{"error", Error}}.dump(
       Compact, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -125,7 +130,7 @@
   if (Definition.m_Retryable)
     Response.m_Headers.push_back(
         {.m_Name = "Retry-After",
-         .m_Value = std::to_string(RetryAfterSeconds)});
+         .m_Value = std::to_string(retryAfterSeconds())});
   return Response;
 }
 
--- a/src/gate/ServiceCall.cpp
+++ b/src/gate/ServiceCall.cpp
@@ -152,11 +152,18 @@
   auto Server = m_Services.m_Engines.pickService(m_Input.m_Route.m_Service,
                                                  Cheap, m_TriedServers,
                                                  m_Services.m_Scheduler.now());
-  if (!Server && !m_MayHaveRun &&
-      m_Services.m_Engines.rateUsedUp(m_Input.m_Route.m_Service,
-                                      m_Services.m_Scheduler.now())) {
-    refuse(Refusal(RefusalCode::QueueFull, Execution::NotRun,
-                   "the request rates of the service's servers are used up"));
+  auto Opening = m_Services.m_Engines.timeToOpen(m_Input.m_Route.m_Service,
+                                                 m_Services.m_Scheduler.now());
+  if (!Server && !m_MayHaveRun && Opening) {
+    auto Reason = Refusal(RefusalCode::QueueFull, Execution::NotRun,
+                          "the service's servers take no requests for a while");
+    // Randomised, so that callers refused at the same time do not return at the
+    // same time.
+    constexpr auto Spread = 0.5;
+    if (*Opening < Duration::max())
+      Reason.setRetryAfter(std::chrono::duration_cast<Duration>(
+          *Opening * (1 + Spread * m_Services.m_Random.unit())));
+    refuse(Reason);
     return;
   }
   if (!Server) {
@@ -208,7 +215,8 @@
   Call.m_OnDone = [Self = shared_from_this()](const HttpCallResult &Result) {
     Self->onDone(Result);
   };
-  m_Call = m_Services.m_Client.start(std::move(Call));
+  m_Call = m_Services.m_Backends.start(m_Server, SendPurpose::Execute,
+                                       std::move(Call));
 }
 
 auto ServiceCall::onDone(const HttpCallResult &Result) -> void {
@@ -338,7 +346,7 @@
   // An at-most-once request continues, so that its outcome is recorded for the
   // caller's next attempt.
   if (m_Call && !atMostOnce()) {
-    m_Services.m_Client.cancel(*m_Call);
+    m_Services.m_Backends.cancel(*m_Call);
     m_Call.reset();
   }
   finish();
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -260,8 +260,12 @@
 auto FleetDuty::orderStages() -> void {
   auto Now = m_Scheduler.now();
   const auto &Configuration = *m_Inputs.m_Configuration();
-  auto Orders = m_Planner.stages(Configuration, m_Inputs.m_Directory,
-                                 m_Inputs.m_IsIdle());
+  auto Orders = m_Planner.stages(
+      Configuration, m_Inputs.m_Directory, m_Inputs.m_IsIdle(),
+      [this, Now](const BackendRecord &Engine) {
+        return m_Inputs.m_Access.check(targetOf(Engine), SendPurpose::Order,
+                                       Now) == SendDenial::None;
+      });
   for (const auto &Order : Orders) {
     auto &Last = m_StageOrders[Order.m_Backend];
     const auto *Engine = m_Inputs.m_Directory.find(Order.m_Backend);
@@ -278,14 +282,30 @@
 
 auto FleetDuty::send(const StageOrder &Order) -> void {
   auto Number = m_Lease.fencing();
-  m_Calls.orderStage(Order, Number, [Order, Number](OrderOutcome Outcome) {
-    logInfo("fleet.stage-ordered",
-            {{"backend", Order.m_Backend},
-             {"stage",
-              Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
-             {"fencing", Number},
-             {"answer", nameOf(Outcome)}});
-  });
+  auto Engine = *m_Inputs.m_Directory.find(Order.m_Backend);
+  auto Target = targetOf(Engine);
+  auto Decision = m_Inputs.m_Access.admit(
+      Target, SendPurpose::Order, {.m_Listed = &Target}, m_Scheduler.now());
+  if (!Decision.m_Permit) {
+    logInfo("fleet.stage-not-ordered", {{"backend", Order.m_Backend},
+                                        {"reason", nameOf(Decision.m_Denial)}});
+    return;
+  }
+  m_Calls.orderStage(
+      std::move(*Decision.m_Permit), Order, Number,
+      [this, Alive = m_Alive, Order, Number,
+       Engine](const StageOrderReply &Reply) {
+        if (!*Alive)
+          return;
+        m_Inputs.m_Access.recordNotice(targetOf(Engine), Reply.m_Notice,
+                                       m_Scheduler.now());
+        logInfo("fleet.stage-ordered",
+                {{"backend", Order.m_Backend},
+                 {"stage",
+                  Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
+                 {"fencing", Number},
+                 {"answer", nameOf(Reply.m_Outcome)}});
+      });
 }
 
 } // namespace dotterel
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -72,6 +72,8 @@
   Options.m_RequireConfirmation = Bounds.m_StrictWithdrawal;
   Options.m_Retries.m_Window = Bounds.m_RetryWindow;
   Options.m_Retries.m_Ratio = Bounds.m_RetryRatio;
+  Options.m_Access.m_SpreadSeed =
+      std::hash<HostId>()(Settings.m_Location.m_Host);
   return Options;
 }
 
@@ -168,6 +170,7 @@
                       {}),
       m_Duty(m_Time, Dependencies.m_Store, Dependencies.m_Fleet,
              {.m_Directory = m_Core.directory(),
+              .m_Access = m_Core.access(),
               .m_Configuration = [this] { return m_Core.configuration(); },
               .m_IsIdle = [this] { return m_Core.active() == 0; },
               .m_NeededEngines = [this] { return neededEngines(); },
@@ -390,6 +393,10 @@
   updateSenders(m_Hosts, m_Core.rateLimits(), Now);
   m_Metrics.setRateLimitedServers(
       static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
+  m_Metrics.setLeavingServers(
+      static_cast<double>(m_Core.access().leavingCount()));
+  m_Metrics.setPausedServers(
+      static_cast<double>(m_Core.access().pausedCount(Now)));
   m_Metrics.setStoreEra(
       static_cast<double>(m_Dependencies.m_Store.history().era().number()));
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
--- a/src/process/ProcessCore.cpp
+++ b/src/process/ProcessCore.cpp
@@ -43,7 +43,9 @@
           m_Crashes,
           {.m_SelfReadAge = Values.milliseconds("freshness-bound-ms") / 2}),
       m_Engines(locationFrom(Values), Engines),
-      m_Discovery(m_Loop, *m_Client, m_Engines, discoveryOptions(Values)),
+      m_Backends(m_Loop, *m_Client, m_Engines),
+      m_Discovery(m_Loop, *m_Client, m_Backends, m_Engines,
+                  discoveryOptions(Values)),
       m_Service(Service) {
   m_Discovery.onHostList([this](std::vector<ListedProcess> Listed) {
     m_Gossip.setListed(std::move(Listed));
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <functional>
 #include <tuple>
 #include <utility>
 #include <xxhash.h>
@@ -16,8 +17,60 @@
          static_cast<double>(Denominator.count());
 }
 
+/// Returns the options of the access, which the host's name makes differ
+/// between processes.
+auto accessOptions(const Location &Self, ServerAccessOptions Options)
+    -> ServerAccessOptions {
+  Options.m_SpreadSeed ^= std::hash<HostId>()(Self.m_Host);
+  return Options;
+}
+
 } // namespace
 
+EngineTable::EngineTable(Location Self, const EngineTableOptions &Options)
+    : m_Self(std::move(Self)), m_Options(Options),
+      m_Outliers(Options.m_Outliers),
+      m_Access(Options.m_RateLimits, accessOptions(m_Self, Options.m_Access)) {}
+
+auto EngineTable::targetOf(const Entry &Item) const -> SendTarget {
+  const auto &Server = Item.m_Backend;
+  auto Start = std::uint64_t{0};
+  if (Item.m_Load) {
+    const auto &Text = Item.m_Load->m_Incarnation;
+    // Never 0, which stands for an unknown start.
+    Start = XXH3_64bits(Text.data(), Text.size()) | 1U;
+  }
+  return {.m_Backend = Server.m_Id,
+          .m_Address = Server.m_Url,
+          .m_Start = Start,
+          .m_Draining = Server.m_Stopped || m_Leaving.contains(Server.m_Id) ||
+                        m_Drained.contains(Server.m_Id)};
+}
+
+auto EngineTable::check(const BackendId &Id, SendPurpose Purpose,
+                        MonotonicTime Now) const -> SendDenial {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end()
+             ? SendDenial::Unlisted
+             : m_Access.check(targetOf(Found->second), Purpose, Now);
+}
+
+auto EngineTable::admit(const BackendId &Id, SendPurpose Purpose,
+                        MonotonicTime Now) -> SendDecision {
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return {.m_Denial = SendDenial::Unlisted};
+  auto Target = targetOf(Found->second);
+  return m_Access.admit(Target, Purpose, {.m_Listed = &Target}, Now);
+}
+
+auto EngineTable::recordNotice(const BackendId &Id, const ServerNotice &Notice,
+                               MonotonicTime Now) -> void {
+  auto Found = m_Entries.find(Id);
+  if (Found != m_Entries.end())
+    m_Access.recordNotice(targetOf(Found->second), Notice, Now);
+}
+
 auto EngineTable::updateList(const std::vector<Backend> &Listed) -> void {
   auto Present = std::set<BackendId>();
   for (const auto &Server : subset(Listed)) {
@@ -99,7 +152,7 @@
   if (Item.m_Load && Item.m_Load->m_Incarnation != Load.m_Incarnation) {
     Item.m_Prefixes.clear();
     Item.m_Load.reset();
-    m_RateLimits.remove(Id);
+    rateLimits().remove(Id);
   }
   updateOtherGatesLoad(Item, Load, Now);
   Item.m_Load = Load;
@@ -150,8 +203,8 @@
     return false;
   if (Server.m_Cheap && !Query.m_CheapAllowed)
     return false;
-  if (m_Leaving.contains(Server.m_Id) || m_Drained.contains(Server.m_Id) ||
-      !m_RateLimits.permits(Server.m_Id, Now))
+  if (m_Access.check(targetOf(Item), SendPurpose::Execute, Now) !=
+      SendDenial::None)
     return false;
   return std::find(Server.m_Models.begin(), Server.m_Models.end(),
                    Query.m_Model) != Server.m_Models.end();
@@ -330,10 +383,10 @@
   auto Ejected = std::vector<Backend>();
   for (const auto &[Id, Item] : m_Entries) {
     const auto &Server = Item.m_Backend;
-    if (Server.m_Service != Service || Server.m_Stopped ||
-        m_Leaving.contains(Id) || m_Drained.contains(Id) ||
-        Excluded.contains(Id) || (Server.m_Cheap && !CheapAllowed) ||
-        !m_RateLimits.permits(Id, Now))
+    if (Server.m_Service != Service || Excluded.contains(Id) ||
+        (Server.m_Cheap && !CheapAllowed) ||
+        m_Access.check(targetOf(Item), SendPurpose::Execute, Now) !=
+            SendDenial::None)
       continue;
     (m_Outliers.ejected(Id, Now) ? Ejected : Healthy).push_back(Server);
   }
@@ -350,17 +403,21 @@
   std::erase_if(Healthy, [&](const Backend &Server) {
     return roundTripTo(Server) > Nearest;
   });
-  const auto &Picked = Healthy[m_NextService++ % Healthy.size()];
-  m_RateLimits.recordRequest(Picked.m_Id, Now);
-  return Picked;
+  return Healthy[m_NextService++ % Healthy.size()];
 }
 
-auto EngineTable::rateUsedUp(const std::string &Service,
-                             MonotonicTime Now) const -> bool {
-  return std::any_of(m_Entries.begin(), m_Entries.end(), [&](const auto &Item) {
-    return Item.second.m_Backend.m_Service == Service &&
-           !m_RateLimits.permits(Item.first, Now);
-  });
+auto EngineTable::timeToOpen(const std::string &Service,
+                             MonotonicTime Now) const
+    -> std::optional<Duration> {
+  auto Shortest = std::optional<Duration>();
+  for (const auto &[Id, Item] : m_Entries) {
+    auto Target = targetOf(Item);
+    if (Item.m_Backend.m_Service == Service &&
+        opensByItself(m_Access.check(Target, SendPurpose::Execute, Now)))
+      Shortest = std::min(m_Access.timeToOpen(Target, Now),
+                          Shortest.value_or(Duration::max()));
+  }
+  return Shortest;
 }
 
 auto EngineTable::begin(const BackendId &Id, const InFlightRequest &Flight)
@@ -369,7 +426,6 @@
   assert(Found != m_Entries.end() && "begin() requires a server of the table");
   auto &Item = Found->second;
   unreserve(Flight.m_Request);
-  m_RateLimits.recordRequest(Id, Flight.m_SentAt);
   Item.m_InFlight[Flight.m_Attempt] = Flight;
   Item.m_OwnPrefillTokens += static_cast<double>(Flight.m_Work.m_PrefillTokens);
   Item.m_RunsAlone = Item.m_RunsAlone || Flight.m_Alone;
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -170,7 +170,8 @@
 }
 
 auto FleetPlanner::stages(const ServingConfiguration &Configuration,
-                          const BackendDirectory &Directory, bool Idle) const
+                          const BackendDirectory &Directory, bool Idle,
+                          const EngineFilter &MayOrder) const
     -> std::vector<StageOrder> {
   auto Orders = std::vector<StageOrder>();
   for (const auto &[Id, Service] : Configuration.m_Services) {
@@ -178,7 +179,8 @@
       continue;
     auto Engines = std::map<DataCentreId, std::vector<const BackendRecord *>>();
     for (const auto *Engine : Directory.usable(Id))
-      if (Engine->m_Stage != EngineStage::None)
+      if (Engine->m_Stage != EngineStage::None &&
+          (!MayOrder || MayOrder(*Engine)))
         Engines[Engine->m_DataCentre].push_back(Engine);
     for (auto &[DataCentre, Members] : Engines) {
       auto Wanted = std::lround(static_cast<double>(Members.size()) *
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -13,6 +13,8 @@
 constexpr auto FirstServerError = 500U;
 /// The lowest scheduling rank that engines support.
 constexpr auto LowestRank = 9U;
+/// Minimum part of a retry-after time that remains when it is randomised.
+constexpr auto MinRetryAfterPart = 0.7;
 
 /// Returns whether the server closed an idle kept-alive connection before it
 /// read the request, which is not a failure of the server. A connection that
@@ -21,6 +23,11 @@
   return Result.m_ReusedConnection && Result.m_Head.m_Status == 0;
 }
 
+auto sendPurpose(AttemptPurpose Purpose) -> SendPurpose {
+  return Purpose == AttemptPurpose::Prefill ? SendPurpose::Prefill
+                                            : SendPurpose::Execute;
+}
+
 auto successful(unsigned Status) -> bool {
   return Status >= 200 && Status < 300;
 }
@@ -84,9 +91,14 @@
   auto Chosen = std::clamp(Wanted, Options.m_MinRetryAfter, MaxTime);
   // Randomised, so that callers refused at the same time do not retry at the
   // same time.
-  constexpr auto MinShare = 0.7;
   return std::chrono::duration_cast<Duration>(
-      Chosen * (MinShare + (1 - MinShare) * m_Context.m_Random.unit()));
+      Chosen * (MinRetryAfterPart +
+                (1 - MinRetryAfterPart) * m_Context.m_Random.unit()));
+}
+
+auto ServedRequest::retryAfterOpening(Duration Opening) -> Duration {
+  return retryAfter(std::chrono::duration_cast<Duration>(
+      std::min(Opening, timeLeft()) / MinRetryAfterPart));
 }
 
 auto ServedRequest::refuseIfQuarantined() -> bool {
@@ -191,6 +203,49 @@
     m_Context.m_Retries.refund(m_Parameters.m_Service->m_Id);
 }
 
+auto ServedRequest::admit(const BackendRecord &Target, AttemptPurpose Purpose)
+    -> SendDecision {
+  const auto *Record = m_Context.m_Directory.find(Target.m_Id);
+  auto Listed = targetOf(Record != nullptr ? *Record : Target);
+  return m_Context.m_Access.admit(
+      targetOf(Target), sendPurpose(Purpose),
+      {.m_Listed = Record != nullptr ? &Listed : nullptr,
+       .m_CallerPresent = !m_Done,
+       .m_Quarantined =
+           m_Context.m_Crashes.quarantined(m_Digests, m_Trial.get())
+               .has_value(),
+       .m_TimeLeft = timeLeft()},
+      m_Context.m_Scheduler.now());
+}
+
+auto ServedRequest::handleDenial(const BackendRecord &Target,
+                                 AttemptPurpose Purpose, SendDenial Denial)
+    -> void {
+  m_Context.m_Metrics.countSendDenial(Denial);
+  logInfo("send.denied", {{"request", m_Exchange->request().m_Id},
+                          {"backend", Target.m_Id},
+                          {"purpose", nameOf(Purpose)},
+                          {"reason", nameOf(Denial)}});
+  switch (Denial) {
+  case SendDenial::CallerLeft:
+    return;
+  case SendDenial::TimeOver:
+    handleDeadline();
+    return;
+  case SendDenial::Quarantined:
+    if (refuseIfQuarantined())
+      return;
+    break;
+  default:
+    m_Excluded.insert(Target.m_Id);
+    break;
+  }
+  if (m_Cache)
+    sendToDecodeEngine(m_PrefillAttempt);
+  else
+    place();
+}
+
 auto ServedRequest::send(const BackendRecord &Target, AttemptPurpose Purpose,
                          double Tokens, const std::string &FetchFrom) -> void {
   if (!chargeAttempt()) {
@@ -198,6 +253,12 @@
            "no retry is left in the budget", retryAfter(timeLeft()));
     return;
   }
+  auto Decision = admit(Target, Purpose);
+  if (!Decision.m_Permit) {
+    refundAttempt();
+    handleDenial(Target, Purpose, Decision.m_Denial);
+    return;
+  }
   const auto &Request = m_Exchange->request();
   auto Sent = BackendAttempt{.m_Request = &Request,
                              .m_Backend = Target.m_Id,
@@ -224,10 +285,10 @@
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
     Current.m_Cache = Sent.m_Cache;
   }
-  m_Context.m_RateLimits.recordRequest(Target.m_Id, Current.m_StartedAt);
   m_Context.m_Loads.beginAttempt(Target.m_Id, Tokens, Current.m_StartedAt);
   Current.m_Id = m_Context.m_Transport.send(
-      Sent, m_Parameters.m_Route->m_Kind == RequestKind::Stream, *this);
+      std::move(*Decision.m_Permit), Sent,
+      m_Parameters.m_Route->m_Kind == RequestKind::Stream, *this);
   m_Attempt = Current;
   scheduleActivityCheck();
 }
@@ -331,6 +392,20 @@
                                           Now);
 }
 
+auto ServedRequest::recordNotice(const Attempt &Source,
+                                 const ServerNotice &Notice, bool FromAddress)
+    -> void {
+  if (Notice.empty())
+    return;
+  auto Now = m_Context.m_Scheduler.now();
+  m_Context.m_Access.recordNotice(Source.target(), Notice, Now);
+  if (!FromAddress)
+    return;
+  for (const auto &[Id, Record] : m_Context.m_Directory.all())
+    if (Record.m_Address == Source.m_Address && Id != Source.m_Backend)
+      m_Context.m_Access.recordNotice(targetOf(Record), Notice, Now);
+}
+
 auto ServedRequest::onBegin(const ResponseHead &Head,
                             const ServerReport &Report) -> void {
   auto Now = m_Context.m_Scheduler.now();
@@ -338,6 +413,7 @@
   m_Context.m_Loads.prefillDone(m_Attempt->m_Backend,
                                 m_Attempt->m_PendingTokens);
   recordReport(*m_Attempt, Report, true);
+  recordNotice(*m_Attempt, Report.m_Notice, false);
   m_Attempt->m_Begun = true;
   m_Attempt->m_PendingTokens = 0;
   // A resumed stream keeps the response head of its first server.
@@ -411,6 +487,8 @@
   auto Now = m_Context.m_Scheduler.now();
   m_Context.m_Loads.prefillDone(Ended.m_Backend, Ended.m_PendingTokens);
   m_Context.m_Loads.endAttempt(Ended.m_Backend);
+  recordNotice(Ended, Result.m_Report.m_Notice,
+               Result.m_Outcome == AttemptOutcome::WrongServer);
   if (Result.m_Head.m_Status != 0) {
     m_Context.m_Loads.recordActivity(Ended.m_Backend, Now);
     recordReport(Ended, Result.m_Report,
@@ -523,11 +601,11 @@
     if (Item->m_Stage == EngineStage::Decode &&
         !m_Excluded.contains(Item->m_Id))
       Shortest =
-          std::min(Shortest, m_Context.m_RateLimits.timeToPermit(
-                                 Item->m_Id, m_Context.m_Scheduler.now()));
+          std::min(Shortest, m_Context.m_Access.timeToOpen(
+                                 targetOf(*Item), m_Context.m_Scheduler.now()));
   auto MaxWait = std::chrono::duration_cast<Duration>(
       timeLeft() * m_Context.m_Options.m_MaxPermitWaitShare);
-  // Without a time an engine is excluded for another reason than its rate.
+  // Without a time an engine is excluded for another reason.
   if (Shortest <= Duration::zero() || Shortest > MaxWait)
     return false;
   if (m_ActivityTimer)
@@ -659,22 +737,44 @@
 }
 
 auto ServedRequest::refuseWithoutServer(const char *Reason) -> void {
-  if (auto Time =
-          timeToRatePermit(m_Context.view(), m_Parameters.m_Service->m_Id,
-                           m_Context.m_Scheduler.now())) {
+  auto Denials = denialsOf(m_Context.view(), m_Parameters.m_Service->m_Id,
+                           m_Context.m_Scheduler.now());
+  for (const auto &[Denial, Count] : Denials.m_Counts)
+    if (Denial != SendDenial::None)
+      m_Context.m_Metrics.countSendDenial(Denial);
+  if (Denials.m_TimeToOpen) {
     refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
-           "the request rates of the service's servers are used up",
-           retryAfter(*Time));
+           Denials.text(), retryAfterOpening(*Denials.m_TimeToOpen));
     return;
   }
-  refuse(RefusalCode::NoBackend, Reason, retryAfter(timeLeft()));
+  refuse(RefusalCode::NoBackend, fmt::format("{}; {}", Reason, Denials.text()),
+         retryAfter(timeLeft()));
 }
 
-auto ServedRequest::cancelAttempt() -> void {
-  if (m_Cache) {
-    m_Context.m_Transport.release(*m_Cache);
-    m_Cache.reset();
+auto ServedRequest::releaseCache() -> void {
+  if (!m_Cache)
+    return;
+  auto Cache = *std::exchange(m_Cache, std::nullopt);
+  auto Now = m_Context.m_Scheduler.now();
+  auto Decision = m_Context.m_Access.admit(m_PrefillAttempt.target(),
+                                           SendPurpose::Release, {}, Now);
+  if (!Decision.m_Permit) {
+    // The cache expires by itself.
+    m_Context.m_Metrics.countSendDenial(Decision.m_Denial);
+    return;
   }
+  m_Context.m_Transport.release(
+      std::move(*Decision.m_Permit), Cache,
+      [&Context = m_Context, Lifetime = std::weak_ptr(m_Context.m_Lifetime),
+       Source = m_PrefillAttempt](const ServerNotice &Notice) {
+        if (!Lifetime.expired())
+          Context.m_Access.recordNotice(Source.target(), Notice,
+                                        Context.m_Scheduler.now());
+      });
+}
+
+auto ServedRequest::cancelAttempt() -> void {
+  releaseCache();
   if (!m_Attempt)
     return;
   auto Dropped = *m_Attempt;
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/serving/ServerChoice.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 
 namespace dotterel {
@@ -17,9 +18,11 @@
   auto Result = std::vector<const BackendRecord *>();
   auto InBackoff = std::vector<const BackendRecord *>();
   for (const auto *Item : Usable) {
-    if (Excluded.contains(Item->m_Id) ||
-        !View.m_RateLimits.permits(Item->m_Id, Now) ||
-        (ExcludeEjected && View.m_Health.ejected(Item->m_Id, Now)))
+    if (Excluded.contains(Item->m_Id))
+      continue;
+    auto OutOfUse = ExcludeEjected && View.m_Health.ejected(Item->m_Id, Now);
+    if (View.m_Access.check(targetOf(*Item, OutOfUse), SendPurpose::Execute,
+                            Now) != SendDenial::None)
       continue;
     (View.m_Loads.inBackoff(Item->m_Id, Now) ? InBackoff : Result)
         .push_back(Item);
@@ -27,15 +30,33 @@
   return Result.empty() ? InBackoff : Result;
 }
 
-auto timeToRatePermit(const ChoiceView &View, const ServiceId &Service,
-                      MonotonicTime Now) -> std::optional<Duration> {
-  auto Shortest = std::optional<Duration>();
-  for (const auto *Item : View.m_Directory.usable(Service)) {
-    auto Time = View.m_RateLimits.timeToPermit(Item->m_Id, Now);
-    if (Time > Duration::zero())
-      Shortest = std::min(Time, Shortest.value_or(Duration::max()));
+auto ServiceDenials::text() const -> std::string {
+  if (m_Counts.empty())
+    return "the service has no server";
+  if (m_Counts.size() == 1 && m_Counts.contains(SendDenial::RateLimited))
+    return "the request rates of the service's servers are used up";
+  auto Text = std::string("no server takes requests now:");
+  for (const auto &[Denial, Count] : m_Counts)
+    Text += fmt::format(" {} {}", Count,
+                        Denial == SendDenial::None ? "tried" : nameOf(Denial));
+  return Text;
+}
+
+auto denialsOf(const ChoiceView &View, const ServiceId &Service,
+               MonotonicTime Now) -> ServiceDenials {
+  auto Result = ServiceDenials();
+  for (const auto &[Id, Item] : View.m_Directory.all()) {
+    if (Item.m_Service != Service)
+      continue;
+    auto Target = targetOf(Item);
+    auto Denial = View.m_Access.check(Target, SendPurpose::Execute, Now);
+    ++Result.m_Counts[Denial];
+    if (opensByItself(Denial))
+      Result.m_TimeToOpen =
+          std::min(View.m_Access.timeToOpen(Target, Now),
+                   Result.m_TimeToOpen.value_or(Duration::max()));
   }
-  return Shortest;
+  return Result;
 }
 
 auto ServerChoice::choose(const ChoiceView &View, const ServiceId &Service,
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -24,7 +24,8 @@
                          const ServingCoreOptions &Options)
     : m_Scheduler(Scheduler), m_Options(Options), m_Loads(Options.m_Loads),
       m_Health(Options.m_Outliers), m_Speed(Options.m_Speed),
-      m_Retries(Options.m_Retries), m_RateLimits(Options.m_RateLimits),
+      m_Retries(Options.m_Retries),
+      m_Access(Options.m_RateLimits, Options.m_Access),
       m_Crashes(Scheduler, Transport, Metrics, Options.m_Crashes),
       m_Freshness({.m_MaxAge = Options.m_MaxConfirmationAge}),
       m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
@@ -39,7 +40,8 @@
                                     .m_Caches = m_Caches,
                                     .m_Speed = m_Speed,
                                     .m_Retries = m_Retries,
-                                    .m_RateLimits = m_RateLimits,
+                                    .m_RateLimits = m_Access.rateLimits(),
+                                    .m_Access = m_Access,
                                     .m_Crashes = m_Crashes,
                                     .m_Metrics = Metrics,
                                     .m_ServerChoice = m_ServerChoice,
@@ -53,7 +55,7 @@
     m_Health.remove(Id);
     // A server that is not listed, perhaps for a while only, keeps its limit.
     if (m_Directory.find(Id) != nullptr)
-      m_RateLimits.remove(Id);
+      rateLimits().remove(Id);
     m_Caches.remove(Id);
   });
 }
@@ -89,7 +91,7 @@
                   ? Demand.prefillRate() / Demand.biasCorrection()
                   : 0,
           .m_Reads = std::exchange(m_Context.m_Reads, {}),
-          .m_RateLimits = m_RateLimits.ownReports(m_Scheduler.now())};
+          .m_RateLimits = rateLimits().ownReports(m_Scheduler.now())};
 }
 
 auto ServingCore::applyLoads(const std::string &Origin,
@@ -97,7 +99,7 @@
   m_Loads.setPeerLoads(Origin, Loads.m_Engines, m_Scheduler.now());
   for (const auto &Report : Loads.m_RateLimits)
     if (m_Directory.find(Report.m_Backend) != nullptr)
-      m_RateLimits.merge(Report, m_Scheduler.now());
+      rateLimits().merge(Report, m_Scheduler.now());
   for (const auto &Prompt : Loads.m_Reads) {
     const auto *Engine = m_Directory.find(Prompt.m_Engine);
     if (Engine == nullptr || !m_Configuration)
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -109,6 +109,16 @@
   Gauge &m_RateLimitedServers =
       gauge(m_Registry, "dotterel_serving_rate_limited_servers",
             "Servers that limit the rate of their requests.");
+  Gauge &m_LeavingServers =
+      gauge(m_Registry, "dotterel_serving_leaving_servers",
+            "Servers that have said that they are about to end.");
+  Gauge &m_PausedServers =
+      gauge(m_Registry, "dotterel_serving_paused_servers",
+            "Servers that want no requests from this host for a while.");
+  Family<Counter> &m_SendDenials =
+      counters(m_Registry, "dotterel_serving_send_denials_total",
+               "Servers that were not sent a request, and requests that were "
+               "not sent, by reason.");
   Gauge &m_StoreEra =
       gauge(m_Registry, "dotterel_serving_store_era",
             "Newest history of the store that was observed; it rises when the "
@@ -176,6 +186,18 @@
   m_Impl->m_RateLimitedServers.Set(Count);
 }
 
+auto ServingMetrics::setLeavingServers(double Count) -> void {
+  m_Impl->m_LeavingServers.Set(Count);
+}
+
+auto ServingMetrics::setPausedServers(double Count) -> void {
+  m_Impl->m_PausedServers.Set(Count);
+}
+
+auto ServingMetrics::countSendDenial(SendDenial Denial) -> void {
+  m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
+}
+
 auto ServingMetrics::setStoreEra(double Era) -> void {
   m_Impl->m_StoreEra.Set(Era);
 }
--- a/src/steward/StewardProcess.cpp
+++ b/src/steward/StewardProcess.cpp
@@ -117,7 +117,7 @@
 StewardProcess::StewardProcess(const Settings &Values)
     : m_Values(Values), m_Core(Values, ProcessRole::Steward, *this,
                                {.m_MaxEnginesPerModel = MaxEnginesPerModel}),
-      m_Orders(makeHttpEngineOrders(*m_Core.m_Client, m_Core.m_Engines)),
+      m_Orders(makeHttpEngineOrders(m_Core.m_Backends, m_Core.m_Engines)),
       m_PlatformOrders(makeHttpPlatformOrders(
           *m_Core.m_Client, m_Core.m_Engines, Values.text("platform-url"))),
       m_UsageDuty(m_Loop, *m_Core.m_Store, DutyId{"usage-reports"},
--- a/tests/fault-CrashContainment.cpp
+++ b/tests/fault-CrashContainment.cpp
@@ -228,8 +228,9 @@
   std::unique_ptr<WaitingQueue> m_Queue =
       makeWaitingQueue("fair", {.m_Utilisation = [] { return 0.0; }});
   Dispatcher m_Dispatcher{m_Scheduler, m_Engines, *m_Queue};
+  BackendClient m_Backends{m_Scheduler, m_Client, m_Engines};
   BackendLossDetector m_LossDetector{
-      m_Scheduler, m_Client, m_Engines, m_Crashes,
+      m_Scheduler, m_Backends, m_Engines, m_Crashes,
       [this](std::function<void()> Done) {
         m_Scheduler.schedule(NetworkDelay, std::move(Done));
       }};
@@ -250,7 +251,7 @@
   DemandMeter m_Demand{Seconds(10)};
   GateServices m_Services{.m_Scheduler = m_Scheduler,
                           .m_Random = m_Random,
-                          .m_Client = m_Client,
+                          .m_Backends = m_Backends,
                           .m_Configuration = m_Configuration,
                           .m_Freshness = m_Freshness,
                           .m_Members = m_Members,
--- a/tests/fault-FleetDuty.cpp
+++ b/tests/fault-FleetDuty.cpp
@@ -39,10 +39,14 @@
       Done(Refused ? OrderOutcome::Refused : OrderOutcome::Accepted);
     });
   }
-  auto orderStage(const StageOrder & /*Order*/, FencingNumber /*Fencing*/,
-                  std::function<void(OrderOutcome)> Done) -> void override {
-    m_Scheduler.schedule(Milliseconds(5),
-                         [Done] { Done(OrderOutcome::Accepted); });
+  auto orderStage(SendPermit /*Permit*/, const StageOrder &Order,
+                  FencingNumber /*Fencing*/,
+                  std::function<void(const StageOrderReply &)> Done)
+      -> void override {
+    m_StageOrders.push_back(Order.m_Backend);
+    m_Scheduler.schedule(Milliseconds(5), [this, Done] {
+      Done({.m_Outcome = OrderOutcome::Accepted, .m_Notice = m_EngineNotice});
+    });
   }
   auto reportUsage(const UsageReport & /*Report*/,
                    std::function<void(OrderOutcome)> Done) -> void override {
@@ -54,6 +58,8 @@
   std::uint32_t m_MinTotal = MaxServers;  ///< Minimum of their sum.
   int m_Changes = 0;
   bool m_NoReclaimable = false;
+  std::vector<BackendId> m_StageOrders;
+  ServerNotice m_EngineNotice; ///< In the responses of engines to orders.
 
 private:
   VirtualScheduler &m_Scheduler;
@@ -67,6 +73,7 @@
       : m_Store(Scheduler, Model),
         m_Duty(Scheduler, m_Store, Calls,
                {.m_Directory = Directory,
+                .m_Access = m_Access,
                 .m_Configuration = [&Configuration] { return &Configuration; },
                 .m_IsIdle = [] { return false; },
                 .m_NeededEngines = []() -> std::optional<double> { return {}; },
@@ -77,6 +84,7 @@
   }
 
   FaultyStore m_Store;
+  ServerAccess m_Access{{}, {}};
   FleetDuty m_Duty;
 };
 
--- a/tests/fault-RequestRateLimit.cpp
+++ b/tests/fault-RequestRateLimit.cpp
@@ -479,13 +479,16 @@
     for (auto Elapsed = Duration(); Elapsed < Seconds(12); Elapsed += Step) {
       auto &Table = *Gates[static_cast<std::size_t>(Elapsed / Step) % Count];
       auto At = Now + Elapsed;
-      if (!Table.candidates({.m_Model = ModelId{"m"}}, At).empty()) {
+      if (!Table.candidates({.m_Model = ModelId{"m"}}, At).empty() &&
+          Table.admit(BackendId{"e"}, SendPurpose::Execute, At).m_Permit) {
         Table.begin(BackendId{"e"},
                     {.m_Attempt = AttemptId{fmt::format("{}", Elapsed.count())},
                      .m_SentAt = At});
         ToEngine.push_back(Elapsed);
       }
-      if (Table.pickService("desk", true, {}, At))
+      auto Picked = Table.pickService("desk", true, {}, At);
+      if (Picked &&
+          Table.admit(Picked->m_Id, SendPurpose::Execute, At).m_Permit)
         ToService.push_back(Elapsed);
     }
     for (const auto &Times : {ToEngine, ToService}) {
--- a/tests/support/ServingFakes.h
+++ b/tests/support/ServingFakes.h
@@ -10,6 +10,7 @@
 #include "VirtualScheduler.h"
 #include "dotterel/serving/ServingCore.h"
 
+#include <doctest/doctest.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,16 +29,21 @@
     bool m_Ended = false;
   };
 
-  auto send(const BackendAttempt &Attempt, bool /*Stream*/,
+  auto send(SendPermit Permit, const BackendAttempt &Attempt, bool /*Stream*/,
             AttemptListener &Listener) -> TransportId override {
+    REQUIRE(Permit.backend() == Attempt.m_Backend);
     m_Sent.push_back({.m_Attempt = Attempt, .m_Listener = &Listener});
     return TransportId{m_Sent.size()};
   }
   auto cancel(TransportId Attempt) -> void override {
     m_Sent.at(Attempt.number() - 1).m_Cancelled = true;
   }
-  auto release(const CacheHandle &Cache) -> void override {
+  auto release(SendPermit Permit, const CacheHandle &Cache,
+               std::function<void(const ServerNotice &)> Done)
+      -> void override {
+    REQUIRE(Permit.purpose() == SendPurpose::Release);
     m_Released.push_back(Cache.m_Handle);
+    m_OnReleased.push_back(std::move(Done));
   }
 
   auto checkReachable(const std::string &Address,
@@ -66,6 +72,8 @@
 
   std::vector<Sent> m_Sent;
   std::vector<std::string> m_Released;
+  /// Callbacks for the responses to releases.
+  std::vector<std::function<void(const ServerNotice &)>> m_OnReleased;
   std::vector<Check> m_Checks;
   std::set<std::string> m_LostAddresses;
 };
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -28,7 +28,7 @@
     return {.m_Directory = m_Directory,
             .m_Loads = m_Loads,
             .m_Health = m_Health,
-            .m_RateLimits = m_RateLimits,
+            .m_Access = m_Access,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -47,7 +47,7 @@
   BackendDirectory m_Directory;
   LoadTracker m_Loads{LoadTrackerOptions{}};
   OutlierDetector m_Health{OutlierOptions{}};
-  ServerRateLimits m_RateLimits{ServerRateLimitOptions{}};
+  ServerAccess m_Access{{}, {}};
   Distance m_Distance{
       {.m_Host = HostId{"h"},
        .m_DataCentre = DataCentreId{"a"},
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -306,6 +306,19 @@
   }
 }
 
+namespace {
+
+/// Returns the permission to send to the server with the empty id.
+auto permit(SendPurpose Purpose) -> SendPermit {
+  auto Access = ServerAccess({}, {});
+  auto Id = BackendId();
+  auto Target = SendTarget{.m_Backend = Id};
+  return std::move(
+      *Access.admit(Target, Purpose, {.m_Listed = &Target}, {}).m_Permit);
+}
+
+} // namespace
+
 TEST_CASE("platform transport: a response to a prefill and to a release has a "
           "small limit") {
   auto Client = FakeClient();
@@ -313,9 +326,11 @@
   auto Transport = EngineTransport(Loop, Client);
   auto Listener = RecordingListener();
   auto Request = CallerRequest();
-  Transport.send({.m_Request = &Request, .m_Purpose = AttemptPurpose::Prefill},
+  Transport.send(permit(SendPurpose::Prefill),
+                 {.m_Request = &Request, .m_Purpose = AttemptPurpose::Prefill},
                  true, Listener);
-  Transport.release({.m_Address = "a:1", .m_Handle = "h"});
+  Transport.release(permit(SendPurpose::Release),
+                    {.m_Address = "a:1", .m_Handle = "h"}, {});
   constexpr auto MaxHandleBytes = std::size_t{64} << 10U;
   for (const auto &Call : Client.m_Calls)
     CHECK(Call.m_MaxResponseBytes <= MaxHandleBytes);
@@ -333,7 +348,8 @@
     auto Transport = EngineTransport(Loop, Client);
     auto Listener = RecordingListener();
     auto Request = CallerRequest();
-    auto Id = Transport.send({.m_Request = &Request}, true, Listener);
+    auto Id = Transport.send(permit(SendPurpose::Execute),
+                             {.m_Request = &Request}, true, Listener);
     const auto &Call = Client.m_Calls[0];
     // A response without the server's signature does not begin a stream.
     Call.m_OnHeaders(Status, {});
