--- a/include/dotterel/fakes/FakeRunner.h
+++ b/include/dotterel/fakes/FakeRunner.h
@@ -9,6 +9,7 @@
 #define DOTTEREL_FAKES_FAKERUNNER_H
 
 #include "dotterel/base/Random.h"
+#include "dotterel/fakes/detail/NoticeExchange.h"
 #include "dotterel/fleet/Backend.h"
 #include "dotterel/io/HttpServer.h"
 #include "dotterel/routing/PrefixIndex.h"
@@ -56,6 +57,7 @@
   /// `lose_order_answers`: number of orders whose response is lost.
   std::int64_t m_LoseOrderResponses = 0;
   bool m_LoadDown = false; ///< `load_down`: refuses load queries.
+  detail::FakeNotice m_Notice;
 };
 
 /// A model engine.
--- a/include/dotterel/fakes/FakeService.h
+++ b/include/dotterel/fakes/FakeService.h
@@ -9,6 +9,7 @@
 #define DOTTEREL_FAKES_FAKESERVICE_H
 
 #include "dotterel/base/Scheduler.h"
+#include "dotterel/fakes/detail/NoticeExchange.h"
 #include "dotterel/io/HttpServer.h"
 
 #include <map>
@@ -28,6 +29,7 @@
   std::int64_t m_BreakResponses = 0;
   /// `cross_answers`: number with another request's id.
   std::int64_t m_CrossResponses = 0;
+  detail::FakeNotice m_Notice;
 };
 
 /// A plain service that executes every request.
--- a/include/dotterel/gate/Metrics.h
+++ b/include/dotterel/gate/Metrics.h
@@ -7,6 +7,8 @@
 #ifndef DOTTEREL_GATE_METRICS_H
 #define DOTTEREL_GATE_METRICS_H
 
+#include "dotterel/routing/ServerAccess.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +26,8 @@
 
   auto countCompleteResponse(const std::string &Kind) -> void;
   auto countRefusal(const std::string &Code) -> void;
+  /// Counts a call to a backend server that was not permitted.
+  auto countSendDenial(SendDenial Denial) -> void;
   auto countRetry() -> void;
   auto countBackendFailure() -> void;
   auto observeFirstToken(double Seconds) -> void;
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -70,6 +70,7 @@
 FakeRunner::~FakeRunner() = default;
 
 auto FakeRunner::handle(HttpExchangePtr Exchange) -> void {
+  Exchange = detail::withNotice(std::move(Exchange), m_Faults.m_Notice);
   const auto &Request = Exchange->request();
   auto Body = Request.m_Body.empty()
                   ? Json::object()
@@ -156,6 +157,10 @@
         {{"headers", Headers},
          {"body", Exchange->request().m_Body.substr(0, 2000)}});
   }
+  if (!m_Faults.m_Notice.m_Pause.empty()) {
+    detail::refuseForPause(*Exchange, m_Faults.m_Notice);
+    return;
+  }
   if (!m_Faults.m_CrashOn.empty() &&
       Prompt.find(m_Faults.m_CrashOn) != std::string::npos) {
     m_Crash();
@@ -348,6 +353,7 @@
   F.m_LoseOrderResponses =
       Body.value("lose_order_answers", F.m_LoseOrderResponses);
   F.m_LoadDown = Body.value("load_down", F.m_LoadDown);
+  F.m_Notice.set(Body);
   Exchange->respond(jsonReply(200, Json::object()));
 }
 
--- a/src/fakes/FakeService.cpp
+++ b/src/fakes/FakeService.cpp
@@ -25,6 +25,7 @@
 } // namespace
 
 auto FakeService::handle(HttpExchangePtr Exchange) -> void {
+  Exchange = detail::withNotice(std::move(Exchange), m_Faults.m_Notice);
   const auto &Request = Exchange->request();
   if (Request.m_Path == "/seen") {
     Exchange->respond(jsonReply(
@@ -42,6 +43,7 @@
     F.m_LoseResponses = Body.value("lose_answers", F.m_LoseResponses);
     F.m_BreakResponses = Body.value("break_answers", F.m_BreakResponses);
     F.m_CrossResponses = Body.value("cross_answers", F.m_CrossResponses);
+    F.m_Notice.set(Body);
     Exchange->respond(jsonReply(200, Json::object()));
     return;
   }
@@ -54,6 +56,10 @@
 
 auto FakeService::execute(const HttpExchangePtr &Exchange) -> void {
   const auto &Request = Exchange->request();
+  if (!m_Faults.m_Notice.m_Pause.empty()) {
+    detail::refuseForPause(*Exchange, m_Faults.m_Notice);
+    return;
+  }
   auto Identity =
       findHeader(Request.m_Headers, "idempotency-key").value_or("none");
   ++m_Executions[Identity];
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -162,6 +162,8 @@
                      Values.text("operator-token"),
                      [this] { m_Core.m_Gossip.announce([] {}); }),
       m_Supervisor(m_Loop, "gate", {}) {
+  m_Core.m_Backends.onDenied(
+      [this](SendDenial Denial) { m_Metrics.countSendDenial(Denial); });
   m_Core.m_Configuration.onChange([this] {
     m_Core.m_Engines.setDrained(
         m_Core.m_Configuration.current()->backendsWithoutNewWork());
--- a/src/gate/Metrics.cpp
+++ b/src/gate/Metrics.cpp
@@ -43,6 +43,9 @@
                     "Whole answers given, by kind of work.");
   Family<Counter> &m_Refusals = counterFamily(
       m_Registry, "dotterel_refusals_total", "Errors given, by code.");
+  Family<Counter> &m_SendDenials = counterFamily(
+      m_Registry, "dotterel_send_denials_total",
+      "Calls to backend servers that were not permitted, by reason.");
   Counter &m_Retries =
       counterFamily(m_Registry, "dotterel_retries_total",
                     "Attempts after the first one of a request.")
@@ -87,6 +90,10 @@
   m_Impl->m_Refusals.Add({{"code", Code}}).Increment();
 }
 
+auto GateMetrics::countSendDenial(SendDenial Denial) -> void {
+  m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
+}
+
 auto GateMetrics::countRetry() -> void { m_Impl->m_Retries.Increment(); }
 
 auto GateMetrics::countBackendFailure() -> void {
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -101,6 +101,45 @@
   CHECK(Test.seen(Test.m_RunnerUrls[0])["requests"].size() == 5);
 }
 
+TEST_CASE("e2e: a gate sends nothing to a server that has said that it leaves, "
+          "and nothing during a pause that a server has stated") {
+  auto Test = Cluster({.m_Gates = 1, .m_Runners = 2, .m_Services = 2});
+  auto Key = Test.grantKey("ghent");
+  Test.setRoute("lookup", {{"open", true}, {"idempotent", true}});
+  auto Lookup = [&] {
+    return Test.call({.m_Url = Test.m_GateUrls[0] + "/lookup/x"});
+  };
+  auto Count = [&](const std::string &Url) {
+    return Test.seen(Url)["requests"].size();
+  };
+  constexpr auto Requests = 6;
+  Test.setFaults(Test.m_RunnerUrls[0], {{"leaving", true}});
+  Test.setFaults(Test.m_ServiceUrls[0], {{"leaving", true}});
+  // The first response, to a load query or to a request, tells the gate.
+  for (auto Index = 0; Index < Requests; ++Index) {
+    CHECK(Test.call(Test.chatCall(0, Key)).m_Status == 200);
+    CHECK(Lookup().m_Status == 200);
+  }
+  CHECK(Count(Test.m_RunnerUrls[0]) <= 1);
+  CHECK(Count(Test.m_ServiceUrls[0]) <= 1);
+  CHECK(Count(Test.m_RunnerUrls[1]) >= Requests - 1);
+  CHECK(Count(Test.m_ServiceUrls[1]) >= Requests - 1);
+
+  auto Before = Count(Test.m_ServiceUrls[1]);
+  Test.setFaults(Test.m_ServiceUrls[1], {{"pause", "60"}});
+  CHECK(Lookup().m_Status == 503);
+  auto Refused = Lookup();
+  CHECK(Refused.error() == "queue_full/not_run");
+  auto RetryAfter = Refused.json()["error"]["retry_after_seconds"].get<int>();
+  CHECK(RetryAfter >= 55);
+  CHECK(RetryAfter <= 92);
+  for (auto Index = 0; Index < Requests; ++Index)
+    CHECK(Lookup().m_Status == 429);
+  Test.setFaults(Test.m_ServiceUrls[1], {{"pause", ""}});
+  CHECK(Lookup().m_Status == 429);
+  CHECK(Count(Test.m_ServiceUrls[1]) == Before);
+}
+
 TEST_CASE("e2e: complete and streamed completions, models, plain services, "
           "health and metrics are served") {
   auto Test = Cluster({});
--- a/tests/fault-FleetDuty.cpp
+++ b/tests/fault-FleetDuty.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <functional>
 #include <memory>
+#include <set>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -209,6 +210,22 @@
   CHECK(Plan() == Stored);
 }
 
+TEST_CASE("fleet duty: an engine that says in its response to an order that it "
+          "leaves, or pauses, gets no further order") {
+  for (auto Notice : {ServerNotice{}, ServerNotice{.m_Leaving = true},
+                      ServerNotice{.m_Pause = Seconds(300)}}) {
+    auto Test = World();
+    Test.m_Fleet.m_EngineNotice = Notice;
+    Test.add("first");
+    Test.advanceTime(Seconds(60));
+    auto &Orders = Test.m_Fleet.m_StageOrders;
+    REQUIRE(!Orders.empty());
+    // The stages in the list never change, so orders are repeated.
+    auto Engines = std::set(Orders.begin(), Orders.end());
+    CHECK((Engines.size() == Orders.size()) == !Notice.empty());
+  }
+}
+
 TEST_CASE(
     "fleet duty: nothing is ordered before the previous holder's plan has "
     "been read and the new plan has been stored") {
