Withdraw the unsent rest of a request whose call is cancelled or times out

Its host passed a prefilled prompt on at 21.339 s, its caller left at 21.356 s, the close reached the host at 21.410 s and the attempt was cancelled then ("dropped:71ms"); the request reached the engine at 22.050 s. The host did not send it again: it had closed the socket in order, and the system went on to send what the socket had buffered, over a host's link that was full. Ruled out: a retry, a resumption or a transfer by the host (one attempt each in the log), a close that it had not read.

Change: a connection whose call is cancelled, times out or breaks is reset, which discards what has not been sent. The same in libcurl's client, for sockets with unsent bytes.

--- a/include/dotterel/io/Socket.h
+++ b/include/dotterel/io/Socket.h
@@ -33,14 +33,18 @@
   /// unreachable peer within seconds.
   auto setTcpOptions() const -> void;
 
-  /// Makes close() reset the connection, so that the peer does not take an
-  /// incomplete response for a complete one.
+  /// Makes close() reset the connection: the system discards what it has not
+  /// sent, and the peer does not take what it got for complete.
   auto resetOnClose() const -> void;
 
 private:
   int m_Fd = -1;
 };
 
+/// As Socket::resetOnClose(), for a socket of another owner, if the system
+/// still has bytes to send on it.
+auto resetOnCloseIfUnsent(int Fd) -> void;
+
 /// Returns a non-blocking socket that listens on \p Address.
 /// \throws IoError 401 when the address cannot be bound.
 auto listenOn(const SocketAddress &Address) -> Socket;
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -1,10 +1,12 @@
 #include "dotterel/io/HttpClient.h"
 
 #include "dotterel/base/Errors.h"
+#include "dotterel/io/Socket.h"
 
 #include <algorithm>
 #include <curl/curl.h>
 #include <optional>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -93,6 +95,11 @@
   return Size * Count;
 }
 
+auto closeSocket(void * /*Target*/, curl_socket_t Fd) -> int {
+  resetOnCloseIfUnsent(Fd);
+  return ::close(Fd);
+}
+
 auto toOutcome(CURLcode Code, CURL *Easy) -> HttpOutcome {
   if (Code == CURLE_OK)
     return HttpOutcome::Complete;
@@ -191,6 +198,8 @@
     Transfer.m_HeaderList =
         curl_slist_append(Transfer.m_HeaderList, Line.c_str());
   }
+  // A connection that ends with a call must not deliver the rest of it.
+  curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
   // Suppresses "Expect: 100-continue", which would cost a round trip.
   Transfer.m_HeaderList = curl_slist_append(Transfer.m_HeaderList, "Expect:");
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Transfer.m_HeaderList);
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -352,6 +352,8 @@
     m_IdleUntil = m_Client.loop().now() + Idle;
     m_Client.returnToPool(*this, Idle);
   } else {
+    if (Outcome != HttpOutcome::Complete)
+      m_Socket.resetOnClose();
     close();
   }
   if (Call.m_OnDone)
@@ -370,7 +372,9 @@
   m_Timer.reset();
   // The call is kept until the connection object is destroyed, because one of
   // its callbacks may be running. The socket is closed at once, so that the
-  // peer sees the cancellation.
+  // peer sees the cancellation, and without sending the rest of the request.
+  if (m_Call)
+    m_Socket.resetOnClose();
   m_Socket = Socket();
   m_Client.retire(*this);
 }
--- a/src/io/Socket.cpp
+++ b/src/io/Socket.cpp
@@ -5,7 +5,9 @@
 #include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -35,6 +37,12 @@
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
+auto setResetOnClose(int Fd) -> void {
+  auto Value = linger{.l_onoff = 1, .l_linger = 0};
+  static_cast<void>(
+      ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Value, sizeof(Value)));
+}
+
 } // namespace
 
 Socket::~Socket() {
@@ -52,10 +60,12 @@
   setOption(m_Fd, IPPROTO_TCP, TCP_KEEPCNT, MaxKeepAliveProbes);
 }
 
-auto Socket::resetOnClose() const -> void {
-  auto Value = linger{.l_onoff = 1, .l_linger = 0};
-  static_cast<void>(
-      ::setsockopt(m_Fd, SOL_SOCKET, SO_LINGER, &Value, sizeof(Value)));
+auto Socket::resetOnClose() const -> void { setResetOnClose(m_Fd); }
+
+auto resetOnCloseIfUnsent(int Fd) -> void {
+  auto UnsentBytes = 0;
+  if (::ioctl(Fd, SIOCOUTQ, &UnsentBytes) == 0 && UnsentBytes > 0)
+    setResetOnClose(Fd);
 }
 
 auto listenOn(const SocketAddress &Address) -> Socket {
