Distribute the summaries of other data centres along trees, not by two hosts

Cause: the slow hosts were front-*-10, one in each data centre: the second by name, after front-*-1. The summaries of all other data centres went to the first two hosts by name, and each of them sent every one on to all hosts of its data centre: 5 summaries of some 5 KB, 5 times a second, to 11 hosts, about 13 Mbit/s on a link of 10 (by calculation, not from a capture). front-*-1 has 200 Mbit/s. What these hosts sent to engines waited behind that. Ruled out: the engines' accept queues (few new connections), callers' bytes (8 to 15 requests of up to 12 KB a second), the processor (0.3% of a core).

Change: each summary goes to two hosts of each data centre, chosen anew each time, and each distributes it along a tree of its own over the live hosts, of six children a host. The order of the tree does not depend on who is believed live, so nothing goes round in circles while views differ. Old hosts beside new ones still take and send summaries.

--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -13,6 +13,7 @@
 #include "dotterel/peers/HostMessage.h"
 #include "dotterel/peers/HostRegistry.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,12 +35,20 @@
   Duration m_MaxDemandAge = Milliseconds(2000);
   /// Number of hosts in each other data centre that receive each summary.
   std::size_t m_RemoteTargets = 2;
+  /// Number of hosts that a host sends a summary of another data centre on to.
+  std::size_t m_FanOut = 6;
 };
 
 /// Each host sends its loads to the hosts of its data centre. One of these, the
 /// first live one by name, sends the sum of the data centre to the other data
-/// centres, where the receivers forward it. The number of messages of a host
-/// grows with its data centre, not with the installation.
+/// centres. There, each summary goes to a few hosts, chosen anew each time, and
+/// each of them distributes it along a tree of its own over the live hosts. So
+/// no host sends much more of them than any other, and their number grows with
+/// the data centres, not with the hosts.
+///
+/// \invariant Hosts with different views of the live hosts never send a summary
+/// on in a circle: it only goes to hosts that are later in an order which does
+/// not depend on the view.
 class LoadExchange {
 public:
   /// Returns the load in flight of this host, and the prompts prefilled since
@@ -82,6 +91,10 @@
   auto sendLocal() -> void;
   auto sendRemote() -> void;
   auto sendToLocalHosts(std::string_view Bytes) -> void;
+  /// Sends a summary on to this host's children in the tree of \p Distributor.
+  auto sendOn(const HostId &Distributor, std::string_view Bytes) -> void;
+  /// Returns the hosts of each other data centre that receive the next summary.
+  [[nodiscard]] auto chooseRemoteTargets() -> std::vector<std::string>;
   [[nodiscard]] auto isFromLocalHost(const std::string &Address) const -> bool;
   [[nodiscard]] auto isRelay() const -> bool;
   [[nodiscard]] auto message(LoadSummary Loads) const -> std::string;
@@ -92,6 +105,8 @@
   Source m_Source;
   Sink m_Sink;
   LoadExchangeOptions m_Options;
+  /// Number of summaries that were sent to other data centres.
+  std::uint64_t m_Round = 0;
   std::map<HostId, ReceivedLoads> m_LocalLoads;
   std::map<DataCentreId, RemoteDemand> m_RemoteDemands;
   LoadSummary m_OwnLoads;
--- a/include/dotterel/serving/BackendLoad.h
+++ b/include/dotterel/serving/BackendLoad.h
@@ -32,6 +32,9 @@
 struct LoadSummary {
   /// Whether the summary covers all hosts of the sender's data centre.
   bool m_WholeDataCentre = false;
+  /// Host that distributes the summary of another data centre in its own one;
+  /// empty until the summary has got there.
+  HostId m_Distributor;
   std::vector<BackendLoad> m_Engines;
   /// Smoothed rate of prompt tokens that require prefill.
   double m_PrefillTokensPerSecond = 0;
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -41,6 +41,7 @@
   reads @2 :List(PromptRead);  # since the sender's previous message
   prefillTokensPerSecond @3 :Float32;
   rateLimits @4 :List(RateLimit);
+  distributor @5 :Text;  # host that distributes it in the receiving data centre
 
   struct EngineLoad {
     engine @0 :Text;
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -27,6 +27,7 @@
 auto encodeLoads(const LoadSummary &Loads, schema::LoadSummary::Builder Target)
     -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
+  Target.setDistributor(Loads.m_Distributor.text());
   Target.setPrefillTokensPerSecond(
       static_cast<float>(Loads.m_PrefillTokensPerSecond));
   auto Engines =
@@ -55,9 +56,10 @@
 }
 
 auto decodeLoads(schema::LoadSummary::Reader Source) -> LoadSummary {
-  auto Loads = LoadSummary{.m_WholeDataCentre = Source.getWholeDataCentre(),
-                           .m_PrefillTokensPerSecond =
-                               Source.getPrefillTokensPerSecond()};
+  auto Loads = LoadSummary{
+      .m_WholeDataCentre = Source.getWholeDataCentre(),
+      .m_Distributor = HostId{Source.getDistributor().cStr()},
+      .m_PrefillTokensPerSecond = Source.getPrefillTokensPerSecond()};
   for (auto Item : Source.getEngines())
     Loads.m_Engines.push_back(
         {.m_Engine = BackendId{Item.getEngine().cStr()},
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -1,7 +1,9 @@
 #include "dotterel/peers/LoadExchange.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
+#include <xxhash.h>
 
 namespace dotterel {
 
@@ -29,6 +31,10 @@
   }
 }
 
+auto hashOf(const HostId &Host, std::uint64_t Seed) -> std::uint64_t {
+  return XXH3_64bits_withSeed(Host.text().data(), Host.text().size(), Seed);
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(Scheduler &Scheduler, DatagramPort &Port,
@@ -100,11 +106,53 @@
   for (auto &[Backend, Report] : RateLimits)
     Total.m_RateLimits.push_back(std::move(Report));
   auto Bytes = message(std::move(Total));
-  auto Sent = std::map<DataCentreId, std::size_t>();
+  for (const auto &Address : chooseRemoteTargets())
+    m_Port.send(Address, Bytes);
+}
+
+auto LoadExchange::chooseRemoteTargets() -> std::vector<std::string> {
+  // Chosen at random for each summary, so that the registered hosts share the
+  // distribution, and one that has ended costs a few summaries only.
+  auto Seed = std::hash<HostId>()(m_Registry.self().m_Host) + ++m_Round;
+  auto Ranked = std::map<DataCentreId,
+                         std::vector<std::pair<std::uint64_t, std::string>>>();
   for (const auto &[Host, Record] : m_Registry.others())
-    if (Record.m_DataCentre != m_Registry.self().m_DataCentre &&
-        Sent[Record.m_DataCentre]++ < m_Options.m_RemoteTargets)
-      m_Port.send(Record.m_Address, Bytes);
+    if (Record.m_DataCentre != m_Registry.self().m_DataCentre)
+      Ranked[Record.m_DataCentre].emplace_back(hashOf(Host, Seed),
+                                               Record.m_Address);
+  auto Result = std::vector<std::string>();
+  for (auto &[DataCentre, Hosts] : Ranked) {
+    auto Count = std::min(Hosts.size(), m_Options.m_RemoteTargets);
+    auto End = Hosts.begin() + static_cast<std::ptrdiff_t>(Count);
+    std::partial_sort(Hosts.begin(), End, Hosts.end());
+    for (auto Item = Hosts.begin(); Item != End; ++Item)
+      Result.push_back(std::move(Item->second));
+  }
+  return Result;
+}
+
+auto LoadExchange::sendOn(const HostId &Distributor, std::string_view Bytes)
+    -> void {
+  const auto &Self = m_Registry.self().m_Host;
+  auto Seed = std::hash<HostId>()(Distributor);
+  auto Order = std::vector<std::pair<std::uint64_t, HostId>>();
+  for (auto &Host : liveLocalHosts())
+    if (Host != Distributor)
+      Order.emplace_back(hashOf(Host, Seed), std::move(Host));
+  std::sort(Order.begin(), Order.end());
+  // The children of the distributor come first, then those of the host at
+  // position 0, and so on.
+  auto First = std::size_t{0};
+  if (Self != Distributor) {
+    auto Own = std::find_if(Order.begin(), Order.end(), [&](const auto &Item) {
+      return Item.second == Self;
+    });
+    First = (static_cast<std::size_t>(Own - Order.begin()) + 1) *
+            m_Options.m_FanOut;
+  }
+  auto End = std::min(Order.size(), First + m_Options.m_FanOut);
+  for (auto Index = First; Index < End; ++Index)
+    m_Port.send(m_Registry.others().at(Order[Index].second).m_Address, Bytes);
 }
 
 auto LoadExchange::sendToLocalHosts(std::string_view Bytes) -> void {
@@ -166,10 +214,16 @@
                                            .m_Demand =
                                                Loads->m_PrefillTokensPerSecond};
   m_Sink(Message.m_DataCentre.text(), *Loads);
-  // Within a data centre a summary is forwarded once, by the host that received
-  // it from outside.
-  if (!isFromLocalHost(Address))
-    sendToLocalHosts(Bytes);
+  if (!Loads->m_Distributor.empty()) {
+    sendOn(Loads->m_Distributor, Bytes);
+    return;
+  }
+  // An older host sends a summary on to all hosts itself.
+  if (isFromLocalHost(Address))
+    return;
+  auto Distributed = Message;
+  std::get<LoadSummary>(Distributed.m_Content).m_Distributor = Self.m_Host;
+  sendOn(Self.m_Host, encodeHostMessage(Distributed));
 }
 
 } // namespace dotterel
