--- a/tests/fault-FleetDuty.cpp
+++ b/tests/fault-FleetDuty.cpp
@@ -67,8 +67,57 @@
   FencingNumber m_MaxFencing;
 };
 
+/// A call that the platform has received.
+struct ReceivedCall {
+  std::string m_Holder;
+  FencingNumber m_Fencing;
+  MonotonicTime m_At;
+};
+
+/// Passes the calls of one holder on, and records them as received after a
+/// delay on the way.
+class RecordedCalls final : public FleetCalls {
+public:
+  RecordedCalls(VirtualScheduler &Scheduler, Fleet &Calls, std::string Holder,
+                std::vector<ReceivedCall> &Received)
+      : m_Scheduler(Scheduler), m_Calls(Calls), m_Holder(std::move(Holder)),
+        m_Received(Received) {}
+
+  auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
+                    std::function<void(OrderOutcome)> Done) -> void override {
+    record(Fencing);
+    m_Calls.orderServers(Order, Fencing, std::move(Done));
+  }
+  auto orderStage(SendPermit Permit, const StageOrder &Order,
+                  FencingNumber Fencing,
+                  std::function<void(const StageOrderReply &)> Done)
+      -> void override {
+    record(Fencing);
+    m_Calls.orderStage(std::move(Permit), Order, Fencing, std::move(Done));
+  }
+  auto reportUsage(const UsageReport &Report,
+                   std::function<void(OrderOutcome)> Done) -> void override {
+    record(Report.m_Fencing);
+    m_Calls.reportUsage(Report, std::move(Done));
+  }
+
+private:
+  auto record(FencingNumber Fencing) -> void {
+    m_Scheduler.schedule(Milliseconds(30), [this, Fencing] {
+      m_Received.push_back({.m_Holder = m_Holder,
+                            .m_Fencing = Fencing,
+                            .m_At = m_Scheduler.now()});
+    });
+  }
+
+  VirtualScheduler &m_Scheduler;
+  Fleet &m_Calls;
+  std::string m_Holder;
+  std::vector<ReceivedCall> &m_Received;
+};
+
 struct Holder {
-  Holder(VirtualScheduler &Scheduler, InMemoryStore &Model, Fleet &Calls,
+  Holder(VirtualScheduler &Scheduler, InMemoryStore &Model, FleetCalls &Calls,
          const BackendDirectory &Directory,
          const ServingConfiguration &Configuration, const std::string &Name)
       : m_Store(Scheduler, Model),
@@ -103,8 +152,11 @@
   }
 
   auto add(const std::string &Name) -> void {
-    m_Holders.push_back(std::make_unique<Holder>(
-        m_Scheduler, m_Model, m_Fleet, m_Directory, m_Configuration, Name));
+    m_Recorders.push_back(std::make_unique<RecordedCalls>(m_Scheduler, m_Fleet,
+                                                          Name, m_Received));
+    m_Holders.push_back(
+        std::make_unique<Holder>(m_Scheduler, m_Model, *m_Recorders.back(),
+                                 m_Directory, m_Configuration, Name));
   }
 
   /// Registers the servers that the platform runs.
@@ -153,6 +205,8 @@
   Fleet m_Fleet{m_Scheduler};
   BackendDirectory m_Directory;
   ServingConfiguration m_Configuration;
+  std::vector<ReceivedCall> m_Received; ///< By the platform, in order.
+  std::vector<std::unique_ptr<RecordedCalls>> m_Recorders;
   std::vector<std::unique_ptr<Holder>> m_Holders;
 };
 
@@ -210,6 +264,50 @@
   CHECK(Plan() == Stored);
 }
 
+// Where the platform does not check fencing tokens, the holders alone keep the
+// order of their calls.
+TEST_CASE("fleet duty: without fencing at the platform, no call of an earlier "
+          "holder follows one of a later holder, and holders do not take turns "
+          "within a lease") {
+  auto Changes = 0;
+  for (auto Seed = 1U; Seed <= 30; ++Seed) {
+    CAPTURE(Seed);
+    auto Test = World();
+    auto Choice = Random(Seed);
+    for (const auto *Name : {"first", "second", "third"})
+      Test.add(Name);
+    Test.advanceTime(Seconds(8));
+    for (auto Step = 0; Step < 30; ++Step) {
+      auto &Changed = *Test.m_Holders[Choice.below(Test.m_Holders.size())];
+      auto Faults = std::vector<StoreFault>{
+          StoreFault::None,         StoreFault::None,
+          StoreFault::Refuse,       StoreFault::LoseRequest,
+          StoreFault::LoseResponse, StoreFault::LateEffect};
+      Changed.m_Store.setOutage(Faults[Choice.below(Faults.size())]);
+      // Orders follow from servers that are reclaimed and offered again.
+      if (Choice.below(4) == 0)
+        Test.reclaimServers();
+      Test.m_Fleet.m_NoReclaimable = Choice.below(2) == 0;
+      Test.advanceTime(Milliseconds(500) * (1 + Choice.below(8)));
+    }
+    REQUIRE(!Test.m_Received.empty());
+    auto Before = std::optional<ReceivedCall>();
+    auto LastOf = std::map<std::string, MonotonicTime>();
+    for (const auto &Call : Test.m_Received) {
+      if (Before) {
+        CHECK(Call.m_Fencing >= Before->m_Fencing);
+        Changes += Before->m_Holder != Call.m_Holder ? 1 : 0;
+        constexpr auto LeaseTerm = Seconds(3);
+        if (Before->m_Holder != Call.m_Holder && LastOf.contains(Call.m_Holder))
+          CHECK(Call.m_At - LastOf.at(Call.m_Holder) > LeaseTerm);
+      }
+      LastOf[Call.m_Holder] = Call.m_At;
+      Before = Call;
+    }
+  }
+  CHECK(Changes >= 30);
+}
+
 TEST_CASE("fleet duty: an engine that says in its response to an order that it "
           "leaves, or pauses, gets no further order") {
   for (auto Notice : {ServerNotice{}, ServerNotice{.m_Leaving = true},
