--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -451,9 +451,12 @@
 
 Cloud::Cloud(const std::string &Ip)
     : m_Server(std::make_unique<Server>(
-          Ip, [](Channel &Peer, const Request & /*Call*/) {
+          Ip, [this](Channel &Peer, const Request &Call) {
+            auto Status = m_Busy ? 503 : 200;
+            if (m_OnCall)
+              m_OnCall(Call, Status);
             return Peer.sendAll(simpleResponse(
-                200, "{}", "Content-Type: application/json\r\n"));
+                Status, "{}", "Content-Type: application/json\r\n"));
           })) {}
 
 Host::Host(Options Values) : m_Options(std::move(Values)) {
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -147,10 +147,13 @@
   std::unique_ptr<Server> m_Server;
 };
 
-/// Accepts the calls to the platform's own interface.
+/// The platform's own interface: accepts all calls, or none while it is busy.
 class Cloud {
 public:
   explicit Cloud(const std::string &Ip);
+  std::atomic<bool> m_Busy{false};
+  /// Called with each call and the status of its answer.
+  std::function<void(const Request &, int)> m_OnCall;
   [[nodiscard]] auto address() const -> std::string {
     return m_Server->address();
   }
