Accept no request that the exit of the process would cut

Cause: a stream that began before SIGTERM has no "Connection: close" in its head. The idle connections are closed once the load balancer has reacted, but this one was busy then. When its stream ended, the caller's next request on it was read within the 100 ms until the next check and served like any other, whatever time was left. Gates have the same fault: they never closed a connection, and a request on a kept one held up the exit, or was cut in the last half second.

ShutdownAdmission decides for both paths: until the load balancer has reacted every request is accepted, afterwards only one whose time limit ends before the process does; others get 503 "shutting_down" at once, which is true and lets callers go to another host. Both HTTP servers close a connection when its response ends, unless a request has arrived by then. Gates also announce "Connection: close" in the responses after SIGTERM.

--- a/include/dotterel/gate/CallerHandler.h
+++ b/include/dotterel/gate/CallerHandler.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_GATE_CALLERHANDLER_H
 #define DOTTEREL_GATE_CALLERHANDLER_H
 
+#include "dotterel/admission/ShutdownAdmission.h"
 #include "dotterel/gate/CompletionRequest.h"
 #include "dotterel/gate/GateServices.h"
 
@@ -29,8 +30,11 @@
   auto onConfigurationChange() -> void;
 
   /// Makes /readyz report "not ready", so that the load balancer stops sending
-  /// callers to this gate.
-  auto beginDrain() -> void { m_Draining = true; }
+  /// callers to this gate, and refuses requests once it has had time to.
+  auto beginShutdown(const ShutdownPeriods &Periods) -> void;
+
+  /// Refuses all requests from now on.
+  auto closeAdmission() -> void { m_Shutdown.close(); }
 
   /// Calls \p Callback once no call is in progress; at once if there is none.
   auto onIdle(std::function<void()> Callback) -> void;
@@ -59,7 +63,7 @@
   GateServices &m_Services;
   std::unordered_map<std::uint64_t, std::shared_ptr<GateCall>> m_Calls;
   std::uint64_t m_LastCallNumber = 0;
-  bool m_Draining = false;
+  ShutdownAdmission m_Shutdown;
   std::function<void()> m_OnIdle;
 };
 
--- a/include/dotterel/gate/Refusal.h
+++ b/include/dotterel/gate/Refusal.h
@@ -43,6 +43,7 @@
   IdempotencyKeyExpired,
   IdempotencyKeyReused,
   NotReady,
+  ShuttingDown,
   ConfigurationStale,
   QueueFull,
   DeadlineExceeded,
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -138,7 +138,6 @@
   std::optional<RepeatingTimer> m_TickTimer;
   std::optional<MonotonicTime> m_LastTick;
   std::optional<RepeatingTimer> m_DrainTimer;
-  std::optional<MonotonicTime> m_DrainStartedAt;
   /// Newest time at which the list of registered servers was known to be
   /// current.
   std::optional<MonotonicTime> m_BackendsConfirmedAt;
--- a/include/dotterel/io/HttpServer.h
+++ b/include/dotterel/io/HttpServer.h
@@ -91,6 +91,10 @@
   /// requested port was 0.
   [[nodiscard]] auto address() const -> SocketAddress { return m_Bound; }
 
+  /// Closes each connection from now on when its response ends, unless another
+  /// request has arrived by then.
+  auto closeAfterResponses() -> void;
+
   /// Closes the listening socket. Open connections stay open.
   auto stopListening() -> void;
 
--- a/include/dotterel/io/StrictHttpServer.h
+++ b/include/dotterel/io/StrictHttpServer.h
@@ -54,7 +54,9 @@
   /// Makes each response from now on close its connection.
   auto closeAfterResponses() -> void;
 
-  /// Closes the connections that wait for a request.
+  /// Closes the connections that wait for a request. From now on, those that
+  /// are busy are closed when their response ends, unless another request has
+  /// arrived by then.
   auto closeIdle() -> void;
 
   /// Closes the listening socket. Open connections stay open.
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_SERVINGCORE_H
 #define DOTTEREL_SERVING_SERVINGCORE_H
 
+#include "dotterel/admission/ShutdownAdmission.h"
 #include "dotterel/config/Freshness.h"
 #include "dotterel/serving/ServedRequest.h"
 
@@ -59,6 +60,13 @@
     m_Freshness.recordOwnRead(SentAt);
   }
 
+  /// Starts to refuse the requests that the process cannot finish before it
+  /// exits.
+  auto beginShutdown(const ShutdownPeriods &Periods) -> void;
+
+  /// Refuses all requests from now on.
+  auto closeAdmission() -> void { m_Shutdown.close(); }
+
   auto serve(CallerExchangePtr Exchange) -> void;
 
   /// Returns this host's requests in flight and the prompts prefilled since the
@@ -82,12 +90,20 @@
   [[nodiscard]] auto prefillSpeed() const -> const PrefillSpeed & {
     return m_Speed;
   }
+  [[nodiscard]] auto shutdown() const -> const ShutdownAdmission & {
+    return m_Shutdown;
+  }
   [[nodiscard]] auto confirmationAge() const -> Duration;
   [[nodiscard]] auto active() const -> std::size_t { return m_Requests.size(); }
 
 private:
   auto refuse(const CallerExchangePtr &Exchange, RefusalCode Code,
-              const char *Detail, std::optional<Duration> RetryAfter) -> void;
+              const std::string &Detail, std::optional<Duration> RetryAfter)
+      -> void;
+  /// Refuses the request if it may last longer than the process. \returns
+  /// whether it was refused.
+  auto refuseForShutdown(const CallerExchangePtr &Exchange,
+                         const ServingRoute &Route) -> bool;
   auto chooseService(const ServingRoute &Route) -> const ServiceSpec *;
   auto retire(std::uint64_t Id) -> void;
 
@@ -102,6 +118,7 @@
   ServerAccess m_Access;
   CrashMonitor m_Crashes;
   FreshnessTracker m_Freshness;
+  ShutdownAdmission m_Shutdown;
   ServerChoice m_ServerChoice;
   EnginePlacement m_Placement;
   Random &m_Random;
--- a/src/gate/CallerHandler.cpp
+++ b/src/gate/CallerHandler.cpp
@@ -45,18 +45,28 @@
 }
 
 auto CallerHandler::isReady() const -> bool {
-  if (m_Draining || !m_Services.m_Configuration.current())
+  if (m_Shutdown.begun() || !m_Services.m_Configuration.current())
     return false;
   return m_Services.m_Freshness.evaluate(
              m_Services.m_Scheduler.now(), m_Services.m_Members,
              m_Services.m_ListedProcesses) != Freshness::Stale;
 }
 
+auto CallerHandler::beginShutdown(const ShutdownPeriods &Periods) -> void {
+  m_Shutdown.begin(m_Services.m_Scheduler.now(), Periods);
+}
+
 auto CallerHandler::handle(HttpExchangePtr Exchange) -> void {
   if (handleGateEndpoint(Exchange))
     return;
   const auto &Request = Exchange->request();
   auto Id = makeRequestId(Request);
+  // The time that a request may take is not bounded: its attempts may be
+  // repeated.
+  if (!m_Shutdown.accepts(m_Services.m_Scheduler.now(), Duration::max())) {
+    refuse(Exchange, Id, Refusal(RefusalCode::ShuttingDown));
+    return;
+  }
   if (!m_Services.m_Configuration.current()) {
     refuse(Exchange, Id, Refusal(RefusalCode::NotReady));
     return;
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -334,21 +334,26 @@
 
 auto GateProcess::drainCallerRequests(const std::function<void()> &Done)
     -> void {
-  m_CallerHandler.beginDrain();
+  auto Lag = m_Values.milliseconds("drain-lag-ms");
+  auto Timeout = m_Values.milliseconds("drain-timeout-ms");
+  m_CallerHandler.beginShutdown(
+      {.m_BalancerLag = Lag, .m_Limit = Lag + Timeout});
+  m_CallerServer->closeAfterResponses();
   logInfo("gate.draining", {{"active", m_CallerHandler.activeCalls()}});
   // New connections arrive until the load balancer sees that /readyz fails.
-  m_Loop.schedule(m_Values.milliseconds("drain-lag-ms"), [this, Done] {
+  m_Loop.schedule(Lag, [this, Done, Timeout] {
     m_CallerServer->stopListening();
     auto Finished = std::make_shared<bool>(false);
     auto Finish = [this, Finished, Done] {
       if (std::exchange(*Finished, true))
         return;
+      m_CallerHandler.closeAdmission();
       logInfo("gate.drained", {{"unfinished", m_CallerHandler.activeCalls()}});
       // The delay lets the last responses be written to their connections.
       m_Loop.schedule(TickInterval, Done);
     };
     m_CallerHandler.onIdle(Finish);
-    m_Loop.schedule(m_Values.milliseconds("drain-timeout-ms"), Finish);
+    m_Loop.schedule(Timeout, Finish);
   });
 }
 
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -372,7 +372,7 @@
 auto HostProcess::ready() const -> bool {
   auto Bound =
       scaled(confirmationBound(m_Options.m_Settings.m_Bounds), ReadyShare);
-  return !m_DrainStartedAt && m_Core.configuration() != nullptr &&
+  return !m_Core.shutdown().begun() && m_Core.configuration() != nullptr &&
          m_Core.confirmationAge() < Bound;
 }
 
@@ -512,15 +512,15 @@
   m_Usage.drain(Finish);
   // If the store is unavailable, the hosts that received copies of the counts
   // write them: the process must exit within its grace period.
-  auto Elapsed =
-      m_DrainStartedAt ? m_Loop.now() - *m_DrainStartedAt : Duration::zero();
-  auto Left =
-      m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitMargin / 2 - Elapsed;
+  auto Left = m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitMargin / 2 -
+              m_Core.shutdown().elapsed(m_Loop.now());
   m_Loop.schedule(std::max<Duration>(Left, Duration::zero()), Finish);
 }
 
 auto HostProcess::drain(std::function<void()> Done) -> void {
-  m_DrainStartedAt = m_Loop.now();
+  m_Core.beginShutdown(
+      {.m_BalancerLag = BalancerReactionTime,
+       .m_Limit = m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitMargin});
   // A host that is about to exit neither sends orders nor reports usage.
   m_Duty.stop();
   m_CallerServer->closeAfterResponses();
@@ -530,16 +530,16 @@
 }
 
 auto HostProcess::checkDrain(const std::function<void()> &Done) -> void {
-  auto Elapsed = m_Loop.now() - *m_DrainStartedAt;
-  if (Elapsed < BalancerReactionTime)
+  const auto &Shutdown = m_Core.shutdown();
+  auto Now = m_Loop.now();
+  if (Shutdown.mayGetConnections(Now))
     return;
-  // From here on no request can begin, so that none is cut off by the exit.
   m_CallerServer->stopListening();
   m_CallerServer->closeIdle();
-  auto GraceExpired =
-      Elapsed >= m_Options.m_Settings.m_Bounds.m_ShutdownGrace - ExitMargin;
-  if (m_CallerServer->busyConnections() > 0 && !GraceExpired)
+  if (m_CallerServer->busyConnections() > 0 &&
+      Shutdown.timeLeft(Now) > Duration::zero())
     return;
+  m_Core.closeAdmission();
   logInfo("host.drained", {{"unfinished", m_Core.active()}});
   // Done runs in a separate event: this function runs inside m_DrainTimer, and
   // the owner of the callback may end the process.
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -46,6 +46,7 @@
   HttpServerOptions m_Options;
   MHD_Daemon *m_Daemon = nullptr;
   int m_ListenFd = -1;
+  bool m_CloseAfterResponses = false;
   std::unique_ptr<FdWatcher> m_Watcher;
   std::optional<TimerId> m_RunTimer;
   std::optional<TimerId> m_TimeoutTimer;
@@ -161,6 +162,9 @@
     for (const auto &Header : m_Headers)
       MHD_add_response_header(Response, Header.m_Name.c_str(),
                               Header.m_Value.c_str());
+    m_AnnouncesClose = m_Server->m_CloseAfterResponses;
+    if (m_AnnouncesClose)
+      MHD_add_response_header(Response, "Connection", "close");
     auto Result = MHD_queue_response(m_Connection, m_Status, Response);
     MHD_destroy_response(Response);
     return Result;
@@ -175,6 +179,10 @@
 
   [[nodiscard]] auto disconnected() const -> bool { return m_Disconnected; }
 
+  /// Returns whether the caller was told that the connection ends with the
+  /// response.
+  [[nodiscard]] auto announcesClose() const -> bool { return m_AnnouncesClose; }
+
   auto close(bool Completed) -> void {
     m_Watcher.reset();
     m_State = State::Closed;
@@ -274,6 +282,7 @@
   bool m_BodyTooLarge = false;
   bool m_Pipelined = false;
   bool m_Disconnected = false;
+  bool m_AnnouncesClose = false;
   std::unique_ptr<FdWatcher> m_Watcher;
   std::function<void()> m_OnDisconnect;
 };
@@ -374,15 +383,25 @@
   return MHD_YES;
 }
 
-auto HttpServer::Impl::onCompleted(void *Self, MHD_Connection * /*Connection*/,
+auto HttpServer::Impl::onCompleted(void *Self, MHD_Connection *Connection,
                                    void **Context,
                                    enum MHD_RequestTerminationCode Code)
     -> void {
   auto *Owned = static_cast<std::shared_ptr<Exchange> *>(*Context);
   if (Owned == nullptr)
     return;
-  static_cast<Impl *>(Self)->m_Exchanges.erase(Owned->get());
-  (*Owned)->close(Code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  auto &Server = *static_cast<Impl *>(Self);
+  Server.m_Exchanges.erase(Owned->get());
+  auto Completed = Code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+  // libmicrohttpd cannot close a connection after a response whose head was
+  // sent without "Connection: close". Without a read side it closes it, after
+  // the requests that have arrived.
+  if (Completed && Server.m_CloseAfterResponses && !(*Owned)->announcesClose())
+    ::shutdown(
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd,
+        SHUT_RD);
+  (*Owned)->close(Completed);
   delete Owned;
   *Context = nullptr;
 }
@@ -397,6 +416,10 @@
 
 HttpServer::~HttpServer() = default;
 
+auto HttpServer::closeAfterResponses() -> void {
+  m_Impl->m_CloseAfterResponses = true;
+}
+
 auto HttpServer::stopListening() -> void {
   if (m_Impl->m_ListenFd < 0)
     m_Impl->m_ListenFd = MHD_quiesce_daemon(m_Impl->m_Daemon);
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -36,6 +36,8 @@
 /// open connections are not delayed.
 constexpr auto MaxAcceptsPerEvent = 64;
 
+constexpr auto ShutdownReason = "idle at a graceful stop";
+
 auto reasonPhrase(unsigned Status) -> const char * {
   return http_status_str(static_cast<http_status>(Status));
 }
@@ -60,6 +62,7 @@
   HttpHandler &m_Handler;
   StrictHttpServerOptions m_Options;
   bool m_CloseAfterResponses = false;
+  bool m_CloseIdle = false;
   Socket m_Listener;
   std::unique_ptr<FdWatcher> m_Watcher;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> m_Connections;
@@ -127,6 +130,10 @@
       m_NextRequestTimer.reset();
       m_ReadWatcher.enable(true);
       handleReaderState(m_Reader.next());
+      // The head of the response may have been sent before the connection was
+      // to be closed.
+      if (m_Server.m_CloseIdle)
+        closeIfIdle(ShutdownReason);
     });
   }
 
@@ -535,11 +542,12 @@
 }
 
 auto StrictHttpServer::closeIdle() -> void {
+  m_Impl->m_CloseIdle = true;
   auto Targets = std::vector<Impl::Connection *>();
   for (auto &[Key, Current] : m_Impl->m_Connections)
     Targets.push_back(Key);
   for (auto *Target : Targets)
-    Target->closeIfIdle("idle at a graceful stop");
+    Target->closeIfIdle(ShutdownReason);
 }
 
 auto StrictHttpServer::stopListening() -> void {
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -2,6 +2,8 @@
 
 #include "dotterel/base/Log.h"
 
+#include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace dotterel {
@@ -117,8 +119,8 @@
 }
 
 auto ServingCore::refuse(const CallerExchangePtr &Exchange, RefusalCode Code,
-                         const char *Detail, std::optional<Duration> RetryAfter)
-    -> void {
+                         const std::string &Detail,
+                         std::optional<Duration> RetryAfter) -> void {
   auto Age = confirmationAge();
   logWarning(
       "request.refused",
@@ -149,6 +151,27 @@
   return nullptr;
 }
 
+auto ServingCore::beginShutdown(const ShutdownPeriods &Periods) -> void {
+  m_Shutdown.begin(m_Scheduler.now(), Periods);
+}
+
+auto ServingCore::refuseForShutdown(const CallerExchangePtr &Exchange,
+                                    const ServingRoute &Route) -> bool {
+  auto Now = m_Scheduler.now();
+  auto Limit =
+      std::min(Route.m_Timeout,
+               Exchange->request().m_TimeLeft.value_or(Route.m_Timeout));
+  if (m_Shutdown.accepts(Now, Limit))
+    return false;
+  // Another host can serve the request at once.
+  refuse(Exchange, RefusalCode::ShuttingDown,
+         fmt::format("the process exits in {} ms, the request may take {} ms",
+                     toMilliseconds(m_Shutdown.timeLeft(Now)),
+                     toMilliseconds(Limit)),
+         Duration::zero());
+  return true;
+}
+
 auto ServingCore::serve(CallerExchangePtr Exchange) -> void {
   if (!m_Configuration) {
     refuse(Exchange, RefusalCode::NotReady, "", NotReadyRetryAfter);
@@ -187,6 +210,8 @@
     Parameters.m_Priority =
         Holder->second.m_Priority.value_or(Route->m_Priority);
   }
+  if (refuseForShutdown(Exchange, *Route))
+    return;
   Parameters.m_Service = chooseService(*Route);
   if (Parameters.m_Service == nullptr) {
     refuse(Exchange, RefusalCode::NoBackend, "the route's service is unknown",
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -16,7 +16,8 @@
 
 /// Hosts as real processes, connected to fakes of the platform's servers.
 struct Platform {
-  explicit Platform(int Hosts = 1) {
+  explicit Platform(int Hosts = 1, Duration RouteTimeout = Seconds(3))
+      : m_RouteTimeout(RouteTimeout) {
     for (auto Number = 0; Number < 2; ++Number) {
       auto Id = fmt::format("i-{}", Number);
       m_Servers.push_back(std::make_unique<FakeServer>(m_Loop, Id));
@@ -47,12 +48,12 @@
   }
 
   auto configure(int Version, const std::vector<std::string> &Keys) -> void {
-    auto Route = [](const char *Name, const char *Kind) {
+    auto Route = [this](const char *Name, const char *Kind) {
       return Json{{"name", Name},
                   {"host", "h.example"},
                   {"path_prefix", fmt::format("/{}/", Name)},
                   {"kind", Kind},
-                  {"timeout_ms", 3000},
+                  {"timeout_ms", toMilliseconds(m_RouteTimeout)},
                   {"target_latency_ms", 400},
                   {"service", "desk"},
                   {"max_attempts", 2},
@@ -60,7 +61,9 @@
     };
     m_Store.put("op/config",
                 {{"version", Version},
-                 {"routes", {Route("safe", "safe"), Route("once", "unsafe")}},
+                 {"routes",
+                  {Route("safe", "safe"), Route("once", "unsafe"),
+                   Route("stream", "streaming")}},
                  {"services", {{{"name", "desk"}}}},
                  {"limits",
                   {{"max_header_bytes", 4096},
@@ -161,6 +164,7 @@
     return Sum;
   }
 
+  Duration m_RouteTimeout;
   EventLoop m_Loop;
   FakeStore m_Store{m_Loop};
   FakeFleet m_Fleet{m_Loop};
@@ -174,6 +178,54 @@
   int m_LastRequest = 0;
 };
 
+/// A caller that sends its next stream on the same connection as soon as the
+/// last one has ended, until its host accepts no connections.
+class StreamCaller {
+public:
+  struct Result {
+    std::string m_Id;
+    HttpCallResult m_Call;
+  };
+
+  StreamCaller(Platform &Test, Duration TimeLimit)
+      : m_Test(Test), m_TimeLimit(TimeLimit) {
+    sendNext();
+  }
+
+  [[nodiscard]] auto ended() const -> bool { return m_Ended; }
+  [[nodiscard]] auto results() const -> const std::vector<Result> & {
+    return m_Results;
+  }
+
+private:
+  auto sendNext() -> void {
+    auto Request = m_Test.request("stream");
+    auto Id = *findHeader(Request.m_Headers, "X-Request-Id");
+    for (auto &Header : Request.m_Headers)
+      if (Header.m_Name == "X-Deadline-Ms")
+        Header.m_Value = fmt::format("{}", toMilliseconds(m_TimeLimit));
+    m_Client->start({.m_Method = Request.m_Method,
+                     .m_Url = Request.m_Url,
+                     .m_Headers = Request.m_Headers,
+                     .m_Body = Request.m_Body,
+                     .m_Timeout = Request.m_Timeout,
+                     .m_OnDone = [this, Id](const HttpCallResult &Result) {
+                       m_Results.push_back({.m_Id = Id, .m_Call = Result});
+                       if (Result.m_Outcome == HttpOutcome::Complete)
+                         sendNext();
+                       else
+                         m_Ended = true;
+                     }});
+  }
+
+  Platform &m_Test;
+  Duration m_TimeLimit;
+  std::unique_ptr<HttpClient> m_Client =
+      makePooledHttpClient(m_Test.m_Loop, {});
+  std::vector<Result> m_Results;
+  bool m_Ended = false;
+};
+
 } // namespace
 
 TEST_CASE("host: a request is served for its organisation, and the server does "
@@ -301,6 +353,48 @@
   CHECK(Test.executions() == Served);
 }
 
+// Guards against streams that the exit of the process cuts: they were sent on
+// connections that had been busy with a stream when the host closed the idle
+// ones.
+TEST_CASE("host: streams sent on kept connections after SIGTERM are complete, "
+          "or refused and not executed") {
+  constexpr auto TimeLimit = Seconds(5);
+  constexpr auto StreamTime = Milliseconds(4600);
+  constexpr auto Callers = 8;
+  constexpr auto Events = 16;
+  auto Test = Platform(1, TimeLimit);
+  for (const auto &Server : Test.m_Servers) {
+    Server->m_Events = Events;
+    Server->m_EventInterval = StreamTime / Events;
+  }
+  auto Streams = std::vector<std::unique_ptr<StreamCaller>>();
+  for (auto Number = 0; Number < Callers; ++Number) {
+    Streams.push_back(std::make_unique<StreamCaller>(Test, TimeLimit));
+    Test.runFor(StreamTime / Callers);
+  }
+  Test.m_Hosts[0]->signal(SIGTERM);
+  Test.waitFor("the end", [&] { return !Test.m_Hosts[0]->running(); });
+  Test.waitFor("the end of all callers", [&] {
+    return std::all_of(Streams.begin(), Streams.end(),
+                       [](const auto &Stream) { return Stream->ended(); });
+  });
+  auto Executions = std::map<std::string, int>();
+  for (const auto &Server : Test.m_Servers)
+    Executions.insert(Server->m_Executions.begin(), Server->m_Executions.end());
+  auto Complete = 0;
+  for (const auto &Stream : Streams)
+    for (const auto &[Id, Call] : Stream->results()) {
+      CAPTURE(Id);
+      CAPTURE(Call.m_Status);
+      auto Served =
+          Call.m_Outcome == HttpOutcome::Complete && Call.m_Status == 200;
+      CHECK(Served == Executions.contains(Id));
+      Complete += Served ? 1 : 0;
+    }
+  // Each caller had a stream when the signal came.
+  CHECK(Complete >= Callers);
+}
+
 // Guards against a shutdown that waits for the store without a time limit. The
 // soak test found it with the seeds 1024 and 1039.
 TEST_CASE(
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -50,6 +50,49 @@
   return {};
 }
 
+/// A blocking connection of a caller to a gate.
+class KeptConnection {
+public:
+  explicit KeptConnection(const std::string &Url)
+      : m_Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    auto Raw =
+        SocketAddress::parse(Url.substr(std::string("http://").size())).raw();
+    REQUIRE(::connect(m_Fd, reinterpret_cast<const sockaddr *>(&Raw),
+                      sizeof Raw) == 0);
+    auto Limit = timeval{.tv_sec = 30, .tv_usec = 0};
+    ::setsockopt(m_Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+  }
+  KeptConnection(const KeptConnection &) = delete;
+  auto operator=(const KeptConnection &) -> KeptConnection & = delete;
+  ~KeptConnection() { ::close(m_Fd); }
+
+  auto send(const Call &Request) const -> void {
+    auto Text =
+        std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n");
+    for (const auto &Header : Request.m_Headers)
+      Text += Header.m_Name + ": " + Header.m_Value + "\r\n";
+    Text += "Content-Length: " + std::to_string(Request.m_Body.size()) +
+            "\r\n\r\n" + Request.m_Body;
+    // The gate may have closed the connection.
+    static_cast<void>(::send(m_Fd, Text.data(), Text.size(), MSG_NOSIGNAL));
+  }
+  /// Reads until \p End has arrived, or the connection ends.
+  auto receive(const std::string &End) const -> std::string {
+    auto Text = std::string();
+    auto Buffer = std::array<char, 1024>{};
+    while (Text.find(End) == std::string::npos) {
+      auto Count = ::recv(m_Fd, Buffer.data(), Buffer.size(), 0);
+      if (Count <= 0)
+        break;
+      Text.append(Buffer.data(), static_cast<std::size_t>(Count));
+    }
+    return Text;
+  }
+
+private:
+  int m_Fd;
+};
+
 /// Sends bytes on a new connection and waits until the peer closes it, at most
 /// 30 s; \returns the response, or "still open" after the timeout.
 auto sendRaw(const std::string &Url, const std::string &Bytes) -> std::string {
@@ -101,6 +144,35 @@
   CHECK(Test.seen(Test.m_RunnerUrls[0])["requests"].size() == 5);
 }
 
+// Guards against requests on kept connections that begin at a gate which is
+// about to exit, and hold up its exit or are cut by it.
+TEST_CASE("e2e: a gate that exits closes a kept connection after its response, "
+          "and refuses the request that has arrived by then") {
+  auto Test = Cluster(
+      {.m_Gates = 1, .m_Runners = 1, .m_GateFlags = {"--drain-lag-ms=300"}});
+  auto Key = Test.grantKey("ghent");
+  auto Stream = Test.chatCall(0, Key, {{"max_tokens", 150}, {"stream", true}});
+  auto Late = Test.chatCall(0, Key, {{"max_tokens", 5}});
+  auto Kept = KeptConnection(Test.m_GateUrls[0]);
+  auto WithNext = KeptConnection(Test.m_GateUrls[0]);
+  const auto StreamEnd = std::string("0\r\n\r\n");
+  Kept.send(Stream);
+  WithNext.send(Stream);
+  Test.runLoopFor(Milliseconds(300));
+  Test.m_Gates[0]->signal(SIGTERM);
+  Test.runLoopFor(Milliseconds(600));
+  WithNext.send(Late);
+  CHECK(Kept.receive(StreamEnd).find("[DONE]") != std::string::npos);
+  CHECK(Kept.receive("never").empty());
+  CHECK(WithNext.receive(StreamEnd).find("[DONE]") != std::string::npos);
+  auto Refused = WithNext.receive("never");
+  CHECK(Refused.find("HTTP/1.1 503") != std::string::npos);
+  CHECK(Refused.find("shutting_down") != std::string::npos);
+  CHECK(Refused.find("\r\nConnection: close\r\n") != std::string::npos);
+  CHECK(Test.m_Gates[0]->wait() == 0);
+  CHECK(Test.seen(Test.m_RunnerUrls[0])["requests"].size() == 2);
+}
+
 TEST_CASE("e2e: a gate sends nothing to a server that has said that it leaves, "
           "and nothing during a pause that a server has stated") {
   auto Test = Cluster({.m_Gates = 1, .m_Runners = 2, .m_Services = 2});
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -1,6 +1,7 @@
 #include "PlatformFakes.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <sodium.h>
 
 namespace dotterel::test {
@@ -265,7 +266,7 @@
   m_Headers.push_back(Headers);
   auto Truncate = m_ResponsesToTruncate > 0;
   m_ResponsesToTruncate -= Truncate ? 1 : 0;
-  m_Loop.schedule(m_WorkTime, [Exchange, Request, Truncate] {
+  m_Loop.schedule(m_WorkTime, [this, Exchange, Request, Truncate] {
     auto ResponseHeaders = HttpHeaders{
         {"X-Request-Id", Request}, {"X-Response-Stamp", "stamp-" + Request}};
     if (Truncate) {
@@ -273,6 +274,12 @@
       Exchange->abort();
       return;
     }
+    if (m_Events > 0) {
+      ResponseHeaders.push_back({"Content-Type", "text/event-stream"});
+      Exchange->startStream(200, ResponseHeaders);
+      sendEvents(Exchange, 1);
+      return;
+    }
     Exchange->respond({.m_Status = 200,
                        .m_Headers = ResponseHeaders,
                        .m_Body = Exchange->request().m_Target + "|" +
@@ -280,6 +287,17 @@
   });
 }
 
+auto FakeServer::sendEvents(HttpExchangePtr Exchange, int Number) -> void {
+  if (Number > m_Events) {
+    Exchange->finish();
+    return;
+  }
+  m_Loop.schedule(m_EventInterval, [this, Exchange, Number] {
+    Exchange->write(fmt::format("id: {0}\ndata: event {0}\n\n", Number));
+    sendEvents(Exchange, Number + 1);
+  });
+}
+
 FakeFleet::FakeFleet(EventLoop &Loop)
     : m_Server(Loop, *this, loopbackOptions()) {}
 
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -108,6 +108,10 @@
   /// executed.
   std::function<void(const HttpHeaders &, bool)> m_OnArrival;
   Duration m_WorkTime = Milliseconds(5);
+  /// Number of events of a response, and the pause before each; 0: responses
+  /// are not streams.
+  int m_Events = 0;
+  Duration m_EventInterval = Milliseconds(100);
   /// Number of requests to execute with a truncated response.
   int m_ResponsesToTruncate = 0;
   /// Number of requests to refuse without execution.
@@ -117,6 +121,9 @@
   std::vector<HttpHeaders> m_Headers; ///< Headers of each executed request.
 
 private:
+  /// Sends the events of a stream from \p Number on.
+  auto sendEvents(HttpExchangePtr Exchange, int Number) -> void;
+
   EventLoop &m_Loop;
   std::string m_Id;
   StrictHttpServer m_Server;
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -136,6 +136,42 @@
   CHECK(Test.m_Usage["o"] == 1);
 }
 
+// Guards against requests that the exit of the process cuts: they arrived too
+// late to be finished before it.
+TEST_CASE("serving core: during a shutdown, a request that may last longer "
+          "than the process is refused and not sent") {
+  auto Test = ServingFixture();
+  Test.m_Core.beginShutdown(
+      {.m_BalancerLag = Seconds(1), .m_Limit = Seconds(4)});
+  auto Start = Test.m_Scheduler.now();
+  auto ServedAt = [&](Duration Elapsed) {
+    Test.m_Scheduler.advance(Start + Elapsed - Test.m_Scheduler.now());
+    Test.m_Core.recordConfirmation(Test.m_Scheduler.now());
+    auto Before = Test.m_Transport.m_Sent.size();
+    auto View = Test.serve("unsafe");
+    auto Sent = Test.m_Transport.m_Sent.size() > Before;
+    if (Sent)
+      Test.m_Transport.end(complete(200));
+    CHECK(Sent != View->m_Refusal.has_value());
+    if (View->m_Refusal) {
+      CHECK(View->m_Refusal->code() == RefusalCode::ShuttingDown);
+      CHECK(View->m_Refusal->execution() == Execution::NotRun);
+      CHECK(View->m_RetryAfter == Duration::zero());
+    }
+    return Sent;
+  };
+  // The callers of the fixture wait for two seconds.
+  CHECK(ServedAt(Milliseconds(900)));
+  CHECK(ServedAt(Milliseconds(2000)));
+  CHECK_FALSE(ServedAt(Milliseconds(2001)));
+  CHECK_FALSE(ServedAt(Milliseconds(4500)));
+  auto Closed = ServingFixture();
+  Closed.m_Core.beginShutdown(
+      {.m_BalancerLag = Seconds(1), .m_Limit = Seconds(4)});
+  Closed.m_Core.closeAdmission();
+  CHECK(Closed.serve("unsafe")->m_Refusal.has_value());
+}
+
 TEST_CASE("served request: a request that must not be repeated is sent again "
           "only if no attempt may have executed it, and a refusal states 'not "
           "run' only then, for any sequence of outcomes") {
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -16,7 +16,8 @@
 /// More than the buffers of a loopback connection hold.
 constexpr auto LargeBodyBytes = std::size_t{32} << 20U;
 
-/// Responds to each request with its path, and to /large with a large body.
+/// Responds to each request with its path, to /large with a large body, and to
+/// /stream with the head of a response at once.
 class EchoHandler final : public HttpHandler {
 public:
   explicit EchoHandler(EventLoop &Loop) : m_Loop(Loop) {}
@@ -25,6 +26,14 @@
     auto Body = Exchange->request().m_Path;
     if (Body == "/large")
       Body.assign(LargeBodyBytes, 'x');
+    if (Body == "/stream") {
+      Exchange->startStream(200, {});
+      m_Loop.schedule(m_Delay, [Exchange, Body] {
+        Exchange->write(Body);
+        Exchange->finish();
+      });
+      return;
+    }
     m_Loop.schedule(m_Delay, [Exchange, Body] {
       Exchange->respond({.m_Status = 200, .m_Body = Body});
     });
@@ -174,6 +183,35 @@
   CHECK(Idle.ended());
 }
 
+// Guards against requests that arrive on a connection after the server has
+// closed the idle ones: its response was in progress then, and had begun
+// without "Connection: close".
+TEST_CASE("strict server: a connection that is busy when idle ones are closed "
+          "is closed when its response ends") {
+  auto Test = Server();
+  Test.m_Handler.m_Delay = Milliseconds(200);
+  auto Busy = Caller(Test);
+  auto WithNext = Caller(Test);
+  Busy.request("/stream");
+  WithNext.request("/stream");
+  Test.runFor(Milliseconds(50));
+  Test.m_Server.closeAfterResponses();
+  Test.m_Server.closeIdle();
+  // A request that has arrived by the end of the response gets one itself.
+  WithNext.request("/next");
+  Test.runFor(Milliseconds(200));
+  auto Response = Busy.received();
+  CHECK(contains(Response, "/stream"));
+  CHECK_FALSE(contains(Response, "Connection: close"));
+  CHECK(Busy.ended());
+  Test.runFor(Milliseconds(200));
+  Response = WithNext.received();
+  CHECK(contains(Response, "/next"));
+  CHECK(contains(Response, "Connection: close"));
+  CHECK(WithNext.ended());
+  CHECK(Test.m_Server.busyConnections() == 0);
+}
+
 // The same fault, with the idle timeout: after a busy period the timeouts are
 // checked before the sockets are read.
 TEST_CASE("strict server: a request that arrived in time is served though the "
