Answer the requests that are unfinished when a host exits

Callers of a host that stopped while their requests were still running saw their connections closed without a response, and the process could end with SIGABRT ("I/O watcher with invalid fd"), so that its last log lines and, while the store was silent, its last counts were missing.

Cause: at the end of the grace the server for callers was destroyed before the requests in flight. Nothing told their callers anything or logged their end, and a request whose time ended in the 0.1 s until the exit used the destroyed connection.

The host now ends these requests first: a refusal "shutting_down" that says whether the request may have run (503 only if it has not), or a cut stream, each with its log line. An exchange that outlives its server is told that its caller has gone.

"strict server: an exchange outlives its server" was not run on the code before.

Gates have the same order, but wait for 600 s, longer than their requests last; not changed.

--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -121,6 +121,10 @@
 
   auto start() -> void;
 
+  /// Ends the request because the process exits: with a refusal that says
+  /// whether the request may have run, or by cutting a stream.
+  auto endForShutdown() -> void;
+
   auto onBegin(const ResponseHead &Head, const ServerReport &Report)
       -> void override;
   auto onData(std::string_view Data) -> void override;
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -64,8 +64,8 @@
   /// exits.
   auto beginShutdown(const ShutdownPeriods &Periods) -> void;
 
-  /// Refuses all requests from now on.
-  auto closeAdmission() -> void { m_Shutdown.close(); }
+  /// Ends the requests in flight, and refuses all others from now on.
+  auto endShutdown() -> void;
 
   auto serve(CallerExchangePtr Exchange) -> void;
 
--- a/src/gate/CallerHandler.cpp
+++ b/src/gate/CallerHandler.cpp
@@ -64,7 +64,7 @@
   // The time that a request may take is not bounded: its attempts may be
   // repeated.
   if (!m_Shutdown.accepts(m_Services.m_Scheduler.now(), Duration::max())) {
-    refuse(Exchange, Id, Refusal(RefusalCode::ShuttingDown));
+    refuse(Exchange, Id, Refusal(RefusalCode::ShuttingDown, Execution::NotRun));
     return;
   }
   if (!m_Services.m_Configuration.current()) {
--- a/src/gate/Refusal.cpp
+++ b/src/gate/Refusal.cpp
@@ -59,7 +59,7 @@
        "the Idempotency-Key was used with another body"},
       {NotReady, "not_ready", 503, NotRun, true,
        "this gate has no configuration yet"},
-      {ShuttingDown, "shutting_down", 503, NotRun, true,
+      {ShuttingDown, "shutting_down", 503, DependsOnCase, true,
        "this host is about to exit; another one can take the request"},
       {ConfigurationStale, "configuration_stale", 503, NotRun, true,
        "this gate cannot tell whether the key is still granted"},
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -539,8 +539,10 @@
   if (m_CallerServer->busyConnections() > 0 &&
       Shutdown.timeLeft(Now) > Duration::zero())
     return;
-  m_Core.closeAdmission();
   logInfo("host.drained", {{"unfinished", m_Core.active()}});
+  // Their usage is counted, and their responses are sent, before the process
+  // exits.
+  m_Core.endShutdown();
   // Done runs in a separate event: this function runs inside m_DrainTimer, and
   // the owner of the callback may end the process.
   auto Finish = Done;
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -91,7 +91,7 @@
   }
   Connection(const Connection &) = delete;
   auto operator=(const Connection &) -> Connection & = delete;
-  ~Connection() = default;
+  ~Connection();
 
   [[nodiscard]] auto hasExchange() const -> bool {
     return m_Exchange != nullptr;
@@ -291,6 +291,13 @@
   std::function<void()> m_OnDisconnect;
 };
 
+StrictHttpServer::Impl::Connection::~Connection() {
+  // Also if the server is destroyed first, the exchange must not use its
+  // connection any more.
+  if (auto OpenExchange = std::exchange(m_Exchange, nullptr))
+    OpenExchange->disconnected();
+}
+
 auto StrictHttpServer::Impl::Connection::close() -> void {
   if (m_Closed)
     return;
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -802,6 +802,20 @@
   refuse(RefusalCode::DeadlineExceeded, "the time of the request is over");
 }
 
+auto ServedRequest::endForShutdown() -> void {
+  if (m_Done)
+    return;
+  if (m_Attempt && m_Attempt->m_Purpose == AttemptPurpose::Serve)
+    ++m_Runs;
+  cancelAttempt();
+  if (m_Streaming) {
+    finish("cut", "the process exits");
+    return;
+  }
+  refuse(RefusalCode::ShuttingDown, "the process exits",
+         m_Runs > 0 ? std::nullopt : std::optional(Duration::zero()));
+}
+
 auto ServedRequest::finish(const std::string &Outcome,
                            const std::string &Detail) -> void {
   if (std::exchange(m_Done, true))
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -155,6 +155,17 @@
   m_Shutdown.begin(m_Scheduler.now(), Periods);
 }
 
+auto ServingCore::endShutdown() -> void {
+  m_Shutdown.close();
+  // Iterates over a copy, since a request that ends removes itself. The object
+  // is destroyed in a later iteration of the event loop.
+  auto Unfinished = std::vector<ServedRequest *>();
+  for (const auto &[Id, Request] : m_Requests)
+    Unfinished.push_back(Request.get());
+  for (auto *Request : Unfinished)
+    Request->endForShutdown();
+}
+
 auto ServingCore::refuseForShutdown(const CallerExchangePtr &Exchange,
                                     const ServingRoute &Route) -> bool {
   auto Now = m_Scheduler.now();
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -395,6 +395,41 @@
   CHECK(Complete >= Callers);
 }
 
+// Guards against requests that end without a response because their host exits
+// first, and against a host that crashes at its exit because such a request
+// ends after its connection.
+TEST_CASE("host: requests that are unfinished when the grace ends get a "
+          "response, and the process exits without an error") {
+  constexpr auto TimeLimit = Milliseconds(7540);
+  constexpr auto Requests = 6;
+  auto Test = Platform(1, TimeLimit);
+  for (const auto &Server : Test.m_Servers)
+    Server->m_WorkTime = Seconds(30);
+  // The process then waits for the store as long as it may.
+  Test.m_Store.m_Unresponsive = true;
+  Test.m_Hosts[0]->signal(SIGTERM);
+  auto Calls = std::vector<std::shared_ptr<Reply>>();
+  for (auto Number = 0; Number < Requests; ++Number) {
+    auto Request = Test.request("once");
+    for (auto &Header : Request.m_Headers)
+      if (Header.m_Name == "X-Deadline-Ms")
+        Header.m_Value = std::to_string(toMilliseconds(TimeLimit));
+    Calls.push_back(Test.start(Request));
+    Test.runFor(Milliseconds(10));
+  }
+  Test.waitFor("the end", [&] { return !Test.m_Hosts[0]->running(); });
+  auto Unfinished = 0;
+  for (const auto &Slot : Calls) {
+    CHECK(Slot->m_Outcome == HttpOutcome::Complete);
+    // Some reach their own time limit first.
+    CHECK((Slot->error() == "shutting_down/may_have_run" ||
+           Slot->error() == "deadline_exceeded/may_have_run"));
+    Unfinished += Slot->m_Status == 502 ? 1 : 0;
+  }
+  CHECK(Unfinished > 0);
+  CHECK(Test.m_Hosts[0]->wait() == 0);
+}
+
 // Guards against a shutdown that waits for the store without a time limit. The
 // soak test found it with the seeds 1024 and 1039.
 TEST_CASE(
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -168,10 +168,40 @@
   auto Closed = ServingFixture();
   Closed.m_Core.beginShutdown(
       {.m_BalancerLag = Seconds(1), .m_Limit = Seconds(4)});
-  Closed.m_Core.closeAdmission();
+  Closed.m_Core.endShutdown();
   CHECK(Closed.serve("unsafe")->m_Refusal.has_value());
 }
 
+// Guards against requests that end without a response because the process
+// exits, and against refusals that say "not run" of a request that has run.
+TEST_CASE(
+    "serving core: at the end of a shutdown every request in flight ends, "
+    "with a refusal that says whether it may have run") {
+  auto Test = ServingFixture();
+  Test.m_Core.beginShutdown(
+      {.m_BalancerLag = Seconds(1), .m_Limit = Seconds(4)});
+  auto Running = Test.serve("unsafe");
+  auto Prefilling = Test.serve("stream", "k", longPrompt());
+  REQUIRE(Test.m_Transport.m_Sent.size() == 2);
+  REQUIRE(Test.m_Transport.m_Sent[1].m_Attempt.m_Purpose ==
+          AttemptPurpose::Prefill);
+  auto Streaming = Test.serve("stream", "k", shortPrompt());
+  Test.m_Transport.m_Sent.back().m_Listener->onBegin({}, {});
+  Test.m_Core.endShutdown();
+  REQUIRE(Running->m_Refusal);
+  CHECK(Running->m_Refusal->code() == RefusalCode::ShuttingDown);
+  CHECK(Running->m_Refusal->execution() == Execution::MayHaveRun);
+  CHECK_FALSE(Running->m_RetryAfter);
+  REQUIRE(Prefilling->m_Refusal);
+  CHECK(Prefilling->m_Refusal->execution() == Execution::NotRun);
+  CHECK(Prefilling->m_RetryAfter == Duration::zero());
+  CHECK(Streaming->m_Aborted);
+  for (const auto &Sent : Test.m_Transport.m_Sent)
+    CHECK(Sent.m_Cancelled);
+  Test.destroyEnded();
+  CHECK(Test.m_Core.active() == 0);
+}
+
 TEST_CASE("served request: a request that must not be repeated is sent again "
           "only if no attempt may have executed it, and a refusal states 'not "
           "run' only then, for any sequence of outcomes") {
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -48,6 +48,19 @@
   EventLoop &m_Loop;
 };
 
+/// Keeps the last exchange and does not respond.
+class HoldingHandler final : public HttpHandler {
+public:
+  auto handle(HttpExchangePtr Exchange) -> void override {
+    m_Held = std::move(Exchange);
+  }
+  auto bodyTooLarge(std::size_t /*Limit*/) -> HttpResponse override {
+    return {.m_Status = 413};
+  }
+
+  HttpExchangePtr m_Held;
+};
+
 /// A server on the loopback interface, whose loop runs only when the test says
 /// so: meanwhile the process is busy.
 struct Server {
@@ -212,6 +225,35 @@
   CHECK(Test.m_Server.busyConnections() == 0);
 }
 
+// Guards against a response that is sent on a connection whose server was
+// destroyed.
+TEST_CASE("strict server: an exchange outlives its server") {
+  auto Loop = EventLoop();
+  auto Handler = HoldingHandler();
+  auto Listening = std::make_unique<StrictHttpServer>(
+      Loop, Handler,
+      StrictHttpServerOptions{.m_Address =
+                                  SocketAddress::parse("127.0.0.1:0")});
+  auto Fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  auto Raw = Listening->address().raw();
+  REQUIRE(::connect(Fd, reinterpret_cast<const sockaddr *>(&Raw),
+                    sizeof(Raw)) == 0);
+  const auto Request = std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(::send(Fd, Request.data(), Request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Request.size()));
+  Loop.schedule(Milliseconds(50), [&] { Loop.stop(); });
+  Loop.run();
+  REQUIRE(Handler.m_Held);
+  auto Disconnects = 0;
+  Handler.m_Held->onDisconnect([&] { ++Disconnects; });
+  Listening.reset();
+  CHECK(Disconnects == 1);
+  Handler.m_Held->respond({.m_Body = "late"});
+  auto Byte = '\0';
+  CHECK(::recv(Fd, &Byte, 1, MSG_DONTWAIT) <= 0);
+  ::close(Fd);
+}
+
 // The same fault, with the idle timeout: after a busy period the timeouts are
 // checked before the sockets are read.
 TEST_CASE("strict server: a request that arrived in time is served though the "
