Soak: callers that stream on kept connections around stops

Operators saw two streams lost around SIGTERM on real processes; their record does not say when they were sent or cut. The soak had no streams, and its callers waited between requests, so it could not show such a loss.

Three callers a host now send streams one after the other on the same connection, and a cut request is reported with its times after the stop. The stand-in's streams are asked for by a header, so that one server serves both kinds.

--- a/soak/Promises.cpp
+++ b/soak/Promises.cpp
@@ -140,8 +140,10 @@
         Now - Stopping->second < m_Bounds.m_StopGrace + Seconds(1))
       reportViolation(
           "planned-stops-lose-nothing",
-          fmt::format("{} was executed and its connection was closed",
-                      Request));
+          fmt::format("{} was executed and its connection was closed; sent {} "
+                      "ms and closed {} ms after the stop began",
+                      Request, toMilliseconds(Sent.m_SentAt - Stopping->second),
+                      toMilliseconds(Now - Stopping->second)));
     return;
   }
   auto Status = Result.m_Status;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -16,8 +16,15 @@
 using Json = nlohmann::json;
 
 constexpr auto RequestDeadline = Milliseconds(2000);
+constexpr auto StreamDeadline = Milliseconds(5000);
 /// Callers time out slightly after their deadline.
-constexpr auto CallerTimeout = Milliseconds(2600);
+constexpr auto CallerTimeoutMargin = Milliseconds(600);
+/// Callers of streams for each host, the lengths of their streams, and the time
+/// until they connect again.
+constexpr auto StreamCallersPerHost = std::size_t{3};
+constexpr auto MinEvents = 4;
+constexpr auto MaxEvents = 46;
+constexpr auto ReconnectDelay = Milliseconds(100);
 /// Maximum interval between the starts of two faults or planned changes.
 constexpr auto MaxFaultInterval = Milliseconds(900);
 constexpr auto MinFaultDuration = Milliseconds(200);
@@ -40,12 +47,13 @@
 /// Time beyond its grace period within which a host must have stopped.
 constexpr auto StopMargin = Seconds(2);
 
-auto route(const char *Name, const char *Kind) -> Json {
+auto route(const char *Name, const char *Kind,
+           Duration Timeout = Milliseconds(3000)) -> Json {
   return {{"name", Name},
           {"host", "soak.example"},
           {"path_prefix", fmt::format("/{}/", Name)},
           {"kind", Kind},
-          {"timeout_ms", 3000},
+          {"timeout_ms", toMilliseconds(Timeout)},
           {"target_latency_ms", 400},
           {"service", "desk"},
           {"max_attempts", 3},
@@ -126,7 +134,9 @@
 auto SoakRun::writeConfiguration() -> void {
   m_Store.put("op/config",
               {{"version", ++m_ConfigVersion},
-               {"routes", {route("safe", "safe"), route("once", "unsafe")}},
+               {"routes",
+                {route("safe", "safe"), route("once", "unsafe"),
+                 route("stream", "streaming", StreamDeadline)}},
                {"services", {{{"name", "desk"}}}},
                {"limits",
                 {{"max_header_bytes", 4096},
@@ -227,37 +237,77 @@
   constexpr auto UnsafeShare = 0.5;
   auto Old = !m_OldKeys.empty() && m_Random.unit() < OldKeyShare;
   const auto &Choices = Old ? m_OldKeys : m_Keys;
-  send(Index, m_Random.unit() < UnsafeShare ? "once" : "safe",
-       Choices[m_Random.below(Choices.size())], [](unsigned) {});
+  auto Route = m_Random.unit() < UnsafeShare ? "once" : "safe";
+  send(*m_Client,
+       {.m_Host = Index,
+        .m_Route = Route,
+        .m_Key = Choices[m_Random.below(Choices.size())]},
+       [](const HttpCallResult &) {});
 }
 
-auto SoakRun::send(std::size_t Index, const std::string &Route,
-                   const std::string &Key,
-                   std::function<void(unsigned)> OnStatus) -> void {
+auto SoakRun::sendStream(std::size_t Caller, std::size_t Host) -> void {
+  if (!m_Sending)
+    return;
+  auto Reconnect = [this, Caller] {
+    m_Loop.schedule(ReconnectDelay, [this, Caller] {
+      sendStream(Caller, m_WorkRandom.below(m_Hosts.size()));
+    });
+  };
+  if (m_Hosts[Host].m_CallerAddress.empty()) {
+    Reconnect();
+    return;
+  }
+  auto Events = MinEvents +
+                static_cast<int>(m_WorkRandom.below(MaxEvents - MinEvents + 1));
+  send(*m_StreamClients[Caller],
+       {.m_Host = Host,
+        .m_Route = "stream",
+        .m_Key = m_Keys[m_WorkRandom.below(m_Keys.size())],
+        .m_Events = Events},
+       [this, Caller, Host, Reconnect](const HttpCallResult &Result) {
+         constexpr auto Good = 200U;
+         if (Result.m_Outcome == HttpOutcome::Complete &&
+             Result.m_Status == Good)
+           sendStream(Caller, Host);
+         else
+           Reconnect();
+       });
+}
+
+auto SoakRun::send(HttpClient &Client, const Work &Request,
+                   std::function<void(const HttpCallResult &)> OnDone) -> void {
   auto Id = fmt::format("q{}", ++m_LastRequestNumber);
-  auto Path = fmt::format("/{}/{}", Route, Id);
-  m_Promises.requestSent(Id, {.m_Host = Index,
-                              .m_SentAt = m_Loop.now(),
-                              .m_Key = Key,
-                              .m_Organisation = "org",
-                              .m_ExpectedBody = Path + "|" + Id,
-                              .m_Idempotent = Route == "safe"});
+  auto Path = fmt::format("/{}/{}", Request.m_Route, Id);
+  auto Stream = Request.m_Events > 0;
+  m_Promises.requestSent(
+      Id, {.m_Host = Request.m_Host,
+           .m_SentAt = m_Loop.now(),
+           .m_Key = Request.m_Key,
+           .m_Organisation = "org",
+           .m_ExpectedBody =
+               Stream ? test::fakeEvents(Request.m_Events) : Path + "|" + Id,
+           .m_Idempotent = Request.m_Route == "safe"});
   ++m_RequestsInFlight;
-  m_Client->start(
+  auto Deadline = Stream ? StreamDeadline : RequestDeadline;
+  auto Headers =
+      HttpHeaders{{"Host", "soak.example"},
+                  {"X-Request-Id", Id},
+                  {"X-Deadline-Ms", std::to_string(toMilliseconds(Deadline))},
+                  {"Authorization", "Bearer " + Request.m_Key}};
+  if (Stream)
+    Headers.push_back(
+        {test::EventCountHeader, std::to_string(Request.m_Events)});
+  Client.start(
       {.m_Method = "POST",
-       .m_Url = "http://" + m_Hosts[Index].m_CallerAddress + Path,
-       .m_Headers = {{"Host", "soak.example"},
-                     {"X-Request-Id", Id},
-                     {"X-Deadline-Ms",
-                      std::to_string(toMilliseconds(RequestDeadline))},
-                     {"Authorization", "Bearer " + Key}},
+       .m_Url = "http://" + m_Hosts[Request.m_Host].m_CallerAddress + Path,
+       .m_Headers = std::move(Headers),
        .m_Body = Id,
-       .m_Timeout = CallerTimeout,
-       .m_OnDone = [this, Id, OnStatus = std::move(OnStatus)](
-                       const HttpCallResult &Result) {
+       .m_Timeout = Deadline + CallerTimeoutMargin,
+       .m_OnDone = [this, Id,
+                    OnDone = std::move(OnDone)](const HttpCallResult &Result) {
          --m_RequestsInFlight;
          m_Promises.responseReceived(Id, Result, m_Loop.now());
-         OnStatus(Result.m_Status);
+         OnDone(Result);
        }});
 }
 
@@ -495,12 +545,14 @@
     if (m_Hosts[Index].m_CallerAddress.empty() || m_Hosts[Index].m_Stopping)
       return false;
     constexpr auto Good = 200U;
-    send(Index, "safe", m_Keys.front(), [Seen](unsigned Status) {
-      ++Seen->m_Responses;
-      Seen->m_Good += Status == Good ? 1 : 0;
-    });
+    send(*m_Client,
+         {.m_Host = Index, .m_Route = "safe", .m_Key = m_Keys.front()},
+         [Seen](const HttpCallResult &Result) {
+           ++Seen->m_Responses;
+           Seen->m_Good += Result.m_Status == Good ? 1 : 0;
+         });
   }
-  waitFor(CallerTimeout + Seconds(2),
+  waitFor(RequestDeadline + CallerTimeoutMargin + Seconds(2),
           [&] { return Seen->m_Responses == m_Hosts.size(); });
   return Seen->m_Good == m_Hosts.size();
 }
@@ -522,6 +574,12 @@
   }
   m_RequestTimer.emplace(m_Loop, m_Options.m_RequestInterval,
                          [this] { sendRequest(); });
+  m_Sending = true;
+  for (auto Caller = std::size_t{0};
+       Caller < m_Hosts.size() * StreamCallersPerHost; ++Caller) {
+    m_StreamClients.push_back(makePooledHttpClient(m_Loop, {}));
+    sendStream(Caller, Caller % m_Hosts.size());
+  }
   for (auto Round = std::size_t{0}; Round < m_Options.m_Rounds; ++Round) {
     injectFaults(m_Options.m_FaultTime);
     checkRecovery("the faults");
@@ -532,7 +590,8 @@
     checkRecovery("planned changes");
   }
   m_RequestTimer.reset();
-  waitFor(CallerTimeout + Seconds(2),
+  m_Sending = false;
+  waitFor(StreamDeadline + CallerTimeoutMargin + Seconds(2),
           [this] { return m_RequestsInFlight == 0; });
   for (const auto &[Window, Reports] : m_Fleet.m_Reports)
     if (Reports.size() > 1)
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -92,9 +92,20 @@
   /// Sends a request to each host; returns whether all got status 200.
   auto allHostsServe() -> bool;
 
+  /// A request to one host.
+  struct Work {
+    std::size_t m_Host = 0;
+    std::string m_Route;
+    std::string m_Key;
+    int m_Events = 0; ///< Of a stream; 0: not a stream.
+  };
+
   auto sendRequest() -> void;
-  auto send(std::size_t Index, const std::string &Route, const std::string &Key,
-            std::function<void(unsigned)> OnStatus) -> void;
+  /// Sends a stream as one of the callers that send the next one on the same
+  /// connection at once, until it is closed.
+  auto sendStream(std::size_t Caller, std::size_t Host) -> void;
+  auto send(HttpClient &Client, const Work &Request,
+            std::function<void(const HttpCallResult &)> OnDone) -> void;
   auto injectFaults(Duration Span) -> void;
   auto makePlannedChanges(Duration Span) -> void;
   auto endFaults() -> void;
@@ -134,6 +145,7 @@
   std::vector<Server> m_Servers;
   std::vector<Host> m_Hosts;
   std::unique_ptr<HttpClient> m_Client;
+  std::vector<std::unique_ptr<HttpClient>> m_StreamClients;
   std::vector<std::string> m_Keys;
   std::vector<std::string> m_OldKeys;
   int m_ConfigVersion = 0;
@@ -145,6 +157,7 @@
   MonotonicTime m_StartedAt;
   std::vector<std::string> m_EventLog;
   bool m_InjectingFaults = false;
+  bool m_Sending = false;
   std::optional<RepeatingTimer> m_RequestTimer;
   std::optional<RepeatingTimer> m_HostCheckTimer;
 };
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -187,8 +187,8 @@
     HttpCallResult m_Call;
   };
 
-  StreamCaller(Platform &Test, Duration TimeLimit)
-      : m_Test(Test), m_TimeLimit(TimeLimit) {
+  StreamCaller(Platform &Test, Duration TimeLimit, int Events)
+      : m_Test(Test), m_TimeLimit(TimeLimit), m_Events(Events) {
     sendNext();
   }
 
@@ -204,6 +204,7 @@
     for (auto &Header : Request.m_Headers)
       if (Header.m_Name == "X-Deadline-Ms")
         Header.m_Value = fmt::format("{}", toMilliseconds(m_TimeLimit));
+    Request.m_Headers.push_back({EventCountHeader, std::to_string(m_Events)});
     m_Client->start({.m_Method = Request.m_Method,
                      .m_Url = Request.m_Url,
                      .m_Headers = Request.m_Headers,
@@ -220,6 +221,7 @@
 
   Platform &m_Test;
   Duration m_TimeLimit;
+  int m_Events;
   std::unique_ptr<HttpClient> m_Client =
       makePooledHttpClient(m_Test.m_Loop, {});
   std::vector<Result> m_Results;
@@ -359,18 +361,13 @@
 TEST_CASE("host: streams sent on kept connections after SIGTERM are complete, "
           "or refused and not executed") {
   constexpr auto TimeLimit = Seconds(5);
-  constexpr auto StreamTime = Milliseconds(4600);
   constexpr auto Callers = 8;
-  constexpr auto Events = 16;
+  constexpr auto Events = 46;
   auto Test = Platform(1, TimeLimit);
-  for (const auto &Server : Test.m_Servers) {
-    Server->m_Events = Events;
-    Server->m_EventInterval = StreamTime / Events;
-  }
   auto Streams = std::vector<std::unique_ptr<StreamCaller>>();
   for (auto Number = 0; Number < Callers; ++Number) {
-    Streams.push_back(std::make_unique<StreamCaller>(Test, TimeLimit));
-    Test.runFor(StreamTime / Callers);
+    Streams.push_back(std::make_unique<StreamCaller>(Test, TimeLimit, Events));
+    Test.runFor(EventInterval * Events / Callers);
   }
   Test.m_Hosts[0]->signal(SIGTERM);
   Test.waitFor("the end", [&] { return !Test.m_Hosts[0]->running(); });
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -243,6 +243,21 @@
   respond(Exchange, {.m_Status = m_Model.revokeLease(Lease) ? 200U : 404U});
 }
 
+namespace {
+
+auto fakeEvent(int Number) -> std::string {
+  return fmt::format("id: {0}\ndata: event {0}\n\n", Number);
+}
+
+} // namespace
+
+auto fakeEvents(int Count) -> std::string {
+  auto Text = std::string();
+  for (auto Number = 1; Number <= Count; ++Number)
+    Text += fakeEvent(Number);
+  return Text;
+}
+
 FakeServer::FakeServer(EventLoop &Loop, std::string Id)
     : m_Loop(Loop), m_Id(std::move(Id)),
       m_Server(Loop, *this, loopbackOptions()) {}
@@ -274,10 +289,11 @@
       Exchange->abort();
       return;
     }
-    if (m_Events > 0) {
+    if (auto Events =
+            findHeader(Exchange->request().m_Headers, EventCountHeader)) {
       ResponseHeaders.push_back({"Content-Type", "text/event-stream"});
       Exchange->startStream(200, ResponseHeaders);
-      sendEvents(Exchange, 1);
+      sendEvents(Exchange, 1, std::stoi(*Events));
       return;
     }
     Exchange->respond({.m_Status = 200,
@@ -287,14 +303,15 @@
   });
 }
 
-auto FakeServer::sendEvents(HttpExchangePtr Exchange, int Number) -> void {
-  if (Number > m_Events) {
+auto FakeServer::sendEvents(HttpExchangePtr Exchange, int Number, int Count)
+    -> void {
+  if (Number > Count) {
     Exchange->finish();
     return;
   }
-  m_Loop.schedule(m_EventInterval, [this, Exchange, Number] {
-    Exchange->write(fmt::format("id: {0}\ndata: event {0}\n\n", Number));
-    sendEvents(Exchange, Number + 1);
+  m_Loop.schedule(EventInterval, [this, Exchange, Number, Count] {
+    Exchange->write(fakeEvent(Number));
+    sendEvents(Exchange, Number + 1, Count);
   });
 }
 
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -90,7 +90,16 @@
   RepeatingTimer m_Timer;
 };
 
-/// A backend server of a plain service that counts the requests it executes.
+/// Header with the number of events that a FakeServer responds with, and the
+/// pause before each of them.
+inline constexpr auto EventCountHeader = "X-Fake-Events";
+inline constexpr auto EventInterval = Milliseconds(100);
+
+/// Returns the events of a FakeServer's stream.
+auto fakeEvents(int Count) -> std::string;
+
+/// A backend server of a plain service that counts the requests it executes. A
+/// request with an EventCountHeader gets a stream.
 class FakeServer final : public HttpHandler {
 public:
   FakeServer(EventLoop &Loop, std::string Id);
@@ -108,10 +117,6 @@
   /// executed.
   std::function<void(const HttpHeaders &, bool)> m_OnArrival;
   Duration m_WorkTime = Milliseconds(5);
-  /// Number of events of a response, and the pause before each; 0: responses
-  /// are not streams.
-  int m_Events = 0;
-  Duration m_EventInterval = Milliseconds(100);
   /// Number of requests to execute with a truncated response.
   int m_ResponsesToTruncate = 0;
   /// Number of requests to refuse without execution.
@@ -121,8 +126,8 @@
   std::vector<HttpHeaders> m_Headers; ///< Headers of each executed request.
 
 private:
-  /// Sends the events of a stream from \p Number on.
-  auto sendEvents(HttpExchangePtr Exchange, int Number) -> void;
+  /// Sends the events \p Number to \p Count of a stream.
+  auto sendEvents(HttpExchangePtr Exchange, int Number, int Count) -> void;
 
   EventLoop &m_Loop;
   std::string m_Id;
