Close the listening socket when a stopping host begins to refuse

Cause: requests are refused from 2.6 s after SIGTERM on, but the listening socket was closed by the next periodic check, up to 0.1 s later, and callers that retry at once came back.

The check now runs first at that time, and the refusals ask for a retry after the usual minimum of 0.1 s, also those of requests that had not been sent when the grace ended.

--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -525,19 +525,19 @@
   m_Duty.stop();
   m_CallerServer->closeAfterResponses();
   logInfo("host.draining", {{"active", m_Core.active()}});
-  m_DrainTimer.emplace(m_Loop, DrainInterval,
-                       [this, Done = std::move(Done)] { checkDrain(Done); });
+  // The listening socket closes when requests begin to be refused.
+  m_Loop.schedule(BalancerReactionTime, [this, Done = std::move(Done)] {
+    m_DrainTimer.emplace(m_Loop, DrainInterval,
+                         [this, Done] { checkDrain(Done); });
+    checkDrain(Done);
+  });
 }
 
 auto HostProcess::checkDrain(const std::function<void()> &Done) -> void {
-  const auto &Shutdown = m_Core.shutdown();
-  auto Now = m_Loop.now();
-  if (Shutdown.mayGetConnections(Now))
-    return;
   m_CallerServer->stopListening();
   m_CallerServer->closeIdle();
   if (m_CallerServer->busyConnections() > 0 &&
-      Shutdown.timeLeft(Now) > Duration::zero())
+      m_Core.shutdown().timeLeft(m_Loop.now()) > Duration::zero())
     return;
   logInfo("host.drained", {{"unfinished", m_Core.active()}});
   // Their usage is counted, and their responses are sent, before the process
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -813,7 +813,9 @@
     return;
   }
   refuse(RefusalCode::ShuttingDown, "the process exits",
-         m_Runs > 0 ? std::nullopt : std::optional(Duration::zero()));
+         m_Runs > 0
+             ? std::nullopt
+             : std::optional(retryAfter(m_Context.m_Options.m_MinRetryAfter)));
 }
 
 auto ServedRequest::finish(const std::string &Outcome,
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -174,12 +174,11 @@
                Exchange->request().m_TimeLeft.value_or(Route.m_Timeout));
   if (m_Shutdown.accepts(Now, Limit))
     return false;
-  // Another host can serve the request at once.
   refuse(Exchange, RefusalCode::ShuttingDown,
          fmt::format("the process exits in {} ms, the request may take {} ms",
                      toMilliseconds(m_Shutdown.timeLeft(Now)),
                      toMilliseconds(Limit)),
-         Duration::zero());
+         m_Options.m_Requests.m_MinRetryAfter);
   return true;
 }
 
--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -355,6 +355,37 @@
   CHECK(Test.executions() == Served);
 }
 
+// Guards against refusals in the time between the end of the load balancer's
+// lag and the closing of the listening socket: a connection that is not
+// accepted costs its caller less.
+TEST_CASE("host: new connections are served until the listening socket is "
+          "closed") {
+  constexpr auto TimeLimit = Seconds(6);
+  auto Test = Platform(1, TimeLimit);
+  auto Calls = std::vector<std::shared_ptr<Reply>>();
+  Test.m_Hosts[0]->signal(SIGTERM);
+  while (Test.m_Hosts[0]->running()) {
+    auto Request = Test.request("once");
+    for (auto &Header : Request.m_Headers)
+      if (Header.m_Name == "X-Deadline-Ms")
+        Header.m_Value = std::to_string(toMilliseconds(TimeLimit));
+    Calls.push_back(Test.start(Request));
+    Test.runFor(Milliseconds(5));
+  }
+  Test.waitFor("the end of all calls", [&] {
+    return std::all_of(Calls.begin(), Calls.end(),
+                       [](const auto &Slot) { return Slot->m_Status != 0; });
+  });
+  auto Count = [&Calls](unsigned Status) {
+    return std::count_if(
+        Calls.begin(), Calls.end(),
+        [Status](const auto &Slot) { return Slot->m_Status == Status; });
+  };
+  CHECK(Count(200) > 50);
+  // One may be on its way when the socket is closed.
+  CHECK(Count(503) <= 1);
+}
+
 // Guards against streams that the exit of the process cuts: they were sent on
 // connections that had been busy with a stream when the host closed the idle
 // ones.
