--- a/include/dotterel/admission/ShutdownAdmission.h
+++ b/include/dotterel/admission/ShutdownAdmission.h
@@ -13,6 +13,7 @@
 
 namespace dotterel {
 
+/// Periods of a shutdown, both from its beginning on.
 struct ShutdownPeriods {
   /// Time for which the load balancer may go on sending new connections.
   Duration m_BalancerLag{};
