--- a/tests/e2e-Host.cpp
+++ b/tests/e2e-Host.cpp
@@ -411,12 +411,12 @@
     Executions.insert(Server->m_Executions.begin(), Server->m_Executions.end());
   auto Complete = 0;
   for (const auto &Stream : Streams)
-    for (const auto &[Id, Call] : Stream->results()) {
-      CAPTURE(Id);
-      CAPTURE(Call.m_Status);
-      auto Served =
-          Call.m_Outcome == HttpOutcome::Complete && Call.m_Status == 200;
-      CHECK(Served == Executions.contains(Id));
+    for (const auto &Result : Stream->results()) {
+      CAPTURE(Result.m_Id);
+      CAPTURE(Result.m_Call.m_Status);
+      auto Served = Result.m_Call.m_Outcome == HttpOutcome::Complete &&
+                    Result.m_Call.m_Status == 200;
+      CHECK(Served == Executions.contains(Result.m_Id));
       Complete += Served ? 1 : 0;
     }
   // Each caller had a stream when the signal came.
