Soak: a stream that its server cuts is no loss of a stop

The trace: at 1,061 ms of the run the stand-in of server 3 was told to cut responses; 0.2 s later it cut the stream q91 ("serve@i-3:broken:200:5ms", "the connection ended before the answer did"), and the host, which was stopping, cut the stream to the caller, as it must. The users' rules do not count requests whose runner broke off. Without streams such a request got 502, so the check had not met it.

The check now leaves out exactly the requests whose response the stand-in itself cut.

--- a/soak/Promises.cpp
+++ b/soak/Promises.cpp
@@ -97,6 +97,11 @@
   checkExecution(Request, Server, Headers, Now);
 }
 
+auto Promises::responseCut(const std::string &Request) -> void {
+  if (auto Found = m_Requests.find(Request); Found != m_Requests.end())
+    Found->second.m_Cut = true;
+}
+
 auto Promises::checkExecution(const std::string &Request,
                               const std::string &Server,
                               const HttpHeaders &Headers, MonotonicTime Now)
@@ -134,8 +139,10 @@
   if (!Complete) {
     auto Stopping = m_HostsStopping.find(Sent.m_Host);
     // A connection without an execution may have been closed by the host while
-    // the request was on its way, which is allowed.
-    if (Record.m_Executions > 0 && Result.m_Outcome == HttpOutcome::Broken &&
+    // the request was on its way, which is allowed. A stream that its server
+    // cuts ends in the same way at the caller.
+    if (Record.m_Executions > 0 && !Record.m_Cut &&
+        Result.m_Outcome == HttpOutcome::Broken &&
         isUndisturbed(Sent.m_Host, Now) && Stopping != m_HostsStopping.end() &&
         Now - Stopping->second < m_Bounds.m_StopGrace + Seconds(1))
       reportViolation(
--- a/soak/Promises.h
+++ b/soak/Promises.h
@@ -61,6 +61,9 @@
   auto requestArrived(const std::string &Server, const HttpHeaders &Headers,
                       bool Executed, MonotonicTime Now) -> void;
 
+  /// Records that a backend server cuts its response to a request.
+  auto responseCut(const std::string &Request) -> void;
+
   /// Records that the store acknowledged a configuration with a new key. Keys
   /// for which this is never called are in force from the start.
   auto keyAdded(const std::string &Key, MonotonicTime Now) -> void;
@@ -103,6 +106,8 @@
     int m_Arrivals = 0;
     /// The caller got 429 or 503, which means that it is not executed.
     bool m_Refused = false;
+    /// Its backend server cut the response.
+    bool m_Cut = false;
   };
 
   /// Returns whether the last fault that affects \p Host ended more than
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -107,6 +107,8 @@
                         : m_WorkRandom.unit() < LongWorkShare ? LongWorkTime
                                                               : ShortWorkTime;
     m_Promises.requestArrived(Id, Headers, Executed, m_Loop.now());
+    if (Executed && Server.m_ResponsesToTruncate > 0)
+      m_Promises.responseCut(findHeader(Headers, "X-Request-Id").value_or(""));
   };
   auto Link = std::make_unique<FaultProxy>(m_Loop, Process->address());
   m_Servers.push_back(
