Soak: a paused host gets the time to stop after its pause

The trace: SIGTERM at 1,072 ms of the run, SIGSTOP at 4,208 ms, SIGCONT at 11,038 ms when all faults ended (loop.delayed ms=6523), the end of the process 0.1 s later, and the check in between, 34 ms after SIGCONT. A process cannot end while it is paused. The check skipped hosts only while faults were injected, and the pause had just ended.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <unistd.h>
+#include <utility>
 
 namespace dotterel::soak {
 
@@ -392,10 +393,14 @@
   recordEvent(fmt::format("host {} is paused", Index));
   Target.m_Paused = true;
   Target.m_Process->signal(SIGSTOP);
-  m_Promises.recordHostFault(Index, endFaultLater([this, Index] {
-                               m_Hosts[Index].m_Process->signal(SIGCONT);
-                               m_Hosts[Index].m_Paused = false;
-                             }));
+  m_Promises.recordHostFault(
+      Index, endFaultLater([this, Index] { resumeHost(m_Hosts[Index]); }));
+}
+
+auto SoakRun::resumeHost(Host &Target) -> void {
+  Target.m_Process->signal(SIGCONT);
+  if (std::exchange(Target.m_Paused, false))
+    Target.m_ResumedAt = m_Loop.now();
 }
 
 auto SoakRun::killHost() -> void {
@@ -422,16 +427,29 @@
   Target.m_Process->signal(SIGTERM);
   m_Promises.hostStopping(Index, m_Loop.now());
   m_Loop.schedule(m_Bounds.m_StopGrace + StopMargin,
-                  [this, Index, Old = Target.m_Process.get()] {
-                    // A paused host may take longer; a killed one was replaced.
-                    if (m_Hosts[Index].m_Process.get() == Old &&
-                        m_Hosts[Index].m_Stopping && !m_InjectingFaults)
-                      m_Promises.reportViolation(
-                          "planned-stops-end",
-                          fmt::format("host {} still runs", Index));
+                  [this, Index, Stopped = Target.m_Process.get()] {
+                    checkStopped(Index, Stopped);
                   });
 }
 
+auto SoakRun::checkStopped(std::size_t Index, const test::Process *Stopped)
+    -> void {
+  const auto &Target = m_Hosts[Index];
+  // A killed host was replaced.
+  if (Target.m_Process.get() != Stopped || !Target.m_Stopping ||
+      m_InjectingFaults)
+    return;
+  // A host cannot stop while it is paused.
+  auto Left = Target.m_ResumedAt + StopMargin - m_Loop.now();
+  if (Left > Duration::zero()) {
+    m_Loop.schedule(Left,
+                    [this, Index, Stopped] { checkStopped(Index, Stopped); });
+    return;
+  }
+  m_Promises.reportViolation("planned-stops-end",
+                             fmt::format("host {} still runs", Index));
+}
+
 auto SoakRun::reloadHost() -> void {
   auto Index = randomHost();
   if (m_Hosts[Index].m_CallerAddress.empty())
@@ -520,8 +538,7 @@
   // The ends of faults that are still scheduled then have no effect.
   for (auto &Current : m_Hosts) {
     Current.m_StoreLink->setFault(LinkFault::None);
-    Current.m_Process->signal(SIGCONT);
-    Current.m_Paused = false;
+    resumeHost(Current);
   }
   for (auto &Current : m_Servers) {
     Current.m_Link->setFault(LinkFault::None);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -62,6 +62,7 @@
     std::string m_CallerAddress;    ///< Empty until the host listens.
     std::string m_ReadinessAddress; ///< As above.
     bool m_Paused = false;
+    MonotonicTime m_ResumedAt; ///< End of the latest pause.
     bool m_Stopping = false;
     bool m_Killed = false;
   };
@@ -117,8 +118,11 @@
   auto injectStoreFault() -> void;
   auto injectServerFault() -> void;
   auto pauseHost() -> void;
+  auto resumeHost(Host &Target) -> void;
   auto killHost() -> void;
   auto stopHost() -> void;
+  /// Reports a host that still runs \p Stopped, the process that was to stop.
+  auto checkStopped(std::size_t Index, const test::Process *Stopped) -> void;
   auto reloadHost() -> void;
   /// Adds a key and withdraws the oldest one.
   auto changeKeys() -> void;
