--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -303,8 +303,8 @@
   });
 }
 
-auto FakeServer::sendEvents(HttpExchangePtr Exchange, int Number, int Count)
-    -> void {
+auto FakeServer::sendEvents(const HttpExchangePtr &Exchange, int Number,
+                            int Count) -> void {
   if (Number > Count) {
     Exchange->finish();
     return;
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -127,7 +127,8 @@
 
 private:
   /// Sends the events \p Number to \p Count of a stream.
-  auto sendEvents(HttpExchangePtr Exchange, int Number, int Count) -> void;
+  auto sendEvents(const HttpExchangePtr &Exchange, int Number, int Count)
+      -> void;
 
   EventLoop &m_Loop;
   std::string m_Id;
