End the calls of a test's store with the store

Cause: tests/support/FaultyStore.h scheduled responses and repeated polls that used the object after a test had destroyed it with its holder (SIGSEGV once in three whole runs; the address sanitizer reported it each time).

Ruled out: the product; the calls belong to the test's stand-in alone.

Change: a call that was sent still takes effect at the store, which is passed by itself, but responses, time-outs and polls end with the stand-in.

--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,9 @@
   LateEffect,   ///< Takes effect long after the caller has timed out.
 };
 
-/// Delays each call and injects faults by call number, counted from 1.
+/// Delays each call and injects faults by call number, counted from 1. A call
+/// that was sent takes effect even after its sender has been destroyed, which
+/// then gets no response.
 class FaultyStore final : public KeyValueStore, public StoreWatch {
 public:
   FaultyStore(VirtualScheduler &Scheduler, InMemoryStore &Model)
@@ -54,28 +57,28 @@
 
   auto read(KeyRange Range, StoreCallback<RangeResult> Callback)
       -> void override {
-    run<RangeResult>([this, Range] { return m_Model.read(Range); },
+    run<RangeResult>([&Model = m_Model, Range] { return Model.read(Range); },
                      std::move(Callback));
   }
   auto commit(StoreTransaction Transaction,
               StoreCallback<TransactionResult> Callback) -> void override {
     run<TransactionResult>(
-        [this, Transaction] { return m_Model.commit(Transaction); },
+        [&Model = m_Model, Transaction] { return Model.commit(Transaction); },
         std::move(Callback));
   }
   auto grantLease(Seconds Term, StoreCallback<LeaseId> Callback)
       -> void override {
-    run<LeaseId>([this, Term] { return m_Model.grantLease(Term); },
+    run<LeaseId>([&Model = m_Model, Term] { return Model.grantLease(Term); },
                  std::move(Callback));
   }
   auto renewLease(LeaseId Lease, StoreCallback<Seconds> Callback)
       -> void override {
-    run<Seconds>([this, Lease] { return m_Model.renewLease(Lease); },
+    run<Seconds>([&Model = m_Model, Lease] { return Model.renewLease(Lease); },
                  std::move(Callback));
   }
   auto revokeLease(LeaseId Lease, StoreCallback<bool> Callback)
       -> void override {
-    run<bool>([this, Lease] { return m_Model.revokeLease(Lease); },
+    run<bool>([&Model = m_Model, Lease] { return Model.revokeLease(Lease); },
               std::move(Callback));
   }
   auto watch(const std::string &Prefix, StoreRevision After, Duration Wait,
@@ -89,7 +92,9 @@
             const StoreCallback<WatchResult> &Callback) -> void {
     constexpr auto PollInterval = Milliseconds(10);
     run<WatchResult>(
-        [this, Prefix, After] { return m_Model.changes(Prefix, After); },
+        [&Model = m_Model, Prefix, After] {
+          return Model.changes(Prefix, After);
+        },
         [this, Prefix, After, Until, Callback,
          PollInterval](const auto &Reply) {
           auto Idle = Reply && !Reply->m_HistoryLost &&
@@ -98,10 +103,18 @@
             Callback(Reply);
             return;
           }
-          m_Scheduler.schedule(PollInterval,
-                               [this, Prefix, After, Until, Callback] {
-                                 poll(Prefix, After, Until, Callback);
-                               });
+          whileAlive(PollInterval, [this, Prefix, After, Until, Callback] {
+            poll(Prefix, After, Until, Callback);
+          });
+        });
+  }
+
+  /// Runs \p Action after \p Delay unless this object has been destroyed.
+  auto whileAlive(Duration Delay, std::function<void()> Action) -> void {
+    m_Scheduler.schedule(
+        Delay, [Alive = std::weak_ptr(m_Alive), Action = std::move(Action)] {
+          if (!Alive.expired())
+            Action();
         });
   }
 
@@ -121,10 +134,13 @@
     constexpr auto LateEffectDelay = Milliseconds(2500);
     switch (Fault) {
     case StoreFault::None:
-      m_Scheduler.schedule(OneWay, [this, Action, Callback, OneWay] {
+      m_Scheduler.schedule(OneWay, [this, Alive = std::weak_ptr(m_Alive),
+                                    Action, Callback, OneWay] {
         auto Result = StoreReply<Response>{.m_Response = Action()};
+        if (Alive.expired())
+          return;
         auto Era = m_Model.era();
-        m_Scheduler.schedule(OneWay, [this, Result, Callback, Era] {
+        whileAlive(OneWay, [this, Result, Callback, Era] {
           if (history().observe(Era))
             Callback(Result);
           else
@@ -133,7 +149,7 @@
       });
       return;
     case StoreFault::Refuse:
-      m_Scheduler.schedule(OneWay * 2, [Callback] {
+      whileAlive(OneWay * 2, [Callback] {
         Callback({.m_Failure = StoreFailure::Refused});
       });
       return;
@@ -146,9 +162,8 @@
       m_Scheduler.schedule(LateEffectDelay, [Action] { Action(); });
       break;
     }
-    m_Scheduler.schedule(CallerTimeout, [Callback] {
-      Callback({.m_Failure = StoreFailure::Unknown});
-    });
+    whileAlive(CallerTimeout,
+               [Callback] { Callback({.m_Failure = StoreFailure::Unknown}); });
   }
 
   VirtualScheduler &m_Scheduler;
@@ -158,6 +173,7 @@
   std::uint64_t m_Calls = 0;
   bool m_Paused = false;
   std::vector<std::function<void()>> m_DelayedCalls;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
 } // namespace dotterel::test
