Keep the fleet duty going through an outage of the platform

Ruled out: the sealer and the windows in the store, which were complete and in order; DutyLease, which did what it should.

Change: - What was not accepted is repeated with the same token at the pace of CallBackoff: one call at a time, 0.5 to 4 s apart. A rejected order is sent again after a minute and stops nothing else. - A holder whose token is refused, or that gets no answer for 10 s, stops renewing (DutyLease::standDown) and does not campaign for 20 s. A turn therefore lasts 10 s or more while nobody is answered. - duty.given-up, usage.not-accepted, fleet.order-rejected, order.rejected; dotterel_serving_duty_calls_total, dotterel_serving_duty_given_up_total.

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_HOST_FLEETDUTY_H
 
 #include "dotterel/base/Random.h"
+#include "dotterel/fleet/CallBackoff.h"
 #include "dotterel/host/HostSettings.h"
 #include "dotterel/lease/DutyLease.h"
 #include "dotterel/serving/BackendDirectory.h"
@@ -35,6 +36,17 @@
   Duration m_StepInterval = Milliseconds(1000);
   /// Delay before an order that was not accepted is sent again.
   Duration m_OrderRetryDelay = Milliseconds(2000);
+  /// Delay before an order that was rejected is sent again.
+  Duration m_RejectedOrderDelay = Seconds(60);
+  /// Pace of the reports, and of the server orders, while the platform accepts
+  /// none.
+  CallBackoffOptions m_Backoff;
+  /// Time without any answer of the platform after which the holder gives the
+  /// duty up, since another host may reach the platform. While nobody reaches
+  /// it, each holder keeps the duty for that long.
+  Duration m_MaxUnanswered = Seconds(10);
+  /// Time for which a host that gave the duty up does not campaign.
+  Duration m_StandDown = Seconds(20);
   /// Added to an engine's role change time before its stage is ordered again,
   /// because the list of servers is updated with a delay.
   Duration m_StageRetryMargin = Milliseconds(2000);
@@ -56,6 +68,10 @@
   std::function<std::size_t()> m_HostCount;
   /// Returns whether this host may campaign for the duty.
   std::function<bool()> m_Eligible;
+  /// Called with the outcome of each report and server order.
+  std::function<void(const char *Matter, OrderOutcome)> m_OnOutcome;
+  /// Called with the reason when this host gives the duty up.
+  std::function<void(const char *Reason)> m_OnGivenUp;
 };
 
 /// Runs the fleet duty on one host. It acts only while the host holds the
@@ -63,13 +79,17 @@
 ///
 /// \invariant All calls under one grant of the lease carry the same fencing
 /// token, which is higher than that of any earlier grant.
-/// \invariant A token that the platform has refused is not used again.
+/// \invariant A token that the platform has refused is not used again. Only
+/// the platform's own answer that says so counts as a refusal.
+/// \invariant A report or order that was not accepted for another reason is
+/// repeated with the same token, at the pace of CallBackoff.
 /// \invariant Servers are ordered only according to a plan that is in the
 /// store, so that the next holder continues from that plan.
 class FleetDuty {
 public:
   FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
-            FleetDutyInputs Inputs, const FleetDutyOptions &Options);
+            Random &Random, FleetDutyInputs Inputs,
+            const FleetDutyOptions &Options);
   FleetDuty(const FleetDuty &) = delete;
   auto operator=(const FleetDuty &) -> FleetDuty & = delete;
   ~FleetDuty();
@@ -94,12 +114,21 @@
   auto send(const ServerOrder &Order) -> void;
   auto send(const StageOrder &Order) -> void;
   auto mayAct() const -> bool;
+  auto reportUsage(const UsageReport &Report,
+                   const std::function<void(bool)> &Done) -> void;
+  auto handleOutcome(const ServerOrder &Order, FencingNumber Number,
+                     OrderOutcome Outcome) -> void;
+  /// Records whether a call that was sent at \p SentAt was answered, and gives
+  /// the duty up if none was for too long.
+  auto recordReach(OrderOutcome Outcome, MonotonicTime SentAt) -> void;
   auto recordRefusal(FencingNumber Number, const char *Matter) -> void;
+  auto giveUp(const char *Reason) -> void;
 
   /// The newest order sent for one target.
   struct SentOrder {
     std::uint32_t m_Count = 0;
     bool m_Accepted = false;
+    bool m_Rejected = false;
     bool m_Pending = false;
     MonotonicTime m_SentAt;
   };
@@ -120,6 +149,10 @@
   std::map<BackendId, SentOrder> m_StageOrders;    ///< Under the current lease.
   FencingNumber m_CurrentFencing;
   FencingNumber m_RefusedFencing;
+  CallBackoff m_ReportBackoff;
+  CallBackoff m_OrderBackoff;
+  /// When the oldest call was sent that is followed by no answered one.
+  std::optional<MonotonicTime> m_UnansweredSince;
   std::optional<RepeatingTimer> m_Timer;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
--- a/include/dotterel/lease/DutyLease.h
+++ b/include/dotterel/lease/DutyLease.h
@@ -55,6 +55,10 @@
   /// that no other process acquires the duty within the term.
   auto abandon() -> void;
 
+  /// Gives the duty up for others: stops renewing, so that the lease expires by
+  /// itself, and campaigns again after \p Span.
+  auto standDown(Duration Span) -> void;
+
   /// Returns whether the duty is held at this instant. Reads the clock.
   [[nodiscard]] auto held() const -> bool;
 
@@ -123,6 +127,8 @@
   /// Time before which the store grants the duty to no other process.
   std::optional<MonotonicTime> m_TermEnds;
   std::optional<FencingNumber> m_HeldBeforeRestore;
+  /// Time before which this process does not campaign.
+  MonotonicTime m_StandDownUntil;
   std::optional<TimerId> m_Timer;
   std::function<void()> m_OnGranted;
   std::function<bool()> m_Eligible;
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -46,6 +46,8 @@
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
   auto setDutyHeld(bool Held) -> void;
+  auto countDutyCall(const char *Matter, const char *Outcome) -> void;
+  auto countDutyGivenUp(const char *Reason) -> void;
   auto setLogLinesDropped(double Count) -> void;
   auto setDatagramsDropped(double Count) -> void;
 
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <numeric>
 #include <utility>
 
 namespace dotterel {
@@ -38,7 +39,7 @@
 } // namespace
 
 FleetDuty::FleetDuty(Scheduler &Scheduler, KeyValueStore &Store,
-                     FleetCalls &Calls, FleetDutyInputs Inputs,
+                     FleetCalls &Calls, Random &Random, FleetDutyInputs Inputs,
                      const FleetDutyOptions &Options)
     : m_Scheduler(Scheduler), m_Store(Store), m_Calls(Calls),
       m_Inputs(std::move(Inputs)), m_Options(Options),
@@ -47,15 +48,7 @@
       m_Sealer(Scheduler, Store, m_Lease,
                [this](const UsageReport &Report,
                       const std::function<void(bool)> &Done) {
-                 m_Calls.reportUsage(
-                     Report, [this, Done, Alive = m_Alive,
-                              Number = Report.m_Fencing](OrderOutcome Outcome) {
-                       if (!*Alive)
-                         return;
-                       if (Outcome == OrderOutcome::Refused)
-                         recordRefusal(Number, "usage");
-                       Done(Outcome == OrderOutcome::Accepted);
-                     });
+                 reportUsage(Report, Done);
                },
                {.m_WindowLength = std::chrono::duration_cast<Seconds>(
                     Options.m_Bounds.m_UsageWindow),
@@ -67,7 +60,8 @@
                     [this](const std::vector<StoredValue> &Segments) {
                       return Segments.size() >= m_Inputs.m_HostCount();
                     }}),
-      m_Planner(Options.m_Planner) {}
+      m_Planner(Options.m_Planner), m_ReportBackoff(Random, Options.m_Backoff),
+      m_OrderBackoff(Random, Options.m_Backoff) {}
 
 FleetDuty::~FleetDuty() { *m_Alive = false; }
 
@@ -90,6 +84,62 @@
     -> void {
   logWarning("duty.refused", {{"fencing", Number}, {"matter", Matter}});
   m_RefusedFencing = Number;
+  if (m_Lease.held() && m_Lease.fencing() == Number)
+    giveUp("the fencing token was refused");
+}
+
+auto FleetDuty::recordReach(OrderOutcome Outcome, MonotonicTime SentAt)
+    -> void {
+  if (isAnswered(Outcome)) {
+    m_UnansweredSince.reset();
+    return;
+  }
+  if (!m_UnansweredSince)
+    m_UnansweredSince = SentAt;
+  if (m_Scheduler.now() - *m_UnansweredSince >= m_Options.m_MaxUnanswered &&
+      mayAct())
+    giveUp("the platform does not answer");
+}
+
+auto FleetDuty::giveUp(const char *Reason) -> void {
+  auto Unanswered = m_UnansweredSince ? m_Scheduler.now() - *m_UnansweredSince
+                                      : Duration::zero();
+  logWarning("duty.given-up",
+             {{"fencing", m_Lease.fencing()},
+              {"reason", Reason},
+              {"unanswered_ms", toMilliseconds(Unanswered)},
+              {"failed_reports", m_ReportBackoff.failures()},
+              {"failed_orders", m_OrderBackoff.failures()},
+              {"stand_down_ms", toMilliseconds(m_Options.m_StandDown)}});
+  if (m_Inputs.m_OnGivenUp)
+    m_Inputs.m_OnGivenUp(Reason);
+  m_Lease.standDown(m_Options.m_StandDown);
+}
+
+auto FleetDuty::reportUsage(const UsageReport &Report,
+                            const std::function<void(bool)> &Done) -> void {
+  auto Call = m_ReportBackoff.begin();
+  m_Calls.reportUsage(
+      Report, [this, Done, Alive = m_Alive, Call, Window = Report.m_Window,
+               Number = Report.m_Fencing,
+               SentAt = m_Scheduler.now()](OrderOutcome Outcome) {
+        if (!*Alive)
+          return;
+        auto Accepted = Outcome == OrderOutcome::Accepted;
+        m_ReportBackoff.end(Call, Accepted, m_Scheduler.now());
+        if (m_Inputs.m_OnOutcome)
+          m_Inputs.m_OnOutcome("usage", Outcome);
+        if (!Accepted)
+          logWarning("usage.not-accepted",
+                     {{"window", Window},
+                      {"fencing", Number},
+                      {"answer", nameOf(Outcome)},
+                      {"failures", m_ReportBackoff.failures()}});
+        recordReach(Outcome, SentAt);
+        if (Outcome == OrderOutcome::Refused)
+          recordRefusal(Number, "usage");
+        Done(Accepted);
+      });
 }
 
 auto FleetDuty::step() -> void {
@@ -102,11 +152,14 @@
                                           std::optional(m_CurrentFencing);
     m_StoredPlan = LastHolder ? std::optional(FleetPlan()) : std::nullopt;
     m_CurrentFencing = m_Lease.fencing();
+    m_UnansweredSince.reset();
     m_ServerOrders.clear();
     m_StageOrders.clear();
     m_TargetOrders.clear();
   }
-  m_Sealer.step();
+  // Windows stay in the store until the platform has accepted their reports.
+  if (m_ReportBackoff.mayCall(m_Scheduler.now()))
+    m_Sealer.step();
   if (m_Inputs.m_Configuration() == nullptr || m_PlanCallPending)
     return;
   if (!m_StoredPlan) {
@@ -189,17 +242,31 @@
   auto &Last = m_ServerOrders[orderKey(Order)];
   if (Last.m_Pending || (Last.m_Accepted && Last.m_Count == Order.m_Count))
     return false;
+  auto Delay = Last.m_Rejected ? m_Options.m_RejectedOrderDelay
+                               : m_Options.m_OrderRetryDelay;
   return Last.m_Count != Order.m_Count || Last.m_SentAt == MonotonicTime() ||
-         Now - Last.m_SentAt >= m_Options.m_OrderRetryDelay;
+         Now - Last.m_SentAt >= Delay;
 }
 
 auto FleetDuty::orderServers() -> void {
   auto Now = m_Scheduler.now();
   const auto &Orders = m_TargetOrders;
+  // The platform may fail for some orders alone, so that the ones that were not
+  // sent for the longest time go first.
+  auto Sequence = std::vector<std::size_t>(Orders.size());
+  std::iota(Sequence.begin(), Sequence.end(), std::size_t{0});
+  if (m_OrderBackoff.failures() > 0)
+    std::stable_sort(Sequence.begin(), Sequence.end(),
+                     [&](std::size_t Left, std::size_t Right) {
+                       return m_ServerOrders[orderKey(Orders[Left])].m_SentAt <
+                              m_ServerOrders[orderKey(Orders[Right])].m_SentAt;
+                     });
   // Ordinary and reclaimable servers of a data centre share one upper bound, so
   // a decrease of one kind must be accepted before the other is increased.
-  for (auto Index = std::size_t{0}; Index < Orders.size(); ++Index) {
+  for (auto Index : Sequence) {
     const auto &Order = Orders[Index];
+    if (!m_OrderBackoff.mayCall(Now))
+      return;
     if (!isDue(Order, Now))
       continue;
     auto Increases = Order.m_Count > m_ServerOrders[orderKey(Order)].m_Count;
@@ -224,25 +291,47 @@
                                      .m_SentAt = m_Scheduler.now()};
   m_Calls.orderServers(
       Order, Number,
-      [this, Alive = m_Alive, Order, Number](OrderOutcome Outcome) {
+      [this, Alive = m_Alive, Order, Number, Call = m_OrderBackoff.begin(),
+       SentAt = m_Scheduler.now()](OrderOutcome Outcome) {
         if (!*Alive)
           return;
-        logInfo("fleet.ordered", {{"service", Order.m_Service},
-                                  {"data_centre", Order.m_DataCentre},
-                                  {"count", Order.m_Count},
-                                  {"reclaimable", Order.m_Reclaimable},
-                                  {"fencing", Number},
-                                  {"answer", nameOf(Outcome)}});
-        // Orders for reclaimable servers are also refused while none are
-        // available, so such a refusal does not imply an old fencing token.
-        if (Outcome == OrderOutcome::Refused && !Order.m_Reclaimable)
-          recordRefusal(Number, "servers");
-        auto &Last = m_ServerOrders[orderKey(Order)];
-        Last.m_Pending = false;
-        Last.m_Accepted = Outcome == OrderOutcome::Accepted;
+        // An answer about this order alone does not slow the others down.
+        m_OrderBackoff.end(Call,
+                           !mayStillArrive(Outcome) &&
+                               Outcome != OrderOutcome::NotSent &&
+                               Outcome != OrderOutcome::Throttled,
+                           m_Scheduler.now());
+        handleOutcome(Order, Number, Outcome);
+        recordReach(Outcome, SentAt);
       });
 }
 
+auto FleetDuty::handleOutcome(const ServerOrder &Order, FencingNumber Number,
+                              OrderOutcome Outcome) -> void {
+  logInfo("fleet.ordered", {{"service", Order.m_Service},
+                            {"data_centre", Order.m_DataCentre},
+                            {"count", Order.m_Count},
+                            {"reclaimable", Order.m_Reclaimable},
+                            {"fencing", Number},
+                            {"answer", nameOf(Outcome)},
+                            {"failures", m_OrderBackoff.failures()}});
+  if (m_Inputs.m_OnOutcome)
+    m_Inputs.m_OnOutcome("servers", Outcome);
+  auto &Last = m_ServerOrders[orderKey(Order)];
+  Last.m_Pending = false;
+  Last.m_Accepted = Outcome == OrderOutcome::Accepted;
+  Last.m_Rejected = Outcome == OrderOutcome::Rejected;
+  if (Last.m_Rejected)
+    logError("fleet.order-rejected", {{"service", Order.m_Service},
+                                      {"data_centre", Order.m_DataCentre},
+                                      {"count", Order.m_Count},
+                                      {"reclaimable", Order.m_Reclaimable}});
+  // Orders for reclaimable servers are also refused while none are available,
+  // so such a refusal does not imply an old fencing token.
+  if (Outcome == OrderOutcome::Refused && !Order.m_Reclaimable)
+    recordRefusal(Number, "servers");
+}
+
 auto FleetDuty::orderStages() -> void {
   auto Now = m_Scheduler.now();
   const auto &Configuration = *m_Inputs.m_Configuration();
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -168,14 +168,22 @@
                         return mergeCrashReport(Report, Now);
                       },
                       {}),
-      m_Duty(m_Time, Dependencies.m_Store, Dependencies.m_Fleet,
+      m_Duty(m_Time, Dependencies.m_Store, Dependencies.m_Fleet, m_Random,
              {.m_Directory = m_Core.directory(),
               .m_Access = m_Core.access(),
               .m_Configuration = [this] { return m_Core.configuration(); },
               .m_IsIdle = [this] { return m_Core.active() == 0; },
               .m_NeededEngines = [this] { return neededEngines(); },
               .m_HostCount = [this] { return m_Hosts.others().size() + 1; },
-              .m_Eligible = [this] { return mayCampaign(); }},
+              .m_Eligible = [this] { return mayCampaign(); },
+              .m_OnOutcome =
+                  [this](const char *Matter, OrderOutcome Outcome) {
+                    m_Metrics.countDutyCall(Matter, nameOf(Outcome));
+                  },
+              .m_OnGivenUp =
+                  [this](const char *Reason) {
+                    m_Metrics.countDutyGivenUp(Reason);
+                  }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
               .m_Planner = Options.m_Planner}),
--- a/src/lease/DutyLease.cpp
+++ b/src/lease/DutyLease.cpp
@@ -51,6 +51,16 @@
   m_HeldUntil.reset();
 }
 
+auto DutyLease::standDown(Duration Span) -> void {
+  if (!m_Running)
+    return;
+  ++m_Step;
+  m_HeldUntil.reset();
+  m_Lease = LeaseId{};
+  m_StandDownUntil = m_Scheduler.now() + Span;
+  scheduleCampaign();
+}
+
 auto DutyLease::held() const -> bool {
   return m_HeldUntil && m_Scheduler.now() < *m_HeldUntil;
 }
@@ -85,7 +95,7 @@
 }
 
 auto DutyLease::campaign() -> void {
-  if (m_Eligible && !m_Eligible()) {
+  if (m_Scheduler.now() < m_StandDownUntil || (m_Eligible && !m_Eligible())) {
     scheduleCampaign();
     return;
   }
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -131,6 +131,12 @@
   Gauge &m_ConfirmationAge =
       gauge(m_Registry, "dotterel_serving_evidence_age_seconds",
             "Age of the newest answer of the store on the configuration.");
+  Family<Counter> &m_DutyCalls =
+      counters(m_Registry, "dotterel_serving_duty_calls_total",
+               "Usage reports and server orders sent, by matter and outcome.");
+  Family<Counter> &m_DutiesGivenUp =
+      counters(m_Registry, "dotterel_serving_duty_given_up_total",
+               "Times that this host gave the fleet duty up, by reason.");
   Gauge &m_DutyHeld = gauge(m_Registry, "dotterel_serving_duty_held",
                             "Whether this host holds the fleet duty.");
   Gauge &m_LinesDropped =
@@ -218,6 +224,16 @@
   m_Impl->m_DutyHeld.Set(Held ? 1 : 0);
 }
 
+auto ServingMetrics::countDutyCall(const char *Matter, const char *Outcome)
+    -> void {
+  m_Impl->m_DutyCalls.Add({{"matter", Matter}, {"outcome", Outcome}})
+      .Increment();
+}
+
+auto ServingMetrics::countDutyGivenUp(const char *Reason) -> void {
+  m_Impl->m_DutiesGivenUp.Add({{"reason", Reason}}).Increment();
+}
+
 auto ServingMetrics::setLogLinesDropped(double Count) -> void {
   m_Impl->m_LinesDropped.Set(Count);
 }
--- /dev/null
+++ b/tests/support/FleetWorld.h
@@ -0,0 +1,283 @@
+//===- FleetWorld.h - Hosts that compete for the fleet duty -----*- C++ -*-===//
+///
+/// \file
+/// A platform that executes orders, and hosts that compete for the duty to give
+/// them, in virtual time.
+///
+//===----------------------------------------------------------------------===//
+#ifndef DOTTEREL_TESTS_SUPPORT_FLEETWORLD_H
+#define DOTTEREL_TESTS_SUPPORT_FLEETWORLD_H
+
+#include "dotterel/host/FleetDuty.h"
+#include "support/FaultyStore.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dotterel::test {
+
+inline const auto Service = ServiceId{"llm"};
+inline const auto Here = DataCentreId{"a"};
+inline constexpr auto MaxServers = 6U;
+
+/// A platform that executes orders at once and refuses to add reclaimable
+/// servers while m_NoReclaimable is set.
+class Fleet final : public FleetCalls {
+public:
+  explicit Fleet(VirtualScheduler &Scheduler) : m_Scheduler(Scheduler) {}
+
+  auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
+                    std::function<void(OrderOutcome)> Done) -> void override {
+    m_OrderCalls.push_back(m_Scheduler.now());
+    auto Failure = m_Outage;
+    if (auto Found = m_RejectedOrders.find(Order.m_Service);
+        Found != m_RejectedOrders.end()) {
+      ++Found->second;
+      Failure = OrderOutcome::Rejected;
+    }
+    if (Failure) {
+      fail(*Failure, Done);
+      return;
+    }
+    m_MaxFencing = std::max(m_MaxFencing, Fencing);
+    auto Refused = Fencing < m_MaxFencing ||
+                   (m_NoReclaimable && Order.m_Reclaimable &&
+                    Order.m_Count > m_Counts[Order.m_Reclaimable]);
+    if (!Refused) {
+      if (m_Counts[Order.m_Reclaimable] != Order.m_Count)
+        ++m_Changes;
+      m_Counts[Order.m_Reclaimable] = Order.m_Count;
+      m_MinTotal = std::min(m_MinTotal, m_Counts[false] + m_Counts[true]);
+    }
+    m_Scheduler.schedule(Milliseconds(5), [Refused, Done] {
+      Done(Refused ? OrderOutcome::Refused : OrderOutcome::Accepted);
+    });
+  }
+  auto orderStage(SendPermit /*Permit*/, const StageOrder &Order,
+                  FencingNumber /*Fencing*/,
+                  std::function<void(const StageOrderReply &)> Done)
+      -> void override {
+    m_StageOrders.push_back(Order.m_Backend);
+    m_Scheduler.schedule(Milliseconds(5), [this, Done] {
+      Done({.m_Outcome = OrderOutcome::Accepted, .m_Notice = m_EngineNotice});
+    });
+  }
+  auto reportUsage(const UsageReport &Report,
+                   std::function<void(OrderOutcome)> Done) -> void override {
+    m_Reports.push_back({.m_Window = Report.m_Window,
+                         .m_Fencing = Report.m_Fencing,
+                         .m_At = m_Scheduler.now(),
+                         .m_Accepted = !m_Outage});
+    if (m_Outage) {
+      fail(*m_Outage, Done);
+      return;
+    }
+    m_Scheduler.schedule(Milliseconds(5),
+                         [Done] { Done(OrderOutcome::Accepted); });
+  }
+
+  /// Answers a call with \p Outcome. One that is not answered ends by its
+  /// timeout.
+  auto fail(OrderOutcome Outcome, const std::function<void(OrderOutcome)> &Done)
+      -> void {
+    m_Scheduler.schedule(Outcome == OrderOutcome::Unknown ? Milliseconds(1500)
+                                                          : Milliseconds(5),
+                         [Outcome, Done] { Done(Outcome); });
+  }
+
+  struct Report {
+    WindowIndex m_Window;
+    FencingNumber m_Fencing;
+    MonotonicTime m_At;
+    bool m_Accepted = false;
+  };
+
+  /// Returns the accepted windows in the order in which they came.
+  [[nodiscard]] auto acceptedWindows() const -> std::vector<WindowIndex> {
+    auto Windows = std::vector<WindowIndex>();
+    for (const auto &Item : m_Reports)
+      if (Item.m_Accepted)
+        Windows.push_back(Item.m_Window);
+    return Windows;
+  }
+
+  std::optional<OrderOutcome> m_Outage; ///< Outcome of all reports and orders.
+  /// Services whose orders are rejected, with the number of orders.
+  std::map<ServiceId, int> m_RejectedOrders;
+  std::vector<Report> m_Reports;
+  std::vector<MonotonicTime> m_OrderCalls;
+  std::map<bool, std::uint32_t> m_Counts; ///< Ordinary and reclaimable.
+  std::uint32_t m_MinTotal = MaxServers;  ///< Minimum of their sum.
+  int m_Changes = 0;
+  bool m_NoReclaimable = false;
+  std::vector<BackendId> m_StageOrders;
+  ServerNotice m_EngineNotice; ///< In the responses of engines to orders.
+
+private:
+  VirtualScheduler &m_Scheduler;
+  FencingNumber m_MaxFencing;
+};
+
+/// A call that the platform has received.
+struct ReceivedCall {
+  std::string m_Holder;
+  FencingNumber m_Fencing;
+  MonotonicTime m_At;
+};
+
+/// Passes the calls of one holder on, and records them as received after a
+/// delay on the way.
+class RecordedCalls final : public FleetCalls {
+public:
+  RecordedCalls(VirtualScheduler &Scheduler, Fleet &Calls, std::string Holder,
+                std::vector<ReceivedCall> &Received)
+      : m_Scheduler(Scheduler), m_Calls(Calls), m_Holder(std::move(Holder)),
+        m_Received(Received) {}
+
+  auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
+                    std::function<void(OrderOutcome)> Done) -> void override {
+    record(Fencing);
+    if (m_Cut) {
+      m_Calls.fail(OrderOutcome::Unknown, Done);
+      return;
+    }
+    m_Calls.orderServers(Order, Fencing, std::move(Done));
+  }
+  auto orderStage(SendPermit Permit, const StageOrder &Order,
+                  FencingNumber Fencing,
+                  std::function<void(const StageOrderReply &)> Done)
+      -> void override {
+    record(Fencing);
+    m_Calls.orderStage(std::move(Permit), Order, Fencing, std::move(Done));
+  }
+  auto reportUsage(const UsageReport &Report,
+                   std::function<void(OrderOutcome)> Done) -> void override {
+    record(Report.m_Fencing);
+    if (m_Cut) {
+      m_Calls.fail(OrderOutcome::Unknown, Done);
+      return;
+    }
+    m_Calls.reportUsage(Report, std::move(Done));
+  }
+
+  bool m_Cut = false; ///< Whether this holder gets no answers.
+
+private:
+  auto record(FencingNumber Fencing) -> void {
+    m_Scheduler.schedule(Milliseconds(30), [this, Fencing] {
+      m_Received.push_back({.m_Holder = m_Holder,
+                            .m_Fencing = Fencing,
+                            .m_At = m_Scheduler.now()});
+    });
+  }
+
+  VirtualScheduler &m_Scheduler;
+  Fleet &m_Calls;
+  std::string m_Holder;
+  std::vector<ReceivedCall> &m_Received;
+};
+
+struct Holder {
+  Holder(VirtualScheduler &Scheduler, InMemoryStore &Model, FleetCalls &Calls,
+         const BackendDirectory &Directory,
+         const ServingConfiguration &Configuration, const std::string &Name)
+      : m_Store(Scheduler, Model),
+        m_Duty(Scheduler, m_Store, Calls, m_Random,
+               {.m_Directory = Directory,
+                .m_Access = m_Access,
+                .m_Configuration = [&Configuration] { return &Configuration; },
+                .m_IsIdle = [] { return false; },
+                .m_NeededEngines = []() -> std::optional<double> { return {}; },
+                .m_HostCount = [] { return std::size_t{2}; },
+                .m_Eligible = [] { return true; }},
+               {.m_Host = HostId{Name}}) {
+    m_Duty.start();
+  }
+
+  FaultyStore m_Store;
+  Random m_Random{1};
+  ServerAccess m_Access{{}, {}};
+  FleetDuty m_Duty;
+};
+
+struct World {
+  World() {
+    m_Configuration.m_Services.emplace(
+        Service,
+        ServiceSpec{.m_Id = Service,
+                    .m_Engine = EngineTraits{.m_Slots = 8},
+                    .m_Bounds = ServerBounds{.m_MinServers = 1,
+                                             .m_MaxServers = MaxServers,
+                                             .m_StartTime = Seconds(4),
+                                             .m_ReclaimablePrice = 0.2,
+                                             .m_Prices = {{Here, 1.0}}}});
+  }
+
+  auto add(const std::string &Name) -> void {
+    m_Recorders.push_back(std::make_unique<RecordedCalls>(m_Scheduler, m_Fleet,
+                                                          Name, m_Received));
+    m_Holders.push_back(
+        std::make_unique<Holder>(m_Scheduler, m_Model, *m_Recorders.back(),
+                                 m_Directory, m_Configuration, Name));
+  }
+
+  /// Registers the servers that the platform runs.
+  auto registerServers() -> void {
+    for (auto Reclaimable : {false, true})
+      for (auto Number = 0U; Number < MaxServers; ++Number) {
+        auto Id =
+            BackendId{fmt::format("{}{}", Reclaimable ? "r" : "o", Number)};
+        if (Number >= m_Fleet.m_Counts[Reclaimable])
+          m_Directory.remove(Id);
+        else
+          m_Directory.put({.m_Id = Id,
+                           .m_Service = Service,
+                           .m_Address = "10.0.0.1:1",
+                           .m_DataCentre = Here,
+                           .m_Reclaimable = Reclaimable,
+                           .m_Stage = EngineStage::Decode});
+      }
+  }
+
+  auto advanceTime(Duration Span) -> void {
+    constexpr auto Step = Milliseconds(500);
+    for (auto Elapsed = Duration::zero(); Elapsed < Span; Elapsed += Step) {
+      m_Scheduler.advance(Step);
+      registerServers();
+    }
+  }
+
+  /// Reclaims all reclaimable servers and makes them unavailable.
+  auto reclaimServers() -> void {
+    m_Fleet.m_NoReclaimable = true;
+    auto Before = m_Directory.all();
+    for (const auto &[Id, Record] : Before) {
+      if (!Record.m_Reclaimable)
+        continue;
+      auto Leaving = Record;
+      Leaving.m_Draining = true;
+      m_Directory.put(Leaving);
+    }
+    m_Fleet.m_Counts[true] = 0;
+    m_Scheduler.advance(Seconds(1));
+  }
+
+  VirtualScheduler m_Scheduler;
+  InMemoryStore m_Model{m_Scheduler};
+  Fleet m_Fleet{m_Scheduler};
+  BackendDirectory m_Directory;
+  ServingConfiguration m_Configuration;
+  std::vector<ReceivedCall> m_Received; ///< By the platform, in order.
+  std::vector<std::unique_ptr<RecordedCalls>> m_Recorders;
+  std::vector<std::unique_ptr<Holder>> m_Holders;
+};
+
+} // namespace dotterel::test
+
+#endif // DOTTEREL_TESTS_SUPPORT_FLEETWORLD_H
