Figures of each service by data centre, and their use in both choices of a server

The figures come from what each host knows already: registrations, loads of hosts and data centres, and the ages of their reports. Both choices compare servers with the bias of the decision; the expected time that is promised to the caller, and by which requests are refused, is unchanged by it. The home of a shared part keeps its cost, wherever it is.

Without a decision the bias is zero, and both choices are as before.

--- a/include/dotterel/serving/Distance.h
+++ b/include/dotterel/serving/Distance.h
@@ -15,6 +15,19 @@
 
 enum class Nearness : std::uint8_t { DataCentre, Region, Remote };
 
+/// Returns the name used in metrics.
+inline auto nameOf(Nearness Near) -> const char * {
+  switch (Near) {
+  case Nearness::DataCentre:
+    return "data_centre";
+  case Nearness::Region:
+    return "region";
+  case Nearness::Remote:
+    return "remote";
+  }
+  return "";
+}
+
 /// Computes the distance between data centres from the regions of the
 /// installation.
 class Distance {
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -109,6 +109,12 @@
   [[nodiscard]] auto distanceCost(const ChoiceView &View,
                                   const BackendRecord &Engine) const
       -> Duration;
+  /// Returns by how much the decision about leaving the data centre changes the
+  /// cost of an engine, apart from the expected time.
+  [[nodiscard]] auto offloadBias(const ChoiceView &View,
+                                 const BackendRecord &Engine,
+                                 const PromptShape &Prompt,
+                                 const BackendRecord *Home) const -> Duration;
   [[nodiscard]] auto queueTokens(const ChoiceView &View,
                                  const PrefillSpeed &Speed,
                                  const BackendRecord &Engine,
--- a/include/dotterel/serving/LoadTracker.h
+++ b/include/dotterel/serving/LoadTracker.h
@@ -76,6 +76,15 @@
       -> void;
   auto remove(const BackendId &Backend) -> void;
 
+  /// Returns the time since the latest report of \p Origin, or nothing if there
+  /// was none.
+  [[nodiscard]] auto reportAge(const std::string &Origin,
+                               MonotonicTime Now) const
+      -> std::optional<Duration>;
+  /// Returns the origins whose reports have not expired.
+  [[nodiscard]] auto recentOrigins(MonotonicTime Now) const
+      -> std::vector<std::string>;
+
   /// Returns this host's requests in flight, to be reported to other hosts.
   [[nodiscard]] auto summary() const -> std::vector<BackendLoad>;
 
--- a/include/dotterel/serving/ServerChoice.h
+++ b/include/dotterel/serving/ServerChoice.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_SERVING_SERVERCHOICE_H
 
 #include "dotterel/base/Random.h"
+#include "dotterel/routing/DataCentreOffload.h"
 #include "dotterel/routing/OutlierDetector.h"
 #include "dotterel/routing/ServerAccess.h"
 #include "dotterel/serving/BackendDirectory.h"
@@ -29,6 +30,9 @@
   const ServerAccess &m_Access;
   const Distance &m_Distance;
   Random &m_Random;
+  /// Where the request should be served; by default no data centre is preferred
+  /// beyond its distance.
+  OffloadChoice m_Offload = {};
 };
 
 /// Returns the servers of \p Service that may receive a request: those that are
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -30,6 +30,12 @@
   auto countAttempt(AttemptPurpose Purpose, AttemptOutcome Outcome) -> void;
   /// Counts a server, or a request, that something was not sent to, or for.
   auto countSendDenial(SendDenial Denial) -> void;
+  /// Counts a decision about leaving the data centre, and the distance that the
+  /// request is sent over.
+  auto countOffload(const char *Reason, const char *Distance) -> void;
+  /// Sets the highest pressure of a service here, and the highest among the
+  /// services' lowest occupancies elsewhere.
+  auto setOffloadPressure(double Here, double Elsewhere) -> void;
   auto observeFirstByte(RequestKind Kind, Duration Value) -> void;
   auto observeCompleteResponse(RequestKind Kind, Duration Value) -> void;
   /// Records by how much a periodic check of the event loop ran late.
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -94,6 +94,16 @@
   return Duration::zero();
 }
 
+auto EnginePlacement::offloadBias(const ChoiceView &View,
+                                  const BackendRecord &Engine,
+                                  const PromptShape &Prompt,
+                                  const BackendRecord *Home) const -> Duration {
+  // The cache of a shared part is at its home, wherever that is.
+  if (&Engine == Home && Prompt.m_Parts.size() > 1)
+    return Duration::zero();
+  return View.m_Offload.bias(Engine.m_DataCentre, distanceCost(View, Engine));
+}
+
 auto EnginePlacement::queueTokens(const ChoiceView &View,
                                   const PrefillSpeed &Speed,
                                   const BackendRecord &Engine,
@@ -149,6 +159,7 @@
         return Engine->m_Stage == EngineStage::Decode;
       });
   auto Best = EnginePlan();
+  auto BestCost = Duration::max();
   for (const auto *Engine : Engines) {
     auto OnPrefillEngine = Engine->m_Stage == EngineStage::Prefill;
     if (OnPrefillEngine && !HasDecodeEngines)
@@ -171,8 +182,10 @@
       Cost += asDuration(m_Options.m_DecodeInterference * Estimate.m_NewTokens /
                          Rate);
     }
-    if (Cost >= Best.m_Estimate)
+    auto Compared = Cost + offloadBias(View, *Engine, Prompt, Home);
+    if (Compared >= BestCost)
       continue;
+    BestCost = Compared;
     Best = {.m_Prefill = OnPrefillEngine ? Engine : nullptr,
             .m_Serve = OnPrefillEngine ? nullptr : Engine,
             .m_FetchFrom = Estimate.m_FetchFrom,
@@ -205,7 +218,8 @@
     // response.
     if (Running >= Slots)
       Cost += m_Options.m_RemotePenalty;
-    Cost += distanceCost(View, *Engine);
+    auto Distance = distanceCost(View, *Engine);
+    Cost += Distance + View.m_Offload.bias(Engine->m_DataCentre, Distance);
     if (View.m_Distance.between(Engine->m_DataCentre,
                                 PrefillEngine.m_DataCentre) == Nearness::Remote)
       Cost += m_Options.m_RemotePenalty;
--- a/src/serving/LoadTracker.cpp
+++ b/src/serving/LoadTracker.cpp
@@ -95,6 +95,23 @@
     Current.m_Loads.emplace(Item.m_Engine, Item);
 }
 
+auto LoadTracker::reportAge(const std::string &Origin, MonotonicTime Now) const
+    -> std::optional<Duration> {
+  auto Found = m_Peers.find(Origin);
+  if (Found == m_Peers.end())
+    return std::nullopt;
+  return Now - Found->second.m_ReceivedAt;
+}
+
+auto LoadTracker::recentOrigins(MonotonicTime Now) const
+    -> std::vector<std::string> {
+  auto Result = std::vector<std::string>();
+  for (const auto &[Origin, Current] : m_Peers)
+    if (Now - Current.m_ReceivedAt <= m_Options.m_PeerExpiry)
+      Result.push_back(Origin);
+  return Result;
+}
+
 auto LoadTracker::summary() const -> std::vector<BackendLoad> {
   auto Result = std::vector<BackendLoad>();
   for (const auto &[Id, Current] : m_Entries)
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -75,10 +75,11 @@
     if (Requests >= Slots)
       Cost += Work * (Requests - Slots + 1) / Slots;
     auto Near = View.m_Distance.to(Item->m_DataCentre);
-    if (Near == Nearness::Region)
-      Cost += static_cast<double>(m_Options.m_RegionPenalty.count());
-    if (Near == Nearness::Remote)
-      Cost += static_cast<double>(m_Options.m_RemotePenalty.count());
+    auto Distance = Near == Nearness::Region   ? m_Options.m_RegionPenalty
+                    : Near == Nearness::Remote ? m_Options.m_RemotePenalty
+                                               : Duration::zero();
+    Distance += View.m_Offload.bias(Item->m_DataCentre, Distance);
+    Cost += static_cast<double>(Distance.count());
     // Ties are broken randomly, so that hosts do not all choose the same
     // server.
     constexpr auto Jitter = 0.05;
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -119,6 +119,17 @@
       counters(m_Registry, "dotterel_serving_send_denials_total",
                "Servers that were not sent a request, and requests that were "
                "not sent, by reason.");
+  Family<Counter> &m_Offloads =
+      counters(m_Registry, "dotterel_serving_offload_requests_total",
+               "Requests by the decision about leaving the data centre and by "
+               "distance.");
+  Gauge &m_PressureHere =
+      gauge(m_Registry, "dotterel_serving_offload_pressure_here",
+            "Highest pressure of a service in this data centre; 1: full.");
+  Gauge &m_PressureElsewhere =
+      gauge(m_Registry, "dotterel_serving_offload_occupancy_elsewhere",
+            "Occupancy of a service in the emptiest other data centre, the "
+            "highest of all services.");
   Gauge &m_StoreEra =
       gauge(m_Registry, "dotterel_serving_store_era",
             "Newest history of the store that was observed; it rises when the "
@@ -158,6 +169,17 @@
       .Increment();
 }
 
+auto ServingMetrics::countOffload(const char *Reason, const char *Distance)
+    -> void {
+  m_Impl->m_Offloads.Add({{"reason", Reason}, {"distance", Distance}})
+      .Increment();
+}
+
+auto ServingMetrics::setOffloadPressure(double Here, double Elsewhere) -> void {
+  m_Impl->m_PressureHere.Set(Here);
+  m_Impl->m_PressureElsewhere.Set(Elsewhere);
+}
+
 auto ServingMetrics::observeFirstByte(RequestKind Kind, Duration Value)
     -> void {
   m_Impl->m_FirstByte.Add({{"kind", nameOf(Kind)}}, LatencyBuckets)
