Switch for leaving the data centre by shares, off by default

Each request draws its choice at its first placement; later placements, and streams that are resumed, go wherever a server is left, as before. The decode stage of a lent prompt is chosen at its lender, so that its KV cache crosses no link; one prefilled at the home of its shared part is decoded as before.

Settings: offload, offload-leave-percent, offload-return-percent and the prices of a megabyte in the region and beyond. Metrics of the decisions by reason and distance.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -10,6 +10,8 @@
 #include "platform/PlatformRecords.h"
 #include "platform/PlatformStore.h"
 
+#include <algorithm>
+
 namespace {
 
 using namespace dotterel;
@@ -33,6 +35,27 @@
                           "Engines of a data centre that read prompts for "
                           "others, in percent.",
                           0, 90),
+           {.m_Name = "offload",
+            .m_Kind = SettingKind::Switch,
+            .m_Default = "false",
+            .m_Help = "Whether requests leave a data centre under pressure by "
+                      "shares, as far as others have free places."},
+           integerSetting("offload-leave-percent", "90",
+                          "Pressure from which requests leave, in percent of "
+                          "the slots or of the latency target.",
+                          10, 1000),
+           integerSetting("offload-return-percent", "70",
+                          "Pressure below which requests stay again, and up to "
+                          "which a data centre takes requests of others.",
+                          0, 1000),
+           integerSetting("offload-region-megabyte-ms", "5",
+                          "Waiting time that equals the price of a megabyte to "
+                          "another data centre of the region, in ms.",
+                          0, 60'000),
+           integerSetting("offload-remote-megabyte-ms", "20",
+                          "Waiting time that equals the price of a megabyte to "
+                          "another region, in ms.",
+                          0, 60'000),
            {.m_Name = "log-level",
             .m_Kind = SettingKind::Choice,
             .m_Default = "info",
@@ -50,6 +73,25 @@
           .m_PrefillShare = Share("prefill-percent")};
 }
 
+auto offloadOptions(const Settings &Values) -> OffloadOptions {
+  constexpr auto Percent = 0.01;
+  auto Options = OffloadOptions();
+  Options.m_Enabled = Values.enabled("offload");
+  Options.m_LeavePressure =
+      Percent * static_cast<double>(Values.integer("offload-leave-percent"));
+  Options.m_UnsafeLeavePressure =
+      std::max(Options.m_UnsafeLeavePressure, Options.m_LeavePressure);
+  Options.m_ReturnPressure = std::min(
+      Options.m_LeavePressure,
+      Percent * static_cast<double>(Values.integer("offload-return-percent")));
+  Options.m_LendPressure = Options.m_ReturnPressure;
+  Options.m_RegionMegabytePrice =
+      Values.milliseconds("offload-region-megabyte-ms");
+  Options.m_RemoteMegabytePrice =
+      Values.milliseconds("offload-remote-megabyte-ms");
+  return Options;
+}
+
 /// Limits the bodies that the host buffers while it receives them. The rest of
 /// its memory is for copies that are being decoded or sent to callers, and for
 /// the host's state.
@@ -90,7 +132,8 @@
        .m_ReadSettings = [Path] { return platform::readNodeSettings(Path); }},
       {.m_Settings = Node,
        .m_MetricsAddress = Values.text("metrics-listen"),
-       .m_Planner = plannerOptions(Values)});
+       .m_Planner = plannerOptions(Values),
+       .m_Offload = offloadOptions(Values)});
   auto Callers = platform::CallerRequestHandler(
       [&Host](CallerExchangePtr Exchange) { Host.serve(std::move(Exchange)); });
   auto Readiness = platform::ReadinessHandler([&Host] { return Host.ready(); });
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -70,6 +70,7 @@
   HostSettings m_Settings;
   std::string m_MetricsAddress; ///< IP:PORT; empty: no metrics are served.
   FleetPlannerOptions m_Planner;
+  OffloadOptions m_Offload;
 };
 
 /// A serving host.
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -13,6 +13,7 @@
 #include "dotterel/serving/CrashMonitor.h"
 #include "dotterel/serving/EnginePlacement.h"
 #include "dotterel/serving/EventSplitter.h"
+#include "dotterel/serving/OffloadDecisions.h"
 #include "dotterel/serving/RetryWindow.h"
 #include "dotterel/serving/ServingMetrics.h"
 
@@ -74,6 +75,7 @@
   ServingMetrics &m_Metrics;
   const ServerChoice &m_ServerChoice;
   const EnginePlacement &m_Placement;
+  OffloadDecisions &m_Offloads;
   ServedRequestOptions m_Options;
   /// Called when the execution of a request of the organisation begins.
   std::function<void(const OrganisationId &)> m_CountUsage;
@@ -83,13 +85,15 @@
   /// Ends with the context; for callbacks that can outlive it.
   std::shared_ptr<bool> m_Lifetime = std::make_shared<bool>(true);
 
-  [[nodiscard]] auto view() const -> ChoiceView {
+  [[nodiscard]] auto view(const OffloadChoice &Offload = {}) const
+      -> ChoiceView {
     return {.m_Directory = m_Directory,
             .m_Loads = m_Loads,
             .m_Health = m_Health,
             .m_Access = m_Access,
             .m_Distance = m_Distance,
-            .m_Random = m_Random};
+            .m_Random = m_Random,
+            .m_Offload = Offload};
   }
 };
 
@@ -249,6 +253,8 @@
   /// Whether m_Cache was passed to a second engine.
   bool m_CacheReoffered = false;
   std::set<BackendId> m_Excluded;
+  /// Of the first placement only; later ones go wherever a server is left.
+  OffloadChoice m_Offload;
   std::uint32_t m_Placements = 0;
   std::uint32_t m_Runs = 0; ///< Attempts that may have executed the request.
   /// Attempts that count against the retry budget: all except one accepted
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -34,6 +34,7 @@
   CrashMonitorOptions m_Crashes;
   ServerChoiceOptions m_ServerChoice;
   EnginePlacementOptions m_Placement;
+  OffloadOptions m_Offload;
   ServedRequestOptions m_Requests;
 };
 
@@ -121,6 +122,7 @@
   ShutdownAdmission m_Shutdown;
   ServerChoice m_ServerChoice;
   EnginePlacement m_Placement;
+  OffloadDecisions m_Offloads;
   Random &m_Random;
   ServingMetrics &m_Metrics;
   ServingContext m_Context;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -65,9 +65,11 @@
   return scaled(Bounds.m_KeyWithdrawal, ConfirmationShare);
 }
 
-auto coreOptions(const HostSettings &Settings) -> ServingCoreOptions {
+auto coreOptions(const HostSettings &Settings, const OffloadOptions &Offload)
+    -> ServingCoreOptions {
   const auto &Bounds = Settings.m_Bounds;
   auto Options = ServingCoreOptions();
+  Options.m_Offload = Offload;
   Options.m_MaxConfirmationAge = confirmationBound(Bounds);
   Options.m_RequireConfirmation = Bounds.m_StrictWithdrawal;
   Options.m_Retries.m_Window = Bounds.m_RetryWindow;
@@ -118,7 +120,7 @@
             m_Usage.record({.m_Organisation = Organisation}, {.m_Requests = 1},
                            [] {});
           },
-          coreOptions(Options.m_Settings)),
+          coreOptions(Options.m_Settings, Options.m_Offload)),
       m_Hosts(Loop, Dependencies.m_Store, Dependencies.m_Watch, m_Random,
               {.m_Host = Options.m_Settings.m_Location.m_Host,
                .m_DataCentre = Options.m_Settings.m_Location.m_DataCentre,
--- a/src/serving/ServedRequestPlacement.cpp
+++ b/src/serving/ServedRequestPlacement.cpp
@@ -28,6 +28,12 @@
            retryAfter(m_Context.m_Options.m_MinRetryAfter));
     return;
   }
+  m_Offload = m_Placements == 1 && !m_Streaming
+                  ? m_Context.m_Offloads.choose(
+                        m_Context.view(), m_Context.m_Speed,
+                        *m_Parameters.m_Service, *m_Parameters.m_Route,
+                        m_Exchange->request(), m_Context.m_Scheduler.now())
+                  : OffloadChoice{};
   auto Prompt =
       m_Parameters.m_Service->m_Engine && m_Exchange->request().m_Prompt;
   if (Prompt)
@@ -38,7 +44,7 @@
 
 auto ServedRequest::placePlain() -> void {
   const auto *Target = m_Context.m_ServerChoice.choose(
-      m_Context.view(), m_Parameters.m_Service->m_Id, m_Excluded,
+      m_Context.view(m_Offload), m_Parameters.m_Service->m_Id, m_Excluded,
       m_Context.m_Scheduler.now());
   if (Target == nullptr) {
     refuseWithoutServer("no server of the service is registered");
@@ -50,7 +56,7 @@
 auto ServedRequest::placePrompt() -> void {
   const auto &Prompt = *m_Exchange->request().m_Prompt;
   auto Plan = m_Context.m_Placement.plan(
-      m_Context.view(), m_Context.m_Caches, m_Context.m_Speed,
+      m_Context.view(m_Offload), m_Context.m_Caches, m_Context.m_Speed,
       *m_Parameters.m_Service, Prompt, m_Excluded, m_Context.m_Scheduler.now());
   if (!Plan.possible()) {
     refuseWithoutServer("no engine of the service is registered");
@@ -79,7 +85,7 @@
   const auto *Target = Plan.m_Serve;
   if (Target == nullptr)
     Target = m_Context.m_Placement.chooseDecodeEngine(
-        m_Context.view(), m_Context.m_Speed, *m_Parameters.m_Service,
+        m_Context.view(m_Offload), m_Context.m_Speed, *m_Parameters.m_Service,
         *Plan.m_Prefill, m_Excluded, m_Context.m_Scheduler.now());
   if (Target == nullptr) {
     refuseWithoutServer("no engine generates");
@@ -268,8 +274,9 @@
   auto Record = BackendRecord{.m_Id = PrefillAttempt.m_Backend,
                               .m_DataCentre = PrefillAttempt.m_DataCentre};
   const auto *Target = m_Context.m_Placement.chooseDecodeEngine(
-      m_Context.view(), m_Context.m_Speed, *m_Parameters.m_Service, Record,
-      m_Excluded, m_Context.m_Scheduler.now());
+      m_Context.view(m_Offload.forDecode(PrefillAttempt.m_DataCentre)),
+      m_Context.m_Speed, *m_Parameters.m_Service, Record, m_Excluded,
+      m_Context.m_Scheduler.now());
   if (Target == nullptr) {
     if (!waitForDecodeEngine())
       refuseWithoutServer("no engine generates");
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -31,6 +31,8 @@
       m_Crashes(Scheduler, Transport, Metrics, Options.m_Crashes),
       m_Freshness({.m_MaxAge = Options.m_MaxConfirmationAge}),
       m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
+      m_Offloads(Options.m_Offload, Options.m_ServerChoice.m_WorkTime, Random,
+                 Metrics),
       m_Random(Random),
       m_Metrics(Metrics), m_Context{.m_Scheduler = Scheduler,
                                     .m_Random = Random,
@@ -48,6 +50,7 @@
                                     .m_Metrics = Metrics,
                                     .m_ServerChoice = m_ServerChoice,
                                     .m_Placement = m_Placement,
+                                    .m_Offloads = m_Offloads,
                                     .m_Options = Options.m_Requests,
                                     .m_CountUsage = std::move(CountUsage),
                                     .m_Demand =
@@ -72,6 +75,7 @@
   m_Configuration =
       std::make_shared<const ServingConfiguration>(std::move(Configuration));
   m_Routes.emplace(*m_Configuration);
+  m_Offloads.retain(*m_Configuration);
   logInfo("config.applied",
           {{"revision", m_Configuration->m_Revision},
            {"before", Before},
