Tell a host when its usage has been written for it

Cause: while the store turned a host away, it handed each unconfirmed segment to two more hosts every second, and went on trying itself, since nobody told it that the segment was stored.

Change: the host that wrote a segment returns it to its sender with the totals that the store holds; a host that gets a segment of its own takes it as stored. No new message.

--- a/include/dotterel/peers/UsageRelay.h
+++ b/include/dotterel/peers/UsageRelay.h
@@ -15,8 +15,9 @@
 #include "dotterel/usage/SegmentWriter.h"
 
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -37,34 +38,46 @@
   std::size_t m_MaxAcceptedSegments = 4096;
 };
 
+/// Access to the usage that this host records.
+struct UsageRelayHooks {
+  /// Returns the segments that the store has not confirmed for a time.
+  std::function<std::vector<UsageSegment>(Duration)> m_Overdue;
+  /// Gets a segment that another host has written. Returns whether it is one of
+  /// this host.
+  std::function<bool(const UsageSegment &)> m_OnStored;
+};
+
 /// Hands over the segments of this host and writes those of other hosts. A
 /// segment is stored once, regardless of which host writes it: see
-/// SegmentWriter.
+/// SegmentWriter. The host that has written a segment returns it, with the
+/// totals that the store holds, to the host that it is from.
 class UsageRelay {
 public:
-  /// Returns the segments that the store has not confirmed for a time.
-  using OverdueSegments = std::function<std::vector<UsageSegment>(Duration)>;
-
   UsageRelay(Scheduler &Scheduler, KeyValueStore &Store, DatagramPort &Port,
              Random &Random, const HostRegistry &Registry,
-             OverdueSegments OverdueSegments, const UsageRelayOptions &Options);
+             UsageRelayHooks Hooks, const UsageRelayOptions &Options);
 
   auto start() -> void;
 
-  /// Writes a segment of another host.
-  auto receive(const UsageSegment &Segment) -> void;
+  /// Processes a segment received from \p Address: writes one of another host,
+  /// and takes one of this host as written.
+  auto receive(const UsageSegment &Segment, const std::string &Address) -> void;
 
 private:
   auto handOverOverdue() -> void;
+  auto send(const UsageSegment &Segment, const std::string &Address) -> void;
 
   DatagramPort &m_Port;
   Scheduler &m_Scheduler;
   Random &m_Random;
   const HostRegistry &m_Registry;
-  OverdueSegments m_OverdueSegments;
+  UsageRelayHooks m_Hooks;
   UsageRelayOptions m_Options;
   SegmentWriter m_Writer;
-  std::set<std::pair<IncarnationId, std::uint64_t>> m_AcceptedSegments;
+  /// Segments of other hosts, by incarnation and number, with the totals that
+  /// the store holds once they are written.
+  std::map<std::pair<IncarnationId, std::uint64_t>, std::optional<UsageTotals>>
+      m_AcceptedSegments;
   std::optional<RepeatingTimer> m_Timer;
 };
 
--- a/include/dotterel/usage/SegmentWriter.h
+++ b/include/dotterel/usage/SegmentWriter.h
@@ -15,7 +15,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <utility>
 
 namespace dotterel {
 
@@ -59,12 +61,18 @@
   /// receives the segment's own totals.
   auto write(UsageSegment Segment, DoneCallback Done) -> void;
 
+  /// Ends the write of the segment with \p Id: another process reports that the
+  /// store holds it with \p Totals. Ignored if the segment is not being
+  /// written.
+  auto recordStored(const SegmentId &Id, const UsageTotals &Totals) -> void;
+
 private:
   struct Job {
     UsageSegment m_Segment;
     DoneCallback m_Done;
     std::uint32_t m_Failures = 0; ///< Number of consecutive failures.
     bool m_Again = false; ///< Whether the store had it before a restore.
+    bool m_Ended = false;
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -75,6 +83,8 @@
   auto writeToLaterWindow(const JobPtr &Item) -> void;
   auto readMovedRecord(const JobPtr &Item) -> void;
   auto retry(const JobPtr &Item) -> void;
+  /// Passes the totals that the store holds to the job's callback.
+  auto finish(const JobPtr &Item, const UsageTotals &Stored) -> void;
   /// Keeps a segment that its own window holds.
   auto keep(const UsageSegment &Segment) -> void;
   auto storeAgain() -> void;
@@ -82,6 +92,8 @@
   Scheduler &m_Scheduler;
   KeyValueStore &m_Store;
   SegmentWriterOptions m_Options;
+  /// Segments that are being written, by incarnation and number.
+  std::map<std::pair<IncarnationId, std::uint64_t>, JobPtr> m_Jobs;
   std::deque<UsageSegment> m_Kept;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
--- a/include/dotterel/usage/UsageRecorder.h
+++ b/include/dotterel/usage/UsageRecorder.h
@@ -70,6 +70,10 @@
   /// not confirmed.
   [[nodiscard]] auto overdue(Duration Age) const -> std::vector<UsageSegment>;
 
+  /// Records that the store holds a segment, as another host reports that has
+  /// written it. \returns whether the segment is of this incarnation.
+  auto recordStored(const UsageSegment &Segment) -> bool;
+
   /// Returns the number of records so far that were not copied in time.
   [[nodiscard]] auto uncopied() const -> std::uint64_t { return m_Uncopied; }
 
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -158,10 +158,15 @@
             Done(true);
           },
           usageOptions(Options.m_Settings.m_Bounds)),
-      m_UsageRelay(m_Time, Dependencies.m_Store, Dependencies.m_Datagrams,
-                   m_Random, m_Hosts,
-                   [this](Duration Age) { return m_Usage.overdue(Age); },
-                   {.m_Writer = segmentOptions(Options.m_Settings.m_Bounds)}),
+      m_UsageRelay(
+          m_Time, Dependencies.m_Store, Dependencies.m_Datagrams, m_Random,
+          m_Hosts,
+          {.m_Overdue = [this](Duration Age) { return m_Usage.overdue(Age); },
+           .m_OnStored =
+               [this](const UsageSegment &Segment) {
+                 return m_Usage.recordStored(Segment);
+               }},
+          {.m_Writer = segmentOptions(Options.m_Settings.m_Bounds)}),
       m_CrashExchange(Loop, Dependencies.m_Datagrams, m_Random, m_Hosts,
                       m_Exchange, m_Core.crashes().registry(),
                       [this](const CrashReport &Report, MonotonicTime Now) {
@@ -290,7 +295,7 @@
       m_Exchange.receive(Message, Address, Bytes);
     else if (const auto *Segment =
                  std::get_if<UsageSegment>(&Message.m_Content))
-      m_UsageRelay.receive(*Segment);
+      m_UsageRelay.receive(*Segment, Address);
     else
       m_Relay.receive(Message, Address);
   } catch (const ProtocolError &Failure) {
--- a/src/peers/UsageRelay.cpp
+++ b/src/peers/UsageRelay.cpp
@@ -8,23 +8,29 @@
 
 UsageRelay::UsageRelay(Scheduler &Scheduler, KeyValueStore &Store,
                        DatagramPort &Port, Random &Random,
-                       const HostRegistry &Registry,
-                       OverdueSegments OverdueSegments,
+                       const HostRegistry &Registry, UsageRelayHooks Hooks,
                        const UsageRelayOptions &Options)
     : m_Port(Port), m_Scheduler(Scheduler), m_Random(Random),
-      m_Registry(Registry), m_OverdueSegments(std::move(OverdueSegments)),
-      m_Options(Options), m_Writer(Scheduler, Store, Options.m_Writer) {}
+      m_Registry(Registry), m_Hooks(std::move(Hooks)), m_Options(Options),
+      m_Writer(Scheduler, Store, Options.m_Writer) {}
 
 auto UsageRelay::start() -> void {
   m_Timer.emplace(m_Scheduler, m_Options.m_Interval,
                   [this] { handOverOverdue(); });
 }
 
+auto UsageRelay::send(const UsageSegment &Segment, const std::string &Address)
+    -> void {
+  const auto &Self = m_Registry.self();
+  m_Port.send(Address, encodeHostMessage({.m_Sender = Self.m_Host,
+                                          .m_DataCentre = Self.m_DataCentre,
+                                          .m_Content = Segment}));
+}
+
 auto UsageRelay::handOverOverdue() -> void {
-  auto Segments = m_OverdueSegments(m_Options.m_HandOverDelay);
+  auto Segments = m_Hooks.m_Overdue(m_Options.m_HandOverDelay);
   if (Segments.empty())
     return;
-  const auto &Self = m_Registry.self();
   auto Others = std::vector<HostId>();
   for (const auto &[Host, Record] : m_Registry.others())
     Others.push_back(Host);
@@ -36,29 +42,40 @@
       logInfo("usage.handed-over", {{"window", Segment.m_Id.m_Window},
                                     {"segment", Segment.m_Id.m_Number},
                                     {"host", *Chosen}});
-      m_Port.send(m_Registry.others().at(*Chosen).m_Address,
-                  encodeHostMessage({.m_Sender = Self.m_Host,
-                                     .m_DataCentre = Self.m_DataCentre,
-                                     .m_Content = Segment}));
+      send(Segment, m_Registry.others().at(*Chosen).m_Address);
     }
     Others.erase(Chosen);
   }
 }
 
-auto UsageRelay::receive(const UsageSegment &Segment) -> void {
+auto UsageRelay::receive(const UsageSegment &Segment,
+                         const std::string &Address) -> void {
+  if (m_Hooks.m_OnStored(Segment))
+    return;
   const auto &Id = Segment.m_Id;
-  // A host that cannot write its own segments cannot write those of others.
-  if (!m_OverdueSegments(m_Options.m_HandOverDelay).empty())
+  auto Key = std::pair(Id.m_Incarnation, Id.m_Number);
+  if (auto Found = m_AcceptedSegments.find(Key);
+      Found != m_AcceptedSegments.end()) {
+    // The first confirmation may have been lost.
+    if (Found->second)
+      send({.m_Id = Id, .m_Totals = *Found->second}, Address);
     return;
-  if (!m_AcceptedSegments.emplace(Id.m_Incarnation, Id.m_Number).second)
+  }
+  // A host that cannot write its own segments cannot write those of others.
+  if (!m_Hooks.m_Overdue(m_Options.m_HandOverDelay).empty())
     return;
+  m_AcceptedSegments.emplace(Key, std::nullopt);
   // Writing a segment twice is harmless, so any entry may be dropped.
   if (m_AcceptedSegments.size() > m_Options.m_MaxAcceptedSegments)
     m_AcceptedSegments.erase(m_AcceptedSegments.begin());
-  m_Writer.write(Segment, [Id](const UsageTotals &) {
+  m_Writer.write(Segment, [this, Id, Key, Address](const UsageTotals &Stored) {
     logInfo("usage.written-for-another", {{"window", Id.m_Window},
                                           {"incarnation", Id.m_Incarnation},
                                           {"segment", Id.m_Number}});
+    if (auto Found = m_AcceptedSegments.find(Key);
+        Found != m_AcceptedSegments.end())
+      Found->second = Stored;
+    send({.m_Id = Id, .m_Totals = Stored}, Address);
   });
 }
 
--- a/src/usage/SegmentWriter.cpp
+++ b/src/usage/SegmentWriter.cpp
@@ -36,8 +36,29 @@
 }
 
 auto SegmentWriter::write(UsageSegment Segment, DoneCallback Done) -> void {
-  writeToOwnWindow(std::make_shared<Job>(
-      Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)}));
+  auto Item = std::make_shared<Job>(
+      Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)});
+  const auto &Id = Item->m_Segment.m_Id;
+  m_Jobs[{Id.m_Incarnation, Id.m_Number}] = Item;
+  writeToOwnWindow(Item);
+}
+
+auto SegmentWriter::recordStored(const SegmentId &Id, const UsageTotals &Totals)
+    -> void {
+  auto Found = m_Jobs.find({Id.m_Incarnation, Id.m_Number});
+  if (Found != m_Jobs.end())
+    finish(JobPtr(Found->second), Totals);
+}
+
+auto SegmentWriter::finish(const JobPtr &Item, const UsageTotals &Stored)
+    -> void {
+  if (std::exchange(Item->m_Ended, true))
+    return;
+  const auto &Id = Item->m_Segment.m_Id;
+  auto Found = m_Jobs.find({Id.m_Incarnation, Id.m_Number});
+  if (Found != m_Jobs.end() && Found->second == Item)
+    m_Jobs.erase(Found);
+  Item->m_Done(Stored);
 }
 
 auto SegmentWriter::writeToOwnWindow(const JobPtr &Item) -> void {
@@ -50,7 +71,7 @@
        .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
   m_Store.commit(std::move(Transaction),
                  [this, Alive = m_Alive, Item](const auto &Reply) {
-                   if (!*Alive)
+                   if (!*Alive || Item->m_Ended)
                      return;
                    if (!Reply) {
                      retry(Item);
@@ -61,7 +82,7 @@
                      return;
                    }
                    keep(Item->m_Segment);
-                   Item->m_Done(Item->m_Segment.m_Totals);
+                   finish(Item, Item->m_Segment.m_Totals);
                  });
 }
 
@@ -69,7 +90,7 @@
   auto Key = segmentKey(Item->m_Segment.m_Id);
   m_Store.read(
       KeyRange::single(Key), [this, Alive = m_Alive, Item](const auto &Reply) {
-        if (!*Alive)
+        if (!*Alive || Item->m_Ended)
           return;
         if (!Reply) {
           retry(Item);
@@ -86,7 +107,7 @@
         auto Stored = Item->m_Segment;
         Stored.m_Totals = decodeTotals(Reply->m_Values.front().m_Value);
         keep(Stored);
-        Item->m_Done(Stored.m_Totals);
+        finish(Item, Stored.m_Totals);
       });
 }
 
@@ -97,7 +118,7 @@
     logError("usage.given-up", {{"window", Id.m_Window},
                                 {"incarnation", Id.m_Incarnation},
                                 {"segment", Id.m_Number}});
-    Item->m_Done(Item->m_Segment.m_Totals);
+    finish(Item, Item->m_Segment.m_Totals);
     return;
   }
   // If the clock was set back, the current window may be the closed one.
@@ -114,7 +135,7 @@
        .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
   m_Store.commit(
       std::move(Transaction), [this, Alive = m_Alive, Item](const auto &Reply) {
-        if (!*Alive)
+        if (!*Alive || Item->m_Ended)
           return;
         if (!Reply) {
           retry(Item);
@@ -126,20 +147,20 @@
         }
         logInfo("usage.late", {{"window", Item->m_Segment.m_Id.m_Window},
                                {"segment", Item->m_Segment.m_Id.m_Number}});
-        Item->m_Done(Item->m_Segment.m_Totals);
+        finish(Item, Item->m_Segment.m_Totals);
       });
 }
 
 auto SegmentWriter::readMovedRecord(const JobPtr &Item) -> void {
   m_Store.read(KeyRange::single(movedKey(Item->m_Segment.m_Id)),
                [this, Alive = m_Alive, Item](const auto &Reply) {
-                 if (!*Alive)
+                 if (!*Alive || Item->m_Ended)
                    return;
                  if (!Reply || Reply->m_Values.empty()) {
                    retry(Item);
                    return;
                  }
-                 Item->m_Done(decodeTotals(Reply->m_Values.front().m_Value));
+                 finish(Item, decodeTotals(Reply->m_Values.front().m_Value));
                });
 }
 
@@ -150,7 +171,7 @@
                                       (std::int64_t{1} << Doublings),
                                   m_Options.m_MaxRetryDelay);
   m_Scheduler.schedule(Delay, [this, Alive = m_Alive, Item] {
-    if (*Alive)
+    if (*Alive && !Item->m_Ended)
       writeToOwnWindow(Item);
   });
 }
--- a/src/usage/UsageRecorder.cpp
+++ b/src/usage/UsageRecorder.cpp
@@ -118,6 +118,13 @@
   return Result;
 }
 
+auto UsageRecorder::recordStored(const UsageSegment &Segment) -> bool {
+  if (Segment.m_Id.m_Incarnation != m_Incarnation)
+    return false;
+  m_Writer.recordStored(Segment.m_Id, Segment.m_Totals);
+  return true;
+}
+
 auto UsageRecorder::finishDrain() -> void {
   if (!m_Writing.empty())
     return;
--- a/tests/fault-UsageRelay.cpp
+++ b/tests/fault-UsageRelay.cpp
@@ -32,13 +32,19 @@
                    const std::function<void(bool)> &Done) { Done(true); },
                 {.m_Writer = {.m_WindowLength = Length},
                  .m_FlushInterval = Length * 2}),
-        m_Relay(Scheduler, m_Store, m_Port, m_Random, m_Registry,
-                [this](Duration Age) { return m_Usage.overdue(Age); },
-                {.m_Writer = {.m_WindowLength = Length}}) {
-    m_Port.onReceive([this](const std::string &, std::string_view Bytes) {
+        m_Relay(
+            Scheduler, m_Store, m_Port, m_Random, m_Registry,
+            {.m_Overdue = [this](Duration Age) { return m_Usage.overdue(Age); },
+             .m_OnStored =
+                 [this](const UsageSegment &Segment) {
+                   return m_Usage.recordStored(Segment);
+                 }},
+            {.m_Writer = {.m_WindowLength = Length}}) {
+    m_Port.onReceive([this](const std::string &Address,
+                            std::string_view Bytes) {
       auto Message = decodeHostMessage(Bytes);
       if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
-        m_Relay.receive(*Segment);
+        m_Relay.receive(*Segment, Address);
     });
     m_Registry.start();
     m_Relay.start();
@@ -160,3 +166,48 @@
   CHECK(Test.m_Hosts[2]->m_Store.calls() - Calls ==
         Test.m_Hosts[3]->m_Store.calls() - Before);
 }
+
+// While the store turns a third of the hosts away, each of their segments was
+// handed to two more hosts every second, each of which wrote it and read it.
+TEST_CASE(
+    "usage relay: a host that the store turns away learns that its counts "
+    "are stored, and no further calls are made for them") {
+  auto Test = HostCluster();
+  auto &Cut = *Test.m_Hosts[0];
+  Cut.m_Store.setOutage(StoreFault::Refuse);
+  count(Cut);
+  Cut.m_Usage.flush();
+  Test.m_Scheduler.advance(Seconds(4));
+  CHECK(Test.counted() == Requests);
+  CHECK(Cut.m_Usage.unconfirmed() == 0);
+  // The other hosts write nothing more for it: all make the same calls.
+  auto Calls = std::vector<std::uint64_t>();
+  for (auto &Current : Test.m_Hosts)
+    Calls.push_back(Current->m_Store.calls());
+  Test.m_Scheduler.advance(Seconds(10));
+  for (auto Index = std::size_t{2}; Index < Test.m_Hosts.size(); ++Index)
+    CHECK(Test.m_Hosts[Index]->m_Store.calls() - Calls[Index] ==
+          Test.m_Hosts[1]->m_Store.calls() - Calls[1]);
+  CHECK(Test.counted() == Requests);
+}
+
+TEST_CASE("usage relay: a host that missed a confirmation gets another one") {
+  auto Test = HostCluster();
+  auto &Cut = *Test.m_Hosts[0];
+  Cut.m_Store.setOutage(StoreFault::Refuse);
+  count(Cut);
+  Cut.m_Usage.flush();
+  auto Segment = Cut.m_Usage.overdue(Duration::zero()).front();
+  auto Answers = std::vector<std::string>();
+  auto Lost = DatagramNetwork::Port(Test.m_Wire, "lost");
+  Lost.onReceive([&](const std::string &, std::string_view Bytes) {
+    Answers.emplace_back(Bytes);
+  });
+  Test.m_Hosts[1]->m_Relay.receive(Segment, Lost.address());
+  Test.m_Scheduler.advance(Seconds(1));
+  Test.m_Hosts[1]->m_Relay.receive(Segment, Cut.m_Port.address());
+  Test.m_Scheduler.advance(Milliseconds(100));
+  CHECK(Answers.size() == 1);
+  CHECK(Cut.m_Usage.unconfirmed() == 0);
+  CHECK(Test.counted() == Requests);
+}
