Let hosts that start together find each other sooner

Cause: a host lists the hosts at its start, before the others have registered, and watched them 5 s later.

Ruled out: a shorter interval between all watches, which protects the store when all hosts return.

Change: the first watch after a start begins after 1.2 s.

--- a/include/dotterel/store/KeyspaceMirror.h
+++ b/include/dotterel/store/KeyspaceMirror.h
@@ -28,6 +28,9 @@
   /// Minimum interval between the starts of two watches, which bounds the
   /// number of calls for frequently changing keys.
   Duration m_MinWatchInterval = Milliseconds(0);
+  /// Delay of the first watch after the first read, if it differs from
+  /// m_MinWatchInterval.
+  std::optional<Duration> m_FirstWatchDelay;
   /// Delay after a failed call. It doubles with each consecutive failure up to
   /// m_MaxRetryDelay; a random part of up to half of the delay is added.
   Duration m_InitialRetryDelay = Milliseconds(150);
@@ -136,6 +139,7 @@
   bool m_Reachable = true;
   bool m_Following = false;
   bool m_CallInFlight = false;
+  bool m_Watched = false; ///< Whether a watch has been started.
   std::uint32_t m_ConsecutiveFailures = 0;
   std::optional<MonotonicTime> m_RetainUntil;
   StoreRevision m_RetainUpToRevision; ///< Newer keys are not retained.
--- a/src/peers/HostRegistry.cpp
+++ b/src/peers/HostRegistry.cpp
@@ -33,6 +33,7 @@
                {.m_Prefix = std::string(Prefix),
                 .m_WatchTimeout = Options.m_WatchTimeout,
                 .m_MinWatchInterval = Options.m_MinWatchInterval,
+                .m_FirstWatchDelay = Options.m_FirstWatchDelay,
                 .m_RetentionAfterOutage = Options.m_RetentionAfterOutage}) {
   m_Mirror.onChange([this](const KeyChange &Change) { applyChange(Change); });
   m_Mirror.onConfirmed([this](MonotonicTime) { m_Complete = true; });
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -152,7 +152,10 @@
     remove(Key, Read.m_Revision);
   m_Revision = std::max(m_Revision, Read.m_Revision);
   onCallSucceeded(SentAt);
-  scheduleStep(m_Options.m_MinWatchInterval, &KeyspaceMirror::watch);
+  scheduleStep(m_Watched ? m_Options.m_MinWatchInterval
+                         : m_Options.m_FirstWatchDelay.value_or(
+                               m_Options.m_MinWatchInterval),
+               &KeyspaceMirror::watch);
 }
 
 auto KeyspaceMirror::watch() -> void {
@@ -162,6 +165,7 @@
   }
   auto SentAt = m_Scheduler.now();
   m_CallInFlight = true;
+  m_Watched = true;
   m_Watch.watch(m_Options.m_Prefix, m_Revision, m_Options.m_WatchTimeout,
                 [this, Alive = m_Alive, SentAt](const auto &Reply) {
                   if (!*Alive)
--- a/tests/fault-KeyspaceMirror.cpp
+++ b/tests/fault-KeyspaceMirror.cpp
@@ -207,3 +207,32 @@
   Test.m_Mirror.apply(put("p/d", "2", 21));
   CHECK(Test.m_Copy.at("p/d") == "2");
 }
+
+// Hosts that start together find each other with the first watch. Until then
+// each of them reads the configuration and the servers for itself.
+TEST_CASE("keyspace mirror: only the first watch after a start begins sooner "
+          "than the interval between watches") {
+  auto Scheduler = VirtualScheduler();
+  auto Store = ScriptedStore();
+  auto Source = Random(1);
+  auto Mirror = KeyspaceMirror(Scheduler, Store, Store, Source,
+                               {.m_Prefix = "p/",
+                                .m_MinWatchInterval = Seconds(5),
+                                .m_FirstWatchDelay = Milliseconds(1200)});
+  Mirror.start();
+  Store.respondToRead(listing({}, 10));
+  Scheduler.advance(Milliseconds(1199));
+  CHECK(Store.m_Watches.empty());
+  Scheduler.advance(Milliseconds(2));
+  REQUIRE(Store.m_Watches.size() == 1);
+  Store.respondToWatch(changes({put("p/a", "1", 11)}, 11));
+  Scheduler.advance(Milliseconds(4900));
+  CHECK(Store.m_Watches.empty());
+  Scheduler.advance(Milliseconds(200));
+  REQUIRE(Store.m_Watches.size() == 1);
+  // After the history was lost, all hosts would watch at the same time again.
+  Store.respondToWatch({.m_HistoryLost = true});
+  Store.respondToRead(listing({}, 20));
+  Scheduler.advance(Milliseconds(4900));
+  CHECK(Store.m_Watches.empty());
+}
