--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -49,11 +49,17 @@
   static constexpr auto MaxLosses = std::size_t{1024};
 };
 
+/// States that the store holds a segment. Its totals are those of the store.
+struct StoredSegment {
+  UsageSegment m_Segment;
+  StoreEra m_Era; ///< History of the store that holds it.
+};
+
 struct HostMessage {
   HostId m_Sender;
   DataCentreId m_DataCentre;
   std::variant<LoadSummary, RelayQuery, RelayReply, RelayedChanges,
-               UsageSegment, CrashReports>
+               UsageSegment, StoredSegment, CrashReports>
       m_Content;
 };
 
--- a/include/dotterel/peers/HostRegistry.h
+++ b/include/dotterel/peers/HostRegistry.h
@@ -36,8 +36,8 @@
   /// once, each of them would receive every other registration in a separate
   /// call.
   Duration m_MinWatchInterval = Milliseconds(5000);
-  /// Delay of the first watch: hosts that start together have registered by
-  /// then, and follow the relays as soon as they know them.
+  /// Delay of the first watch: hosts that start together usually have
+  /// registered by then, and follow the relays as soon as they know them.
   Duration m_FirstWatchDelay = Milliseconds(1200);
   /// Hosts whose leases expired during an outage of the store are retained for
   /// this time, in which they register again.
--- a/include/dotterel/peers/UsageRelay.h
+++ b/include/dotterel/peers/UsageRelay.h
@@ -14,8 +14,10 @@
 #include "dotterel/peers/HostRegistry.h"
 #include "dotterel/usage/SegmentWriter.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -42,15 +44,16 @@
 struct UsageRelayHooks {
   /// Returns the segments that the store has not confirmed for a time.
   std::function<std::vector<UsageSegment>(Duration)> m_Overdue;
-  /// Gets a segment that another host has written. Returns whether it is one of
-  /// this host.
-  std::function<bool(const UsageSegment &)> m_OnStored;
+  /// Records that the store holds a segment. Returns whether this host was
+  /// writing it.
+  std::function<bool(const UsageSegment &)> m_RecordStored;
 };
 
 /// Hands over the segments of this host and writes those of other hosts. A
 /// segment is stored once, regardless of which host writes it: see
-/// SegmentWriter. The host that has written a segment returns it, with the
-/// totals that the store holds, to the host that it is from.
+/// SegmentWriter. The host that has written a segment tells the host that
+/// recorded it. Such a statement is never answered, and counts only for the
+/// history of the store that it names.
 class UsageRelay {
 public:
   UsageRelay(Scheduler &Scheduler, KeyValueStore &Store, DatagramPort &Port,
@@ -59,14 +62,20 @@
 
   auto start() -> void;
 
-  /// Processes a segment received from \p Address: writes one of another host,
-  /// and takes one of this host as written.
+  /// Writes a segment of another host, received from \p Address.
   auto receive(const UsageSegment &Segment, const std::string &Address) -> void;
 
+  /// Records a segment of this host that another one has written.
+  auto receive(const StoredSegment &Stored) -> void;
+
 private:
   auto handOverOverdue() -> void;
-  auto send(const UsageSegment &Segment, const std::string &Address) -> void;
+  auto send(decltype(HostMessage::m_Content) Content,
+            const std::string &Address) -> void;
+  auto sendStored(UsageSegment Segment, const std::string &Address) -> void;
+  auto accept(const UsageSegment &Segment, const std::string &Address) -> void;
 
+  KeyValueStore &m_Store;
   DatagramPort &m_Port;
   Scheduler &m_Scheduler;
   Random &m_Random;
@@ -74,11 +83,13 @@
   UsageRelayHooks m_Hooks;
   UsageRelayOptions m_Options;
   SegmentWriter m_Writer;
-  /// Segments of other hosts, by incarnation and number, with the totals that
-  /// the store holds once they are written.
-  std::map<std::pair<IncarnationId, std::uint64_t>, std::optional<UsageTotals>>
-      m_AcceptedSegments;
+  using SegmentKey = std::pair<IncarnationId, std::uint64_t>;
+  /// Segments of other hosts, with the totals that the store holds once they
+  /// are written.
+  std::map<SegmentKey, std::optional<UsageTotals>> m_AcceptedSegments;
+  std::deque<SegmentKey> m_AcceptedOrder; ///< Oldest first.
   std::optional<RepeatingTimer> m_Timer;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
 } // namespace dotterel
--- a/include/dotterel/usage/SegmentWriter.h
+++ b/include/dotterel/usage/SegmentWriter.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace dotterel {
@@ -48,7 +49,8 @@
 public:
   /// Receives the totals that the store holds for the segment: those passed to
   /// write(), or those of an earlier replica that another process has written.
-  using DoneCallback = std::function<void(const UsageTotals &)>;
+  /// Empty if the segment was discarded.
+  using DoneCallback = std::function<void(const std::optional<UsageTotals> &)>;
 
   SegmentWriter(Scheduler &Scheduler, KeyValueStore &Store,
                 const SegmentWriterOptions &Options);
@@ -61,10 +63,10 @@
   /// receives the segment's own totals.
   auto write(UsageSegment Segment, DoneCallback Done) -> void;
 
-  /// Ends the write of the segment with \p Id: another process reports that the
-  /// store holds it with \p Totals. Ignored if the segment is not being
-  /// written.
-  auto recordStored(const SegmentId &Id, const UsageTotals &Totals) -> void;
+  /// Ends the write of \p Stored: another process reports that the store holds
+  /// it with these totals. \returns false, and goes on writing, if that cannot
+  /// be the segment that is being written.
+  auto recordStored(const UsageSegment &Stored) -> bool;
 
 private:
   struct Job {
@@ -84,7 +86,8 @@
   auto readMovedRecord(const JobPtr &Item) -> void;
   auto retry(const JobPtr &Item) -> void;
   /// Passes the totals that the store holds to the job's callback.
-  auto finish(const JobPtr &Item, const UsageTotals &Stored) -> void;
+  auto finish(const JobPtr &Item, const std::optional<UsageTotals> &Stored)
+      -> void;
   /// Keeps a segment that its own window holds.
   auto keep(const UsageSegment &Segment) -> void;
   auto storeAgain() -> void;
--- a/include/dotterel/usage/Usage.h
+++ b/include/dotterel/usage/Usage.h
@@ -63,6 +63,10 @@
 /// Adds \p More to \p Target.
 auto addTotals(UsageTotals &Target, const UsageTotals &More) -> void;
 
+/// Returns whether no count of \p Part exceeds the corresponding one of
+/// \p Whole.
+auto isPart(const UsageTotals &Part, const UsageTotals &Whole) -> bool;
+
 /// Returns \p Whole minus \p Part.
 /// \pre No count of \p Part exceeds the corresponding count of \p Whole.
 auto subtractTotals(const UsageTotals &Whole, const UsageTotals &Part)
--- a/include/dotterel/usage/UsageRecorder.h
+++ b/include/dotterel/usage/UsageRecorder.h
@@ -71,7 +71,7 @@
   [[nodiscard]] auto overdue(Duration Age) const -> std::vector<UsageSegment>;
 
   /// Records that the store holds a segment, as another host reports that has
-  /// written it. \returns whether the segment is of this incarnation.
+  /// written it. \returns whether that ends the write of the segment.
   auto recordStored(const UsageSegment &Segment) -> bool;
 
   /// Returns the number of records so far that were not copied in time.
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -32,6 +32,8 @@
   incarnation @1 :Text;
   number @2 :UInt64;
   totals @3 :Text;  # encoded as in the store
+  stored @4 :Bool;  # states that the store holds the segment with these totals
+  storeEra @5 :UInt64;  # history of the store that holds it
 }
 
 # The load in flight of a host or of all hosts of a data centre.
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -7,13 +7,13 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error                                                                         \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -31,8 +31,8 @@
 CAPNP_DECLARE_SCHEMA(f955f3c4e04af797);
 CAPNP_DECLARE_SCHEMA(b88d1c92a0e9910f);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
 namespace dotterel {
 namespace schema {
@@ -43,7 +43,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
+  enum Which : uint16_t {
     LOADS,
     QUESTION,
     REPLY,
@@ -54,9 +54,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ae6b785c40999730, 1, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -69,9 +71,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b2db77a7950567e9, 3, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -83,10 +87,12 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1f40274ba65bd44, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(b1f40274ba65bd44, 4, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -103,9 +109,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -118,9 +126,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(adbb1ab576a33d54, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -133,9 +143,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c448cf29b7a33d18, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -148,9 +160,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(caad8f8abe8fbdc1, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -163,9 +177,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a1422d732847a32d, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -178,9 +194,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a0a65383703625f5, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -193,9 +211,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f955f3c4e04af797, 5, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -208,9 +228,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b88d1c92a0e9910f, 0, 8)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const *brand() {
+      return &schema->defaultBrand;
+    }
+#endif // !CAPNP_LITE
   };
 };
 
@@ -221,7 +243,7 @@
   typedef HostMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -231,47 +253,46 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline Which which() const;
   inline bool hasSender() const;
-  inline  ::capnp::Text::Reader getSender() const;
+  inline ::capnp::Text::Reader getSender() const;
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
   inline bool isLoads() const;
   inline bool hasLoads() const;
-  inline  ::dotterel::schema::LoadSummary::Reader getLoads() const;
+  inline ::dotterel::schema::LoadSummary::Reader getLoads() const;
 
   inline bool isQuestion() const;
   inline bool hasQuestion() const;
-  inline  ::dotterel::schema::Question::Reader getQuestion() const;
+  inline ::dotterel::schema::Question::Reader getQuestion() const;
 
   inline bool isReply() const;
   inline bool hasReply() const;
-  inline  ::dotterel::schema::Reply::Reader getReply() const;
+  inline ::dotterel::schema::Reply::Reader getReply() const;
 
   inline bool isChanges() const;
   inline bool hasChanges() const;
-  inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+  inline ::capnp::List<::dotterel::schema::RecordChange,
+                       ::capnp::Kind::STRUCT>::Reader
+  getChanges() const;
 
   inline bool isUsage() const;
   inline bool hasUsage() const;
-  inline  ::dotterel::schema::UsageSegment::Reader getUsage() const;
+  inline ::dotterel::schema::UsageSegment::Reader getUsage() const;
 
   inline bool isCrashes() const;
   inline bool hasCrashes() const;
-  inline  ::dotterel::schema::CrashReports::Reader getCrashes() const;
+  inline ::dotterel::schema::CrashReports::Reader getCrashes() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -280,88 +301,101 @@
 public:
   typedef HostMessage Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline Which which();
   inline bool hasSender();
-  inline  ::capnp::Text::Builder getSender();
-  inline void setSender( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+  inline ::capnp::Text::Builder getSender();
+  inline void setSender(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownSender();
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
   inline bool isLoads();
   inline bool hasLoads();
-  inline  ::dotterel::schema::LoadSummary::Builder getLoads();
-  inline void setLoads( ::dotterel::schema::LoadSummary::Reader value);
-  inline  ::dotterel::schema::LoadSummary::Builder initLoads();
-  inline void adoptLoads(::capnp::Orphan< ::dotterel::schema::LoadSummary>&& value);
-  inline ::capnp::Orphan< ::dotterel::schema::LoadSummary> disownLoads();
+  inline ::dotterel::schema::LoadSummary::Builder getLoads();
+  inline void setLoads(::dotterel::schema::LoadSummary::Reader value);
+  inline ::dotterel::schema::LoadSummary::Builder initLoads();
+  inline void
+  adoptLoads(::capnp::Orphan<::dotterel::schema::LoadSummary> &&value);
+  inline ::capnp::Orphan<::dotterel::schema::LoadSummary> disownLoads();
 
   inline bool isQuestion();
   inline bool hasQuestion();
-  inline  ::dotterel::schema::Question::Builder getQuestion();
-  inline void setQuestion( ::dotterel::schema::Question::Reader value);
-  inline  ::dotterel::schema::Question::Builder initQuestion();
-  inline void adoptQuestion(::capnp::Orphan< ::dotterel::schema::Question>&& value);
-  inline ::capnp::Orphan< ::dotterel::schema::Question> disownQuestion();
+  inline ::dotterel::schema::Question::Builder getQuestion();
+  inline void setQuestion(::dotterel::schema::Question::Reader value);
+  inline ::dotterel::schema::Question::Builder initQuestion();
+  inline void
+  adoptQuestion(::capnp::Orphan<::dotterel::schema::Question> &&value);
+  inline ::capnp::Orphan<::dotterel::schema::Question> disownQuestion();
 
   inline bool isReply();
   inline bool hasReply();
-  inline  ::dotterel::schema::Reply::Builder getReply();
-  inline void setReply( ::dotterel::schema::Reply::Reader value);
-  inline  ::dotterel::schema::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::dotterel::schema::Reply>&& value);
-  inline ::capnp::Orphan< ::dotterel::schema::Reply> disownReply();
+  inline ::dotterel::schema::Reply::Builder getReply();
+  inline void setReply(::dotterel::schema::Reply::Reader value);
+  inline ::dotterel::schema::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan<::dotterel::schema::Reply> &&value);
+  inline ::capnp::Orphan<::dotterel::schema::Reply> disownReply();
 
   inline bool isChanges();
   inline bool hasChanges();
-  inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
-  inline void setChanges( ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
-  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>> disownChanges();
+  inline ::capnp::List<::dotterel::schema::RecordChange,
+                       ::capnp::Kind::STRUCT>::Builder
+  getChanges();
+  inline void setChanges(::capnp::List<::dotterel::schema::RecordChange,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::dotterel::schema::RecordChange,
+                       ::capnp::Kind::STRUCT>::Builder
+  initChanges(unsigned int size);
+  inline void
+  adoptChanges(::capnp::Orphan<::capnp::List<::dotterel::schema::RecordChange,
+                                             ::capnp::Kind::STRUCT>> &&value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>
+  disownChanges();
 
   inline bool isUsage();
   inline bool hasUsage();
-  inline  ::dotterel::schema::UsageSegment::Builder getUsage();
-  inline void setUsage( ::dotterel::schema::UsageSegment::Reader value);
-  inline  ::dotterel::schema::UsageSegment::Builder initUsage();
-  inline void adoptUsage(::capnp::Orphan< ::dotterel::schema::UsageSegment>&& value);
-  inline ::capnp::Orphan< ::dotterel::schema::UsageSegment> disownUsage();
+  inline ::dotterel::schema::UsageSegment::Builder getUsage();
+  inline void setUsage(::dotterel::schema::UsageSegment::Reader value);
+  inline ::dotterel::schema::UsageSegment::Builder initUsage();
+  inline void
+  adoptUsage(::capnp::Orphan<::dotterel::schema::UsageSegment> &&value);
+  inline ::capnp::Orphan<::dotterel::schema::UsageSegment> disownUsage();
 
   inline bool isCrashes();
   inline bool hasCrashes();
-  inline  ::dotterel::schema::CrashReports::Builder getCrashes();
-  inline void setCrashes( ::dotterel::schema::CrashReports::Reader value);
-  inline  ::dotterel::schema::CrashReports::Builder initCrashes();
-  inline void adoptCrashes(::capnp::Orphan< ::dotterel::schema::CrashReports>&& value);
-  inline ::capnp::Orphan< ::dotterel::schema::CrashReports> disownCrashes();
+  inline ::dotterel::schema::CrashReports::Builder getCrashes();
+  inline void setCrashes(::dotterel::schema::CrashReports::Reader value);
+  inline ::dotterel::schema::CrashReports::Builder initCrashes();
+  inline void
+  adoptCrashes(::capnp::Orphan<::dotterel::schema::CrashReports> &&value);
+  inline ::capnp::Orphan<::dotterel::schema::CrashReports> disownCrashes();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -369,24 +403,23 @@
 public:
   typedef HostMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class RecordChange::Reader {
 public:
   typedef RecordChange Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -396,28 +429,25 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline ::capnp::Text::Reader getKey() const;
 
   inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
+  inline ::capnp::Data::Reader getValue() const;
 
   inline bool getRemoved() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getStoreEra() const;
+  inline ::uint64_t getStoreEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -426,48 +456,48 @@
 public:
   typedef RecordChange Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline ::capnp::Text::Builder getKey();
+  inline void setKey(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownKey();
 
   inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+  inline ::capnp::Data::Builder getValue();
+  inline void setValue(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan<::capnp::Data> &&value);
+  inline ::capnp::Orphan<::capnp::Data> disownValue();
 
   inline bool getRemoved();
   inline void setRemoved(bool value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline ::uint64_t getRevision();
+  inline void setRevision(::uint64_t value);
 
-  inline  ::uint64_t getStoreEra();
-  inline void setStoreEra( ::uint64_t value);
+  inline ::uint64_t getStoreEra();
+  inline void setStoreEra(::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -475,24 +505,23 @@
 public:
   typedef RecordChange Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class UsageSegment::Reader {
 public:
   typedef UsageSegment Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -502,26 +531,27 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getWindow() const;
+  inline ::uint64_t getWindow() const;
 
   inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+  inline ::capnp::Text::Reader getIncarnation() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline ::uint64_t getNumber() const;
 
   inline bool hasTotals() const;
-  inline  ::capnp::Text::Reader getTotals() const;
+  inline ::capnp::Text::Reader getTotals() const;
+
+  inline bool getStored() const;
+
+  inline ::uint64_t getStoreEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -530,45 +560,51 @@
 public:
   typedef UsageSegment Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getWindow();
-  inline void setWindow( ::uint64_t value);
+  inline ::uint64_t getWindow();
+  inline void setWindow(::uint64_t value);
 
   inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+  inline ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownIncarnation();
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
 
   inline bool hasTotals();
-  inline  ::capnp::Text::Builder getTotals();
-  inline void setTotals( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTotals(unsigned int size);
-  inline void adoptTotals(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTotals();
+  inline ::capnp::Text::Builder getTotals();
+  inline void setTotals(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTotals(unsigned int size);
+  inline void adoptTotals(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownTotals();
+
+  inline bool getStored();
+  inline void setStored(bool value);
+
+  inline ::uint64_t getStoreEra();
+  inline void setStoreEra(::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -576,24 +612,23 @@
 public:
   typedef UsageSegment Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class LoadSummary::Reader {
 public:
   typedef LoadSummary Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -603,32 +638,35 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool getWholeDataCentre() const;
 
   inline bool hasEngines() const;
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
+  inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                       ::capnp::Kind::STRUCT>::Reader
+  getEngines() const;
 
   inline bool hasReads() const;
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Reader getReads() const;
+  inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                       ::capnp::Kind::STRUCT>::Reader
+  getReads() const;
 
   inline float getPrefillTokensPerSecond() const;
 
   inline bool hasRateLimits() const;
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+  inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                       ::capnp::Kind::STRUCT>::Reader
+  getRateLimits() const;
 
   inline bool hasDistributor() const;
-  inline  ::capnp::Text::Reader getDistributor() const;
+  inline ::capnp::Text::Reader getDistributor() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -637,59 +675,89 @@
 public:
   typedef LoadSummary Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool getWholeDataCentre();
   inline void setWholeDataCentre(bool value);
 
   inline bool hasEngines();
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Builder getEngines();
-  inline void setEngines( ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
-  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>> disownEngines();
+  inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  getEngines();
+  inline void
+  setEngines(::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                           ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                       ::capnp::Kind::STRUCT>::Builder
+  initEngines(unsigned int size);
+  inline void adoptEngines(
+      ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                                    ::capnp::Kind::STRUCT>> &&value);
+  inline ::capnp::Orphan<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>
+  disownEngines();
 
   inline bool hasReads();
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Builder getReads();
-  inline void setReads( ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Builder initReads(unsigned int size);
-  inline void adoptReads(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>> disownReads();
+  inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                       ::capnp::Kind::STRUCT>::Builder
+  getReads();
+  inline void
+  setReads(::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                         ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                       ::capnp::Kind::STRUCT>::Builder
+  initReads(unsigned int size);
+  inline void adoptReads(
+      ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                                    ::capnp::Kind::STRUCT>> &&value);
+  inline ::capnp::Orphan<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>
+  disownReads();
 
   inline float getPrefillTokensPerSecond();
   inline void setPrefillTokensPerSecond(float value);
 
   inline bool hasRateLimits();
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
-  inline void setRateLimits( ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
-  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+  inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                       ::capnp::Kind::STRUCT>::Builder
+  getRateLimits();
+  inline void
+  setRateLimits(::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                              ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                       ::capnp::Kind::STRUCT>::Builder
+  initRateLimits(unsigned int size);
+  inline void adoptRateLimits(
+      ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                                    ::capnp::Kind::STRUCT>> &&value);
+  inline ::capnp::Orphan<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>
+  disownRateLimits();
 
   inline bool hasDistributor();
-  inline  ::capnp::Text::Builder getDistributor();
-  inline void setDistributor( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDistributor(unsigned int size);
-  inline void adoptDistributor(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDistributor();
+  inline ::capnp::Text::Builder getDistributor();
+  inline void setDistributor(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDistributor(unsigned int size);
+  inline void adoptDistributor(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownDistributor();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -697,24 +765,23 @@
 public:
   typedef LoadSummary Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class LoadSummary::EngineLoad::Reader {
 public:
   typedef EngineLoad Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -724,10 +791,10 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline ::capnp::Text::Reader getEngine() const;
 
   inline float getRequests() const;
 
@@ -735,12 +802,9 @@
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -749,24 +813,26 @@
 public:
   typedef EngineLoad Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline ::capnp::Text::Builder getEngine();
+  inline void setEngine(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownEngine();
 
   inline float getRequests();
   inline void setRequests(float value);
@@ -776,11 +842,9 @@
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -788,24 +852,23 @@
 public:
   typedef EngineLoad Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class LoadSummary::PromptRead::Reader {
 public:
   typedef PromptRead Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -815,22 +878,21 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
+  inline ::capnp::Text::Reader getEngine() const;
 
   inline bool hasParts() const;
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+  inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                       ::capnp::Kind::STRUCT>::Reader
+  getParts() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -839,39 +901,48 @@
 public:
   typedef PromptRead Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+  inline ::capnp::Text::Builder getEngine();
+  inline void setEngine(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownEngine();
 
   inline bool hasParts();
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>> disownParts();
+  inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                       ::capnp::Kind::STRUCT>::Builder
+  getParts();
+  inline void setParts(::capnp::List<::dotterel::schema::LoadSummary::Part,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                       ::capnp::Kind::STRUCT>::Builder
+  initParts(unsigned int size);
+  inline void adoptParts(
+      ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::Part,
+                                    ::capnp::Kind::STRUCT>> &&value);
+  inline ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::Part,
+                                       ::capnp::Kind::STRUCT>>
+  disownParts();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -879,24 +950,23 @@
 public:
   typedef PromptRead Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class LoadSummary::Part::Reader {
 public:
   typedef Part Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -906,21 +976,18 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline ::capnp::Text::Reader getId() const;
 
-  inline  ::uint32_t getTokens() const;
+  inline ::uint32_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -929,35 +996,35 @@
 public:
   typedef Part Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline ::capnp::Text::Builder getId();
+  inline void setId(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownId();
 
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
+  inline ::uint32_t getTokens();
+  inline void setTokens(::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -965,24 +1032,23 @@
 public:
   typedef Part Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class LoadSummary::RateLimit::Reader {
 public:
   typedef RateLimit Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -992,25 +1058,22 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasBackend() const;
-  inline  ::capnp::Text::Reader getBackend() const;
+  inline ::capnp::Text::Reader getBackend() const;
 
   inline bool getLimited() const;
 
   inline double getPerSecond() const;
 
-  inline  ::uint32_t getAgeMs() const;
+  inline ::uint32_t getAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1019,24 +1082,26 @@
 public:
   typedef RateLimit Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasBackend();
-  inline  ::capnp::Text::Builder getBackend();
-  inline void setBackend( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBackend(unsigned int size);
-  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+  inline ::capnp::Text::Builder getBackend();
+  inline void setBackend(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan<::capnp::Text> &&value);
+  inline ::capnp::Orphan<::capnp::Text> disownBackend();
 
   inline bool getLimited();
   inline void setLimited(bool value);
@@ -1044,16 +1109,14 @@
   inline double getPerSecond();
   inline void setPerSecond(double value);
 
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1061,24 +1124,23 @@
 public:
   typedef RateLimit Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class Question::Reader {
 public:
   typedef Question Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1088,18 +1150,15 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getSentAt() const;
+  inline ::uint64_t getSentAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1108,28 +1167,28 @@
 public:
   typedef Question Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getSentAt();
-  inline void setSentAt( ::uint64_t value);
+  inline ::uint64_t getSentAt();
+  inline void setSentAt(::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1137,24 +1196,23 @@
 public:
   typedef Question Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class Reply::Reader {
 public:
   typedef Reply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1164,26 +1222,23 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getSentAt() const;
+  inline ::uint64_t getSentAt() const;
 
-  inline  ::uint32_t getEvidenceAgeMs() const;
+  inline ::uint32_t getEvidenceAgeMs() const;
 
-  inline  ::uint64_t getConfigRevision() const;
+  inline ::uint64_t getConfigRevision() const;
 
-  inline  ::uint64_t getBackendsDigest() const;
+  inline ::uint64_t getBackendsDigest() const;
 
-  inline  ::uint64_t getStoreEra() const;
+  inline ::uint64_t getStoreEra() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1192,40 +1247,40 @@
 public:
   typedef Reply Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getSentAt();
-  inline void setSentAt( ::uint64_t value);
+  inline ::uint64_t getSentAt();
+  inline void setSentAt(::uint64_t value);
 
-  inline  ::uint32_t getEvidenceAgeMs();
-  inline void setEvidenceAgeMs( ::uint32_t value);
+  inline ::uint32_t getEvidenceAgeMs();
+  inline void setEvidenceAgeMs(::uint32_t value);
 
-  inline  ::uint64_t getConfigRevision();
-  inline void setConfigRevision( ::uint64_t value);
+  inline ::uint64_t getConfigRevision();
+  inline void setConfigRevision(::uint64_t value);
 
-  inline  ::uint64_t getBackendsDigest();
-  inline void setBackendsDigest( ::uint64_t value);
+  inline ::uint64_t getBackendsDigest();
+  inline void setBackendsDigest(::uint64_t value);
 
-  inline  ::uint64_t getStoreEra();
-  inline void setStoreEra( ::uint64_t value);
+  inline ::uint64_t getStoreEra();
+  inline void setStoreEra(::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1233,24 +1288,23 @@
 public:
   typedef Reply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 class CrashReports::Reader {
 public:
   typedef CrashReports Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1260,40 +1314,45 @@
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasBackends() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBackends() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+  getBackends() const;
 
   inline bool hasDigests() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDigests() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getDigests() const;
 
   inline bool hasReleases() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReleases() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getReleases() const;
 
   inline bool hasLostAlone() const;
-  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getLostAlone() const;
+  inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Reader
+  getLostAlone() const;
 
   inline bool hasLossCounts() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLossCounts() const;
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getLossCounts() const;
 
   inline bool hasLossBackends() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLossBackends() const;
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getLossBackends() const;
 
   inline bool hasMsSinceSent() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceSent() const;
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getMsSinceSent() const;
 
   inline bool hasMsSinceLost() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getMsSinceLost() const;
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getMsSinceLost() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
@@ -1302,89 +1361,135 @@
 public:
   typedef CrashReports Builds;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
+  Builder() = delete; // Deleted to discourage incorrect usage.
+                      // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
   inline bool hasBackends();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getBackends();
-  inline void setBackends( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setBackends(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initBackends(unsigned int size);
-  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBackends();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  getBackends();
+  inline void
+  setBackends(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setBackends(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+  initBackends(unsigned int size);
+  inline void adoptBackends(
+      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+  disownBackends();
 
   inline bool hasDigests();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDigests();
-  inline void setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setDigests(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDigests(unsigned int size);
-  inline void adoptDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDigests();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getDigests();
+  inline void
+  setDigests(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDigests(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initDigests(unsigned int size);
+  inline void adoptDigests(
+      ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownDigests();
 
   inline bool hasReleases();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReleases();
-  inline void setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setReleases(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReleases(unsigned int size);
-  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReleases();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getReleases();
+  inline void setReleases(
+      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReleases(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initReleases(unsigned int size);
+  inline void adoptReleases(
+      ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+  disownReleases();
 
   inline bool hasLostAlone();
-  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder getLostAlone();
-  inline void setLostAlone( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Builder getLostAlone();
+  inline void
+  setLostAlone(::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Reader value);
   inline void setLostAlone(::kj::ArrayPtr<const bool> value);
-  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder initLostAlone(unsigned int size);
-  inline void adoptLostAlone(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownLostAlone();
+  inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Builder
+  initLostAlone(unsigned int size);
+  inline void adoptLostAlone(
+      ::capnp::Orphan<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>> &&value);
+  inline ::capnp::Orphan<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>
+  disownLostAlone();
 
   inline bool hasLossCounts();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLossCounts();
-  inline void setLossCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setLossCounts(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLossCounts(unsigned int size);
-  inline void adoptLossCounts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLossCounts();
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getLossCounts();
+  inline void setLossCounts(
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLossCounts(::kj::ArrayPtr<const ::uint16_t> value);
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initLossCounts(unsigned int size);
+  inline void adoptLossCounts(
+      ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+  disownLossCounts();
 
   inline bool hasLossBackends();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLossBackends();
-  inline void setLossBackends( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setLossBackends(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLossBackends(unsigned int size);
-  inline void adoptLossBackends(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLossBackends();
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getLossBackends();
+  inline void setLossBackends(
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLossBackends(::kj::ArrayPtr<const ::uint16_t> value);
+  inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initLossBackends(unsigned int size);
+  inline void adoptLossBackends(
+      ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+  disownLossBackends();
 
   inline bool hasMsSinceSent();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceSent();
-  inline void setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceSent(unsigned int size);
-  inline void adoptMsSinceSent(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceSent();
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getMsSinceSent();
+  inline void setMsSinceSent(
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceSent(::kj::ArrayPtr<const ::uint32_t> value);
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initMsSinceSent(unsigned int size);
+  inline void adoptMsSinceSent(
+      ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+  disownMsSinceSent();
 
   inline bool hasMsSinceLost();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getMsSinceLost();
-  inline void setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initMsSinceLost(unsigned int size);
-  inline void adoptMsSinceLost(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownMsSinceLost();
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getMsSinceLost();
+  inline void setMsSinceLost(
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMsSinceLost(::kj::ArrayPtr<const ::uint32_t> value);
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initMsSinceLost(unsigned int size);
+  inline void adoptMsSinceLost(
+      ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+          &&value);
+  inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+  disownMsSinceLost();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
@@ -1392,95 +1497,102 @@
 public:
   typedef CrashReports Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
       : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline  ::dotterel::schema::HostMessage::Which HostMessage::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::dotterel::schema::HostMessage::Which
+HostMessage::Reader::which() const {
+  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::dotterel::schema::HostMessage::Which HostMessage::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::dotterel::schema::HostMessage::Which HostMessage::Builder::which() {
+  return _builder.getDataField<Which>(::capnp::bounded<0>() *
+                                      ::capnp::ELEMENTS);
 }
 
 inline bool HostMessage::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader HostMessage::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader HostMessage::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HostMessage::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder HostMessage::Builder::getSender() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setSender( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void HostMessage::Builder::setSender(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder HostMessage::Builder::initSender(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+HostMessage::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
-inline void HostMessage::Builder::adoptSender(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+HostMessage::Builder::adoptSender(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HostMessage::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> HostMessage::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader HostMessage::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader HostMessage::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HostMessage::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder HostMessage::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void HostMessage::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder HostMessage::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+HostMessage::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
 }
-inline void HostMessage::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+HostMessage::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HostMessage::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> HostMessage::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isLoads() const {
@@ -1490,51 +1602,60 @@
   return which() == HostMessage::LOADS;
 }
 inline bool HostMessage::Reader::hasLoads() const {
-  if (which() != HostMessage::LOADS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::LOADS)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasLoads() {
-  if (which() != HostMessage::LOADS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::LOADS)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::dotterel::schema::LoadSummary::Reader HostMessage::Reader::getLoads() const {
+inline ::dotterel::schema::LoadSummary::Reader
+HostMessage::Reader::getLoads() const {
   KJ_IREQUIRE((which() == HostMessage::LOADS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterel::schema::LoadSummary::Builder HostMessage::Builder::getLoads() {
+inline ::dotterel::schema::LoadSummary::Builder
+HostMessage::Builder::getLoads() {
   KJ_IREQUIRE((which() == HostMessage::LOADS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setLoads( ::dotterel::schema::LoadSummary::Reader value) {
+inline void
+HostMessage::Builder::setLoads(::dotterel::schema::LoadSummary::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::LOADS);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::dotterel::schema::LoadSummary::Builder HostMessage::Builder::initLoads() {
+inline ::dotterel::schema::LoadSummary::Builder
+HostMessage::Builder::initLoads() {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::LOADS);
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void HostMessage::Builder::adoptLoads(
-    ::capnp::Orphan< ::dotterel::schema::LoadSummary>&& value) {
+    ::capnp::Orphan<::dotterel::schema::LoadSummary> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::LOADS);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+  ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterel::schema::LoadSummary> HostMessage::Builder::disownLoads() {
+inline ::capnp::Orphan<::dotterel::schema::LoadSummary>
+HostMessage::Builder::disownLoads() {
   KJ_IREQUIRE((which() == HostMessage::LOADS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::LoadSummary>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::LoadSummary>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isQuestion() const {
@@ -1544,51 +1665,60 @@
   return which() == HostMessage::QUESTION;
 }
 inline bool HostMessage::Reader::hasQuestion() const {
-  if (which() != HostMessage::QUESTION) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::QUESTION)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasQuestion() {
-  if (which() != HostMessage::QUESTION) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::QUESTION)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::dotterel::schema::Question::Reader HostMessage::Reader::getQuestion() const {
+inline ::dotterel::schema::Question::Reader
+HostMessage::Reader::getQuestion() const {
   KJ_IREQUIRE((which() == HostMessage::QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Question>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterel::schema::Question::Builder HostMessage::Builder::getQuestion() {
+inline ::dotterel::schema::Question::Builder
+HostMessage::Builder::getQuestion() {
   KJ_IREQUIRE((which() == HostMessage::QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Question>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setQuestion( ::dotterel::schema::Question::Reader value) {
+inline void
+HostMessage::Builder::setQuestion(::dotterel::schema::Question::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::QUESTION);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::dotterel::schema::Question>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::dotterel::schema::Question::Builder HostMessage::Builder::initQuestion() {
+inline ::dotterel::schema::Question::Builder
+HostMessage::Builder::initQuestion() {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::QUESTION);
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Question>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void HostMessage::Builder::adoptQuestion(
-    ::capnp::Orphan< ::dotterel::schema::Question>&& value) {
+    ::capnp::Orphan<::dotterel::schema::Question> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::QUESTION);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+  ::capnp::_::PointerHelpers<::dotterel::schema::Question>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterel::schema::Question> HostMessage::Builder::disownQuestion() {
+inline ::capnp::Orphan<::dotterel::schema::Question>
+HostMessage::Builder::disownQuestion() {
   KJ_IREQUIRE((which() == HostMessage::QUESTION),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Question>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Question>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isReply() const {
@@ -1598,51 +1728,57 @@
   return which() == HostMessage::REPLY;
 }
 inline bool HostMessage::Reader::hasReply() const {
-  if (which() != HostMessage::REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::REPLY)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasReply() {
-  if (which() != HostMessage::REPLY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::REPLY)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::dotterel::schema::Reply::Reader HostMessage::Reader::getReply() const {
+inline ::dotterel::schema::Reply::Reader HostMessage::Reader::getReply() const {
   KJ_IREQUIRE((which() == HostMessage::REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterel::schema::Reply::Builder HostMessage::Builder::getReply() {
+inline ::dotterel::schema::Reply::Builder HostMessage::Builder::getReply() {
   KJ_IREQUIRE((which() == HostMessage::REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setReply( ::dotterel::schema::Reply::Reader value) {
+inline void
+HostMessage::Builder::setReply(::dotterel::schema::Reply::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::REPLY);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::dotterel::schema::Reply::Builder HostMessage::Builder::initReply() {
+inline ::dotterel::schema::Reply::Builder HostMessage::Builder::initReply() {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::REPLY);
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void HostMessage::Builder::adoptReply(
-    ::capnp::Orphan< ::dotterel::schema::Reply>&& value) {
+    ::capnp::Orphan<::dotterel::schema::Reply> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::REPLY);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+  ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterel::schema::Reply> HostMessage::Builder::disownReply() {
+inline ::capnp::Orphan<::dotterel::schema::Reply>
+HostMessage::Builder::disownReply() {
   KJ_IREQUIRE((which() == HostMessage::REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::Reply>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::Reply>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isChanges() const {
@@ -1652,51 +1788,74 @@
   return which() == HostMessage::CHANGES;
 }
 inline bool HostMessage::Reader::hasChanges() const {
-  if (which() != HostMessage::CHANGES) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::CHANGES)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasChanges() {
-  if (which() != HostMessage::CHANGES) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Reader HostMessage::Reader::getChanges() const {
+  if (which() != HostMessage::CHANGES)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::dotterel::schema::RecordChange,
+                     ::capnp::Kind::STRUCT>::Reader
+HostMessage::Reader::getChanges() const {
   KJ_IREQUIRE((which() == HostMessage::CHANGES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Builder HostMessage::Builder::getChanges() {
+inline ::capnp::List<::dotterel::schema::RecordChange,
+                     ::capnp::Kind::STRUCT>::Builder
+HostMessage::Builder::getChanges() {
   KJ_IREQUIRE((which() == HostMessage::CHANGES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setChanges( ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void HostMessage::Builder::setChanges(
+    ::capnp::List<::dotterel::schema::RecordChange,
+                  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>::Builder HostMessage::Builder::initChanges(unsigned int size) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::dotterel::schema::RecordChange,
+                     ::capnp::Kind::STRUCT>::Builder
+HostMessage::Builder::initChanges(unsigned int size) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGES);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+           size);
 }
 inline void HostMessage::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>&& value) {
+    ::capnp::Orphan<::capnp::List<::dotterel::schema::RecordChange,
+                                  ::capnp::Kind::STRUCT>> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CHANGES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>> HostMessage::Builder::disownChanges() {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>
+HostMessage::Builder::disownChanges() {
   KJ_IREQUIRE((which() == HostMessage::CHANGES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::RecordChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::dotterel::schema::RecordChange, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isUsage() const {
@@ -1706,51 +1865,60 @@
   return which() == HostMessage::USAGE;
 }
 inline bool HostMessage::Reader::hasUsage() const {
-  if (which() != HostMessage::USAGE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::USAGE)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasUsage() {
-  if (which() != HostMessage::USAGE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::USAGE)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::dotterel::schema::UsageSegment::Reader HostMessage::Reader::getUsage() const {
+inline ::dotterel::schema::UsageSegment::Reader
+HostMessage::Reader::getUsage() const {
   KJ_IREQUIRE((which() == HostMessage::USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterel::schema::UsageSegment::Builder HostMessage::Builder::getUsage() {
+inline ::dotterel::schema::UsageSegment::Builder
+HostMessage::Builder::getUsage() {
   KJ_IREQUIRE((which() == HostMessage::USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setUsage( ::dotterel::schema::UsageSegment::Reader value) {
+inline void
+HostMessage::Builder::setUsage(::dotterel::schema::UsageSegment::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::dotterel::schema::UsageSegment::Builder HostMessage::Builder::initUsage() {
+inline ::dotterel::schema::UsageSegment::Builder
+HostMessage::Builder::initUsage() {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void HostMessage::Builder::adoptUsage(
-    ::capnp::Orphan< ::dotterel::schema::UsageSegment>&& value) {
+    ::capnp::Orphan<::dotterel::schema::UsageSegment> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::USAGE);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+  ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterel::schema::UsageSegment> HostMessage::Builder::disownUsage() {
+inline ::capnp::Orphan<::dotterel::schema::UsageSegment>
+HostMessage::Builder::disownUsage() {
   KJ_IREQUIRE((which() == HostMessage::USAGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::UsageSegment>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::UsageSegment>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HostMessage::Reader::isCrashes() const {
