@@ -1760,1067 +1928,1368 @@
   return which() == HostMessage::CRASHES;
 }
 inline bool HostMessage::Reader::hasCrashes() const {
-  if (which() != HostMessage::CRASHES) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::CRASHES)
+    return false;
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool HostMessage::Builder::hasCrashes() {
-  if (which() != HostMessage::CRASHES) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  if (which() != HostMessage::CRASHES)
+    return false;
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::dotterel::schema::CrashReports::Reader HostMessage::Reader::getCrashes() const {
+inline ::dotterel::schema::CrashReports::Reader
+HostMessage::Reader::getCrashes() const {
   KJ_IREQUIRE((which() == HostMessage::CRASHES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterel::schema::CrashReports::Builder HostMessage::Builder::getCrashes() {
+inline ::dotterel::schema::CrashReports::Builder
+HostMessage::Builder::getCrashes() {
   KJ_IREQUIRE((which() == HostMessage::CRASHES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HostMessage::Builder::setCrashes( ::dotterel::schema::CrashReports::Reader value) {
+inline void HostMessage::Builder::setCrashes(
+    ::dotterel::schema::CrashReports::Reader value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+  ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::dotterel::schema::CrashReports::Builder HostMessage::Builder::initCrashes() {
+inline ::dotterel::schema::CrashReports::Builder
+HostMessage::Builder::initCrashes() {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void HostMessage::Builder::adoptCrashes(
-    ::capnp::Orphan< ::dotterel::schema::CrashReports>&& value) {
+    ::capnp::Orphan<::dotterel::schema::CrashReports> &&value) {
   _builder.setDataField<HostMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::CRASHES);
-  ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+  ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterel::schema::CrashReports> HostMessage::Builder::disownCrashes() {
+inline ::capnp::Orphan<::dotterel::schema::CrashReports>
+HostMessage::Builder::disownCrashes() {
   KJ_IREQUIRE((which() == HostMessage::CRASHES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::dotterel::schema::CrashReports>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::dotterel::schema::CrashReports>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool RecordChange::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool RecordChange::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader RecordChange::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RecordChange::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RecordChange::Builder::getKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void RecordChange::Builder::setKey(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+RecordChange::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
-inline void RecordChange::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+RecordChange::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordChange::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RecordChange::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool RecordChange::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Data::Reader RecordChange::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader RecordChange::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RecordChange::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder RecordChange::Builder::getValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setValue( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RecordChange::Builder::setValue(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Data::Builder RecordChange::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder
+RecordChange::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
 }
-inline void RecordChange::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+RecordChange::Builder::adoptValue(::capnp::Orphan<::capnp::Data> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RecordChange::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> RecordChange::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool RecordChange::Reader::getRemoved() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool RecordChange::Builder::getRemoved() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void RecordChange::Builder::setRemoved(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RecordChange::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Reader::getRevision() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RecordChange::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Builder::getRevision() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void RecordChange::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RecordChange::Builder::setRevision(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t RecordChange::Reader::getStoreEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Reader::getStoreEra() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RecordChange::Builder::getStoreEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Builder::getStoreEra() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void RecordChange::Builder::setStoreEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void RecordChange::Builder::setStoreEra(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t UsageSegment::Reader::getWindow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t UsageSegment::Reader::getWindow() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t UsageSegment::Builder::getWindow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t UsageSegment::Builder::getWindow() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void UsageSegment::Builder::setWindow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void UsageSegment::Builder::setWindow(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool UsageSegment::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool UsageSegment::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader UsageSegment::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader UsageSegment::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder UsageSegment::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder UsageSegment::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void UsageSegment::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void UsageSegment::Builder::setIncarnation(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder UsageSegment::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+UsageSegment::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void UsageSegment::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> UsageSegment::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text>
+UsageSegment::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t UsageSegment::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t UsageSegment::Reader::getNumber() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t UsageSegment::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t UsageSegment::Builder::getNumber() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void UsageSegment::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void UsageSegment::Builder::setNumber(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool UsageSegment::Reader::hasTotals() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool UsageSegment::Builder::hasTotals() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader UsageSegment::Reader::getTotals() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder UsageSegment::Builder::getTotals() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader UsageSegment::Reader::getTotals() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void UsageSegment::Builder::setTotals(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder UsageSegment::Builder::getTotals() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder
+UsageSegment::Builder::initTotals(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
 }
-inline void UsageSegment::Builder::setTotals( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void
+UsageSegment::Builder::adoptTotals(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline  ::capnp::Text::Builder UsageSegment::Builder::initTotals(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Orphan<::capnp::Text> UsageSegment::Builder::disownTotals() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void UsageSegment::Builder::adoptTotals(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool UsageSegment::Reader::getStored() const {
+  return _reader.getDataField<bool>(::capnp::bounded<128>() *
+                                    ::capnp::ELEMENTS);
+}
+
+inline bool UsageSegment::Builder::getStored() {
+  return _builder.getDataField<bool>(::capnp::bounded<128>() *
+                                     ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> UsageSegment::Builder::disownTotals() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void UsageSegment::Builder::setStored(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline ::uint64_t UsageSegment::Reader::getStoreEra() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t UsageSegment::Builder::getStoreEra() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void UsageSegment::Builder::setStoreEra(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool LoadSummary::Reader::getWholeDataCentre() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool LoadSummary::Builder::getWholeDataCentre() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void LoadSummary::Builder::setWholeDataCentre(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LoadSummary::Reader::hasEngines() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::Builder::hasEngines() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Reader LoadSummary::Reader::getEngines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::getEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::Builder::setEngines( ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::initEngines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                     ::capnp::Kind::STRUCT>::Reader
+LoadSummary::Reader::getEngines() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::getEngines() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setEngines(
+    ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::initEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+           size);
 }
 inline void LoadSummary::Builder::adoptEngines(
-    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>> LoadSummary::Builder::disownEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::EngineLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::EngineLoad,
+                                  ::capnp::Kind::STRUCT>> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<
+    ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>
+LoadSummary::Builder::disownEngines() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::EngineLoad, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::Reader::hasReads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::Builder::hasReads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Reader LoadSummary::Reader::getReads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::getReads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::Builder::setReads( ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::initReads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                     ::capnp::Kind::STRUCT>::Reader
+LoadSummary::Reader::getReads() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::getReads() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setReads(
+    ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::initReads(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+           size);
 }
 inline void LoadSummary::Builder::adoptReads(
-    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>> LoadSummary::Builder::disownReads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::PromptRead,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::PromptRead,
+                                  ::capnp::Kind::STRUCT>> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<
+    ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>
+LoadSummary::Builder::disownReads() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::PromptRead, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline float LoadSummary::Reader::getPrefillTokensPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline float LoadSummary::Builder::getPrefillTokensPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<float>(::capnp::bounded<1>() *
+                                      ::capnp::ELEMENTS);
 }
 inline void LoadSummary::Builder::setPrefillTokensPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                               value);
 }
 
 inline bool LoadSummary::Reader::hasRateLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::Builder::hasRateLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader LoadSummary::Reader::getRateLimits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::getRateLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::Builder::setRateLimits( ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::initRateLimits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                     ::capnp::Kind::STRUCT>::Reader
+LoadSummary::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setRateLimits(
+    ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+           size);
 }
 inline void LoadSummary::Builder::adoptRateLimits(
-    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>> LoadSummary::Builder::disownRateLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                                  ::capnp::Kind::STRUCT>> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::RateLimit,
+                                     ::capnp::Kind::STRUCT>>
+LoadSummary::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::RateLimit, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::Reader::hasDistributor() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::Builder::hasDistributor() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader LoadSummary::Reader::getDistributor() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader LoadSummary::Reader::getDistributor() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LoadSummary::Builder::getDistributor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder LoadSummary::Builder::getDistributor() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void LoadSummary::Builder::setDistributor( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void LoadSummary::Builder::setDistributor(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder LoadSummary::Builder::initDistributor(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+LoadSummary::Builder::initDistributor(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      size);
 }
-inline void LoadSummary::Builder::adoptDistributor(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+LoadSummary::Builder::adoptDistributor(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LoadSummary::Builder::disownDistributor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text>
+LoadSummary::Builder::disownDistributor() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::EngineLoad::Reader::hasEngine() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::EngineLoad::Builder::hasEngine() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoadSummary::EngineLoad::Reader::getEngine() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoadSummary::EngineLoad::Builder::getEngine() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::EngineLoad::Builder::setEngine( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoadSummary::EngineLoad::Builder::initEngine(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader
+LoadSummary::EngineLoad::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LoadSummary::EngineLoad::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+LoadSummary::EngineLoad::Builder::setEngine(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder
+LoadSummary::EngineLoad::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void LoadSummary::EngineLoad::Builder::adoptEngine(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LoadSummary::EngineLoad::Builder::disownEngine() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text>
+LoadSummary::EngineLoad::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline float LoadSummary::EngineLoad::Reader::getRequests() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline float LoadSummary::EngineLoad::Builder::getRequests() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<float>(::capnp::bounded<0>() *
+                                      ::capnp::ELEMENTS);
 }
 inline void LoadSummary::EngineLoad::Builder::setRequests(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<float>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                               value);
 }
 
 inline float LoadSummary::EngineLoad::Reader::getUnreadTokens() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline float LoadSummary::EngineLoad::Builder::getUnreadTokens() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<float>(::capnp::bounded<1>() *
+                                      ::capnp::ELEMENTS);
 }
 inline void LoadSummary::EngineLoad::Builder::setUnreadTokens(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                               value);
 }
 
 inline bool LoadSummary::PromptRead::Reader::hasEngine() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::PromptRead::Builder::hasEngine() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoadSummary::PromptRead::Reader::getEngine() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoadSummary::PromptRead::Builder::getEngine() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::PromptRead::Builder::setEngine( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoadSummary::PromptRead::Builder::initEngine(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader
+LoadSummary::PromptRead::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LoadSummary::PromptRead::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+LoadSummary::PromptRead::Builder::setEngine(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder
+LoadSummary::PromptRead::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void LoadSummary::PromptRead::Builder::adoptEngine(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LoadSummary::PromptRead::Builder::disownEngine() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text>
+LoadSummary::PromptRead::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::PromptRead::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::PromptRead::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Reader LoadSummary::PromptRead::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Builder LoadSummary::PromptRead::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::PromptRead::Builder::setParts( ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>::Builder LoadSummary::PromptRead::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                     ::capnp::Kind::STRUCT>::Reader
+LoadSummary::PromptRead::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::PromptRead::Builder::getParts() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::PromptRead::Builder::setParts(
+    ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::dotterel::schema::LoadSummary::Part,
+                     ::capnp::Kind::STRUCT>::Builder
+LoadSummary::PromptRead::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+           size);
 }
 inline void LoadSummary::PromptRead::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>> LoadSummary::PromptRead::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::Part,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::dotterel::schema::LoadSummary::Part,
+                                  ::capnp::Kind::STRUCT>> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>
+LoadSummary::PromptRead::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::dotterel::schema::LoadSummary::Part, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::Part::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::Part::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader LoadSummary::Part::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader LoadSummary::Part::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder LoadSummary::Part::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder LoadSummary::Part::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LoadSummary::Part::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void LoadSummary::Part::Builder::setId(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder LoadSummary::Part::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder
+LoadSummary::Part::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
-inline void LoadSummary::Part::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+LoadSummary::Part::Builder::adoptId(::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LoadSummary::Part::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> LoadSummary::Part::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t LoadSummary::Part::Reader::getTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t LoadSummary::Part::Reader::getTokens() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LoadSummary::Part::Builder::getTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t LoadSummary::Part::Builder::getTokens() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void LoadSummary::Part::Builder::setTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LoadSummary::Part::Builder::setTokens(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool LoadSummary::RateLimit::Reader::hasBackend() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool LoadSummary::RateLimit::Builder::hasBackend() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoadSummary::RateLimit::Reader::getBackend() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoadSummary::RateLimit::Builder::getBackend() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadSummary::RateLimit::Builder::setBackend( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoadSummary::RateLimit::Builder::initBackend(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader
+LoadSummary::RateLimit::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder LoadSummary::RateLimit::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+LoadSummary::RateLimit::Builder::setBackend(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder
+LoadSummary::RateLimit::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void LoadSummary::RateLimit::Builder::adoptBackend(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> LoadSummary::RateLimit::Builder::disownBackend() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text>
+LoadSummary::RateLimit::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool LoadSummary::RateLimit::Reader::getLimited() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool LoadSummary::RateLimit::Builder::getLimited() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void LoadSummary::RateLimit::Builder::setLimited(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline double LoadSummary::RateLimit::Reader::getPerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(::capnp::bounded<1>() *
+                                      ::capnp::ELEMENTS);
 }
 
 inline double LoadSummary::RateLimit::Builder::getPerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(::capnp::bounded<1>() *
+                                       ::capnp::ELEMENTS);
 }
 inline void LoadSummary::RateLimit::Builder::setPerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                value);
 }
 
-inline  ::uint32_t LoadSummary::RateLimit::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t LoadSummary::RateLimit::Reader::getAgeMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LoadSummary::RateLimit::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t LoadSummary::RateLimit::Builder::getAgeMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void LoadSummary::RateLimit::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void LoadSummary::RateLimit::Builder::setAgeMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Question::Reader::getSentAt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Question::Reader::getSentAt() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Question::Builder::getSentAt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Question::Builder::getSentAt() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Question::Builder::setSentAt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Question::Builder::setSentAt(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Reply::Reader::getSentAt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getSentAt() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getSentAt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getSentAt() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setSentAt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setSentAt(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Reply::Reader::getEvidenceAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Reader::getEvidenceAgeMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Reply::Builder::getEvidenceAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Reply::Builder::getEvidenceAgeMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setEvidenceAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setEvidenceAgeMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Reply::Reader::getConfigRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getConfigRevision() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getConfigRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getConfigRevision() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setConfigRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setConfigRevision(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Reply::Reader::getBackendsDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getBackendsDigest() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getBackendsDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getBackendsDigest() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setBackendsDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setBackendsDigest(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Reply::Reader::getStoreEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Reader::getStoreEra() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Reply::Builder::getStoreEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Reply::Builder::getStoreEra() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Reply::Builder::setStoreEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Reply::Builder::setStoreEra(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool CrashReports::Reader::hasBackends() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasBackends() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashReports::Reader::getBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReports::Builder::getBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setBackends( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setBackends(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReports::Builder::initBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+CrashReports::Reader::getBackends() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+CrashReports::Builder::getBackends() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setBackends(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline void CrashReports::Builder::setBackends(
+    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+CrashReports::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptBackends(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+        &&value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashReports::Builder::disownBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+CrashReports::Builder::disownBackends() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasDigests() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasDigests() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getDigests() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getDigests() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setDigests(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setDigests(::kj::ArrayPtr<const ::uint64_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initDigests(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptDigests(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownDigests() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasReleases() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasReleases() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getReleases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setReleases(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initReleases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getReleases() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getReleases() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setReleases(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setReleases(::kj::ArrayPtr<const ::uint64_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initReleases(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptReleases(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownReleases() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasLostAlone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasLostAlone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLostAlone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLostAlone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setLostAlone( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setLostAlone(::kj::ArrayPtr<const bool> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLostAlone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getLostAlone() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getLostAlone() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLostAlone(
+    ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::
+      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setLostAlone(::kj::ArrayPtr<const bool> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::
+      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<bool, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initLostAlone(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptLostAlone(
-    ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>> &&value) {
+  ::capnp::_::PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLostAlone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownLostAlone() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<bool, ::capnp::Kind::PRIMITIVE>>::disown(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasLossCounts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasLossCounts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLossCounts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLossCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setLossCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setLossCounts(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLossCounts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getLossCounts() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getLossCounts() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLossCounts(
+    ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setLossCounts(::kj::ArrayPtr<const ::uint16_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initLossCounts(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptLossCounts(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLossCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownLossCounts() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasLossBackends() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasLossBackends() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getLossBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getLossBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setLossBackends( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setLossBackends(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initLossBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getLossBackends() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getLossBackends() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setLossBackends(
+    ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setLossBackends(::kj::ArrayPtr<const ::uint16_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initLossBackends(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptLossBackends(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownLossBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownLossBackends() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasMsSinceSent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasMsSinceSent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getMsSinceSent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getMsSinceSent() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setMsSinceSent( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setMsSinceSent(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initMsSinceSent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getMsSinceSent() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getMsSinceSent() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setMsSinceSent(
+    ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setMsSinceSent(::kj::ArrayPtr<const ::uint32_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initMsSinceSent(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptMsSinceSent(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownMsSinceSent() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownMsSinceSent() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool CrashReports::Reader::hasMsSinceLost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool CrashReports::Builder::hasMsSinceLost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReports::Reader::getMsSinceLost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::getMsSinceLost() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void CrashReports::Builder::setMsSinceLost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline void CrashReports::Builder::setMsSinceLost(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReports::Builder::initMsSinceLost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+CrashReports::Reader::getMsSinceLost() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::getMsSinceLost() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void CrashReports::Builder::setMsSinceLost(
+    ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+          value);
+}
+inline void
+CrashReports::Builder::setMsSinceLost(::kj::ArrayPtr<const ::uint32_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+CrashReports::Builder::initMsSinceLost(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+          size);
 }
 inline void CrashReports::Builder::adoptMsSinceLost(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+        &&value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashReports::Builder::disownMsSinceLost() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+CrashReports::Builder::disownMsSinceLost() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+} // namespace schema
+} // namespace dotterel
 
 CAPNP_END_HEADER
-
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -162,7 +162,7 @@
           m_Time, Dependencies.m_Store, Dependencies.m_Datagrams, m_Random,
           m_Hosts,
           {.m_Overdue = [this](Duration Age) { return m_Usage.overdue(Age); },
-           .m_OnStored =
+           .m_RecordStored =
                [this](const UsageSegment &Segment) {
                  return m_Usage.recordStored(Segment);
                }},
@@ -296,6 +296,9 @@
     else if (const auto *Segment =
                  std::get_if<UsageSegment>(&Message.m_Content))
       m_UsageRelay.receive(*Segment, Address);
+    else if (const auto *Stored =
+                 std::get_if<StoredSegment>(&Message.m_Content))
+      m_UsageRelay.receive(*Stored);
     else
       m_Relay.receive(Message, Address);
   } catch (const ProtocolError &Failure) {
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -151,6 +151,13 @@
   Target.setTotals(encodeTotals(Segment.m_Totals));
 }
 
+auto encodeStored(const StoredSegment &Stored,
+                  schema::UsageSegment::Builder Target) -> void {
+  encodeUsage(Stored.m_Segment, Target);
+  Target.setStored(true);
+  Target.setStoreEra(Stored.m_Era.number());
+}
+
 auto decodeUsage(schema::UsageSegment::Reader Source) -> UsageSegment {
   return {
       .m_Id = {.m_Window = WindowIndex{Source.getWindow()},
@@ -260,6 +267,8 @@
                                 Changes->m_Changes.size())));
   else if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
     encodeUsage(*Segment, Root.initUsage());
+  else if (const auto *Stored = std::get_if<StoredSegment>(&Message.m_Content))
+    encodeStored(*Stored, Root.initUsage());
   else
     encodeCrashes(std::get<CrashReports>(Message.m_Content),
                   Root.initCrashes());
@@ -293,7 +302,12 @@
       Message.m_Content = decodeChanges(Root.getChanges());
       break;
     case schema::HostMessage::USAGE:
-      Message.m_Content = decodeUsage(Root.getUsage());
+      if (Root.getUsage().getStored())
+        Message.m_Content =
+            StoredSegment{.m_Segment = decodeUsage(Root.getUsage()),
+                          .m_Era = StoreEra{Root.getUsage().getStoreEra()}};
+      else
+        Message.m_Content = decodeUsage(Root.getUsage());
       break;
     case schema::HostMessage::CRASHES:
       Message.m_Content = decodeCrashes(Root.getCrashes());
--- a/src/store/KeyspaceMirror.cpp
+++ b/src/store/KeyspaceMirror.cpp
@@ -152,10 +152,10 @@
     remove(Key, Read.m_Revision);
   m_Revision = std::max(m_Revision, Read.m_Revision);
   onCallSucceeded(SentAt);
-  scheduleStep(m_Watched ? m_Options.m_MinWatchInterval
-                         : m_Options.m_FirstWatchDelay.value_or(
-                               m_Options.m_MinWatchInterval),
-               &KeyspaceMirror::watch);
+  auto Delay = m_Options.m_MinWatchInterval;
+  if (!m_Watched)
+    Delay = std::min(Delay, m_Options.m_FirstWatchDelay.value_or(Delay));
+  scheduleStep(Delay, &KeyspaceMirror::watch);
 }
 
 auto KeyspaceMirror::watch() -> void {
--- a/src/usage/SegmentReplicas.cpp
+++ b/src/usage/SegmentReplicas.cpp
@@ -29,7 +29,7 @@
 auto SegmentReplicas::write(Replica &Item) -> void {
   Item.m_Writing = true;
   auto Id = Item.m_Segment.m_Id;
-  m_Writer.write(Item.m_Segment, [this, Id](const UsageTotals &) {
+  m_Writer.write(Item.m_Segment, [this, Id](const auto &) {
     m_Replicas.erase(Id);
     if (m_Replicas.empty() && m_OnDrained)
       std::exchange(m_OnDrained, nullptr)();
--- a/src/usage/SegmentWriter.cpp
+++ b/src/usage/SegmentWriter.cpp
@@ -29,10 +29,9 @@
 
 auto SegmentWriter::storeAgain() -> void {
   for (auto &Segment : std::exchange(m_Kept, {}))
-    writeToOwnWindow(
-        std::make_shared<Job>(Job{.m_Segment = std::move(Segment),
-                                  .m_Done = [](const UsageTotals &) {},
-                                  .m_Again = true}));
+    writeToOwnWindow(std::make_shared<Job>(Job{.m_Segment = std::move(Segment),
+                                               .m_Done = [](const auto &) {},
+                                               .m_Again = true}));
 }
 
 auto SegmentWriter::write(UsageSegment Segment, DoneCallback Done) -> void {
@@ -43,15 +42,23 @@
   writeToOwnWindow(Item);
 }
 
-auto SegmentWriter::recordStored(const SegmentId &Id, const UsageTotals &Totals)
-    -> void {
-  auto Found = m_Jobs.find({Id.m_Incarnation, Id.m_Number});
-  if (Found != m_Jobs.end())
-    finish(JobPtr(Found->second), Totals);
+auto SegmentWriter::recordStored(const UsageSegment &Stored) -> bool {
+  auto Found = m_Jobs.find({Stored.m_Id.m_Incarnation, Stored.m_Id.m_Number});
+  if (Found == m_Jobs.end())
+    return false;
+  auto Item = Found->second;
+  if (Item->m_Segment.m_Id != Stored.m_Id ||
+      !isPart(Stored.m_Totals, Item->m_Segment.m_Totals))
+    return false;
+  // A segment is stored again after a restore only if its own window lacks it,
+  // so that it may be kept both here and at the process that has written it.
+  keep(Stored);
+  finish(Item, Stored.m_Totals);
+  return true;
 }
 
-auto SegmentWriter::finish(const JobPtr &Item, const UsageTotals &Stored)
-    -> void {
+auto SegmentWriter::finish(const JobPtr &Item,
+                           const std::optional<UsageTotals> &Stored) -> void {
   if (std::exchange(Item->m_Ended, true))
     return;
   const auto &Id = Item->m_Segment.m_Id;
@@ -118,7 +125,7 @@
     logError("usage.given-up", {{"window", Id.m_Window},
                                 {"incarnation", Id.m_Incarnation},
                                 {"segment", Id.m_Number}});
-    finish(Item, Item->m_Segment.m_Totals);
+    finish(Item, std::nullopt);
     return;
   }
   // If the clock was set back, the current window may be the closed one.
--- a/src/usage/Usage.cpp
+++ b/src/usage/Usage.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 
+#include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
 
@@ -23,6 +24,16 @@
     Target[Key] += Figures;
 }
 
+auto isPart(const UsageTotals &Part, const UsageTotals &Whole) -> bool {
+  return std::all_of(Part.begin(), Part.end(), [&](const auto &Item) {
+    auto Found = Whole.find(Item.first);
+    return Found != Whole.end() &&
+           Item.second.m_Requests <= Found->second.m_Requests &&
+           Item.second.m_PrefillTokens <= Found->second.m_PrefillTokens &&
+           Item.second.m_DecodeTokens <= Found->second.m_DecodeTokens;
+  });
+}
+
 auto subtractTotals(const UsageTotals &Whole, const UsageTotals &Part)
     -> UsageTotals {
   auto Difference = UsageTotals();
--- a/src/usage/UsageRecorder.cpp
+++ b/src/usage/UsageRecorder.cpp
@@ -94,14 +94,16 @@
   auto Number = Segment.m_Id.m_Number;
   m_Writing[Number] = {.m_Segment = Segment, .m_EndedAt = m_Scheduler.now()};
   auto Totals = Segment.m_Totals;
-  m_Writer.write(
-      std::move(Segment), [this, Totals, Number](const UsageTotals &Stored) {
-        m_Writing.erase(Number);
-        // If another host has written an earlier copy of the segment, the
-        // counts missing from it are added to the open segment.
-        addTotals(m_OpenSegment.m_Totals, subtractTotals(Totals, Stored));
-        finishDrain();
-      });
+  m_Writer.write(std::move(Segment),
+                 [this, Totals, Number](const auto &Stored) {
+                   m_Writing.erase(Number);
+                   // If another host has written an earlier copy of the
+                   // segment, the counts missing from it are added to the open
+                   // segment.
+                   addTotals(m_OpenSegment.m_Totals,
+                             subtractTotals(Totals, Stored.value_or(Totals)));
+                   finishDrain();
+                 });
 }
 
 auto UsageRecorder::flushEndedWindow() -> void {
@@ -119,10 +121,7 @@
 }
 
 auto UsageRecorder::recordStored(const UsageSegment &Segment) -> bool {
-  if (Segment.m_Id.m_Incarnation != m_Incarnation)
-    return false;
-  m_Writer.recordStored(Segment.m_Id, Segment.m_Totals);
-  return true;
+  return m_Writer.recordStored(Segment);
 }
 
 auto UsageRecorder::finishDrain() -> void {
