--- a/include/dotterel/peers/UsageRelay.h
+++ b/include/dotterel/peers/UsageRelay.h
@@ -14,9 +14,12 @@
 #include "dotterel/peers/HostRegistry.h"
 #include "dotterel/usage/SegmentWriter.h"
 
+#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <optional>
-#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -37,35 +40,56 @@
   std::size_t m_MaxAcceptedSegments = 4096;
 };
 
+/// Access to the usage that this host records.
+struct UsageRelayHooks {
+  /// Returns the segments that the store has not confirmed for a time.
+  std::function<std::vector<UsageSegment>(Duration)> m_Overdue;
+  /// Records that the store holds a segment. Returns whether this host was
+  /// writing it.
+  std::function<bool(const UsageSegment &)> m_RecordStored;
+};
+
 /// Hands over the segments of this host and writes those of other hosts. A
 /// segment is stored once, regardless of which host writes it: see
-/// SegmentWriter.
+/// SegmentWriter. The host that has written a segment tells the host that
+/// recorded it. Such a statement is never answered, and counts only for the
+/// history of the store that it names.
 class UsageRelay {
 public:
-  /// Returns the segments that the store has not confirmed for a time.
-  using OverdueSegments = std::function<std::vector<UsageSegment>(Duration)>;
-
   UsageRelay(Scheduler &Scheduler, KeyValueStore &Store, DatagramPort &Port,
              Random &Random, const HostRegistry &Registry,
-             OverdueSegments OverdueSegments, const UsageRelayOptions &Options);
+             UsageRelayHooks Hooks, const UsageRelayOptions &Options);
 
   auto start() -> void;
 
-  /// Writes a segment of another host.
-  auto receive(const UsageSegment &Segment) -> void;
+  /// Writes a segment of another host, received from \p Address.
+  auto receive(const UsageSegment &Segment, const std::string &Address) -> void;
+
+  /// Records a segment of this host that another one has written.
+  auto receive(const StoredSegment &Stored) -> void;
 
 private:
   auto handOverOverdue() -> void;
+  auto send(decltype(HostMessage::m_Content) Content,
+            const std::string &Address) -> void;
+  auto sendStored(UsageSegment Segment, const std::string &Address) -> void;
+  auto accept(const UsageSegment &Segment, const std::string &Address) -> void;
 
+  KeyValueStore &m_Store;
   DatagramPort &m_Port;
   Scheduler &m_Scheduler;
   Random &m_Random;
   const HostRegistry &m_Registry;
-  OverdueSegments m_OverdueSegments;
+  UsageRelayHooks m_Hooks;
   UsageRelayOptions m_Options;
   SegmentWriter m_Writer;
-  std::set<std::pair<IncarnationId, std::uint64_t>> m_AcceptedSegments;
+  using SegmentKey = std::pair<IncarnationId, std::uint64_t>;
+  /// Segments of other hosts, with the totals that the store holds once they
+  /// are written.
+  std::map<SegmentKey, std::optional<UsageTotals>> m_AcceptedSegments;
+  std::deque<SegmentKey> m_AcceptedOrder; ///< Oldest first.
   std::optional<RepeatingTimer> m_Timer;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
 } // namespace dotterel
--- a/src/usage/SegmentWriter.cpp
+++ b/src/usage/SegmentWriter.cpp
@@ -29,15 +29,43 @@
 
 auto SegmentWriter::storeAgain() -> void {
   for (auto &Segment : std::exchange(m_Kept, {}))
-    writeToOwnWindow(
-        std::make_shared<Job>(Job{.m_Segment = std::move(Segment),
-                                  .m_Done = [](const UsageTotals &) {},
-                                  .m_Again = true}));
+    writeToOwnWindow(std::make_shared<Job>(Job{.m_Segment = std::move(Segment),
+                                               .m_Done = [](const auto &) {},
+                                               .m_Again = true}));
 }
 
 auto SegmentWriter::write(UsageSegment Segment, DoneCallback Done) -> void {
-  writeToOwnWindow(std::make_shared<Job>(
-      Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)}));
+  auto Item = std::make_shared<Job>(
+      Job{.m_Segment = std::move(Segment), .m_Done = std::move(Done)});
+  const auto &Id = Item->m_Segment.m_Id;
+  m_Jobs[{Id.m_Incarnation, Id.m_Number}] = Item;
+  writeToOwnWindow(Item);
+}
+
+auto SegmentWriter::recordStored(const UsageSegment &Stored) -> bool {
+  auto Found = m_Jobs.find({Stored.m_Id.m_Incarnation, Stored.m_Id.m_Number});
+  if (Found == m_Jobs.end())
+    return false;
+  auto Item = Found->second;
+  if (Item->m_Segment.m_Id != Stored.m_Id ||
+      !isPart(Stored.m_Totals, Item->m_Segment.m_Totals))
+    return false;
+  // A segment is stored again after a restore only if its own window lacks it,
+  // so that it may be kept both here and at the process that has written it.
+  keep(Stored);
+  finish(Item, Stored.m_Totals);
+  return true;
+}
+
+auto SegmentWriter::finish(const JobPtr &Item,
+                           const std::optional<UsageTotals> &Stored) -> void {
+  if (std::exchange(Item->m_Ended, true))
+    return;
+  const auto &Id = Item->m_Segment.m_Id;
+  auto Found = m_Jobs.find({Id.m_Incarnation, Id.m_Number});
+  if (Found != m_Jobs.end() && Found->second == Item)
+    m_Jobs.erase(Found);
+  Item->m_Done(Stored);
 }
 
 auto SegmentWriter::writeToOwnWindow(const JobPtr &Item) -> void {
@@ -50,7 +78,7 @@
        .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
   m_Store.commit(std::move(Transaction),
                  [this, Alive = m_Alive, Item](const auto &Reply) {
-                   if (!*Alive)
+                   if (!*Alive || Item->m_Ended)
                      return;
                    if (!Reply) {
                      retry(Item);
@@ -61,7 +89,7 @@
                      return;
                    }
                    keep(Item->m_Segment);
-                   Item->m_Done(Item->m_Segment.m_Totals);
+                   finish(Item, Item->m_Segment.m_Totals);
                  });
 }
 
@@ -69,7 +97,7 @@
   auto Key = segmentKey(Item->m_Segment.m_Id);
   m_Store.read(
       KeyRange::single(Key), [this, Alive = m_Alive, Item](const auto &Reply) {
-        if (!*Alive)
+        if (!*Alive || Item->m_Ended)
           return;
         if (!Reply) {
           retry(Item);
@@ -86,7 +114,7 @@
         auto Stored = Item->m_Segment;
         Stored.m_Totals = decodeTotals(Reply->m_Values.front().m_Value);
         keep(Stored);
-        Item->m_Done(Stored.m_Totals);
+        finish(Item, Stored.m_Totals);
       });
 }
 
@@ -97,7 +125,7 @@
     logError("usage.given-up", {{"window", Id.m_Window},
                                 {"incarnation", Id.m_Incarnation},
                                 {"segment", Id.m_Number}});
-    Item->m_Done(Item->m_Segment.m_Totals);
+    finish(Item, std::nullopt);
     return;
   }
   // If the clock was set back, the current window may be the closed one.
@@ -114,7 +142,7 @@
        .m_Value = encodeTotals(Item->m_Segment.m_Totals)});
   m_Store.commit(
       std::move(Transaction), [this, Alive = m_Alive, Item](const auto &Reply) {
-        if (!*Alive)
+        if (!*Alive || Item->m_Ended)
           return;
         if (!Reply) {
           retry(Item);
@@ -126,20 +154,20 @@
         }
         logInfo("usage.late", {{"window", Item->m_Segment.m_Id.m_Window},
                                {"segment", Item->m_Segment.m_Id.m_Number}});
-        Item->m_Done(Item->m_Segment.m_Totals);
+        finish(Item, Item->m_Segment.m_Totals);
       });
 }
 
 auto SegmentWriter::readMovedRecord(const JobPtr &Item) -> void {
   m_Store.read(KeyRange::single(movedKey(Item->m_Segment.m_Id)),
                [this, Alive = m_Alive, Item](const auto &Reply) {
-                 if (!*Alive)
+                 if (!*Alive || Item->m_Ended)
                    return;
                  if (!Reply || Reply->m_Values.empty()) {
                    retry(Item);
                    return;
                  }
-                 Item->m_Done(decodeTotals(Reply->m_Values.front().m_Value));
+                 finish(Item, decodeTotals(Reply->m_Values.front().m_Value));
                });
 }
 
@@ -150,7 +178,7 @@
                                       (std::int64_t{1} << Doublings),
                                   m_Options.m_MaxRetryDelay);
   m_Scheduler.schedule(Delay, [this, Alive = m_Alive, Item] {
-    if (*Alive)
+    if (*Alive && !Item->m_Ended)
       writeToOwnWindow(Item);
   });
 }
--- a/tests/fault-UsageRelay.cpp
+++ b/tests/fault-UsageRelay.cpp
@@ -32,13 +32,21 @@
                    const std::function<void(bool)> &Done) { Done(true); },
                 {.m_Writer = {.m_WindowLength = Length},
                  .m_FlushInterval = Length * 2}),
-        m_Relay(Scheduler, m_Store, m_Port, m_Random, m_Registry,
-                [this](Duration Age) { return m_Usage.overdue(Age); },
-                {.m_Writer = {.m_WindowLength = Length}}) {
-    m_Port.onReceive([this](const std::string &, std::string_view Bytes) {
+        m_Relay(
+            Scheduler, m_Store, m_Port, m_Random, m_Registry,
+            {.m_Overdue = [this](Duration Age) { return m_Usage.overdue(Age); },
+             .m_RecordStored =
+                 [this](const UsageSegment &Segment) {
+                   return m_Usage.recordStored(Segment);
+                 }},
+            {.m_Writer = {.m_WindowLength = Length}}) {
+    m_Port.onReceive([this](const std::string &Address,
+                            std::string_view Bytes) {
       auto Message = decodeHostMessage(Bytes);
       if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
-        m_Relay.receive(*Segment);
+        m_Relay.receive(*Segment, Address);
+      if (const auto *Stored = std::get_if<StoredSegment>(&Message.m_Content))
+        m_Relay.receive(*Stored);
     });
     m_Registry.start();
     m_Relay.start();
@@ -160,3 +168,88 @@
   CHECK(Test.m_Hosts[2]->m_Store.calls() - Calls ==
         Test.m_Hosts[3]->m_Store.calls() - Before);
 }
+
+// While the store turns a third of the hosts away, each of their segments was
+// handed to two more hosts every second, each of which wrote it and read it.
+TEST_CASE(
+    "usage relay: a host that the store turns away learns that its counts "
+    "are stored, and no further calls are made for them") {
+  auto Test = HostCluster();
+  auto &Cut = *Test.m_Hosts[0];
+  Cut.m_Store.setOutage(StoreFault::Refuse);
+  count(Cut);
+  Cut.m_Usage.flush();
+  Test.m_Scheduler.advance(Seconds(4));
+  CHECK(Test.counted() == Requests);
+  CHECK(Cut.m_Usage.unconfirmed() == 0);
+  // From now on each host makes as many calls as if nothing had happened.
+  auto Calm = HostCluster();
+  Calm.m_Scheduler.advance(Seconds(4));
+  auto CallsIn10s = [](HostCluster &Cluster, std::size_t Index) {
+    auto Before = Cluster.m_Hosts[Index]->m_Store.calls();
+    Cluster.m_Scheduler.advance(Seconds(10));
+    return Cluster.m_Hosts[Index]->m_Store.calls() - Before;
+  };
+  CHECK(CallsIn10s(Test, 1) <= CallsIn10s(Calm, 1));
+  CHECK(Test.counted() == Requests);
+}
+
+// A host that has restarted at the same address took the statement about a
+// segment of its predecessor for a handover, and answered it without end.
+TEST_CASE(
+    "usage relay: a statement about a segment of an earlier incarnation is "
+    "not answered") {
+  auto Test = HostCluster();
+  auto &Later = *Test.m_Hosts[0];
+  auto Segment =
+      UsageSegment{.m_Id = {.m_Window = WindowIndex{1},
+                            .m_Incarnation = IncarnationId{"earlier"},
+                            .m_Number = 1},
+                   .m_Totals = {{{.m_Organisation = Org}, {.m_Requests = 1}}}};
+  auto Before = Test.m_Wire.m_SentSizes.size();
+  Test.m_Hosts[1]->m_Relay.receive(Segment, Later.m_Port.address());
+  Test.m_Scheduler.advance(Seconds(3));
+  CHECK(Test.m_Wire.m_SentSizes.size() - Before == 1);
+}
+
+TEST_CASE(
+    "usage relay: a statement with other counts, or of another history of "
+    "the store, is not taken") {
+  auto Test = HostCluster();
+  auto &Cut = *Test.m_Hosts[0];
+  Cut.m_Store.setOutage(StoreFault::Refuse);
+  count(Cut);
+  Cut.m_Usage.flush();
+  auto Segment = Cut.m_Usage.overdue(Duration::zero()).front();
+  auto Era = Cut.m_Store.history().era();
+  auto Larger = Segment;
+  Larger.m_Totals.begin()->second.m_Requests += 1;
+  Cut.m_Relay.receive(StoredSegment{.m_Segment = Larger, .m_Era = Era});
+  CHECK(Cut.m_Usage.unconfirmed() == 1);
+  Cut.m_Relay.receive(
+      StoredSegment{.m_Segment = Segment, .m_Era = StoreEra{Era.number() + 1}});
+  CHECK(Cut.m_Usage.unconfirmed() == 1);
+  Cut.m_Relay.receive(StoredSegment{.m_Segment = Segment, .m_Era = Era});
+  CHECK(Cut.m_Usage.unconfirmed() == 0);
+}
+
+TEST_CASE("usage relay: a host that missed a confirmation gets another one") {
+  auto Test = HostCluster();
+  auto &Cut = *Test.m_Hosts[0];
+  Cut.m_Store.setOutage(StoreFault::Refuse);
+  count(Cut);
+  Cut.m_Usage.flush();
+  auto Segment = Cut.m_Usage.overdue(Duration::zero()).front();
+  auto Answers = std::vector<std::string>();
+  auto Lost = DatagramNetwork::Port(Test.m_Wire, "lost");
+  Lost.onReceive([&](const std::string &, std::string_view Bytes) {
+    Answers.emplace_back(Bytes);
+  });
+  Test.m_Hosts[1]->m_Relay.receive(Segment, Lost.address());
+  Test.m_Scheduler.advance(Seconds(1));
+  Test.m_Hosts[1]->m_Relay.receive(Segment, Cut.m_Port.address());
+  Test.m_Scheduler.advance(Milliseconds(100));
+  CHECK(Answers.size() == 1);
+  CHECK(Cut.m_Usage.unconfirmed() == 0);
+  CHECK(Test.counted() == Requests);
+}
