Speed of each server: read the work factor, learn lasting speeds, share both

Ruled out: one moving average of the time of requests, which cannot tell a noisy neighbour from a slow machine, and queueing from either; each host for itself, since a host sees a response of one engine every few seconds only.

Load digests carry unusual factors and new measurements; a digest without them is as before.

Nothing uses the estimate yet.

--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dotterel {
 
@@ -88,6 +89,13 @@
     double m_Demand = 0;
   };
 
+  struct UnsentSpeed {
+    MonotonicTime m_ReceivedAt;
+    SpeedReport m_Report;
+  };
+
+  /// Adds what \p Loads, received now, reports for other data centres.
+  auto keepForOthers(const LoadSummary &Loads) -> void;
   auto sendLocal() -> void;
   auto sendRemote() -> void;
   auto sendToLocalHosts(std::string_view Bytes) -> void;
@@ -112,6 +120,8 @@
   LoadSummary m_OwnLoads;
   MonotonicTime m_OwnLoadsAt;            ///< When m_OwnLoads was collected.
   std::vector<PromptRead> m_UnsentReads; ///< To be sent to other data centres.
+  /// To be sent to other data centres.
+  std::map<BackendId, UnsentSpeed> m_UnsentSpeeds;
   std::optional<RepeatingTimer> m_LocalTimer;
   std::optional<RepeatingTimer> m_RemoteTimer;
 };
--- a/include/dotterel/serving/BackendLoad.h
+++ b/include/dotterel/serving/BackendLoad.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_SERVING_BACKENDLOAD_H
 
 #include "dotterel/routing/ServerRateLimits.h"
+#include "dotterel/routing/ServerSpeeds.h"
 #include "dotterel/serving/CallerExchange.h"
 
 #include <vector>
@@ -42,6 +43,8 @@
   std::vector<PromptRead> m_Reads;
   /// Request rates that servers have recently stated to the sender's hosts.
   std::vector<RateLimitReport> m_RateLimits;
+  /// What the sender's hosts have recently learnt about the servers' speeds.
+  std::vector<SpeedReport> m_Speeds;
 };
 
 } // namespace dotterel
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -61,6 +61,9 @@
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
   std::uint32_t m_Slots = 0;
+  /// How many times as long as usual work takes at the server now. Empty if the
+  /// server does not state it.
+  std::optional<double> m_WorkFactor;
 };
 
 /// What a server reports about itself with a response.
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -42,6 +42,7 @@
   prefillTokensPerSecond @3 :Float32;
   rateLimits @4 :List(RateLimit);
   distributor @5 :Text;  # host that distributes it in the receiving data centre
+  speeds @6 :List(ServerSpeed);
 
   struct EngineLoad {
     engine @0 :Text;
@@ -60,6 +61,15 @@
     tokens @1 :UInt32;
   }
 
+  # What hosts have learnt about the speed of a server.
+  struct ServerSpeed {
+    backend @0 :Text;
+    factor @1 :Float32;  # 0: not stated
+    ageMs @2 :UInt32;  # since the response that stated the factor arrived
+    deviationSum @3 :Float32;  # since the sender's previous message
+    measurements @4 :UInt16;
+  }
+
   # What a response of a server stated about its request rate.
   struct RateLimit {
     backend @0 :Text;
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(adbb1ab576a33d54);
 CAPNP_DECLARE_SCHEMA(c448cf29b7a33d18);
 CAPNP_DECLARE_SCHEMA(caad8f8abe8fbdc1);
+CAPNP_DECLARE_SCHEMA(845b436847edf902);
 CAPNP_DECLARE_SCHEMA(a1422d732847a32d);
 CAPNP_DECLARE_SCHEMA(a0a65383703625f5);
 CAPNP_DECLARE_SCHEMA(f955f3c4e04af797);
@@ -99,10 +100,11 @@
   struct EngineLoad;
   struct PromptRead;
   struct Part;
+  struct ServerSpeed;
   struct RateLimit;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,6 +156,21 @@
   };
 };
 
+struct LoadSummary::ServerSpeed {
+  ServerSpeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(845b436847edf902, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadSummary::RateLimit {
   RateLimit() = delete;
 
@@ -621,6 +638,9 @@
   inline bool hasDistributor() const;
   inline  ::capnp::Text::Reader getDistributor() const;
 
+  inline bool hasSpeeds() const;
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -683,6 +703,13 @@
   inline void adoptDistributor(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDistributor();
 
+  inline bool hasSpeeds();
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Builder getSpeeds();
+  inline void setSpeeds( ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Builder initSpeeds(unsigned int size);
+  inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>> disownSpeeds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -977,6 +1004,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadSummary::ServerSpeed::Reader {
+public:
+  typedef ServerSpeed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend() const;
+  inline  ::capnp::Text::Reader getBackend() const;
+
+  inline float getFactor() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline float getDeviationSum() const;
+
+  inline  ::uint16_t getMeasurements() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadSummary::ServerSpeed::Builder {
+public:
+  typedef ServerSpeed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBackend();
+  inline  ::capnp::Text::Builder getBackend();
+  inline void setBackend( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBackend(unsigned int size);
+  inline void adoptBackend(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBackend();
+
+  inline float getFactor();
+  inline void setFactor(float value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline float getDeviationSum();
+  inline void setDeviationSum(float value);
+
+  inline  ::uint16_t getMeasurements();
+  inline void setMeasurements( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadSummary::ServerSpeed::Pipeline {
+public:
+  typedef ServerSpeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadSummary::RateLimit::Reader {
 public:
   typedef RateLimit Reads;
@@ -2177,6 +2305,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool LoadSummary::Reader::hasSpeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::Builder::hasSpeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Reader LoadSummary::Reader::getSpeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::getSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::Builder::setSpeeds( ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Builder LoadSummary::Builder::initSpeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::Builder::adoptSpeeds(
+    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>> LoadSummary::Builder::disownSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool LoadSummary::EngineLoad::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2355,6 +2517,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadSummary::ServerSpeed::Reader::hasBackend() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSummary::ServerSpeed::Builder::hasBackend() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadSummary::ServerSpeed::Reader::getBackend() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadSummary::ServerSpeed::Builder::getBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSummary::ServerSpeed::Builder::setBackend( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadSummary::ServerSpeed::Builder::initBackend(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSummary::ServerSpeed::Builder::adoptBackend(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadSummary::ServerSpeed::Builder::disownBackend() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float LoadSummary::ServerSpeed::Reader::getFactor() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float LoadSummary::ServerSpeed::Builder::getFactor() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::ServerSpeed::Builder::setFactor(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadSummary::ServerSpeed::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSummary::ServerSpeed::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::ServerSpeed::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float LoadSummary::ServerSpeed::Reader::getDeviationSum() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float LoadSummary::ServerSpeed::Builder::getDeviationSum() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::ServerSpeed::Builder::setDeviationSum(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t LoadSummary::ServerSpeed::Reader::getMeasurements() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadSummary::ServerSpeed::Builder::getMeasurements() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::ServerSpeed::Builder::setMeasurements( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadSummary::RateLimit::Reader::hasBackend() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <limits>
@@ -24,6 +25,34 @@
     detail::encodeRateLimit(Report, List[Index++]);
 }
 
+auto encodeSpeeds(const std::vector<SpeedReport> &Reports,
+                  schema::LoadSummary::Builder Target) -> void {
+  auto List = Target.initSpeeds(static_cast<unsigned>(Reports.size()));
+  auto Index = 0U;
+  for (const auto &Report : Reports) {
+    auto Entry = List[Index++];
+    Entry.setBackend(Report.m_Backend.text());
+    Entry.setFactor(static_cast<float>(Report.m_Factor.value_or(0)));
+    Entry.setAgeMs(static_cast<std::uint32_t>(toMilliseconds(Report.m_Age)));
+    Entry.setDeviationSum(static_cast<float>(Report.m_DeviationSum));
+    Entry.setMeasurements(static_cast<std::uint16_t>(std::min<std::uint32_t>(
+        Report.m_Measurements, std::numeric_limits<std::uint16_t>::max())));
+  }
+}
+
+auto decodeSpeed(schema::LoadSummary::ServerSpeed::Reader Source)
+    -> SpeedReport {
+  auto Report = SpeedReport{.m_Backend = BackendId{Source.getBackend().cStr()},
+                            .m_Age = Milliseconds(Source.getAgeMs()),
+                            .m_DeviationSum = Source.getDeviationSum(),
+                            .m_Measurements = Source.getMeasurements()};
+  if (Source.getFactor() > 0 && std::isfinite(Source.getFactor()))
+    Report.m_Factor = Source.getFactor();
+  if (!std::isfinite(Report.m_DeviationSum))
+    Report.m_Measurements = 0;
+  return Report;
+}
+
 auto encodeLoads(const LoadSummary &Loads, schema::LoadSummary::Builder Target)
     -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
@@ -40,6 +69,7 @@
     Entry.setUnreadTokens(static_cast<float>(Item.m_PendingPrefillTokens));
   }
   encodeRateLimits(Loads.m_RateLimits, Target);
+  encodeSpeeds(Loads.m_Speeds, Target);
   auto Reads = Target.initReads(static_cast<unsigned>(Loads.m_Reads.size()));
   Index = 0;
   for (const auto &Item : Loads.m_Reads) {
@@ -74,6 +104,8 @@
   }
   for (auto Item : Source.getRateLimits())
     Loads.m_RateLimits.push_back(detail::decodeRateLimit(Item));
+  for (auto Item : Source.getSpeeds())
+    Loads.m_Speeds.push_back(decodeSpeed(Item));
   return Loads;
 }
 
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -58,11 +58,28 @@
                             .m_Content = std::move(Loads)});
 }
 
+auto LoadExchange::keepForOthers(const LoadSummary &Loads) -> void {
+  m_UnsentReads.insert(m_UnsentReads.end(), Loads.m_Reads.begin(),
+                       Loads.m_Reads.end());
+  auto Now = m_Scheduler.now();
+  for (const auto &Report : Loads.m_Speeds) {
+    auto &[ReceivedAt, Sum] = m_UnsentSpeeds[Report.m_Backend];
+    Sum.m_Backend = Report.m_Backend;
+    Sum.m_DeviationSum += Report.m_DeviationSum;
+    Sum.m_Measurements += Report.m_Measurements;
+    if (!Report.m_Factor ||
+        (Sum.m_Factor && Now - Report.m_Age < ReceivedAt - Sum.m_Age))
+      continue;
+    Sum.m_Factor = Report.m_Factor;
+    Sum.m_Age = Report.m_Age;
+    ReceivedAt = Now;
+  }
+}
+
 auto LoadExchange::sendLocal() -> void {
   m_OwnLoads = m_Source();
   m_OwnLoadsAt = m_Scheduler.now();
-  m_UnsentReads.insert(m_UnsentReads.end(), m_OwnLoads.m_Reads.begin(),
-                       m_OwnLoads.m_Reads.end());
+  keepForOthers(m_OwnLoads);
   sendToLocalHosts(message(m_OwnLoads));
 }
 
@@ -83,6 +100,7 @@
 
 auto LoadExchange::sendRemote() -> void {
   auto Reads = std::exchange(m_UnsentReads, {});
+  auto Speeds = std::exchange(m_UnsentSpeeds, {});
   if (!isRelay())
     return;
   auto Now = m_Scheduler.now();
@@ -105,6 +123,11 @@
     Total.m_Engines.push_back(std::move(Load));
   for (auto &[Backend, Report] : RateLimits)
     Total.m_RateLimits.push_back(std::move(Report));
+  for (auto &[Backend, Speed] : Speeds) {
+    if (Speed.m_Report.m_Factor)
+      Speed.m_Report.m_Age += Now - Speed.m_ReceivedAt;
+    Total.m_Speeds.push_back(std::move(Speed.m_Report));
+  }
   auto Bytes = message(std::move(Total));
   for (const auto &Address : chooseRemoteTargets())
     m_Port.send(Address, Bytes);
@@ -203,8 +226,7 @@
       return;
     m_LocalLoads[Message.m_Sender] = {.m_ReceivedAt = m_Scheduler.now(),
                                       .m_Loads = *Loads};
-    m_UnsentReads.insert(m_UnsentReads.end(), Loads->m_Reads.begin(),
-                         Loads->m_Reads.end());
+    keepForOthers(*Loads);
     m_Sink(Message.m_Sender.text(), *Loads);
     return;
   }
