Use each server's speed in placement, plain choice and activity time-outs

Ruled out: scaling the distance or the handover with the speed; an activity time-out that gets shorter for quick servers, whose silence says no more than that of usual ones.

Change: queues, new tokens, running requests and the first step take the server's slowdown; plain services weigh it also while idle. Attempts are measured by kind of work and distance where the time depends on the server: prefill and first event behind a short queue, responses of plain services that did not wait. A log line's attempt names the slowdown if it isn't 1.

--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -27,6 +27,9 @@
   Duration m_RemotePenalty = Milliseconds(180);
   /// Delay that each running request adds to the next token of an engine.
   Duration m_DelayPerRequest = std::chrono::microseconds(1500);
+  /// Time from the end of the prefill to the first event at an idle engine of
+  /// usual speed.
+  Duration m_FirstStepTime = Milliseconds(25);
   /// Share of a part's tokens that counts as cost at the part's home engine if
   /// this host has not had the part prefilled there: other hosts most likely
   /// have.
@@ -50,6 +53,9 @@
   std::string m_FetchFrom;
   double m_NewTokens = 0;                ///< Tokens expected to be prefilled.
   Duration m_Estimate = Duration::max(); ///< Expected time to the first event.
+  /// Expected time of the first attempt at an engine of usual speed, without
+  /// the distance; zero if it depends mostly on other requests.
+  Duration m_UsualTime{};
 
   [[nodiscard]] auto possible() const -> bool {
     return m_Prefill != nullptr || m_Serve != nullptr;
--- a/include/dotterel/serving/LoadTracker.h
+++ b/include/dotterel/serving/LoadTracker.h
@@ -53,9 +53,10 @@
   /// Records that the server has sent data.
   auto recordActivity(const BackendId &Backend, MonotonicTime Now) -> void;
   /// Returns whether the server has requests of this host and has sent nothing
-  /// for longer than the timeout.
-  [[nodiscard]] auto unresponsive(const BackendId &Backend,
-                                  MonotonicTime Now) const -> bool;
+  /// for longer than the timeout, which is extended if work takes \p Slowdown
+  /// times as long there as usual.
+  [[nodiscard]] auto unresponsive(const BackendId &Backend, MonotonicTime Now,
+                                  double Slowdown = 1) const -> bool;
   /// Records that the prompt of an attempt has been prefilled.
   auto prefillDone(const BackendId &Backend, double PrefillTokens) -> void;
   auto endAttempt(const BackendId &Backend) -> void;
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -67,6 +67,7 @@
   const Distance &m_Distance;
   PartCaches &m_Caches;
   PrefillSpeed &m_Speed;
+  ServerSpeeds &m_Speeds;
   RetryWindow &m_Retries;
   ServerRateLimits &m_RateLimits;
   ServerAccess &m_Access;
@@ -88,6 +89,7 @@
             .m_Loads = m_Loads,
             .m_Health = m_Health,
             .m_Access = m_Access,
+            .m_Speeds = m_Speeds,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -152,6 +154,10 @@
     bool m_FetchedParts = false;
     bool m_Begun = false; ///< Whether a streamed response has begun.
     MonotonicTime m_StartedAt;
+    /// Expected time at a server of usual speed; zero if it is not known.
+    Duration m_UsualTime{};
+    /// Slowdown of the server that the choice was based on.
+    double m_Slowdown = 1;
     /// KV cache that the server was asked to fetch.
     std::optional<CacheHandle> m_Cache;
   };
@@ -164,7 +170,7 @@
   /// the request, unless that takes too long. \returns whether it waits.
   auto waitForDecodeEngine() -> bool;
   auto send(const BackendRecord &Target, AttemptPurpose Purpose, double Tokens,
-            const std::string &FetchFrom) -> void;
+            const std::string &FetchFrom, Duration UsualTime = {}) -> void;
   /// Returns the permission to send to \p Target.
   [[nodiscard]] auto admit(const BackendRecord &Target, AttemptPurpose Purpose)
       -> SendDecision;
@@ -179,6 +185,9 @@
   /// limit: it is about that server, and has just been sent.
   auto recordReport(const Attempt &Source, const ServerReport &Report,
                     bool StatesRateLimit) -> void;
+  /// Compares the time that work of \p Done has taken with that at other
+  /// servers.
+  auto recordWork(const Attempt &Done) -> void;
   /// Records what a response to \p Source states about whether its server takes
   /// requests. \param FromAddress whether only the address of the server is
   /// certain, since it is not the one that was expected there.
--- a/include/dotterel/serving/ServerChoice.h
+++ b/include/dotterel/serving/ServerChoice.h
@@ -10,6 +10,7 @@
 #include "dotterel/base/Random.h"
 #include "dotterel/routing/OutlierDetector.h"
 #include "dotterel/routing/ServerAccess.h"
+#include "dotterel/routing/ServerSpeeds.h"
 #include "dotterel/serving/BackendDirectory.h"
 #include "dotterel/serving/Distance.h"
 #include "dotterel/serving/LoadTracker.h"
@@ -27,6 +28,7 @@
   const LoadTracker &m_Loads;
   const OutlierDetector &m_Health;
   const ServerAccess &m_Access;
+  const ServerSpeeds &m_Speeds;
   const Distance &m_Distance;
   Random &m_Random;
 };
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -31,6 +31,7 @@
   OutlierOptions m_Outliers;
   LoadTrackerOptions m_Loads;
   PrefillSpeedOptions m_Speed;
+  ServerSpeedOptions m_Speeds;
   CrashMonitorOptions m_Crashes;
   ServerChoiceOptions m_ServerChoice;
   EnginePlacementOptions m_Placement;
@@ -90,6 +91,7 @@
   [[nodiscard]] auto prefillSpeed() const -> const PrefillSpeed & {
     return m_Speed;
   }
+  [[nodiscard]] auto speeds() const -> const ServerSpeeds & { return m_Speeds; }
   [[nodiscard]] auto shutdown() const -> const ShutdownAdmission & {
     return m_Shutdown;
   }
@@ -114,6 +116,7 @@
   OutlierDetector m_Health;
   PartCaches m_Caches;
   PrefillSpeed m_Speed;
+  ServerSpeeds m_Speeds;
   RetryWindow m_Retries;
   ServerAccess m_Access;
   CrashMonitor m_Crashes;
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -156,7 +156,11 @@
     auto Estimate = estimatePrefill(*Engine, Home, Source, Caches, Prompt);
     auto Rate = OnPrefillEngine ? Speed.prefillEngineTokensPerMs()
                                 : Speed.decodeEngineTokensPerMs();
+    auto Slowdown = View.m_Speeds.slowdown(Engine->m_Id, Now);
+    auto UsualRate = Rate;
+    Rate /= Slowdown;
     auto Queue = queueTokens(View, Speed, *Engine, Now);
+    auto UsualTime = asDuration((Queue + Estimate.m_NewTokens) / UsualRate);
     auto Cost = asDuration((Queue + Estimate.m_CostTokens) / Rate) +
                 distanceCost(View, *Engine);
     if (OnPrefillEngine) {
@@ -166,8 +170,12 @@
     } else {
       auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
                      View.m_Loads.otherRequests(Engine->m_Id, Now);
-      Cost += std::chrono::duration_cast<Duration>(Running *
-                                                   m_Options.m_DelayPerRequest);
+      Cost += std::chrono::duration_cast<Duration>(
+          Running * Slowdown * m_Options.m_DelayPerRequest +
+          (Slowdown - 1) * m_Options.m_FirstStepTime);
+      UsualTime += m_Options.m_FirstStepTime +
+                   std::chrono::duration_cast<Duration>(
+                       Running * m_Options.m_DelayPerRequest);
       Cost += asDuration(m_Options.m_DecodeInterference * Estimate.m_NewTokens /
                          Rate);
     }
@@ -177,7 +185,11 @@
             .m_Serve = OnPrefillEngine ? nullptr : Engine,
             .m_FetchFrom = Estimate.m_FetchFrom,
             .m_NewTokens = Estimate.m_NewTokens,
-            .m_Estimate = Cost};
+            .m_Estimate = Cost,
+            .m_UsualTime =
+                Queue <= Estimate.m_NewTokens && Estimate.m_FetchFrom.empty()
+                    ? UsualTime
+                    : Duration::zero()};
   }
   return Best;
 }
@@ -197,9 +209,11 @@
     auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
                    View.m_Loads.otherRequests(Engine->m_Id, Now);
     auto Queue = queueTokens(View, Speed, *Engine, Now);
-    auto Cost = asDuration(Queue / Speed.decodeEngineTokensPerMs()) +
+    auto Slowdown = View.m_Speeds.slowdown(Engine->m_Id, Now);
+    auto Cost = asDuration(Queue * Slowdown / Speed.decodeEngineTokensPerMs()) +
                 std::chrono::duration_cast<Duration>(
-                    Running * m_Options.m_DelayPerRequest);
+                    Running * Slowdown * m_Options.m_DelayPerRequest +
+                    (Slowdown - 1) * m_Options.m_FirstStepTime);
     auto Slots = std::max(1.0, static_cast<double>(Engine->m_Slots));
     // If the batch is full, a request waits until another one has its complete
     // response.
--- a/src/serving/LoadTracker.cpp
+++ b/src/serving/LoadTracker.cpp
@@ -21,16 +21,19 @@
     Found->second.m_LastActivityAt = Now;
 }
 
-auto LoadTracker::unresponsive(const BackendId &Backend,
-                               MonotonicTime Now) const -> bool {
+auto LoadTracker::unresponsive(const BackendId &Backend, MonotonicTime Now,
+                               double Slowdown) const -> bool {
   auto Found = m_Entries.find(Backend);
   if (Found == m_Entries.end() || Found->second.m_OwnRequests <= 0)
     return false;
   auto PrefillTime = std::chrono::duration<double, std::milli>(
       Found->second.m_OwnPrefillTokens / m_Options.m_MinPrefillTokensPerMs);
+  auto Timeout = m_Options.m_ActivityTimeout +
+                 std::chrono::duration_cast<Duration>(PrefillTime);
+  // The silence of a quick server says no more than that of a usual one.
   return Now - Found->second.m_LastActivityAt >
-         m_Options.m_ActivityTimeout +
-             std::chrono::duration_cast<Duration>(PrefillTime);
+         std::chrono::duration_cast<Duration>(std::max(1.0, Slowdown) *
+                                              Timeout);
 }
 
 auto LoadTracker::prefillDone(const BackendId &Backend, double PrefillTokens)
--- a/src/serving/ServedRequestPlacement.cpp
+++ b/src/serving/ServedRequestPlacement.cpp
@@ -44,7 +44,9 @@
     refuseWithoutServer("no server of the service is registered");
     return;
   }
-  send(*Target, AttemptPurpose::Serve, 0, {});
+  // Only compared with the time of other requests to the service.
+  constexpr auto UsualTime = Milliseconds(1);
+  send(*Target, AttemptPurpose::Serve, 0, {}, UsualTime);
 }
 
 auto ServedRequest::placePrompt() -> void {
@@ -73,7 +75,7 @@
   // prefills the parts that it has not cached.
   if (Plan.m_Prefill != nullptr && !m_Streaming) {
     send(*Plan.m_Prefill, AttemptPurpose::Prefill, Plan.m_NewTokens,
-         Plan.m_FetchFrom);
+         Plan.m_FetchFrom, Plan.m_UsualTime);
     return;
   }
   const auto *Target = Plan.m_Serve;
@@ -85,7 +87,8 @@
     refuseWithoutServer("no engine generates");
     return;
   }
-  send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom);
+  send(*Target, AttemptPurpose::Serve, Plan.m_NewTokens, Plan.m_FetchFrom,
+       Plan.m_Serve != nullptr ? Plan.m_UsualTime : Duration::zero());
 }
 
 auto ServedRequest::chargeAttempt() -> bool {
@@ -148,7 +151,8 @@
 }
 
 auto ServedRequest::send(const BackendRecord &Target, AttemptPurpose Purpose,
-                         double Tokens, const std::string &FetchFrom) -> void {
+                         double Tokens, const std::string &FetchFrom,
+                         Duration UsualTime) -> void {
   if (!chargeAttempt()) {
     refuse(m_Runs > 0 ? RefusalCode::BackendFailed : RefusalCode::QueueFull,
            "no retry is left in the budget", retryAfter(timeLeft()));
@@ -181,7 +185,10 @@
                          .m_PendingTokens = Tokens,
                          .m_PlannedTokens = Tokens,
                          .m_FetchedParts = !FetchFrom.empty(),
-                         .m_StartedAt = m_Context.m_Scheduler.now()};
+                         .m_StartedAt = m_Context.m_Scheduler.now(),
+                         .m_UsualTime = UsualTime,
+                         .m_Slowdown = m_Context.m_Speeds.slowdown(
+                             Target.m_Id, m_Context.m_Scheduler.now())};
   if (Purpose == AttemptPurpose::Serve) {
     Sent.m_Cache = std::exchange(m_Cache, std::nullopt);
     Current.m_Cache = Sent.m_Cache;
@@ -221,7 +228,9 @@
   auto Delayed =
       Now - m_ActivityCheckAt >= m_Context.m_Options.m_MaxActivityCheckDelay;
   if (!Allowed || Delayed ||
-      !m_Context.m_Loads.unresponsive(m_Attempt->m_Backend, Now) ||
+      !m_Context.m_Loads.unresponsive(
+          m_Attempt->m_Backend, Now,
+          m_Context.m_Speeds.slowdown(m_Attempt->m_Backend, Now)) ||
       !hasAlternative(Now) ||
       !m_Context.m_Retries.tryAcquire(m_Parameters.m_Service->m_Id, Now)) {
     scheduleActivityCheck();
--- a/src/serving/ServedRequestResponses.cpp
+++ b/src/serving/ServedRequestResponses.cpp
@@ -58,11 +58,29 @@
   auto Now = m_Context.m_Scheduler.now();
   if (Report.m_Load)
     m_Context.m_Loads.recordReport(Source.m_Backend, *Report.m_Load, Now);
+  // Like the limit, the factor holds for that server and this moment.
+  if (StatesRateLimit && Report.m_Load && Report.m_Load->m_WorkFactor)
+    m_Context.m_Speeds.recordFactor(Source.m_Backend,
+                                    *Report.m_Load->m_WorkFactor, Now);
   if (StatesRateLimit)
     m_Context.m_RateLimits.recordResponse(Source.m_Backend, Report.m_RateLimit,
                                           Now);
 }
 
+auto ServedRequest::recordWork(const Attempt &Done) -> void {
+  const auto *Server = m_Context.m_Directory.find(Done.m_Backend);
+  if (Server == nullptr || Done.m_UsualTime <= Duration::zero())
+    return;
+  auto Now = m_Context.m_Scheduler.now();
+  // The time of the network is the same within a kind.
+  auto Kind =
+      fmt::format("{}/{}/{}/{}", Server->m_Service.text(),
+                  nameOf(Done.m_Purpose), static_cast<int>(Server->m_Stage),
+                  static_cast<int>(m_Context.m_Distance.to(Done.m_DataCentre)));
+  m_Context.m_Speeds.recordWork(Kind, Done.m_Backend, Done.m_UsualTime,
+                                Now - Done.m_StartedAt, Now);
+}
+
 auto ServedRequest::recordNotice(const Attempt &Source,
                                  const ServerNotice &Notice, bool FromAddress)
     -> void {
@@ -106,6 +124,7 @@
         fmt::format(" first={}ms",
                     toMilliseconds(m_Context.m_Scheduler.now() - m_ArrivedAt));
     recordPrefill(m_Attempt->m_Backend);
+    recordWork(*m_Attempt);
   }
   forward(Data);
 }
@@ -168,10 +187,12 @@
   }
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_Outcome);
   m_AttemptLog += fmt::format(
-      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}", nameOf(Ended.m_Purpose),
+      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}{}", nameOf(Ended.m_Purpose),
       Ended.m_Backend.text(), nameOf(Result.m_Outcome), Result.m_Head.m_Status,
       toMilliseconds(Now - Ended.m_StartedAt), Ended.m_PlannedTokens,
-      Ended.m_FetchedParts ? ":fetched" : "");
+      Ended.m_FetchedParts ? ":fetched" : "",
+      Ended.m_Slowdown != 1 ? fmt::format(":slowdown={:.2f}", Ended.m_Slowdown)
+                            : std::string());
   switch (Result.m_Outcome) {
   case AttemptOutcome::Complete:
     m_Context.m_Loads.recordAcceptance(Ended.m_Backend);
@@ -230,6 +251,7 @@
     m_Context.m_Speed.record(Ended.m_PendingTokens,
                              m_Context.m_Scheduler.now() - Ended.m_StartedAt);
     recordPrefill(Ended.m_Backend);
+    recordWork(Ended);
     // The first accepted prefill does not count against the budget.
     if (!std::exchange(m_PrefillAccepted, true))
       refundAttempt();
@@ -296,6 +318,10 @@
   }
   countUsage();
   ++m_Runs;
+  auto Waited = Result.m_Report.m_Load && Result.m_Report.m_Load->m_Waiting > 0;
+  // The response of an engine is as long as its output.
+  if (successful(Status) && !Waited && !m_Parameters.m_Service->m_Engine)
+    recordWork(Ended);
   if (Status >= FirstServerError && mayRepeat() &&
       m_Context.m_Retries.tryAcquire(m_Parameters.m_Service->m_Id,
                                      m_Context.m_Scheduler.now())) {
--- a/src/serving/ServerChoice.cpp
+++ b/src/serving/ServerChoice.cpp
@@ -64,14 +64,16 @@
                           MonotonicTime Now) const -> const BackendRecord * {
   const BackendRecord *Best = nullptr;
   auto BestCost = std::numeric_limits<double>::max();
-  auto Work = static_cast<double>(m_Options.m_WorkTime.count());
+  auto UsualWork = static_cast<double>(m_Options.m_WorkTime.count());
   for (const auto *Item : candidates(View, Service, Excluded, Now)) {
     auto Requests = View.m_Loads.ownRequests(Item->m_Id) +
                     View.m_Loads.otherRequests(Item->m_Id, Now);
     auto Slots = std::max(1.0, static_cast<double>(Item->m_Slots));
+    auto Slowdown = View.m_Speeds.slowdown(Item->m_Id, Now);
+    auto Work = UsualWork * Slowdown;
     // Requests within the slots slow each other down only slightly; requests
     // beyond them wait.
-    auto Cost = Work * (Requests / Slots);
+    auto Cost = UsualWork * (Slowdown - 1) + Work * (Requests / Slots);
     if (Requests >= Slots)
       Cost += Work * (Requests - Slots + 1) / Slots;
     auto Near = View.m_Distance.to(Item->m_DataCentre);
@@ -82,7 +84,7 @@
     // Ties are broken randomly, so that hosts do not all choose the same
     // server.
     constexpr auto Jitter = 0.05;
-    Cost += Work * Jitter * View.m_Random.unit();
+    Cost += UsualWork * Jitter * View.m_Random.unit();
     if (Cost < BestCost) {
       BestCost = Cost;
       Best = Item;
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -26,7 +26,7 @@
                          const ServingCoreOptions &Options)
     : m_Scheduler(Scheduler), m_Options(Options), m_Loads(Options.m_Loads),
       m_Health(Options.m_Outliers), m_Speed(Options.m_Speed),
-      m_Retries(Options.m_Retries),
+      m_Speeds(Random, Options.m_Speeds), m_Retries(Options.m_Retries),
       m_Access(Options.m_RateLimits, Options.m_Access),
       m_Crashes(Scheduler, Transport, Metrics, Options.m_Crashes),
       m_Freshness({.m_MaxAge = Options.m_MaxConfirmationAge}),
@@ -41,6 +41,7 @@
                                     .m_Distance = Distance,
                                     .m_Caches = m_Caches,
                                     .m_Speed = m_Speed,
+                                    .m_Speeds = m_Speeds,
                                     .m_Retries = m_Retries,
                                     .m_RateLimits = m_Access.rateLimits(),
                                     .m_Access = m_Access,
@@ -55,6 +56,7 @@
   m_Directory.onInvalidate([this](const BackendId &Id) {
     m_Loads.remove(Id);
     m_Health.remove(Id);
+    m_Speeds.remove(Id);
     // A server that is not listed, perhaps for a while only, keeps its limit.
     if (m_Directory.find(Id) != nullptr)
       rateLimits().remove(Id);
@@ -93,7 +95,8 @@
                   ? Demand.prefillRate() / Demand.biasCorrection()
                   : 0,
           .m_Reads = std::exchange(m_Context.m_Reads, {}),
-          .m_RateLimits = rateLimits().ownReports(m_Scheduler.now())};
+          .m_RateLimits = rateLimits().ownReports(m_Scheduler.now()),
+          .m_Speeds = m_Speeds.collectReports(m_Scheduler.now())};
 }
 
 auto ServingCore::applyLoads(const std::string &Origin,
@@ -102,6 +105,9 @@
   for (const auto &Report : Loads.m_RateLimits)
     if (m_Directory.find(Report.m_Backend) != nullptr)
       rateLimits().merge(Report, m_Scheduler.now());
+  for (const auto &Report : Loads.m_Speeds)
+    if (m_Directory.find(Report.m_Backend) != nullptr)
+      m_Speeds.merge(Report, m_Scheduler.now());
   for (const auto &Prompt : Loads.m_Reads) {
     const auto *Engine = m_Directory.find(Prompt.m_Engine);
     if (Engine == nullptr || !m_Configuration)
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/serving/EnginePlacement.h"
 
+#include <array>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <map>
@@ -29,6 +30,7 @@
             .m_Loads = m_Loads,
             .m_Health = m_Health,
             .m_Access = m_Access,
+            .m_Speeds = m_Speeds,
             .m_Distance = m_Distance,
             .m_Random = m_Random};
   }
@@ -54,6 +56,7 @@
        .m_Region = RegionId{"r"}},
       {{DataCentreId{"a"}, RegionId{"r"}}, {DataCentreId{"b"}, RegionId{"s"}}}};
   Random m_Random{3};
+  ServerSpeeds m_Speeds{m_Random, {}};
   PartCaches m_Caches;
   PrefillSpeed m_Speed{PrefillSpeedOptions{}};
   EnginePlacement m_Placement{EnginePlacementOptions{}};
@@ -159,6 +162,44 @@
   CHECK(Test.plan(Prompt).m_Prefill != Home);
 }
 
+TEST_CASE("engine placement: an engine that grows slow loses new work with one "
+          "report, and a plan expects the longer time") {
+  auto Test = Fleet(16);
+  auto Before = Test.plan(longPrompt(5, 1));
+  Test.m_Speeds.recordFactor(Before.m_Prefill->m_Id, 4, Now);
+  CHECK(Test.plan(longPrompt(5, 1)).m_Prefill != Before.m_Prefill);
+  auto Short = Test.plan(shortPrompt(1));
+  for (const auto &[Id, Record] : Test.m_Directory.all())
+    Test.m_Speeds.recordFactor(Id, 2.5, Now);
+  CHECK(Test.plan(shortPrompt(1)).m_Estimate > Short.m_Estimate);
+}
+
+TEST_CASE("server choice: slow, usual and quick servers of a plain service get "
+          "work by their speed, also while all are idle") {
+  auto Test = Fleet(0);
+  for (auto Number = 0; Number < 6; ++Number) {
+    Test.m_Directory.put({.m_Id = BackendId{fmt::format("d{}", Number)},
+                          .m_Service = ServiceId{"desk"},
+                          .m_Address = fmt::format("10.0.1.{}:1", Number),
+                          .m_DataCentre = DataCentreId{"a"},
+                          .m_Slots = 6});
+    constexpr auto Factors = std::array{0.625, 1.0, 1.6};
+    Test.m_Speeds.recordFactor(BackendId{fmt::format("d{}", Number)},
+                               Factors.at(Number % 3), Now);
+  }
+  auto Chosen = std::array<int, 3>();
+  for (auto Request = 0; Request < 24; ++Request) {
+    const auto *Server =
+        ServerChoice({}).choose(Test.view(), ServiceId{"desk"}, {}, Now);
+    ++Chosen.at((Server->m_Id.text()[1] - '0') % 3);
+    Test.m_Loads.beginAttempt(Server->m_Id, 0, Now);
+    if (Request == 0)
+      CHECK(Chosen[0] == 1);
+  }
+  CHECK(Chosen[0] > Chosen[1]);
+  CHECK(Chosen[1] > Chosen[2]);
+}
+
 TEST_CASE("engine placement: without prefill engines, decode engines prefill "
           "prompts, and without decode engines there is no plan") {
   auto Test = Fleet(4);
--- a/tests/unit-LoadTracker.cpp
+++ b/tests/unit-LoadTracker.cpp
@@ -74,6 +74,10 @@
   Tracker.beginAttempt(Engine, 0, Start);
   CHECK_FALSE(Tracker.unresponsive(Engine, Start + Milliseconds(500)));
   CHECK(Tracker.unresponsive(Engine, Start + Milliseconds(700)));
+  // A slow server gets more time, a quick one no less.
+  CHECK_FALSE(Tracker.unresponsive(Engine, Start + Milliseconds(700), 2.5));
+  CHECK(Tracker.unresponsive(Engine, Start + Milliseconds(1600), 2.5));
+  CHECK_FALSE(Tracker.unresponsive(Engine, Start + Milliseconds(500), 0.5));
   Tracker.recordActivity(Engine, Start + Milliseconds(700));
   CHECK_FALSE(Tracker.unresponsive(Engine, Start + Milliseconds(1200)));
   Tracker.beginAttempt(Engine, 24'000, Start + Milliseconds(700));
