Metric of servers that are clearly slow

Cause: operators could not see how many servers are slow at the moment. Ruled out: a label for each server, which grows with the fleet.

Change: dotterel_serving_slow_servers.

Result: builds without warnings; not read in a running process yet.

--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -41,6 +41,8 @@
   auto setRateLimitedServers(double Count) -> void;
   auto setLeavingServers(double Count) -> void;
   auto setPausedServers(double Count) -> void;
+  /// Sets the number of servers where work takes clearly longer than usual.
+  auto setSlowServers(double Count) -> void;
   auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -397,6 +397,9 @@
       static_cast<double>(m_Core.access().leavingCount()));
   m_Metrics.setPausedServers(
       static_cast<double>(m_Core.access().pausedCount(Now)));
+  constexpr auto ClearlySlow = 1.5;
+  m_Metrics.setSlowServers(
+      static_cast<double>(m_Core.speeds().countSlow(ClearlySlow, Now)));
   m_Metrics.setStoreEra(
       static_cast<double>(m_Dependencies.m_Store.history().era().number()));
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -115,6 +115,9 @@
   Gauge &m_PausedServers =
       gauge(m_Registry, "dotterel_serving_paused_servers",
             "Servers that want no requests from this host for a while.");
+  Gauge &m_SlowServers =
+      gauge(m_Registry, "dotterel_serving_slow_servers",
+            "Servers where work takes at least 1.5 times as long as usual.");
   Family<Counter> &m_SendDenials =
       counters(m_Registry, "dotterel_serving_send_denials_total",
                "Servers that were not sent a request, and requests that were "
@@ -194,6 +197,10 @@
   m_Impl->m_PausedServers.Set(Count);
 }
 
+auto ServingMetrics::setSlowServers(double Count) -> void {
+  m_Impl->m_SlowServers.Set(Count);
+}
+
 auto ServingMetrics::countSendDenial(SendDenial Denial) -> void {
   m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
 }
