Learn the speed of servers that state no factor beside others that do

Cause: prefill responses state no load, so the speed of prefill engines was never learnt: 16 of 736 prefills in the logs of six hosts had an estimate. Ruled out: asking the engines' report paths, which is priced and a second old.

Change: lasting speeds are learnt of all servers once any server states a factor; prompts that fetch parts are a kind of work of their own; the common prefill speed is measured as that of a usual engine.

--- a/include/dotterel/routing/ServerSpeeds.h
+++ b/include/dotterel/routing/ServerSpeeds.h
@@ -63,11 +63,11 @@
 ///
 /// Keeps apart the lasting speed of a server, learnt from how long work took
 /// there in comparison with other servers, and the momentary work factor that
-/// the server states, whose weight falls with its age. The lasting speed is
-/// learnt only of servers that state a factor, since a phase of slowness could
-/// not be told from a slow server otherwise.
+/// the server states, whose weight falls with its age. Lasting speeds are
+/// learnt only from the first factor on that any server states: servers that
+/// state none are taken for equal.
 ///
-/// \invariant Of a server that never stated a factor, slowdown() is 1.
+/// \invariant While no server has stated a factor, slowdown() is 1.
 class ServerSpeeds {
 public:
   /// \p Random spreads the times at which hosts return to a server that was
@@ -141,6 +141,7 @@
 
   Random &m_Random;
   ServerSpeedOptions m_Options;
+  bool m_AnyStated = false;
   std::unordered_map<BackendId, Entry> m_Entries;
   std::map<std::string, Mean> m_Kinds;
   /// Variance of the deviations of all servers from their own means.
--- a/src/routing/ServerSpeeds.cpp
+++ b/src/routing/ServerSpeeds.cpp
@@ -47,6 +47,7 @@
   Current.m_HalfLife = drawHalfLife(m_Options.m_FactorHalfLife);
   Current.m_StatedAt = StatedAt;
   Current.m_Stated = true;
+  m_AnyStated = true;
   if (std::abs(Factor - 1) > m_Options.m_UnreportedChange)
     Current.m_ReportedUntil = StatedAt + UnusualTime;
 }
@@ -74,11 +75,10 @@
 auto ServerSpeeds::recordWork(const std::string &Kind, const BackendId &Backend,
                               Duration Expected, Duration Elapsed,
                               MonotonicTime Now) -> void {
-  auto Found = m_Entries.find(Backend);
-  if (Found == m_Entries.end() || !Found->second.m_Stated ||
-      Expected <= Duration::zero() || Elapsed <= Duration::zero())
+  if (!m_AnyStated || Expected <= Duration::zero() ||
+      Elapsed <= Duration::zero())
     return;
-  auto &Current = Found->second;
+  auto &Current = m_Entries[Backend];
   auto LogRatio = std::log(static_cast<double>(Elapsed.count()) /
                            static_cast<double>(Expected.count())) -
                   logMomentary(Current, Now);
@@ -134,8 +134,7 @@
 
 auto ServerSpeeds::logLasting(const Entry &Current) const -> double {
   const auto &Measured = Current.m_Deviation;
-  if (!Current.m_Stated ||
-      Measured.m_Measurements < m_Options.m_MinMeasurements)
+  if (!m_AnyStated || Measured.m_Measurements < m_Options.m_MinMeasurements)
     return 0;
   // A mean with a minimum weight w stands for about 2 / w measurements.
   auto Effective = std::min(Measured.m_Measurements, 2 / m_Options.m_MinWeight);
@@ -147,7 +146,7 @@
 auto ServerSpeeds::slowdown(const BackendId &Backend, MonotonicTime Now) const
     -> double {
   auto Found = m_Entries.find(Backend);
-  if (Found == m_Entries.end() || !Found->second.m_Stated)
+  if (Found == m_Entries.end())
     return 1;
   return std::clamp(
       std::exp(logLasting(Found->second) + logMomentary(Found->second, Now)),
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -187,9 +187,7 @@
             .m_NewTokens = Estimate.m_NewTokens,
             .m_Estimate = Cost,
             .m_UsualTime =
-                Queue <= Estimate.m_NewTokens && Estimate.m_FetchFrom.empty()
-                    ? UsualTime
-                    : Duration::zero()};
+                Queue <= Estimate.m_NewTokens ? UsualTime : Duration::zero()};
   }
   return Best;
 }
--- a/src/serving/ServedRequestResponses.cpp
+++ b/src/serving/ServedRequestResponses.cpp
@@ -72,11 +72,12 @@
   if (Server == nullptr || Done.m_UsualTime <= Duration::zero())
     return;
   auto Now = m_Context.m_Scheduler.now();
-  // The time of the network is the same within a kind.
+  // The time of the network, and of a fetch, is similar within a kind.
   auto Kind =
-      fmt::format("{}/{}/{}/{}", Server->m_Service.text(),
+      fmt::format("{}/{}/{}/{}/{}", Server->m_Service.text(),
                   nameOf(Done.m_Purpose), static_cast<int>(Server->m_Stage),
-                  static_cast<int>(m_Context.m_Distance.to(Done.m_DataCentre)));
+                  static_cast<int>(m_Context.m_Distance.to(Done.m_DataCentre)),
+                  Done.m_FetchedParts);
   m_Context.m_Speeds.recordWork(Kind, Done.m_Backend, Done.m_UsualTime,
                                 Now - Done.m_StartedAt, Now);
 }
@@ -248,8 +249,10 @@
 auto ServedRequest::prefillEnded(const Attempt &Ended,
                                  const AttemptResult &Result) -> void {
   if (Result.m_Outcome == AttemptOutcome::Complete && Result.m_Cache) {
-    m_Context.m_Speed.record(Ended.m_PendingTokens,
-                             m_Context.m_Scheduler.now() - Ended.m_StartedAt);
+    auto Elapsed = m_Context.m_Scheduler.now() - Ended.m_StartedAt;
+    m_Context.m_Speed.record(
+        Ended.m_PendingTokens,
+        std::chrono::duration_cast<Duration>(Elapsed / Ended.m_Slowdown));
     recordPrefill(Ended.m_Backend);
     recordWork(Ended);
     // The first accepted prefill does not count against the budget.
--- a/tests/unit-ServerSpeeds.cpp
+++ b/tests/unit-ServerSpeeds.cpp
@@ -80,6 +80,19 @@
           doctest::Approx(1).epsilon(0.1));
 }
 
+TEST_CASE("server speeds: where some servers state factors, the lasting speed "
+          "of the others is learnt as well") {
+  auto Source = Random(8);
+  auto Speeds = ServerSpeeds(Source, {});
+  Speeds.recordFactor(server(9), 1, Start);
+  for (auto Round = 0; Round < 100; ++Round)
+    for (auto Number = 0; Number < 3; ++Number)
+      Speeds.recordWork("prefill", server(Number), Milliseconds(100),
+                        Milliseconds(Number == 2 ? 160 : 90), Start);
+  CHECK(Speeds.slowdown(server(2), Start) > 1.25);
+  CHECK(Speeds.slowdown(server(0), Start) < 1);
+}
+
 TEST_CASE("server speeds: a noisy neighbour counts at once, and ever less "
           "without news") {
   auto Source = Random(2);
