Draw two decode engines at each distance instead of comparing all

Ruled out: drawing prefill engines too (a prefill mostly lasts longer than a digest is old, and the home of a part has to stay a choice); one engine at random (ignores speeds and full engines); reservations, which cost a round trip before each short prompt.

Change: ChoiceSample draws; placement uses it where servers state that their speed varies, so that other deployments compare all engines as before.

--- a/include/dotterel/routing/ServerSpeeds.h
+++ b/include/dotterel/routing/ServerSpeeds.h
@@ -98,6 +98,8 @@
 
   auto remove(const BackendId &Backend) -> void;
 
+  /// Returns whether any server has stated a factor.
+  [[nodiscard]] auto anyStated() const -> bool { return m_AnyStated; }
   /// Returns how many times as long as at a usual server work takes now.
   [[nodiscard]] auto slowdown(const BackendId &Backend, MonotonicTime Now) const
       -> double;
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/serving/EnginePlacement.h"
 
+#include "dotterel/serving/ChoiceSample.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
@@ -80,6 +82,25 @@
   return Result;
 }
 
+auto EnginePlacement::compared(const ChoiceView &View,
+                               std::vector<const BackendRecord *> Engines,
+                               const DataCentreId &From) const
+    -> std::vector<const BackendRecord *> {
+  if (m_Options.m_Choices == 0 || !View.m_Speeds.anyStated())
+    return Engines;
+  // A prefill mostly takes longer than a digest is old. Decode engines take
+  // many short prompts in that time.
+  auto DecodeEngines = std::vector<const BackendRecord *>();
+  auto Result = std::vector<const BackendRecord *>();
+  for (const auto *Engine : Engines)
+    (Engine->m_Stage == EngineStage::Decode ? DecodeEngines : Result)
+        .push_back(Engine);
+  auto Drawn = drawChoices(DecodeEngines, View.m_Distance, From,
+                           m_Options.m_Choices, View.m_Random);
+  Result.insert(Result.end(), Drawn.begin(), Drawn.end());
+  return Result;
+}
+
 auto EnginePlacement::distanceCost(const ChoiceView &View,
                                    const BackendRecord &Engine) const
     -> Duration {
@@ -149,7 +170,8 @@
         return Engine->m_Stage == EngineStage::Decode;
       });
   auto Best = EnginePlan();
-  for (const auto *Engine : Engines) {
+  for (const auto *Engine :
+       compared(View, Engines, View.m_Distance.self().m_DataCentre)) {
     auto OnPrefillEngine = Engine->m_Stage == EngineStage::Prefill;
     if (OnPrefillEngine && !HasDecodeEngines)
       continue;
@@ -201,7 +223,9 @@
     -> const BackendRecord * {
   const BackendRecord *Best = nullptr;
   auto BestCost = Duration::max();
-  for (const auto *Engine : candidates(View, Service.m_Id, Excluded, Now)) {
+  auto Engines = candidates(View, Service.m_Id, Excluded, Now);
+  for (const auto *Engine :
+       compared(View, std::move(Engines), PrefillEngine.m_DataCentre)) {
     if (Engine->m_Stage != EngineStage::Decode)
       continue;
     auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
