Draw engines of both stages for short prompts only

Cause: a short prompt compared all prefill engines with a few decode engines, so that the best of many mostly won, and KV caches moved for nothing. Also, of equal engines the first by name was always taken. Ruled out: comparing all decode engines with all prefill engines, which was the herd.

Change: prompts whose prefill is shorter than the loads are old (100 ms) draw from both stages; longer ones compare all engines, so that a document's home is always among them. Drawn engines come in random order.

--- a/include/dotterel/serving/ChoiceSample.h
+++ b/include/dotterel/serving/ChoiceSample.h
@@ -17,7 +17,8 @@
 namespace dotterel {
 
 /// Returns at most \p Choices random servers at each distance from \p From, in
-/// the order of \p Servers. Complexity: linear.
+/// random order, so that the first of equal ones is not preferred. Complexity:
+/// linear.
 ///
 /// All hosts know the same loads, 100 to 400 ms old. If all compared all
 /// servers, those that choose within that time would choose the same one.
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -41,9 +41,14 @@
   /// Weight of the prefill time of a prompt on a decode engine, as the cost of
   /// slowing down the streams of that engine.
   double m_DecodeInterference = 0.3;
-  /// Number of decode engines at each distance that a request compares, where
-  /// servers state that their speed varies. 0: all.
+  /// Number of engines of a stage at each distance that a short prompt
+  /// compares, and any prompt for decoding, where servers state that their
+  /// speed varies. 0: all.
   std::size_t m_Choices = 2;
+  /// Time of a prefill from which a prompt compares all engines: the age of
+  /// other hosts' loads, which are out of date sooner than a longer prefill
+  /// ends.
+  Duration m_LoadAge = Milliseconds(100);
 };
 
 /// Engines chosen for a prompt.
@@ -105,11 +110,11 @@
     double m_CachedTokens = 0; ///< Leading tokens of the prompt in its cache.
   };
 
-  /// Returns the engines of \p Engines that a request compares: all prefill
-  /// engines, and a few decode engines at each distance from \p From.
-  [[nodiscard]] auto compared(const ChoiceView &View,
-                              std::vector<const BackendRecord *> Engines,
-                              const DataCentreId &From) const
+  /// Returns a few engines of \p Engines of each stage at each distance from
+  /// \p From, or all if this deployment does not draw.
+  [[nodiscard]] auto draw(const ChoiceView &View,
+                          std::vector<const BackendRecord *> Engines,
+                          const DataCentreId &From) const
       -> std::vector<const BackendRecord *>;
   /// Returns the engine that, to this host's knowledge, has cached the most
   /// tokens of a prompt.
--- a/src/serving/ChoiceSample.cpp
+++ b/src/serving/ChoiceSample.cpp
@@ -1,6 +1,8 @@
 #include "dotterel/serving/ChoiceSample.h"
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace dotterel {
 
@@ -8,28 +10,17 @@
                  const Distance &Distance, const DataCentreId &From,
                  std::size_t Choices, Random &Random)
     -> std::vector<const BackendRecord *> {
-  auto NearnessOf = [&Distance, &From](const BackendRecord &Server) {
-    return Distance.between(From, Server.m_DataCentre);
-  };
-  struct Group {
-    std::size_t m_Left = 0; ///< Servers not yet considered.
-    std::size_t m_Open = 0; ///< Choices not yet drawn.
-  };
-  auto Groups = std::map<Nearness, Group>();
-  for (const auto *Server : Servers) {
-    auto &Current = Groups[NearnessOf(*Server)];
-    ++Current.m_Left;
-    Current.m_Open = Choices;
-  }
+  auto Groups = std::map<Nearness, std::vector<const BackendRecord *>>();
+  for (const auto *Server : Servers)
+    Groups[Distance.between(From, Server->m_DataCentre)].push_back(Server);
   auto Result = std::vector<const BackendRecord *>();
-  // Selection sampling: each subset of a group is equally likely.
-  for (const auto *Server : Servers) {
-    auto &Current = Groups[NearnessOf(*Server)];
-    if (Random.below(Current.m_Left--) >= Current.m_Open)
-      continue;
-    --Current.m_Open;
-    Result.push_back(Server);
-  }
+  for (auto &[Near, Group] : Groups)
+    for (auto Drawn = std::size_t{0}; Drawn < std::min(Choices, Group.size());
+         ++Drawn) {
+      std::swap(Group[Drawn],
+                Group[Drawn + Random.below(Group.size() - Drawn)]);
+      Result.push_back(Group[Drawn]);
+    }
   return Result;
 }
 
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <utility>
 #include <xxhash.h>
 
@@ -82,22 +83,21 @@
   return Result;
 }
 
-auto EnginePlacement::compared(const ChoiceView &View,
-                               std::vector<const BackendRecord *> Engines,
-                               const DataCentreId &From) const
+auto EnginePlacement::draw(const ChoiceView &View,
+                           std::vector<const BackendRecord *> Engines,
+                           const DataCentreId &From) const
     -> std::vector<const BackendRecord *> {
   if (m_Options.m_Choices == 0 || !View.m_Speeds.anyStated())
     return Engines;
-  // A prefill mostly takes longer than a digest is old. Decode engines take
-  // many short prompts in that time.
-  auto DecodeEngines = std::vector<const BackendRecord *>();
-  auto Result = std::vector<const BackendRecord *>();
+  auto ByStage = std::map<EngineStage, std::vector<const BackendRecord *>>();
   for (const auto *Engine : Engines)
-    (Engine->m_Stage == EngineStage::Decode ? DecodeEngines : Result)
-        .push_back(Engine);
-  auto Drawn = drawChoices(DecodeEngines, View.m_Distance, From,
-                           m_Options.m_Choices, View.m_Random);
-  Result.insert(Result.end(), Drawn.begin(), Drawn.end());
+    ByStage[Engine->m_Stage].push_back(Engine);
+  auto Result = std::vector<const BackendRecord *>();
+  for (const auto &[Stage, Group] : ByStage) {
+    auto Drawn = drawChoices(Group, View.m_Distance, From, m_Options.m_Choices,
+                             View.m_Random);
+    Result.insert(Result.end(), Drawn.begin(), Drawn.end());
+  }
   return Result;
 }
 
@@ -169,9 +169,13 @@
       std::any_of(Engines.begin(), Engines.end(), [](const auto *Engine) {
         return Engine->m_Stage == EngineStage::Decode;
       });
+  auto Time = asDuration(static_cast<double>(Prompt.m_PromptTokens.number()) /
+                         Speed.prefillEngineTokensPerMs());
+  if (Time < m_Options.m_LoadAge)
+    Engines =
+        draw(View, std::move(Engines), View.m_Distance.self().m_DataCentre);
   auto Best = EnginePlan();
-  for (const auto *Engine :
-       compared(View, Engines, View.m_Distance.self().m_DataCentre)) {
+  for (const auto *Engine : Engines) {
     auto OnPrefillEngine = Engine->m_Stage == EngineStage::Prefill;
     if (OnPrefillEngine && !HasDecodeEngines)
       continue;
@@ -225,7 +229,7 @@
   auto BestCost = Duration::max();
   auto Engines = candidates(View, Service.m_Id, Excluded, Now);
   for (const auto *Engine :
-       compared(View, std::move(Engines), PrefillEngine.m_DataCentre)) {
+       draw(View, std::move(Engines), PrefillEngine.m_DataCentre)) {
     if (Engine->m_Stage != EngineStage::Decode)
       continue;
     auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <map>
+#include <set>
 
 using namespace dotterel;
 
@@ -174,6 +175,22 @@
   CHECK(Test.plan(shortPrompt(1)).m_Estimate > Short.m_Estimate);
 }
 
+TEST_CASE("engine placement: where engines are drawn, long prompts still share "
+          "the home of their document") {
+  auto Test = Fleet(16);
+  auto Home = Test.plan(longPrompt(5, 1)).m_Prefill->m_Id;
+  Test.m_Speeds.recordFactor(BackendId{"e0"}, 1, Now);
+  auto ShortTargets = std::set<BackendId>();
+  for (auto Request = 0; Request < 50; ++Request) {
+    CHECK(Test.plan(longPrompt(5, Request)).m_Prefill->m_Id == Home);
+    auto Short = Test.plan(shortPrompt(Request));
+    REQUIRE(Short.m_Serve != nullptr);
+    ShortTargets.insert(Short.m_Serve->m_Id);
+  }
+  // All idle decode engines of the data centre.
+  CHECK(ShortTargets.size() == 4);
+}
+
 TEST_CASE("server choice: slow, usual and quick servers of a plain service get "
           "work by their speed, also while all are idle") {
   auto Test = Fleet(0);
