Count what other data centres have measured once

Cause: two copies of each summary reach every host of another data centre, so measurements of speeds counted twice there, and noise looked clearer than it was. Ruled out: halving their weight, since either copy may be lost.

Change: summaries carry their number; the measurements of a second copy are left out. Summaries of older hosts carry none and no measurements.

Result: unit-LoadExchange, the new case failed before (4 measurements in place of 2) and passes.

--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -104,6 +104,9 @@
   /// Returns the hosts of each other data centre that receive the next summary.
   [[nodiscard]] auto chooseRemoteTargets() -> std::vector<std::string>;
   [[nodiscard]] auto isFromLocalHost(const std::string &Address) const -> bool;
+  /// Returns whether no copy of the summary \p Number of \p Sender was received
+  /// before.
+  auto isFirstCopy(const HostId &Sender, std::uint64_t Number) -> bool;
   [[nodiscard]] auto isRelay() const -> bool;
   [[nodiscard]] auto message(LoadSummary Loads) const -> std::string;
 
@@ -117,6 +120,8 @@
   std::uint64_t m_Round = 0;
   std::map<HostId, ReceivedLoads> m_LocalLoads;
   std::map<DataCentreId, RemoteDemand> m_RemoteDemands;
+  /// Numbers of the latest summaries of each host that has sent some.
+  std::map<HostId, std::vector<std::uint64_t>> m_RecentNumbers;
   LoadSummary m_OwnLoads;
   MonotonicTime m_OwnLoadsAt;            ///< When m_OwnLoads was collected.
   std::vector<PromptRead> m_UnsentReads; ///< To be sent to other data centres.
--- a/include/dotterel/serving/BackendLoad.h
+++ b/include/dotterel/serving/BackendLoad.h
@@ -36,6 +36,9 @@
   /// Host that distributes the summary of another data centre in its own one;
   /// empty until the summary has got there.
   HostId m_Distributor;
+  /// Number of the summary among those of the sender on its data centre; its
+  /// copies have the same one. 0: the sender is an older host.
+  std::uint64_t m_Number = 0;
   std::vector<BackendLoad> m_Engines;
   /// Smoothed rate of prompt tokens that require prefill.
   double m_PrefillTokensPerSecond = 0;
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -43,6 +43,7 @@
   rateLimits @4 :List(RateLimit);
   distributor @5 :Text;  # host that distributes it in the receiving data centre
   speeds @6 :List(ServerSpeed);
+  number @7 :UInt64;  # of the data centre's summary; its copies have the same
 
   struct EngineLoad {
     engine @0 :Text;
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -104,7 +104,7 @@
   struct RateLimit;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(94f45e54ef8555bc, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -641,6 +641,8 @@
   inline bool hasSpeeds() const;
   inline  ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
 
+  inline  ::uint64_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -710,6 +712,9 @@
   inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::LoadSummary::ServerSpeed,  ::capnp::Kind::STRUCT>> disownSpeeds();
 
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2339,6 +2344,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LoadSummary::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadSummary::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSummary::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadSummary::EngineLoad::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -57,6 +57,7 @@
     -> void {
   Target.setWholeDataCentre(Loads.m_WholeDataCentre);
   Target.setDistributor(Loads.m_Distributor.text());
+  Target.setNumber(Loads.m_Number);
   Target.setPrefillTokensPerSecond(
       static_cast<float>(Loads.m_PrefillTokensPerSecond));
   auto Engines =
@@ -89,6 +90,7 @@
   auto Loads = LoadSummary{
       .m_WholeDataCentre = Source.getWholeDataCentre(),
       .m_Distributor = HostId{Source.getDistributor().cStr()},
+      .m_Number = Source.getNumber(),
       .m_PrefillTokensPerSecond = Source.getPrefillTokensPerSecond()};
   for (auto Item : Source.getEngines())
     Loads.m_Engines.push_back(
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -117,6 +117,7 @@
     Demand += Entry.m_Loads.m_PrefillTokensPerSecond;
   }
   auto Total = LoadSummary{.m_WholeDataCentre = true,
+                           .m_Number = ++m_Round,
                            .m_PrefillTokensPerSecond = Demand,
                            .m_Reads = std::move(Reads)};
   for (auto &[Engine, Load] : Sum)
@@ -136,7 +137,7 @@
 auto LoadExchange::chooseRemoteTargets() -> std::vector<std::string> {
   // Chosen at random for each summary, so that the registered hosts share the
   // distribution, and one that has ended costs a few summaries only.
-  auto Seed = std::hash<HostId>()(m_Registry.self().m_Host) + ++m_Round;
+  auto Seed = std::hash<HostId>()(m_Registry.self().m_Host) + m_Round;
   auto Ranked = std::map<DataCentreId,
                          std::vector<std::pair<std::uint64_t, std::string>>>();
   for (const auto &[Host, Record] : m_Registry.others())
@@ -214,6 +215,19 @@
   return Sum;
 }
 
+auto LoadExchange::isFirstCopy(const HostId &Sender, std::uint64_t Number)
+    -> bool {
+  // Copies are at most a few summaries behind the first one.
+  constexpr auto Remembered = std::size_t{8};
+  auto &Recent = m_RecentNumbers[Sender];
+  if (std::find(Recent.begin(), Recent.end(), Number) != Recent.end())
+    return false;
+  Recent.push_back(Number);
+  if (Recent.size() > Remembered)
+    Recent.erase(Recent.begin());
+  return true;
+}
+
 auto LoadExchange::receive(const HostMessage &Message,
                            const std::string &Address, std::string_view Bytes)
     -> void {
@@ -235,7 +249,15 @@
   m_RemoteDemands[Message.m_DataCentre] = {.m_ReceivedAt = m_Scheduler.now(),
                                            .m_Demand =
                                                Loads->m_PrefillTokensPerSecond};
-  m_Sink(Message.m_DataCentre.text(), *Loads);
+  if (Loads->m_Speeds.empty() ||
+      isFirstCopy(Message.m_Sender, Loads->m_Number)) {
+    m_Sink(Message.m_DataCentre.text(), *Loads);
+  } else {
+    // Measurements would count twice.
+    auto Repeated = *Loads;
+    Repeated.m_Speeds.clear();
+    m_Sink(Message.m_DataCentre.text(), Repeated);
+  }
   if (!Loads->m_Distributor.empty()) {
     sendOn(Loads->m_Distributor, Bytes);
     return;
--- a/tests/unit-LoadExchange.cpp
+++ b/tests/unit-LoadExchange.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace dotterel;
@@ -37,9 +38,14 @@
                     .m_Address = m_Port.address()},
                    {}),
         m_Exchange(
-            Scheduler, m_Port, m_Registry, [] { return LoadSummary(); },
+            Scheduler, m_Port, m_Registry,
+            [this] {
+              return LoadSummary{.m_Speeds = std::exchange(m_Speeds, {})};
+            },
             [this, &Scheduler](const std::string &Origin,
                                const LoadSummary &Loads) {
+              m_HeardSpeeds.insert(m_HeardSpeeds.end(), Loads.m_Speeds.begin(),
+                                   Loads.m_Speeds.end());
               if (Loads.m_WholeDataCentre)
                 m_HeardAt[Origin] = Scheduler.now();
             },
@@ -65,6 +71,8 @@
   /// When the summary of each other data centre was last received.
   std::map<std::string, MonotonicTime> m_HeardAt;
   std::map<std::string, std::size_t> m_SummariesFrom; ///< By sender.
+  std::vector<SpeedReport> m_Speeds;                  ///< To be reported once.
+  std::vector<SpeedReport> m_HeardSpeeds;
   bool m_Down = false;
 };
 
@@ -166,6 +174,39 @@
   }
 }
 
+TEST_CASE(
+    "load exchange: what hosts have learnt about a server's speed reaches "
+    "other data centres once, added up, with the newest factor") {
+  auto Test = Installation(8, 2);
+  Test.advance(Seconds(1));
+  auto Report = SpeedReport{.m_Backend = BackendId{"e"},
+                            .m_Factor = 2.5,
+                            .m_Age = Milliseconds(50),
+                            .m_DeviationSum = 0.5,
+                            .m_Measurements = 1};
+  Test.m_Hosts[0]->m_Speeds = {Report};
+  Report.m_Factor = 1.5;
+  Report.m_Age = Milliseconds(200);
+  Test.m_Hosts[2]->m_Speeds = {Report};
+  Test.advance(Seconds(2));
+  for (auto Number : {1, 3, 5, 7}) {
+    auto Measurements = 0U;
+    auto Newest = Duration::max();
+    auto Factor = 0.0;
+    for (const auto &Heard : Test.m_Hosts[Number]->m_HeardSpeeds) {
+      Measurements += Heard.m_Measurements;
+      CHECK(Heard.m_DeviationSum ==
+            doctest::Approx(0.5 * Heard.m_Measurements));
+      if (!Heard.m_Factor || Heard.m_Age >= Newest)
+        continue;
+      Newest = Heard.m_Age;
+      Factor = *Heard.m_Factor;
+    }
+    CHECK(Measurements == 2);
+    CHECK(Factor == doctest::Approx(2.5));
+  }
+}
+
 TEST_CASE("load exchange: summaries reach the other hosts although datagrams "
           "are lost, repeated and late, and hosts end") {
   auto Test = Installation(120, 6);
