--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dotterel {
 
@@ -88,6 +89,13 @@
     double m_Demand = 0;
   };
 
+  struct UnsentSpeed {
+    MonotonicTime m_ReceivedAt;
+    SpeedReport m_Report;
+  };
+
+  /// Adds what \p Loads, received now, reports for other data centres.
+  auto keepForOthers(const LoadSummary &Loads) -> void;
   auto sendLocal() -> void;
   auto sendRemote() -> void;
   auto sendToLocalHosts(std::string_view Bytes) -> void;
@@ -96,6 +104,9 @@
   /// Returns the hosts of each other data centre that receive the next summary.
   [[nodiscard]] auto chooseRemoteTargets() -> std::vector<std::string>;
   [[nodiscard]] auto isFromLocalHost(const std::string &Address) const -> bool;
+  /// Returns whether no copy of the summary \p Number of \p Sender was received
+  /// before.
+  auto isFirstCopy(const HostId &Sender, std::uint64_t Number) -> bool;
   [[nodiscard]] auto isRelay() const -> bool;
   [[nodiscard]] auto message(LoadSummary Loads) const -> std::string;
 
@@ -109,9 +120,13 @@
   std::uint64_t m_Round = 0;
   std::map<HostId, ReceivedLoads> m_LocalLoads;
   std::map<DataCentreId, RemoteDemand> m_RemoteDemands;
+  /// Numbers of the latest summaries of each host that has sent some.
+  std::map<HostId, std::vector<std::uint64_t>> m_RecentNumbers;
   LoadSummary m_OwnLoads;
   MonotonicTime m_OwnLoadsAt;            ///< When m_OwnLoads was collected.
   std::vector<PromptRead> m_UnsentReads; ///< To be sent to other data centres.
+  /// To be sent to other data centres.
+  std::map<BackendId, UnsentSpeed> m_UnsentSpeeds;
   std::optional<RepeatingTimer> m_LocalTimer;
   std::optional<RepeatingTimer> m_RemoteTimer;
 };
--- a/include/dotterel/serving/BackendLoad.h
+++ b/include/dotterel/serving/BackendLoad.h
@@ -8,6 +8,7 @@
 #define DOTTEREL_SERVING_BACKENDLOAD_H
 
 #include "dotterel/routing/ServerRateLimits.h"
+#include "dotterel/routing/ServerSpeeds.h"
 #include "dotterel/serving/CallerExchange.h"
 
 #include <vector>
@@ -35,6 +36,9 @@
   /// Host that distributes the summary of another data centre in its own one;
   /// empty until the summary has got there.
   HostId m_Distributor;
+  /// Number of the summary among those of the sender on its data centre; its
+  /// copies have the same one. 0: the sender is an older host.
+  std::uint64_t m_Number = 0;
   std::vector<BackendLoad> m_Engines;
   /// Smoothed rate of prompt tokens that require prefill.
   double m_PrefillTokensPerSecond = 0;
@@ -42,6 +46,8 @@
   std::vector<PromptRead> m_Reads;
   /// Request rates that servers have recently stated to the sender's hosts.
   std::vector<RateLimitReport> m_RateLimits;
+  /// What the sender's hosts have recently learnt about the servers' speeds.
+  std::vector<SpeedReport> m_Speeds;
 };
 
 } // namespace dotterel
--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -27,6 +27,9 @@
   Duration m_RemotePenalty = Milliseconds(180);
   /// Delay that each running request adds to the next token of an engine.
   Duration m_DelayPerRequest = std::chrono::microseconds(1500);
+  /// Time from the end of the prefill to the first event at an idle engine of
+  /// usual speed.
+  Duration m_FirstStepTime = Milliseconds(25);
   /// Share of a part's tokens that counts as cost at the part's home engine if
   /// this host has not had the part prefilled there: other hosts most likely
   /// have.
@@ -38,6 +41,14 @@
   /// Weight of the prefill time of a prompt on a decode engine, as the cost of
   /// slowing down the streams of that engine.
   double m_DecodeInterference = 0.3;
+  /// Number of engines of a stage at each distance that a short prompt
+  /// compares, and any prompt for decoding, where servers state that their
+  /// speed varies. 0: all.
+  std::size_t m_Choices = 2;
+  /// Time of a prefill from which a prompt compares all engines: the age of
+  /// other hosts' loads, which are out of date sooner than a longer prefill
+  /// ends.
+  Duration m_LoadAge = Milliseconds(100);
 };
 
 /// Engines chosen for a prompt.
@@ -50,6 +61,9 @@
   std::string m_FetchFrom;
   double m_NewTokens = 0;                ///< Tokens expected to be prefilled.
   Duration m_Estimate = Duration::max(); ///< Expected time to the first event.
+  /// Expected time of the first attempt at an engine of usual speed, without
+  /// the distance; zero if it depends mostly on other requests.
+  Duration m_UsualTime{};
 
   [[nodiscard]] auto possible() const -> bool {
     return m_Prefill != nullptr || m_Serve != nullptr;
@@ -96,6 +110,12 @@
     double m_CachedTokens = 0; ///< Leading tokens of the prompt in its cache.
   };
 
+  /// Returns a few engines of \p Engines of each stage at each distance from
+  /// \p From, or all if this deployment does not draw.
+  [[nodiscard]] auto draw(const ChoiceView &View,
+                          std::vector<const BackendRecord *> Engines,
+                          const DataCentreId &From) const
+      -> std::vector<const BackendRecord *>;
   /// Returns the engine that, to this host's knowledge, has cached the most
   /// tokens of a prompt.
   [[nodiscard]] static auto
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -58,11 +58,28 @@
                             .m_Content = std::move(Loads)});
 }
 
+auto LoadExchange::keepForOthers(const LoadSummary &Loads) -> void {
+  m_UnsentReads.insert(m_UnsentReads.end(), Loads.m_Reads.begin(),
+                       Loads.m_Reads.end());
+  auto Now = m_Scheduler.now();
+  for (const auto &Report : Loads.m_Speeds) {
+    auto &[ReceivedAt, Sum] = m_UnsentSpeeds[Report.m_Backend];
+    Sum.m_Backend = Report.m_Backend;
+    Sum.m_DeviationSum += Report.m_DeviationSum;
+    Sum.m_Measurements += Report.m_Measurements;
+    if (!Report.m_Factor ||
+        (Sum.m_Factor && Now - Report.m_Age < ReceivedAt - Sum.m_Age))
+      continue;
+    Sum.m_Factor = Report.m_Factor;
+    Sum.m_Age = Report.m_Age;
+    ReceivedAt = Now;
+  }
+}
+
 auto LoadExchange::sendLocal() -> void {
   m_OwnLoads = m_Source();
   m_OwnLoadsAt = m_Scheduler.now();
-  m_UnsentReads.insert(m_UnsentReads.end(), m_OwnLoads.m_Reads.begin(),
-                       m_OwnLoads.m_Reads.end());
+  keepForOthers(m_OwnLoads);
   sendToLocalHosts(message(m_OwnLoads));
 }
 
@@ -83,6 +100,7 @@
 
 auto LoadExchange::sendRemote() -> void {
   auto Reads = std::exchange(m_UnsentReads, {});
+  auto Speeds = std::exchange(m_UnsentSpeeds, {});
   if (!isRelay())
     return;
   auto Now = m_Scheduler.now();
@@ -105,6 +123,14 @@
     Total.m_Engines.push_back(std::move(Load));
   for (auto &[Backend, Report] : RateLimits)
     Total.m_RateLimits.push_back(std::move(Report));
+  for (auto &[Backend, Speed] : Speeds) {
+    if (Speed.m_Report.m_Factor)
+      Speed.m_Report.m_Age += Now - Speed.m_ReceivedAt;
+    Total.m_Speeds.push_back(std::move(Speed.m_Report));
+  }
+  ++m_Round;
+  if (!Total.m_Speeds.empty())
+    Total.m_Number = m_Round;
   auto Bytes = message(std::move(Total));
   for (const auto &Address : chooseRemoteTargets())
     m_Port.send(Address, Bytes);
@@ -113,7 +139,7 @@
 auto LoadExchange::chooseRemoteTargets() -> std::vector<std::string> {
   // Chosen at random for each summary, so that the registered hosts share the
   // distribution, and one that has ended costs a few summaries only.
-  auto Seed = std::hash<HostId>()(m_Registry.self().m_Host) + ++m_Round;
+  auto Seed = std::hash<HostId>()(m_Registry.self().m_Host) + m_Round;
   auto Ranked = std::map<DataCentreId,
                          std::vector<std::pair<std::uint64_t, std::string>>>();
   for (const auto &[Host, Record] : m_Registry.others())
@@ -191,6 +217,19 @@
   return Sum;
 }
 
+auto LoadExchange::isFirstCopy(const HostId &Sender, std::uint64_t Number)
+    -> bool {
+  // Copies are at most a few summaries behind the first one.
+  constexpr auto Remembered = std::size_t{8};
+  auto &Recent = m_RecentNumbers[Sender];
+  if (std::find(Recent.begin(), Recent.end(), Number) != Recent.end())
+    return false;
+  Recent.push_back(Number);
+  if (Recent.size() > Remembered)
+    Recent.erase(Recent.begin());
+  return true;
+}
+
 auto LoadExchange::receive(const HostMessage &Message,
                            const std::string &Address, std::string_view Bytes)
     -> void {
@@ -203,8 +242,7 @@
       return;
     m_LocalLoads[Message.m_Sender] = {.m_ReceivedAt = m_Scheduler.now(),
                                       .m_Loads = *Loads};
-    m_UnsentReads.insert(m_UnsentReads.end(), Loads->m_Reads.begin(),
-                         Loads->m_Reads.end());
+    keepForOthers(*Loads);
     m_Sink(Message.m_Sender.text(), *Loads);
     return;
   }
@@ -213,7 +251,15 @@
   m_RemoteDemands[Message.m_DataCentre] = {.m_ReceivedAt = m_Scheduler.now(),
                                            .m_Demand =
                                                Loads->m_PrefillTokensPerSecond};
-  m_Sink(Message.m_DataCentre.text(), *Loads);
+  if (Loads->m_Speeds.empty() ||
+      isFirstCopy(Message.m_Sender, Loads->m_Number)) {
+    m_Sink(Message.m_DataCentre.text(), *Loads);
+  } else {
+    // Measurements would count twice.
+    auto Repeated = *Loads;
+    Repeated.m_Speeds.clear();
+    m_Sink(Message.m_DataCentre.text(), Repeated);
+  }
   if (!Loads->m_Distributor.empty()) {
     sendOn(Loads->m_Distributor, Bytes);
     return;
--- a/src/serving/EnginePlacement.cpp
+++ b/src/serving/EnginePlacement.cpp
@@ -1,7 +1,10 @@
 #include "dotterel/serving/EnginePlacement.h"
 
+#include "dotterel/serving/ChoiceSample.h"
+
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 #include <utility>
 #include <xxhash.h>
 
@@ -80,6 +83,24 @@
   return Result;
 }
 
+auto EnginePlacement::draw(const ChoiceView &View,
+                           std::vector<const BackendRecord *> Engines,
+                           const DataCentreId &From) const
+    -> std::vector<const BackendRecord *> {
+  if (m_Options.m_Choices == 0 || !View.m_Speeds.anyStated())
+    return Engines;
+  auto ByStage = std::map<EngineStage, std::vector<const BackendRecord *>>();
+  for (const auto *Engine : Engines)
+    ByStage[Engine->m_Stage].push_back(Engine);
+  auto Result = std::vector<const BackendRecord *>();
+  for (const auto &[Stage, Group] : ByStage) {
+    auto Drawn = drawChoices(Group, View.m_Distance, From, m_Options.m_Choices,
+                             View.m_Random);
+    Result.insert(Result.end(), Drawn.begin(), Drawn.end());
+  }
+  return Result;
+}
+
 auto EnginePlacement::distanceCost(const ChoiceView &View,
                                    const BackendRecord &Engine) const
     -> Duration {
@@ -158,6 +179,11 @@
       std::any_of(Engines.begin(), Engines.end(), [](const auto *Engine) {
         return Engine->m_Stage == EngineStage::Decode;
       });
+  auto Time = asDuration(static_cast<double>(Prompt.m_PromptTokens.number()) /
+                         Speed.prefillEngineTokensPerMs());
+  if (Time < m_Options.m_LoadAge)
+    Engines =
+        draw(View, std::move(Engines), View.m_Distance.self().m_DataCentre);
   auto Best = EnginePlan();
   auto BestCost = Duration::max();
   for (const auto *Engine : Engines) {
@@ -167,7 +193,11 @@
     auto Estimate = estimatePrefill(*Engine, Home, Source, Caches, Prompt);
     auto Rate = OnPrefillEngine ? Speed.prefillEngineTokensPerMs()
                                 : Speed.decodeEngineTokensPerMs();
+    auto Slowdown = View.m_Speeds.slowdown(Engine->m_Id, Now);
+    auto UsualRate = Rate;
+    Rate /= Slowdown;
     auto Queue = queueTokens(View, Speed, *Engine, Now);
+    auto UsualTime = asDuration((Queue + Estimate.m_NewTokens) / UsualRate);
     auto Cost = asDuration((Queue + Estimate.m_CostTokens) / Rate) +
                 distanceCost(View, *Engine);
     if (OnPrefillEngine) {
@@ -177,8 +207,12 @@
     } else {
       auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
                      View.m_Loads.otherRequests(Engine->m_Id, Now);
-      Cost += std::chrono::duration_cast<Duration>(Running *
-                                                   m_Options.m_DelayPerRequest);
+      Cost += std::chrono::duration_cast<Duration>(
+          Running * Slowdown * m_Options.m_DelayPerRequest +
+          (Slowdown - 1) * m_Options.m_FirstStepTime);
+      UsualTime += m_Options.m_FirstStepTime +
+                   std::chrono::duration_cast<Duration>(
+                       Running * m_Options.m_DelayPerRequest);
       Cost += asDuration(m_Options.m_DecodeInterference * Estimate.m_NewTokens /
                          Rate);
     }
@@ -190,7 +224,9 @@
             .m_Serve = OnPrefillEngine ? nullptr : Engine,
             .m_FetchFrom = Estimate.m_FetchFrom,
             .m_NewTokens = Estimate.m_NewTokens,
-            .m_Estimate = Cost};
+            .m_Estimate = Cost,
+            .m_UsualTime =
+                Queue <= Estimate.m_NewTokens ? UsualTime : Duration::zero()};
   }
   return Best;
 }
@@ -204,15 +240,19 @@
     -> const BackendRecord * {
   const BackendRecord *Best = nullptr;
   auto BestCost = Duration::max();
-  for (const auto *Engine : candidates(View, Service.m_Id, Excluded, Now)) {
+  auto Engines = candidates(View, Service.m_Id, Excluded, Now);
+  for (const auto *Engine :
+       draw(View, std::move(Engines), PrefillEngine.m_DataCentre)) {
     if (Engine->m_Stage != EngineStage::Decode)
       continue;
     auto Running = View.m_Loads.ownRequests(Engine->m_Id) +
                    View.m_Loads.otherRequests(Engine->m_Id, Now);
     auto Queue = queueTokens(View, Speed, *Engine, Now);
-    auto Cost = asDuration(Queue / Speed.decodeEngineTokensPerMs()) +
+    auto Slowdown = View.m_Speeds.slowdown(Engine->m_Id, Now);
+    auto Cost = asDuration(Queue * Slowdown / Speed.decodeEngineTokensPerMs()) +
                 std::chrono::duration_cast<Duration>(
-                    Running * m_Options.m_DelayPerRequest);
+                    Running * Slowdown * m_Options.m_DelayPerRequest +
+                    (Slowdown - 1) * m_Options.m_FirstStepTime);
     auto Slots = std::max(1.0, static_cast<double>(Engine->m_Slots));
     // If the batch is full, a request waits until another one has its complete
     // response.
--- a/src/serving/OffloadDecisions.cpp
+++ b/src/serving/OffloadDecisions.cpp
@@ -39,8 +39,9 @@
   Sums.m_QueuedTokens +=
       View.m_Loads.ownPrefillTokens(Server.m_Id) +
       View.m_Loads.otherPrefillTokens(Server.m_Id, Now).value_or(0);
-  Sums.m_TokensPerMs += IsPrefill ? Speed.prefillEngineTokensPerMs()
-                                  : Speed.decodeEngineTokensPerMs();
+  auto UsualRate = IsPrefill ? Speed.prefillEngineTokensPerMs()
+                             : Speed.decodeEngineTokensPerMs();
+  Sums.m_TokensPerMs += UsualRate / View.m_Speeds.slowdown(Server.m_Id, Now);
 }
 
 auto summarise(const DataCentreId &DataCentre, const ServerSums &Sums,
--- a/tests/unit-OffloadDecisions.cpp
+++ b/tests/unit-OffloadDecisions.cpp
@@ -30,6 +30,7 @@
             .m_Loads = m_Loads,
             .m_Health = m_Health,
             .m_Access = m_Access,
+            .m_Speeds = m_Speeds,
             .m_Distance = m_Distance,
             .m_Random = m_Random,
             .m_Offload = Offload};
@@ -48,6 +49,7 @@
       {.m_Host = HostId{"h"}, .m_DataCentre = Own, .m_Region = RegionId{"r"}},
       {{Own, RegionId{"r"}}, {Other, RegionId{"s"}}}};
   Random m_Random{3};
+  ServerSpeeds m_Speeds{m_Random, ServerSpeedOptions{}};
   PrefillSpeed m_Speed{PrefillSpeedOptions{}};
 };
 
