Serve a prompt elsewhere rather than refuse it, whatever was decided on leaving

One cause: the bias kept a prompt at an engine of this data centre whose estimate was beyond the caller's time, and the request was refused, although another data centre's estimate was within it. The new test, with queues of 1.95 s here and 1.5 s elsewhere and 1.8 s to wait, was refused before.

Change: if the estimate is beyond the caller's time, the engines are compared once more without the bias. ServingFixture takes options for the test.

--- a/include/dotterel/routing/DataCentreOffload.h
+++ b/include/dotterel/routing/DataCentreOffload.h
@@ -116,6 +116,8 @@
   Duration m_RoundTrip{}; ///< To m_Lender.
   Duration m_Target{};
 
+  /// Returns whether the choice affects the comparison of servers.
+  [[nodiscard]] auto active() const -> bool;
   /// Returns the time by which the cost of a server in \p DataCentre changes in
   /// a comparison of servers. \p Distance is the cost of the distance that is
   /// already contained in it.
--- a/src/routing/DataCentreOffload.cpp
+++ b/src/routing/DataCentreOffload.cpp
@@ -43,19 +43,25 @@
   return "";
 }
 
-auto OffloadChoice::bias(const DataCentreId &DataCentre,
-                         Duration Distance) const -> Duration {
+auto OffloadChoice::active() const -> bool {
   switch (m_Reason) {
   case OffloadReason::Disabled:
   case OffloadReason::Room:
   case OffloadReason::NoServer:
-    return Duration::zero();
+    return false;
   case OffloadReason::OldFigures:
   case OffloadReason::LendersFull:
   case OffloadReason::NotWorthwhile:
   case OffloadReason::Leaving:
-    break;
+    return true;
   }
+  return false;
+}
+
+auto OffloadChoice::bias(const DataCentreId &DataCentre,
+                         Duration Distance) const -> Duration {
+  if (!active())
+    return Duration::zero();
   if (m_Lender && DataCentre == *m_Lender)
     return m_RoundTrip - Distance;
   // A server elsewhere remains the last resort, if a request would miss its
--- a/src/serving/ServedRequestPlacement.cpp
+++ b/src/serving/ServedRequestPlacement.cpp
@@ -55,9 +55,20 @@
 
 auto ServedRequest::placePrompt() -> void {
   const auto &Prompt = *m_Exchange->request().m_Prompt;
-  auto Plan = m_Context.m_Placement.plan(
-      m_Context.view(m_Offload), m_Context.m_Caches, m_Context.m_Speed,
-      *m_Parameters.m_Service, Prompt, m_Excluded, m_Context.m_Scheduler.now());
+  auto MakePlan = [&] {
+    return m_Context.m_Placement.plan(m_Context.view(m_Offload),
+                                      m_Context.m_Caches, m_Context.m_Speed,
+                                      *m_Parameters.m_Service, Prompt,
+                                      m_Excluded, m_Context.m_Scheduler.now());
+  };
+  auto MaxWait = std::chrono::duration_cast<Duration>(
+      timeLeft() * m_Context.m_Options.m_MaxWaitShare);
+  auto Plan = MakePlan();
+  if (Plan.m_Estimate > MaxWait && m_Offload.active()) {
+    // Rather served in any data centre than refused.
+    m_Offload = {};
+    Plan = MakePlan();
+  }
   if (!Plan.possible()) {
     refuseWithoutServer("no engine of the service is registered");
     return;
@@ -65,8 +76,6 @@
   m_Estimate = Plan.m_Estimate;
   if (m_Placements == 1)
     m_Context.m_Demand.addPrefill(static_cast<std::uint64_t>(Plan.m_NewTokens));
-  auto MaxWait = std::chrono::duration_cast<Duration>(
-      timeLeft() * m_Context.m_Options.m_MaxWaitShare);
   if (!m_Streaming && Plan.m_Estimate > MaxWait) {
     refuse(RefusalCode::QueueFull,
            fmt::format(
--- a/tests/support/ServingFakes.h
+++ b/tests/support/ServingFakes.h
@@ -126,7 +126,7 @@
 
 /// A serving core with one plain service and one service of engines.
 struct ServingFixture {
-  ServingFixture();
+  explicit ServingFixture(const ServingCoreOptions &Options = {});
 
   /// Starts a request on the route "safe", "unsafe", "stream" or "resumable".
   auto serve(const std::string &Route, const std::string &Key = "k",
@@ -150,12 +150,13 @@
   std::uint64_t m_LastId = 0;
 };
 
-inline ServingFixture::ServingFixture()
-    : m_Core(m_Scheduler, m_Random, m_Transport, m_Distance, m_Metrics,
-             [this](const OrganisationId &Organisation) {
-               ++m_Usage[Organisation.text()];
-             },
-             {}) {
+inline ServingFixture::ServingFixture(const ServingCoreOptions &Options)
+    : m_Core(
+          m_Scheduler, m_Random, m_Transport, m_Distance, m_Metrics,
+          [this](const OrganisationId &Organisation) {
+            ++m_Usage[Organisation.text()];
+          },
+          Options) {
   auto Configuration = ServingConfiguration();
   Configuration.m_Revision = ConfigRevision{1};
   auto Route = [](const std::string &Name, RequestKind Kind,
--- a/tests/unit-OffloadDecisions.cpp
+++ b/tests/unit-OffloadDecisions.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/serving/OffloadDecisions.h"
 
 #include "dotterel/serving/EnginePlacement.h"
+#include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -190,3 +191,38 @@
         Duration::zero());
   CHECK(lentTo(Other).forDecode(Other).m_Lender == Other);
 }
+
+TEST_CASE("offload: a prompt that would be refused here is served elsewhere, "
+          "although nobody lends") {
+  auto Test = test::ServingFixture({.m_Offload = {.m_Enabled = true}});
+  Test.m_Core.directory().put({.m_Id = BackendId{"far"},
+                               .m_Service = ServiceId{"llm"},
+                               .m_Address = "far:1",
+                               .m_DataCentre = Other,
+                               .m_Slots = 8,
+                               .m_Stage = EngineStage::Decode});
+  // Queues of 1.95 s here and 1.5 s elsewhere; the callers have 2 s.
+  const auto &Speed = Test.m_Core.prefillSpeed();
+  auto Queued = [](const char *Engine, double TokensPerMs, double Time) {
+    return BackendLoad{.m_Engine = BackendId{Engine},
+                       .m_Requests = 1,
+                       .m_PendingPrefillTokens = TokensPerMs * Time};
+  };
+  auto Loads = LoadSummary();
+  for (const auto *Engine : {"p1", "p2"})
+    Loads.m_Engines.push_back(
+        Queued(Engine, Speed.prefillEngineTokensPerMs(), 1950));
+  for (const auto *Engine : {"g1", "g2"})
+    Loads.m_Engines.push_back(
+        Queued(Engine, Speed.decodeEngineTokensPerMs(), 1950));
+  Loads.m_Engines.push_back(
+      Queued("far", Speed.decodeEngineTokensPerMs(), 1500));
+  Test.m_Core.applyLoads("h2", Loads);
+  auto View = Test.serve(
+      "resumable", "k",
+      PromptShape{.m_Parts = {{.m_Id = "own", .m_Tokens = TokenCount{100}}},
+                  .m_PromptTokens = TokenCount{100}});
+  CHECK_FALSE(View->m_Refusal.has_value());
+  REQUIRE(Test.m_Transport.m_Sent.size() == 1);
+  CHECK(Test.m_Transport.m_Sent[0].m_Attempt.m_Backend == BackendId{"far"});
+}
