--- a/include/dotterel/serving/EnginePlacement.h
+++ b/include/dotterel/serving/EnginePlacement.h
@@ -44,7 +44,7 @@
   /// Number of engines of a stage at each distance that a short prompt
   /// compares, and any prompt for decoding, where servers state that their
   /// speed varies. 0: all.
-  std::size_t m_Choices = 2;
+  std::size_t m_Choices = 0;
   /// Time of a prefill from which a prompt compares all engines: the age of
   /// other hosts' loads, which are out of date sooner than a longer prefill
   /// ends.
--- a/tests/unit-ChoiceSample.cpp
+++ b/tests/unit-ChoiceSample.cpp
@@ -68,7 +68,7 @@
   Distance m_Distance = hereIs();
   Random m_Random;
   ServerSpeeds m_Speeds{m_Random, {}};
-  EnginePlacement m_Placement{EnginePlacementOptions{}};
+  EnginePlacement m_Placement{EnginePlacementOptions{.m_Choices = 2}};
 };
 
 /// Lets the hosts place prompts that arrive evenly, each with the loads of the
--- a/tests/unit-EnginePlacement.cpp
+++ b/tests/unit-EnginePlacement.cpp
@@ -180,6 +180,7 @@
   auto Test = Fleet(16);
   auto Home = Test.plan(longPrompt(5, 1)).m_Prefill->m_Id;
   Test.m_Speeds.recordFactor(BackendId{"e0"}, 1, Now);
+  Test.m_Placement = EnginePlacement({.m_Choices = 2});
   auto ShortTargets = std::set<BackendId>();
   for (auto Request = 0; Request < 50; ++Request) {
     CHECK(Test.plan(longPrompt(5, Request)).m_Prefill->m_Id == Home);
