--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -6,12 +6,14 @@
 #include <ctime>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <set>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -111,6 +113,22 @@
   return !m_Ended;
 }
 
+auto Process::peakMemoryBytes() const -> std::size_t {
+  auto Status = std::ifstream(fmt::format("/proc/{}/status", m_Pid));
+  auto Line = std::string();
+  while (std::getline(Status, Line))
+    if (Line.starts_with("VmHWM:"))
+      return std::stoull(Line.substr(Line.find(':') + 1)) << 10U;
+  return 0;
+}
+
+auto Process::openDescriptors() const -> std::size_t {
+  auto Failure = std::error_code();
+  auto Entries = std::filesystem::directory_iterator(
+      fmt::format("/proc/{}/fd", m_Pid), Failure);
+  return static_cast<std::size_t>(std::distance(begin(Entries), end(Entries)));
+}
+
 auto Reply::error() const -> std::string {
   auto Body = json();
   if (!Body.is_object() || !Body.contains("error"))
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -51,6 +51,12 @@
   /// Returns whether the process has not ended.
   [[nodiscard]] auto running() -> bool;
 
+  /// Returns the largest amount of memory that was resident at once, in bytes.
+  [[nodiscard]] auto peakMemoryBytes() const -> std::size_t;
+
+  /// Returns the number of open file descriptors.
+  [[nodiscard]] auto openDescriptors() const -> std::size_t;
+
 private:
   pid_t m_Pid = -1;
   std::string m_LogPath;
