Hold each body once, and refuse early what a gate's server does not read

Cause: a body was held in the exchange, in the decoded request, in the call and in the send buffer, which was not released when it was sent. The server that gates use read and dropped bodies over the limit to their end, and kept the part up to the limit meanwhile.

Change: bodies of requests and calls are shared, immutable bytes; the pooled client sends head and body from where they are and lets go of both when they are sent. HttpServer refuses from the announced length, as soon as the count passes the limit, or for memory. libmicrohttpd can't answer in the middle of a body, and closes with the rest unread, which resets the connection: the refusal goes to the socket directly, and a second descriptor lingers on it for at most 1 s or 8 MiB. The test files change only in reading a body as text.

--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -44,7 +44,7 @@
   std::string m_Method = "GET";
   std::string m_Url;
   HttpHeaders m_Headers;
-  std::string m_Body;
+  SharedBytes m_Body;
   Duration m_Timeout = Seconds(10);
   Duration m_ConnectTimeout = Seconds(2);
   /// Uses a new connection that carries no other call, so that libcurl never
--- a/include/dotterel/io/HttpMessage.h
+++ b/include/dotterel/io/HttpMessage.h
@@ -8,6 +8,8 @@
 #ifndef DOTTEREL_IO_HTTPMESSAGE_H
 #define DOTTEREL_IO_HTTPMESSAGE_H
 
+#include "dotterel/base/SharedBytes.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,7 +40,7 @@
   std::string m_Target;
   HttpHeaders m_Query;
   HttpHeaders m_Headers;
-  std::string m_Body;
+  SharedBytes m_Body;
 };
 
 struct HttpResponse {
--- a/include/dotterel/io/HttpServer.h
+++ b/include/dotterel/io/HttpServer.h
@@ -22,6 +22,8 @@
 
 namespace dotterel {
 
+class MemoryBudget;
+
 /// One request and its response. Exactly one of respond() and startStream() may
 /// be called, once.
 class HttpExchange {
@@ -68,6 +70,14 @@
 
   /// Returns the response to a request whose body exceeds \p Limit bytes.
   virtual auto bodyTooLarge(std::size_t Limit) -> HttpResponse = 0;
+
+  /// Returns the response to a request that was not read since the memory for
+  /// callers is in use. It must say that the request is not run.
+  virtual auto outOfMemory() -> HttpResponse {
+    constexpr auto Unavailable = 503U;
+    return {.m_Status = Unavailable,
+            .m_Headers = {{.m_Name = "Retry-After", .m_Value = "1"}}};
+  }
 };
 
 struct HttpServerOptions {
@@ -75,6 +85,8 @@
   std::size_t m_MaxBodyBytes = std::size_t{8} << 20U;
   unsigned m_MaxConnections = 1000;
   unsigned m_IdleTimeoutSeconds = 30;
+  /// Bounds the bytes held for callers. Null: no bound.
+  MemoryBudget *m_Memory = nullptr;
 };
 
 /// Listens on an address and passes complete requests to a handler.
--- a/include/dotterel/io/detail/RequestReader.h
+++ b/include/dotterel/io/detail/RequestReader.h
@@ -68,6 +68,14 @@
   [[nodiscard]] auto bufferedBytes() const -> std::size_t {
     return m_Buffer.size();
   }
+  /// Returns the number of bytes received of an incomplete body.
+  [[nodiscard]] auto bodyBytes() const -> std::size_t { return m_Body.size(); }
+  /// Returns the number of bytes that the current request takes: those that are
+  /// held, and the announced rest of its body.
+  [[nodiscard]] auto heldBytes() const -> std::size_t;
+  /// Frees what is held of a request that is not read further.
+  /// \post The state is Rejected.
+  auto discard() -> void;
   [[nodiscard]] auto isHttp10() const -> bool { return m_Http10; }
 
 private:
@@ -83,7 +91,9 @@
   State m_State = State::Head;
   std::string m_Buffer;
   std::size_t m_ScannedBytes = 0;
+  std::size_t m_HeadBytes = 0;
   HttpRequest m_Request;
+  std::string m_Body; ///< As far as it has been received.
   Rejection m_Rejection;
   bool m_InHeaderValue = false;
   bool m_HeadersDone = false;
--- a/include/dotterel/serving/CallerExchange.h
+++ b/include/dotterel/serving/CallerExchange.h
@@ -50,7 +50,7 @@
   std::string m_Method;
   std::string m_Target;
   HttpHeaders m_Headers; ///< Headers that are forwarded to a backend server.
-  std::string m_Body;
+  SharedBytes m_Body;
 };
 
 /// Status and headers of a backend server's response, forwarded unchanged.
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -155,7 +155,7 @@
       Headers[Header.m_Name] = Header.m_Value;
     m_RecordedRequests.push_back(
         {{"headers", Headers},
-         {"body", Exchange->request().m_Body.substr(0, 2000)}});
+         {"body", Exchange->request().m_Body.text().substr(0, 2000)}});
   }
   if (!m_Faults.m_Notice.m_Pause.empty()) {
     detail::refuseForPause(*Exchange, m_Faults.m_Notice);
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -1,15 +1,24 @@
 #include "dotterel/io/HttpServer.h"
 
 #include "dotterel/base/Errors.h"
+#include "dotterel/base/Log.h"
+#include "dotterel/base/LogThrottle.h"
+#include "dotterel/io/MemoryBudget.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
+#include <cerrno>
+#include <charconv>
 #include <cstring>
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <http_parser.h>
 #include <microhttpd.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -17,6 +26,10 @@
 
 namespace {
 
+/// Bounds of what is read and dropped after a refusal in the middle of a body.
+constexpr auto LingerTimeout = Milliseconds(1000);
+constexpr auto LingerSweepInterval = Milliseconds(50);
+constexpr auto MaxLingerBytes = std::size_t{8} << 20U;
 constexpr auto StreamBlockBytes = std::size_t{16} << 10U;
 
 auto appendHeader(void *Target, enum MHD_ValueKind /*Kind*/, const char *Key,
@@ -44,7 +57,20 @@
   EventLoop &m_Loop;
   HttpHandler &m_Handler;
   HttpServerOptions m_Options;
+  /// Reads and drops what still comes on a connection that was refused, for a
+  /// bounded time and number of bytes. Takes ownership of \p Fd.
+  auto linger(int Fd) -> void;
+
+  struct Lingering {
+    std::unique_ptr<FdWatcher> m_Watcher;
+    std::size_t m_Bytes = 0;
+    MonotonicTime m_Until;
+  };
+
   MHD_Daemon *m_Daemon = nullptr;
+  LogThrottle m_RefusalLog;
+  std::unordered_map<int, Lingering> m_Lingering;
+  std::unique_ptr<RepeatingTimer> m_LingerTimer;
   int m_ListenFd = -1;
   bool m_CloseAfterResponses = false;
   std::unique_ptr<FdWatcher> m_Watcher;
@@ -54,6 +80,8 @@
 
 private:
   auto run() -> void;
+  auto drop(int Fd) -> void;
+  auto endLingering(bool All) -> void;
   static auto onAccess(void *Self, MHD_Connection *Connection, const char *Url,
                        const char *Method, const char *Version,
                        const char *Upload, std::size_t *UploadSize,
@@ -63,7 +91,8 @@
       -> void;
 };
 
-class HttpServer::Impl::Exchange final : public HttpExchange {
+class HttpServer::Impl::Exchange final : public HttpExchange,
+                                         public MemoryHolder {
 public:
   enum class State : std::uint8_t {
     Receiving,
@@ -74,7 +103,8 @@
   };
 
   Exchange(Impl &Server, MHD_Connection *Connection)
-      : m_Server(&Server), m_Connection(Connection) {}
+      : m_Server(&Server), m_Connection(Connection),
+        m_Memory(Server.m_Options.m_Memory, *this) {}
 
   [[nodiscard]] auto request() const -> const HttpRequest & override {
     return m_Request;
@@ -87,6 +117,7 @@
     m_Status = Response.m_Status;
     m_Headers = std::move(Response.m_Headers);
     m_Buffer = std::move(Response.m_Body);
+    accountResponse();
     markReady();
   }
 
@@ -103,6 +134,7 @@
     if (m_State == State::Closed || Data.empty())
       return;
     m_Buffer.append(Data);
+    accountResponse();
     resume();
   }
 
@@ -128,21 +160,45 @@
     m_OnDisconnect = std::move(Callback);
   }
 
-  auto receive(const char *Data, std::size_t Size) -> void {
-    if (m_Request.m_Body.size() + Size > m_Server->m_Options.m_MaxBodyBytes)
-      m_BodyTooLarge = true;
-    if (!m_BodyTooLarge)
-      m_Request.m_Body.append(Data, Size);
+  /// Checks the head of the request. \returns whether its body is to be read.
+  auto begin() -> bool {
+    auto Announced = std::size_t{0};
+    if (auto Length = findHeader(m_Request.m_Headers, "Content-Length"))
+      std::from_chars(Length->data(), Length->data() + Length->size(),
+                      Announced);
+    if (Announced > m_Server->m_Options.m_MaxBodyBytes)
+      return refuseTooLarge();
+    // Takes no memory until bytes arrive, and saves copies while it grows.
+    m_Body.reserve(Announced);
+    return accountRequest();
   }
 
-  auto complete(const std::shared_ptr<Exchange> &Self) -> MHD_Result {
-    if (m_BodyTooLarge) {
-      auto Limit = m_Server->m_Options.m_MaxBodyBytes;
-      m_State = State::Waiting;
-      respond(m_Server->m_Handler.bodyTooLarge(Limit));
-      return queueResponse();
+  /// Reads a part of the body. \returns whether the rest is to be read.
+  auto receive(const char *Data, std::size_t Size) -> bool {
+    if (m_Refused)
+      return false;
+    if (m_Body.size() + Size > m_Server->m_Options.m_MaxBodyBytes)
+      return refuseTooLarge();
+    m_Body.append(Data, Size);
+    return accountRequest();
+  }
+
+  auto giveUpMemory() -> void override {
+    if (m_State == State::Receiving) {
+      refuse(m_Server->m_Handler.outOfMemory());
+      return;
     }
+    logWarning("memory.response-dropped",
+               {{"bytes", backlog()}, {"reason", "not read by the caller"}});
+    ::shutdown(fd(), SHUT_RDWR);
+  }
+
+  auto complete(const std::shared_ptr<Exchange> &Self) -> MHD_Result {
+    if (m_Refused)
+      return MHD_NO;
     m_State = State::Waiting;
+    m_Request.m_Body = std::exchange(m_Body, {});
+    m_Request.m_Body.keep(m_Memory.complete());
     m_Server->m_Handler.handle(Self);
     if (m_State == State::Ready)
       return queueResponse();
@@ -158,7 +214,7 @@
                   MHD_SIZE_UNKNOWN, StreamBlockBytes, &Exchange::onRead, this,
                   nullptr)
             : MHD_create_response_from_buffer(m_Buffer.size(), m_Buffer.data(),
-                                              MHD_RESPMEM_MUST_COPY);
+                                              MHD_RESPMEM_PERSISTENT);
     for (const auto &Header : m_Headers)
       MHD_add_response_header(Response, Header.m_Name.c_str(),
                               Header.m_Value.c_str());
@@ -195,6 +251,60 @@
   HttpRequest m_Request;
 
 private:
+  [[nodiscard]] auto fd() const -> int {
+    return MHD_get_connection_info(m_Connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+  }
+
+  auto accountRequest() -> bool {
+    if (m_Memory.setRequest(m_Body.capacity(), m_Server->m_Loop.now()))
+      return true;
+    const auto &Memory = *m_Server->m_Options.m_Memory;
+    if (auto Suppressed = m_Server->m_RefusalLog.admit(m_Server->m_Loop.now()))
+      logWarning("memory.refused", {{"bytes", m_Body.capacity()},
+                                    {"in_use", Memory.usedBytes()},
+                                    {"budget", Memory.limitBytes()},
+                                    {"not_logged", *Suppressed}});
+    refuse(m_Server->m_Handler.outOfMemory());
+    return false;
+  }
+
+  auto accountResponse() -> void {
+    m_Memory.setResponse(backlog(), m_Server->m_Loop.now());
+  }
+
+  auto refuseTooLarge() -> bool {
+    refuse(
+        m_Server->m_Handler.bodyTooLarge(m_Server->m_Options.m_MaxBodyBytes));
+    return false;
+  }
+
+  /// Responds to a request that is not read further. libmicrohttpd cannot
+  /// respond in the middle of a body, and closes its socket with the rest
+  /// unread, which would reset the connection before the caller has read the
+  /// response. So the response goes to the socket directly, and a second
+  /// descriptor lingers on it.
+  auto refuse(const HttpResponse &Response) -> void {
+    if (std::exchange(m_Refused, true))
+      return;
+    // An assignment would keep the memory.
+    std::string().swap(m_Body);
+    m_Memory.releaseRequest();
+    auto Text = fmt::format(
+        "HTTP/1.1 {} {}\r\n", Response.m_Status,
+        http_status_str(static_cast<http_status>(Response.m_Status)));
+    for (const auto &Header : Response.m_Headers)
+      Text += fmt::format("{}: {}\r\n", Header.m_Name, Header.m_Value);
+    Text += fmt::format("Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                        Response.m_Body.size(), Response.m_Body);
+    if (::send(fd(), Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) !=
+        static_cast<ssize_t>(Text.size()))
+      return;
+    ::shutdown(fd(), SHUT_WR);
+    m_Server->linger(::fcntl(fd(), F_DUPFD_CLOEXEC, 0));
+  }
+
   auto markReady() -> void {
     assert((m_State == State::Waiting) && "a request has exactly one response");
     m_State = State::Ready;
@@ -259,6 +369,7 @@
         m_Buffer.clear();
         m_ReadBytes = 0;
       }
+      accountResponse();
       return static_cast<ssize_t>(Size);
     }
     if (m_Aborted)
@@ -271,6 +382,7 @@
 
   Impl *m_Server;
   MHD_Connection *m_Connection;
+  std::string m_Body; ///< Of the request, as far as it has been received.
   unsigned m_Status = 0;
   HttpHeaders m_Headers;
   std::string m_Buffer;
@@ -279,12 +391,13 @@
   bool m_Finished = false;
   bool m_Aborted = false;
   bool m_Suspended = false;
-  bool m_BodyTooLarge = false;
+  bool m_Refused = false;
   bool m_Pipelined = false;
   bool m_Disconnected = false;
   bool m_AnnouncesClose = false;
   std::unique_ptr<FdWatcher> m_Watcher;
   std::function<void()> m_OnDisconnect;
+  MemoryHolding m_Memory;
 };
 
 HttpServer::Impl::Impl(EventLoop &Loop, HttpHandler &Handler,
@@ -307,10 +420,14 @@
       MHD_get_daemon_info(m_Daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   m_Watcher = std::make_unique<FdWatcher>(Loop, EpollFd, EV_READ,
                                           [this](int) { run(); });
+  m_LingerTimer = std::make_unique<RepeatingTimer>(
+      Loop, LingerSweepInterval, [this] { endLingering(false); });
   run();
 }
 
 HttpServer::Impl::~Impl() {
+  m_LingerTimer.reset();
+  endLingering(true);
   if (m_RunTimer)
     m_Loop.cancel(*m_RunTimer);
   if (m_TimeoutTimer)
@@ -327,6 +444,46 @@
     ::close(m_ListenFd);
 }
 
+auto HttpServer::Impl::linger(int Fd) -> void {
+  if (Fd < 0)
+    return;
+  if (m_Lingering.size() >= m_Options.m_MaxConnections) {
+    ::close(Fd);
+    return;
+  }
+  m_Lingering.emplace(
+      Fd, Lingering{.m_Watcher = std::make_unique<FdWatcher>(
+                        m_Loop, Fd, EV_READ, [this, Fd](int) { drop(Fd); }),
+                    .m_Until = m_Loop.now() + LingerTimeout});
+}
+
+auto HttpServer::Impl::drop(int Fd) -> void {
+  auto Buffer = std::array<char, StreamBlockBytes>();
+  auto Count = ::recv(Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  auto &Current = m_Lingering.at(Fd);
+  Current.m_Bytes += static_cast<std::size_t>(std::max<ssize_t>(Count, 0));
+  if (Count > 0 && Current.m_Bytes < MaxLingerBytes)
+    return;
+  // Closed by the next sweep, outside of the watcher's own call.
+  Current.m_Watcher->enable(false);
+  Current.m_Until = MonotonicTime();
+}
+
+auto HttpServer::Impl::endLingering(bool All) -> void {
+  auto Now = m_Loop.now();
+  for (auto Current = m_Lingering.begin(); Current != m_Lingering.end();) {
+    if (!All && Current->second.m_Until > Now) {
+      ++Current;
+      continue;
+    }
+    auto Fd = Current->first;
+    Current = m_Lingering.erase(Current);
+    ::close(Fd);
+  }
+}
+
 auto HttpServer::Impl::scheduleRun() -> void {
   if (m_RunTimer)
     return;
@@ -365,14 +522,15 @@
     MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, &appendHeader,
                               &Created->m_Request.m_Query);
     Server.m_Exchanges.insert(Created.get());
+    auto Begun = Created->begin();
     *Context = new std::shared_ptr<Exchange>(std::move(Created));
-    return MHD_YES;
+    return Begun ? MHD_YES : MHD_NO;
   }
   auto Current = *static_cast<std::shared_ptr<Exchange> *>(*Context);
   if (*UploadSize > 0) {
-    Current->receive(Upload, *UploadSize);
+    auto Goes = Current->receive(Upload, *UploadSize);
     *UploadSize = 0;
-    return MHD_YES;
+    return Goes ? MHD_YES : MHD_NO;
   }
   if (Current->disconnected())
     return MHD_NO;
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -41,10 +42,9 @@
           .m_Target = Target.empty() ? "/" : Target};
 }
 
-auto encodeRequest(const HttpCall &Call, const CallTarget &Target)
-    -> std::string {
+/// Returns the head of the request that a call sends.
+auto encodeHead(const HttpCall &Call, const CallTarget &Target) -> std::string {
   auto Text = std::string();
-  Text.reserve(Call.m_Body.size() + 512);
   Text += fmt::format("{} {} HTTP/1.1\r\n", Call.m_Method, Target.m_Target);
   if (!findHeader(Call.m_Headers, "Host"))
     Text += fmt::format("Host: {}\r\n", Target.m_Address);
@@ -53,7 +53,6 @@
   if (!Call.m_Body.empty() || Call.m_Method == "POST" || Call.m_Method == "PUT")
     Text += fmt::format("Content-Length: {}\r\n", Call.m_Body.size());
   Text += "\r\n";
-  Text += Call.m_Body;
   return Text;
 }
 
@@ -67,7 +66,7 @@
   auto operator=(const PooledConnection &) -> PooledConnection & = delete;
   ~PooledConnection() = default;
 
-  auto begin(HttpCallId Id, HttpCall Call, std::string Request) -> void;
+  auto begin(HttpCallId Id, HttpCall Call, std::string Head) -> void;
 
   /// Closes the connection without calling the call's callbacks.
   auto close() -> void;
@@ -93,6 +92,8 @@
   /// Reads once. \returns whether bytes were read.
   auto readable() -> bool;
   auto writable() -> void;
+  /// Sends as much of the call as the socket takes, like send().
+  auto sendRest() -> ssize_t;
   auto handleReaderState(detail::ResponseReader::State State) -> void;
   auto finish(HttpOutcome Outcome, const char *Detail) -> void;
   auto armTimeout(Duration Delay) -> void;
@@ -111,8 +112,11 @@
   HttpCallId m_Id;
   std::optional<HttpCall> m_Call;
   HttpCallResult m_Result;
-  std::string m_SendBuffer;
-  std::size_t m_SentBytes = 0;
+  /// What is still to be sent of the call: its head, then its body.
+  std::string m_Head;
+  SharedBytes m_Body;
+  std::size_t m_SentBytes = 0; ///< Of head and body.
+  std::size_t m_RequestBytes = 0;
   std::size_t m_BufferedBytes = 0; ///< Of m_Result's body.
   MonotonicTime m_Deadline;
   MonotonicTime m_IdleUntil;
@@ -178,13 +182,15 @@
   m_ReadWatcher.enable(false);
 }
 
-auto PooledConnection::begin(HttpCallId Id, HttpCall Call, std::string Request)
+auto PooledConnection::begin(HttpCallId Id, HttpCall Call, std::string Head)
     -> void {
   m_Id = Id;
   m_Call = std::move(Call);
   m_Result = HttpCallResult();
   m_Result.m_Reused = m_CarriedCall;
-  m_SendBuffer = std::move(Request);
+  m_Head = std::move(Head);
+  m_Body = std::exchange(m_Call->m_Body, {});
+  m_RequestBytes = m_Head.size() + m_Body.size();
   m_SentBytes = 0;
   m_Reader = std::make_unique<detail::ResponseReader>(
       detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
@@ -238,9 +244,8 @@
     m_ReadWatcher.enable(true);
     armTimeout(m_Deadline - m_Client.loop().now());
   }
-  while (m_SentBytes < m_SendBuffer.size()) {
-    auto Count = ::send(m_Socket.fd(), m_SendBuffer.data() + m_SentBytes,
-                        m_SendBuffer.size() - m_SentBytes, MSG_NOSIGNAL);
+  while (m_SentBytes < m_RequestBytes) {
+    auto Count = sendRest();
     if (Count < 0 && errno == EINTR)
       continue;
     if (Count < 0 && errno == EAGAIN)
@@ -257,6 +262,24 @@
     m_SentBytes += static_cast<std::size_t>(Count);
   }
   m_WriteWatcher.enable(false);
+  // The bytes may be large, and a server may work for long.
+  m_Head.clear();
+  m_Body = {};
+}
+
+auto PooledConnection::sendRest() -> ssize_t {
+  auto HeadLeft =
+      std::string_view(m_Head).substr(std::min(m_SentBytes, m_Head.size()));
+  auto BodySent = m_SentBytes - (m_Head.size() - HeadLeft.size());
+  auto BodyLeft = std::string_view(m_Body.text()).substr(BodySent);
+  auto Parts = std::array{iovec{.iov_base = const_cast<char *>(HeadLeft.data()),
+                                .iov_len = HeadLeft.size()},
+                          iovec{.iov_base = const_cast<char *>(BodyLeft.data()),
+                                .iov_len = BodyLeft.size()}};
+  auto Message = msghdr{};
+  Message.msg_iov = Parts.data();
+  Message.msg_iovlen = Parts.size();
+  return ::sendmsg(m_Socket.fd(), &Message, MSG_NOSIGNAL);
 }
 
 auto PooledConnection::readable() -> bool {
@@ -342,7 +365,7 @@
   m_Result.m_Detail = Detail;
   auto Result = std::move(m_Result);
   auto Keep = Outcome == HttpOutcome::Complete && m_Reader->reusable() &&
-              m_SentBytes == m_SendBuffer.size() && !Call.m_DedicatedConnection;
+              m_SentBytes == m_RequestBytes && !Call.m_DedicatedConnection;
   if (Keep) {
     m_CarriedCall = true;
     auto Idle = m_Client.options().m_IdleTimeout;
@@ -420,9 +443,9 @@
       return Id;
     }
   }
-  auto Request = encodeRequest(Call, Target);
+  auto Head = encodeHead(Call, Target);
   m_Active.emplace(Id.number(), Connection);
-  Connection->begin(Id, std::move(Call), std::move(Request));
+  Connection->begin(Id, std::move(Call), std::move(Head));
   return Id;
 }
 
--- a/src/io/detail/RequestReader.cpp
+++ b/src/io/detail/RequestReader.cpp
@@ -121,7 +121,7 @@
     Result.on_body = [](http_parser *Parser, const char *Data,
                         std::size_t Size) {
       auto &Reader = *static_cast<RequestReader *>(self(Parser));
-      auto &Body = Reader.m_Request.m_Body;
+      auto &Body = Reader.m_Body;
       if (Body.size() + Size > Reader.m_Limits.m_MaxBodyBytes) {
         Reader.reject(413, "the body is over the limit");
         return 1;
@@ -149,8 +149,9 @@
 
 auto RequestReader::next() -> State {
   m_Request = HttpRequest();
+  m_Body.clear();
   m_State = State::Head;
-  m_ScannedBytes = 0;
+  m_ScannedBytes = m_HeadBytes = 0;
   m_InHeaderValue = m_HeadersDone = m_MessageDone = m_ExpectContinue = false;
   http_parser_init(&m_Parser, HTTP_REQUEST);
   m_Parser.data = this;
@@ -161,6 +162,20 @@
   return std::exchange(m_ExpectContinue, false);
 }
 
+auto RequestReader::heldBytes() const -> std::size_t {
+  auto Body =
+      m_State == State::Complete ? m_Request.m_Body.size() : m_Body.capacity();
+  return m_Buffer.size() + m_HeadBytes + Body;
+}
+
+auto RequestReader::discard() -> void {
+  reject(503, "the request is not read");
+  // An assignment would keep the memory.
+  std::string().swap(m_Buffer);
+  std::string().swap(m_Body);
+  m_Request = HttpRequest();
+}
+
 auto RequestReader::reject(unsigned Status, std::string Reason) -> State {
   if (m_State == State::Rejected)
     return m_State;
@@ -211,6 +226,7 @@
   if (Parsed < Head.size() && !m_MessageDone)
     return reject(400, "the headers end early");
   m_Buffer.erase(0, Size);
+  m_HeadBytes = Size;
   m_State = State::Body;
   return m_State;
 }
@@ -267,6 +283,8 @@
       reject(413, "the body is over the limit");
       return;
     }
+    // Takes no memory until bytes arrive, and saves copies while it grows.
+    m_Body.reserve(m_Parser.content_length);
   }
   for (const auto &Header : Headers) {
     if (Header.m_Name.empty()) {
@@ -295,6 +313,7 @@
   if (!m_MessageDone)
     return;
   m_State = State::Complete;
+  m_Request.m_Body = std::exchange(m_Body, {});
   m_ExpectContinue = false;
   m_Buffer = Bytes;
 }
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -299,7 +299,7 @@
     Exchange->respond({.m_Status = 200,
                        .m_Headers = ResponseHeaders,
                        .m_Body = Exchange->request().m_Target + "|" +
-                                 Exchange->request().m_Body});
+                                 Exchange->request().m_Body.text()});
   });
 }
 
--- a/tests/unit-RequestReader.cpp
+++ b/tests/unit-RequestReader.cpp
@@ -105,7 +105,7 @@
     auto CollectCompleted = [&](State Current) {
       while (Current == State::Complete) {
         Bodies.push_back(Reader.request().m_Target + ":" +
-                         Reader.request().m_Body);
+                         Reader.request().m_Body.text());
         Current = Reader.next();
       }
     };
