Hosts: one budget of bytes for all callers, and no answers for who reads none

Cause: a host read and held whatever its callers sent within their limits, and kept the part up to the limit of bodies that it had refused; it went on answering pipelined requests of a caller that read none of the answers; a body that trickled had no end.

Large freed blocks go back to the system.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/base/Log.h"
 #include "dotterel/host/HostProcess.h"
+#include "dotterel/io/MemoryBudget.h"
 #include "dotterel/io/PooledHttpClient.h"
 #include "dotterel/io/UdpPort.h"
 #include "dotterel/settings/Settings.h"
@@ -66,6 +67,7 @@
 
 auto runHost(const Settings &Values) -> int {
   setLogLevel(Values.text("log-level"));
+  returnLargeBlocks();
   const auto &Path = Values.text("platform-settings");
   auto Node = platform::readNodeSettings(Path);
   auto Loop = EventLoop();
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -13,6 +13,7 @@
 #include "dotterel/host/HostSettings.h"
 #include "dotterel/io/EventLoop.h"
 #include "dotterel/io/LogOutput.h"
+#include "dotterel/io/MemoryBudget.h"
 #include "dotterel/io/StrictHttpServer.h"
 #include "dotterel/peers/CrashExchange.h"
 #include "dotterel/peers/LoadExchange.h"
@@ -131,6 +132,7 @@
   CrashExchange m_CrashExchange;
   FleetDuty m_Duty;
   Supervisor m_Tree;
+  MemoryBudget m_CallerMemory;
   std::optional<StrictHttpServer> m_CallerServer;
   std::optional<StrictHttpServer> m_ReadinessServer;
   std::optional<StrictHttpServer> m_MetricsServer;
--- a/include/dotterel/io/StrictHttpServer.h
+++ b/include/dotterel/io/StrictHttpServer.h
@@ -28,6 +28,8 @@
   /// Bounds the number of descriptors. Further connections wait in the accept
   /// queue.
   std::size_t m_MaxConnections = 2000;
+  /// Bounds the bytes held for callers. Null: no bound.
+  MemoryBudget *m_Memory = nullptr;
 };
 
 /// Listens on an address and passes complete requests to a handler. An
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -15,6 +15,8 @@
 
 namespace dotterel {
 
+class MemoryBudget;
+
 /// Metrics of a serving host. Label values come from fixed sets, so that
 /// callers cannot make the registry grow.
 class ServingMetrics {
@@ -43,6 +45,7 @@
   auto setPausedServers(double Count) -> void;
   auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
+  auto setCallerMemory(const MemoryBudget &Memory) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
   auto setDutyHeld(bool Held) -> void;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -179,7 +179,8 @@
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
               .m_Planner = Options.m_Planner}),
-      m_Tree(Loop, "host", {}) {
+      m_Tree(Loop, "host", {}),
+      m_CallerMemory(memoryBudgetFor(Options.m_Settings.m_MemoryMegabytes)) {
   m_ConfigurationMirror.onChange(
       [this](const KeyChange &Change) { applyConfigurationChange(Change); });
   m_ConfigurationMirror.onWrittenAgain(
@@ -399,6 +400,7 @@
       static_cast<double>(m_Core.access().pausedCount(Now)));
   m_Metrics.setStoreEra(
       static_cast<double>(m_Dependencies.m_Store.history().era().number()));
+  m_Metrics.setCallerMemory(m_CallerMemory);
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
   m_Metrics.setDutyHeld(m_Duty.held());
   m_Metrics.setLogLinesDropped(static_cast<double>(m_Log.dropped()));
@@ -486,7 +488,8 @@
                 m_Loop, Callers,
                 StrictHttpServerOptions{.m_Address =
                                             SocketAddress::parse(Address),
-                                        .m_MaxConnections = Connections});
+                                        .m_MaxConnections = Connections,
+                                        .m_Memory = &m_CallerMemory});
             if (m_Core.configuration() != nullptr)
               m_CallerServer->setLimits(m_Core.configuration()->m_Limits);
             logInfo("host.listening",
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/serving/ServingMetrics.h"
 
+#include "dotterel/io/MemoryBudget.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -123,6 +125,20 @@
       gauge(m_Registry, "dotterel_serving_store_era",
             "Newest history of the store that was observed; it rises when the "
             "store is restored from a copy.");
+  Gauge &m_MemoryUsed =
+      gauge(m_Registry, "dotterel_serving_caller_memory_bytes",
+            "Bytes held for callers: requests, and responses not read.");
+  Gauge &m_MemoryPeak =
+      gauge(m_Registry, "dotterel_serving_caller_memory_peak_bytes",
+            "Most bytes held for callers at once.");
+  Gauge &m_MemoryBudget =
+      gauge(m_Registry, "dotterel_serving_caller_memory_budget_bytes",
+            "Bytes that may be held for callers.");
+  Family<Gauge> &m_MemoryRefusals =
+      prometheus::BuildGauge()
+          .Name("dotterel_serving_caller_memory_refusals")
+          .Help("Refusals and closes for memory since the start, by reason.")
+          .Register(m_Registry);
   Gauge &m_Active = gauge(m_Registry, "dotterel_serving_active_requests",
                           "Requests being handled.");
   Gauge &m_ConfigRevision =
@@ -202,6 +218,20 @@
   m_Impl->m_StoreEra.Set(Era);
 }
 
+auto ServingMetrics::setCallerMemory(const MemoryBudget &Memory) -> void {
+  m_Impl->m_MemoryUsed.Set(static_cast<double>(Memory.usedBytes()));
+  m_Impl->m_MemoryBudget.Set(static_cast<double>(Memory.limitBytes()));
+  const auto &Counts = Memory.counts();
+  m_Impl->m_MemoryPeak.Set(static_cast<double>(Counts.m_PeakBytes));
+  auto Set = [this](const char *Reason, std::uint64_t Count) {
+    m_Impl->m_MemoryRefusals.Add({{"reason", Reason}})
+        .Set(static_cast<double>(Count));
+  };
+  Set("no_room", Counts.m_Refused);
+  Set("yielded", Counts.m_GivenUp);
+  Set("response_not_read", Counts.m_ResponsesDropped);
+}
+
 auto ServingMetrics::setActive(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
