--- a/include/dotterel/gate/CallerHandler.h
+++ b/include/dotterel/gate/CallerHandler.h
@@ -25,6 +25,7 @@
 
   auto handle(HttpExchangePtr Exchange) -> void override;
   auto bodyTooLarge(std::size_t Limit) -> HttpResponse override;
+  auto outOfMemory() -> HttpResponse override;
 
   /// Notifies all calls in flight that the configuration has changed.
   auto onConfigurationChange() -> void;
--- a/include/dotterel/gate/Metrics.h
+++ b/include/dotterel/gate/Metrics.h
@@ -15,6 +15,8 @@
 
 namespace dotterel {
 
+class MemoryBudget;
+
 /// The gate's metrics. Label values come from fixed sets, so that callers
 /// cannot make the registry grow.
 class GateMetrics {
@@ -35,6 +37,7 @@
   auto countTokens(std::uint64_t Prefill, std::uint64_t Decode) -> void;
   auto setWaitingRequests(double Count) -> void;
   auto setActiveRequests(double Count) -> void;
+  auto setCallerMemory(const MemoryBudget &Memory) -> void;
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
   auto setUnreplicatedUsage(double Count) -> void;
--- a/include/dotterel/gate/Refusal.h
+++ b/include/dotterel/gate/Refusal.h
@@ -54,6 +54,7 @@
   BackendFailed,
   BackendUnreachable,
   SlowReader,
+  MemoryFull,
 };
 
 /// Properties that all errors with one code share.
--- a/src/gate/CallerHandler.cpp
+++ b/src/gate/CallerHandler.cpp
@@ -245,6 +245,12 @@
       .response(RequestId{m_Services.m_Random.hex()});
 }
 
+auto CallerHandler::outOfMemory() -> HttpResponse {
+  m_Services.m_Metrics.countRefusal("memory_full");
+  return Refusal(RefusalCode::MemoryFull)
+      .response(RequestId{m_Services.m_Random.hex()});
+}
+
 auto CallerHandler::onConfigurationChange() -> void {
   // Iterates over a copy, since a call that ends removes itself from m_Calls.
   auto Calls = std::vector<std::shared_ptr<GateCall>>();
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -7,6 +7,7 @@
 #include "dotterel/gate/CallerHandler.h"
 #include "dotterel/gate/Dispatcher.h"
 #include "dotterel/gate/GateServices.h"
+#include "dotterel/io/MemoryBudget.h"
 #include "dotterel/ledger/ClaimRouter.h"
 #include "dotterel/process/ProcessCore.h"
 #include "dotterel/supervision/FunctionComponent.h"
@@ -90,6 +91,7 @@
   GateServices m_Services;
   CallerHandler m_CallerHandler;
   AdminHandler m_AdminHandler;
+  MemoryBudget m_CallerMemory;
   std::optional<HttpServer> m_CallerServer;
   std::optional<HttpServer> m_AdminServer;
   std::optional<RepeatingTimer> m_TickTimer;
@@ -102,6 +104,11 @@
   return {.m_WindowLength = Seconds(Values.integer("usage-window-seconds"))};
 }
 
+auto memoryMegabytes(const Settings &Values) -> std::size_t {
+  auto Set = static_cast<std::size_t>(Values.integer("memory-mb"));
+  return Set > 0 ? Set : systemMemoryMegabytes();
+}
+
 auto parseGateLimits(const Settings &Values) -> GateLimits {
   return {.m_StallTimeout = Values.milliseconds("stall-timeout-ms"),
           .m_RequestTimeout = Values.milliseconds("request-timeout-ms")};
@@ -161,6 +168,7 @@
       m_AdminHandler(m_Services, m_Core.m_ConfigurationStore,
                      Values.text("operator-token"),
                      [this] { m_Core.m_Gossip.announce([] {}); }),
+      m_CallerMemory(memoryBudgetFor(memoryMegabytes(Values))),
       m_Supervisor(m_Loop, "gate", {}) {
   m_Core.m_Backends.onDenied(
       [this](SendDenial Denial) { m_Metrics.countSendDenial(Denial); });
@@ -251,8 +259,9 @@
       .m_Name = "caller-server",
       .m_Start =
           [this] {
-            m_CallerServer.emplace(m_Loop, m_CallerHandler,
-                                   serverOptions("listen"));
+            auto Options = serverOptions("listen");
+            Options.m_Memory = &m_CallerMemory;
+            m_CallerServer.emplace(m_Loop, m_CallerHandler, Options);
             logInfo("gate.listening",
                     {{"callers", m_CallerServer->address().text()},
                      {"operators", m_AdminServer->address().text()},
@@ -286,6 +295,8 @@
   m_Core.m_Members.self().m_DecodeTokensPerSecond =
       static_cast<std::uint64_t>(m_Demand.decodeRate());
   m_Dispatcher.dispatchReady();
+  m_CallerMemory.relieve(m_Loop.now());
+  m_Metrics.setCallerMemory(m_CallerMemory);
   m_Metrics.setWaitingRequests(
       static_cast<double>(m_Dispatcher.waitingCount()));
   m_Metrics.setConfigRevision(
@@ -378,6 +389,7 @@
 
 auto runGate(const Settings &Values) -> int {
   setLogLevel(Values.text("log-level"));
+  returnLargeBlocks();
   auto Process = GateProcess(Values);
   return Process.run();
 }
--- a/src/gate/GateSettings.cpp
+++ b/src/gate/GateSettings.cpp
@@ -43,6 +43,10 @@
                      100, 60'000),
       integerSetting("max-body-bytes", "8388608",
                      "Largest body of a request, in bytes.", 1024, 1 << 28),
+      integerSetting("memory-mb", "0",
+                     "Memory of this process, in MiB, of which callers' "
+                     "requests and answers get a share. 0: that of the system.",
+                     0, 1 << 24),
       integerSetting("max-connections", "2000",
                      "Open connections of callers at most.", 1, 100'000),
       integerSetting("idle-timeout-seconds", "30",
--- a/src/gate/Metrics.cpp
+++ b/src/gate/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/gate/Metrics.h"
 
+#include "dotterel/io/MemoryBudget.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -67,6 +69,19 @@
       {0.005, 0.01, 0.02, 0.034, 0.05, 0.1, 0.25, 1});
   Gauge &m_Waiting = gauge(m_Registry, "dotterel_waiting_requests",
                            "Requests that wait for a backend server.");
+  Gauge &m_MemoryUsed =
+      gauge(m_Registry, "dotterel_caller_memory_bytes",
+            "Bytes held for callers: requests, and responses not read.");
+  Gauge &m_MemoryPeak = gauge(m_Registry, "dotterel_caller_memory_peak_bytes",
+                              "Most bytes held for callers at once.");
+  Gauge &m_MemoryBudget =
+      gauge(m_Registry, "dotterel_caller_memory_budget_bytes",
+            "Bytes that may be held for callers.");
+  Family<Gauge> &m_MemoryRefusals =
+      prometheus::BuildGauge()
+          .Name("dotterel_caller_memory_refusals")
+          .Help("Refusals and closes for memory since the start, by reason.")
+          .Register(m_Registry);
   Gauge &m_Active =
       gauge(m_Registry, "dotterel_active_requests", "Requests being handled.");
   Gauge &m_ConfigRevision = gauge(m_Registry, "dotterel_config_revision",
@@ -118,6 +133,20 @@
   m_Impl->m_Waiting.Set(Count);
 }
 
+auto GateMetrics::setCallerMemory(const MemoryBudget &Memory) -> void {
+  m_Impl->m_MemoryUsed.Set(static_cast<double>(Memory.usedBytes()));
+  m_Impl->m_MemoryBudget.Set(static_cast<double>(Memory.limitBytes()));
+  const auto &Counts = Memory.counts();
+  m_Impl->m_MemoryPeak.Set(static_cast<double>(Counts.m_PeakBytes));
+  auto Set = [this](const char *Reason, std::uint64_t Count) {
+    m_Impl->m_MemoryRefusals.Add({{"reason", Reason}})
+        .Set(static_cast<double>(Count));
+  };
+  Set("no_room", Counts.m_Refused);
+  Set("yielded", Counts.m_GivenUp);
+  Set("response_not_read", Counts.m_ResponsesDropped);
+}
+
 auto GateMetrics::setActiveRequests(double Count) -> void {
   m_Impl->m_Active.Set(Count);
 }
--- a/src/gate/Refusal.cpp
+++ b/src/gate/Refusal.cpp
@@ -83,6 +83,8 @@
        "no backend server could be reached"},
       {SlowReader, "slow_reader", 503, Execution::Ran, true,
        "the caller did not take the answer fast enough"},
+      {MemoryFull, "memory_full", 503, NotRun, true,
+       "the memory that this gate has for requests is in use"},
   };
   return Definitions;
 }
