--- a/tests/support/HostileCrowd.cpp
+++ b/tests/support/HostileCrowd.cpp
@@ -44,8 +44,10 @@
   if (!m_Behaviour.m_Reads)
     ::setsockopt(Target.m_Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
                  sizeof(ReceiveBufferBytes));
-  ::connect(Target.m_Fd, reinterpret_cast<const sockaddr *>(&Address),
-            sizeof(Address));
+  // A failure shows when the connection is used.
+  static_cast<void>(::connect(Target.m_Fd,
+                              reinterpret_cast<const sockaddr *>(&Address),
+                              sizeof(Address)));
   ++Target.m_Connections;
   Target.m_Sent = Target.m_Trickled = 0;
 }
