Budget of bytes for callers: count complete requests, give up no response

Cause, found in review: complete() returned a pointer without an object, so that keep() dropped it at once and only bodies in the middle of being read counted; the budget reset connections whose responses were not read for 2 s, also streams and answers that are ready; after a response that ends the connection further bytes were handled and buffered; a body under 1 KiB/s got 408, which a proper caller on a bad link meets; heads counted less than they hold; holdings could outlive the budget; at a gate a closed exchange kept its connection; up to as many lingering descriptors as connections.

Ruled out: 2 s as too short a time (any time would cut what was passed on).

Change: the guard is an object, kept by the exchange; no response is given up, unread ones leave less for requests; after a last response bytes are read and dropped up to the linger's limit; no least rate; headers count by their size in memory; state shared with holdings; a closed exchange releases all; 64 lingering descriptors at most; the late reader has the idle timeout once more.

--- a/include/dotterel/io/MemoryBudget.h
+++ b/include/dotterel/io/MemoryBudget.h
@@ -13,7 +13,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <unordered_set>
 
 namespace dotterel {
 
@@ -23,8 +22,8 @@
   /// what m_ReservedShare leaves.
   std::size_t m_SmallRequestBytes = std::size_t{64} << 10U;
   double m_ReservedShare = 1.0 / 8;
-  /// A caller that has neither sent nor read anything for this time may lose
-  /// its bytes to one that needs as many.
+  /// A caller that has sent nothing for this time may lose its bytes to any
+  /// other.
   Duration m_StallTime = Seconds(2);
 };
 
@@ -41,9 +40,8 @@
 auto returnLargeBlocks() -> void;
 
 struct MemoryBudgetCounts {
-  std::uint64_t m_Refused = 0;          ///< Requests that did not fit.
-  std::uint64_t m_GivenUp = 0;          ///< Incomplete requests that yielded.
-  std::uint64_t m_ResponsesDropped = 0; ///< Responses that nobody read.
+  std::uint64_t m_Refused = 0; ///< Requests that did not fit.
+  std::uint64_t m_GivenUp = 0; ///< Incomplete requests that yielded.
   std::size_t m_PeakBytes = 0;
 };
 
@@ -59,31 +57,17 @@
   ~MemoryBudget();
 
   [[nodiscard]] auto usedBytes() const -> std::size_t;
-  [[nodiscard]] auto limitBytes() const -> std::size_t {
-    return m_Options.m_Bytes;
-  }
-  [[nodiscard]] auto counts() const -> const MemoryBudgetCounts & {
-    return m_Counts;
-  }
-
-  /// Gives up responses that nobody reads while the budget is exceeded, the
-  /// largest first.
-  auto relieve(MonotonicTime Now) -> void;
+  [[nodiscard]] auto limitBytes() const -> std::size_t;
+  [[nodiscard]] auto counts() const -> const MemoryBudgetCounts &;
 
 private:
   friend class MemoryHolding;
 
-  auto admit(MemoryHolding &Holding, std::size_t Bytes, MonotonicTime Now)
-      -> bool;
-  auto add(std::size_t Bytes) -> void;
-  [[nodiscard]] auto yieldsTo(const MemoryHolding &Holder, std::size_t Bytes,
-                              MonotonicTime Now) const -> bool;
-
-  MemoryBudgetOptions m_Options;
-  /// Shared with the bytes of complete requests, which may outlive the budget.
-  std::shared_ptr<std::size_t> m_Used = std::make_shared<std::size_t>(0);
-  MemoryBudgetCounts m_Counts;
-  std::unordered_set<MemoryHolding *> m_Holdings;
+  struct State;
+
+  /// Shared with the holdings and the bytes of complete requests, which may
+  /// outlive the budget.
+  std::shared_ptr<State> m_State;
 };
 
 /// Something that holds bytes for one caller.
@@ -91,8 +75,7 @@
 public:
   virtual ~MemoryHolder() = default;
 
-  /// Refuses the incomplete request, or drops the response that is not read,
-  /// and releases its bytes.
+  /// Refuses the incomplete request and releases its bytes.
   virtual auto giveUpMemory() -> void = 0;
 };
 
@@ -109,12 +92,13 @@
   /// not, nothing changes, and the request is to be refused.
   [[nodiscard]] auto setRequest(std::size_t Bytes, MonotonicTime Now) -> bool;
 
-  /// Makes the request complete: its bytes are counted until the result is
-  /// destroyed.
+  /// Makes the request complete: its bytes are counted until the result, which
+  /// is null if nothing is counted, is destroyed.
   [[nodiscard]] auto complete() -> std::shared_ptr<void>;
 
-  /// Sets the bytes of a response that the caller has not read.
-  auto setResponse(std::size_t Bytes, MonotonicTime Now) -> void;
+  /// Sets the bytes of a response that the caller has not read. They always
+  /// fit, but leave less for requests.
+  auto setResponse(std::size_t Bytes) -> void;
 
   /// Stops counting the request's bytes.
   auto releaseRequest() -> void;
@@ -122,11 +106,11 @@
 private:
   friend class MemoryBudget;
 
-  MemoryBudget *m_Budget;
+  std::shared_ptr<MemoryBudget::State> m_State; ///< Null: nothing is counted.
   MemoryHolder &m_Holder;
   std::size_t m_RequestBytes = 0;
   std::size_t m_ResponseBytes = 0;
-  MonotonicTime m_Progress; ///< When the caller last sent or read anything.
+  MonotonicTime m_Progress; ///< When the caller last sent anything.
 };
 
 } // namespace dotterel
--- a/include/dotterel/io/detail/RequestReader.h
+++ b/include/dotterel/io/detail/RequestReader.h
@@ -69,7 +69,6 @@
     return m_Buffer.size();
   }
   /// Returns the number of bytes received of an incomplete body.
-  [[nodiscard]] auto bodyBytes() const -> std::size_t { return m_Body.size(); }
   /// Returns the number of bytes that the current request takes: those that are
   /// held, and the announced rest of its body.
   [[nodiscard]] auto heldBytes() const -> std::size_t;
--- a/include/dotterel/io/detail/StrictHttpConnection.h
+++ b/include/dotterel/io/detail/StrictHttpConnection.h
@@ -195,7 +195,6 @@
   /// Whether the response has ended, but the next request is not looked for.
   bool m_NextRequestPending = false;
   std::optional<TimerId> m_NextRequestTimer;
-  MonotonicTime m_BodySince; ///< When the body of the request began.
   std::size_t m_LingerBytes = 0;
   MemoryHolding m_Memory;
   FdWatcher m_ReadWatcher;
@@ -204,10 +203,12 @@
 
 class StrictHttpServer::Impl::Exchange final : public HttpExchange {
 public:
-  Exchange(Connection &Owner, HttpRequest Request, bool KeepAlive,
-           const bool &CloseAfterResponses)
+  /// \p Guard counts the bytes of the request.
+  Exchange(Connection &Owner, HttpRequest Request, std::shared_ptr<void> Guard,
+           bool KeepAlive, const bool &CloseAfterResponses)
       : m_Connection(&Owner), m_Request(std::move(Request)),
-        m_KeepAlive(KeepAlive), m_CloseAfterResponses(CloseAfterResponses) {}
+        m_Guard(std::move(Guard)), m_KeepAlive(KeepAlive),
+        m_CloseAfterResponses(CloseAfterResponses) {}
 
   [[nodiscard]] auto request() const -> const HttpRequest & override {
     return m_Request;
@@ -302,6 +303,7 @@
 
   Connection *m_Connection;
   HttpRequest m_Request;
+  std::shared_ptr<void> m_Guard;
   bool m_KeepAlive;
   const bool &m_CloseAfterResponses;
   bool m_Started = false;
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -295,7 +295,6 @@
   m_Core.m_Members.self().m_DecodeTokensPerSecond =
       static_cast<std::uint64_t>(m_Demand.decodeRate());
   m_Dispatcher.dispatchReady();
-  m_CallerMemory.relieve(m_Loop.now());
   m_Metrics.setCallerMemory(m_CallerMemory);
   m_Metrics.setWaitingRequests(
       static_cast<double>(m_Dispatcher.waitingCount()));
--- a/src/gate/Metrics.cpp
+++ b/src/gate/Metrics.cpp
@@ -144,7 +144,6 @@
   };
   Set("no_room", Counts.m_Refused);
   Set("yielded", Counts.m_GivenUp);
-  Set("response_not_read", Counts.m_ResponsesDropped);
 }
 
 auto GateMetrics::setActiveRequests(double Count) -> void {
--- a/src/io/HttpServer.cpp
+++ b/src/io/HttpServer.cpp
@@ -30,6 +30,8 @@
 constexpr auto LingerTimeout = Milliseconds(1000);
 constexpr auto LingerSweepInterval = Milliseconds(50);
 constexpr auto MaxLingerBytes = std::size_t{8} << 20U;
+/// Maximum number of descriptors that linger, beside those of connections.
+constexpr auto MaxLingering = std::size_t{64};
 constexpr auto StreamBlockBytes = std::size_t{16} << 10U;
 
 auto appendHeader(void *Target, enum MHD_ValueKind /*Kind*/, const char *Key,
@@ -186,11 +188,7 @@
   auto giveUpMemory() -> void override {
     if (m_State == State::Receiving) {
       refuse(m_Server->m_Handler.outOfMemory());
-      return;
     }
-    logWarning("memory.response-dropped",
-               {{"bytes", backlog()}, {"reason", "not read by the caller"}});
-    ::shutdown(fd(), SHUT_RDWR);
   }
 
   auto complete(const std::shared_ptr<Exchange> &Self) -> MHD_Result {
@@ -198,7 +196,8 @@
       return MHD_NO;
     m_State = State::Waiting;
     m_Request.m_Body = std::exchange(m_Body, {});
-    m_Request.m_Body.keep(m_Memory.complete());
+    m_Guard = m_Memory.complete();
+    m_Request.m_Body.keep(m_Guard);
     m_Server->m_Handler.handle(Self);
     if (m_State == State::Ready)
       return queueResponse();
@@ -242,6 +241,9 @@
   auto close(bool Completed) -> void {
     m_Watcher.reset();
     m_State = State::Closed;
+    m_Memory.releaseRequest();
+    m_Memory.setResponse(0);
+    m_Connection = nullptr;
     auto Callback = std::exchange(m_OnDisconnect, nullptr);
     if (!Completed && Callback)
       Callback();
@@ -270,9 +272,7 @@
     return false;
   }
 
-  auto accountResponse() -> void {
-    m_Memory.setResponse(backlog(), m_Server->m_Loop.now());
-  }
+  auto accountResponse() -> void { m_Memory.setResponse(backlog()); }
 
   auto refuseTooLarge() -> bool {
     refuse(
@@ -398,6 +398,7 @@
   std::unique_ptr<FdWatcher> m_Watcher;
   std::function<void()> m_OnDisconnect;
   MemoryHolding m_Memory;
+  std::shared_ptr<void> m_Guard; ///< Counts the bytes of the request.
 };
 
 HttpServer::Impl::Impl(EventLoop &Loop, HttpHandler &Handler,
@@ -427,7 +428,6 @@
 
 HttpServer::Impl::~Impl() {
   m_LingerTimer.reset();
-  endLingering(true);
   if (m_RunTimer)
     m_Loop.cancel(*m_RunTimer);
   if (m_TimeoutTimer)
@@ -440,6 +440,7 @@
     m_Loop.cancel(*m_RunTimer);
   MHD_run(m_Daemon);
   MHD_stop_daemon(m_Daemon);
+  endLingering(true);
   if (m_ListenFd >= 0)
     ::close(m_ListenFd);
 }
@@ -447,7 +448,7 @@
 auto HttpServer::Impl::linger(int Fd) -> void {
   if (Fd < 0)
     return;
-  if (m_Lingering.size() >= m_Options.m_MaxConnections) {
+  if (m_Lingering.size() >= MaxLingering) {
     ::close(Fd);
     return;
   }
--- a/src/io/MemoryBudget.cpp
+++ b/src/io/MemoryBudget.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <malloc.h>
 #include <unistd.h>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -36,34 +37,54 @@
   return Bytes >> 20U;
 }
 
+struct MemoryBudget::State {
+  auto admit(MemoryHolding &Holding, std::size_t Bytes, MonotonicTime Now)
+      -> bool;
+  auto add(std::size_t Bytes) -> void;
+  [[nodiscard]] auto yieldsTo(const MemoryHolding &Holder, std::size_t Bytes,
+                              MonotonicTime Now) const -> bool;
+
+  MemoryBudgetOptions m_Options;
+  std::size_t m_Used = 0;
+  MemoryBudgetCounts m_Counts;
+  std::unordered_set<MemoryHolding *> m_Holdings;
+};
+
 MemoryBudget::MemoryBudget(const MemoryBudgetOptions &Options)
-    : m_Options(Options) {}
+    : m_State(std::make_shared<State>(State{.m_Options = Options})) {}
 
 MemoryBudget::~MemoryBudget() = default;
 
-auto MemoryBudget::usedBytes() const -> std::size_t { return *m_Used; }
+auto MemoryBudget::usedBytes() const -> std::size_t { return m_State->m_Used; }
 
-auto MemoryBudget::add(std::size_t Bytes) -> void {
-  *m_Used += Bytes;
-  m_Counts.m_PeakBytes = std::max(m_Counts.m_PeakBytes, *m_Used);
+auto MemoryBudget::limitBytes() const -> std::size_t {
+  return m_State->m_Options.m_Bytes;
 }
 
-auto MemoryBudget::yieldsTo(const MemoryHolding &Holder, std::size_t Bytes,
-                            MonotonicTime Now) const -> bool {
-  if (Holder.m_RequestBytes > Bytes)
-    return true;
-  // Callers that announce much and send nothing must not keep out those that
-  // send as much.
-  return Holder.m_RequestBytes > 0 && Holder.m_RequestBytes >= Bytes &&
-         Now - Holder.m_Progress >= m_Options.m_StallTime;
+auto MemoryBudget::counts() const -> const MemoryBudgetCounts & {
+  return m_State->m_Counts;
+}
+
+auto MemoryBudget::State::add(std::size_t Bytes) -> void {
+  m_Used += Bytes;
+  m_Counts.m_PeakBytes = std::max(m_Counts.m_PeakBytes, m_Used);
 }
 
-auto MemoryBudget::admit(MemoryHolding &Holding, std::size_t Bytes,
-                         MonotonicTime Now) -> bool {
+auto MemoryBudget::State::yieldsTo(const MemoryHolding &Holder,
+                                   std::size_t Bytes, MonotonicTime Now) const
+    -> bool {
+  // Callers that announce much and send nothing must not keep out others.
+  return Holder.m_RequestBytes > Bytes ||
+         (Holder.m_RequestBytes > 0 &&
+          Now - Holder.m_Progress >= m_Options.m_StallTime);
+}
+
+auto MemoryBudget::State::admit(MemoryHolding &Holding, std::size_t Bytes,
+                                MonotonicTime Now) -> bool {
   auto Limit = static_cast<double>(m_Options.m_Bytes);
   if (Bytes > m_Options.m_SmallRequestBytes)
     Limit *= 1 - m_Options.m_ReservedShare;
-  auto Needed = *m_Used - Holding.m_RequestBytes + Bytes;
+  auto Needed = m_Used - Holding.m_RequestBytes + Bytes;
   auto Allowed = static_cast<std::size_t>(Limit);
   if (Needed <= Allowed)
     return true;
@@ -82,7 +103,7 @@
               return Left->m_RequestBytes > Right->m_RequestBytes;
             });
   for (auto *Current : Yielding) {
-    if (*m_Used - Holding.m_RequestBytes + Bytes <= Allowed)
+    if (m_Used - Holding.m_RequestBytes + Bytes <= Allowed)
       break;
     ++m_Counts.m_GivenUp;
     Current->releaseRequest();
@@ -91,73 +112,60 @@
   return true;
 }
 
-auto MemoryBudget::relieve(MonotonicTime Now) -> void {
-  while (*m_Used > m_Options.m_Bytes) {
-    auto *Largest = static_cast<MemoryHolding *>(nullptr);
-    for (auto *Current : m_Holdings) {
-      if (Current->m_ResponseBytes == 0 ||
-          Now - Current->m_Progress < m_Options.m_StallTime)
-        continue;
-      if (Largest == nullptr ||
-          Current->m_ResponseBytes > Largest->m_ResponseBytes)
-        Largest = Current;
-    }
-    if (Largest == nullptr)
-      return;
-    ++m_Counts.m_ResponsesDropped;
-    *m_Used -= std::exchange(Largest->m_ResponseBytes, 0);
-    Largest->m_Holder.giveUpMemory();
-  }
-}
-
 MemoryHolding::MemoryHolding(MemoryBudget *Budget, MemoryHolder &Holder)
-    : m_Budget(Budget), m_Holder(Holder) {
-  if (m_Budget != nullptr)
-    m_Budget->m_Holdings.insert(this);
+    : m_State(Budget != nullptr ? Budget->m_State : nullptr), m_Holder(Holder) {
+  if (m_State)
+    m_State->m_Holdings.insert(this);
 }
 
 MemoryHolding::~MemoryHolding() {
-  if (m_Budget == nullptr)
+  if (!m_State)
     return;
-  m_Budget->m_Holdings.erase(this);
-  *m_Budget->m_Used -= m_RequestBytes + m_ResponseBytes;
+  m_State->m_Holdings.erase(this);
+  m_State->m_Used -= m_RequestBytes + m_ResponseBytes;
 }
 
 auto MemoryHolding::setRequest(std::size_t Bytes, MonotonicTime Now) -> bool {
   m_Progress = Now;
-  if (m_Budget == nullptr)
+  if (!m_State)
     return true;
-  if (Bytes > m_RequestBytes && !m_Budget->admit(*this, Bytes, Now)) {
-    ++m_Budget->m_Counts.m_Refused;
+  if (Bytes > m_RequestBytes && !m_State->admit(*this, Bytes, Now)) {
+    ++m_State->m_Counts.m_Refused;
     return false;
   }
   releaseRequest();
   m_RequestBytes = Bytes;
-  m_Budget->add(Bytes);
+  m_State->add(Bytes);
   return true;
 }
 
 auto MemoryHolding::complete() -> std::shared_ptr<void> {
-  if (m_Budget == nullptr)
+  if (!m_State)
     return nullptr;
-  auto Bytes = std::exchange(m_RequestBytes, 0);
-  return {nullptr, [Used = m_Budget->m_Used, Bytes](void * /*Unused*/) {
-            *Used -= Bytes;
-          }};
+  struct CountedBytes {
+    CountedBytes(std::shared_ptr<MemoryBudget::State> State, std::size_t Bytes)
+        : m_State(std::move(State)), m_Bytes(Bytes) {}
+    CountedBytes(const CountedBytes &) = delete;
+    auto operator=(const CountedBytes &) -> CountedBytes & = delete;
+    ~CountedBytes() { m_State->m_Used -= m_Bytes; }
+
+    std::shared_ptr<MemoryBudget::State> m_State;
+    std::size_t m_Bytes;
+  };
+  return std::make_shared<CountedBytes>(m_State,
+                                        std::exchange(m_RequestBytes, 0));
 }
 
-auto MemoryHolding::setResponse(std::size_t Bytes, MonotonicTime Now) -> void {
-  if (Bytes < m_ResponseBytes || m_ResponseBytes == 0)
-    m_Progress = Now;
-  if (m_Budget == nullptr)
+auto MemoryHolding::setResponse(std::size_t Bytes) -> void {
+  if (!m_State)
     return;
-  *m_Budget->m_Used -= std::exchange(m_ResponseBytes, Bytes);
-  m_Budget->add(Bytes);
+  m_State->m_Used -= std::exchange(m_ResponseBytes, Bytes);
+  m_State->add(Bytes);
 }
 
 auto MemoryHolding::releaseRequest() -> void {
-  if (m_Budget != nullptr)
-    *m_Budget->m_Used -= std::exchange(m_RequestBytes, 0);
+  if (m_State)
+    m_State->m_Used -= std::exchange(m_RequestBytes, 0);
 }
 
 } // namespace dotterel
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -56,8 +56,6 @@
     Targets.push_back(Key);
   for (auto *Target : Targets)
     Target->closeIfTimedOut(Now);
-  if (m_Options.m_Memory != nullptr)
-    m_Options.m_Memory->relieve(Now);
 }
 
 auto StrictHttpServer::Impl::retire(Connection &Target) -> void {
--- a/src/io/detail/RequestReader.cpp
+++ b/src/io/detail/RequestReader.cpp
@@ -165,7 +165,8 @@
 auto RequestReader::heldBytes() const -> std::size_t {
   auto Body =
       m_State == State::Complete ? m_Request.m_Body.size() : m_Body.capacity();
-  return m_Buffer.size() + m_HeadBytes + Body;
+  return m_Buffer.size() + m_HeadBytes +
+         m_Request.m_Headers.capacity() * sizeof(HttpHeader) + Body;
 }
 
 auto RequestReader::discard() -> void {
--- a/src/io/detail/StrictHttpConnection.cpp
+++ b/src/io/detail/StrictHttpConnection.cpp
@@ -21,8 +21,6 @@
 /// Maximum number of buffered bytes of pipelined requests. Further ones stay in
 /// the socket, where they slow their caller.
 constexpr auto MaxPipelinedBytes = std::size_t{8} << 10U;
-/// Least mean rate of a body that the server goes on reading.
-constexpr auto MinBodyBytesPerSecond = std::size_t{1} << 10U;
 
 } // namespace
 
@@ -56,7 +54,8 @@
     close();
     return;
   }
-  if (m_Lingering) {
+  // After a response that ends the connection nothing more is handled.
+  if (m_Lingering || m_CloseWhenSent) {
     // Once, since the rest of a rejected body may follow in many pieces.
     if (!std::exchange(m_DropLogged, true))
       logWarning("request.dropped",
@@ -87,10 +86,7 @@
 
 auto StrictHttpServer::Impl::Connection::readRequest(std::string_view Data)
     -> void {
-  auto Before = m_Reader.state();
   auto State = m_Reader.feed(Data);
-  if (Before == RequestReader::State::Head)
-    m_BodySince = m_Server.m_Loop.now();
   if (accountRequest())
     handleReaderState(State);
 }
@@ -105,18 +101,10 @@
 }
 
 auto StrictHttpServer::Impl::Connection::accountResponse() -> void {
-  m_Memory.setResponse(unsentBytes(), m_Server.m_Loop.now());
+  m_Memory.setResponse(unsentBytes());
 }
 
 auto StrictHttpServer::Impl::Connection::giveUpMemory() -> void {
-  if (isBusy() || unsentBytes() > 0) {
-    logWarning(
-        "memory.response-dropped",
-        {{"bytes", unsentBytes()}, {"reason", "not read by the caller"}});
-    m_Socket.resetOnClose();
-    close();
-    return;
-  }
   refuseForMemory();
 }
 
@@ -126,7 +114,6 @@
     m_NextRequestPending = false;
     m_ReadWatcher.enable(true);
     auto State = m_Reader.next();
-    m_BodySince = m_Server.m_Loop.now();
     if (!accountRequest())
       return;
     handleReaderState(State);
@@ -149,10 +136,11 @@
 
 auto StrictHttpServer::Impl::Connection::dispatch() -> void {
   auto Request = std::move(m_Reader.request());
-  Request.m_Body.keep(m_Memory.complete());
-  m_Exchange = std::make_shared<Exchange>(*this, std::move(Request),
-                                          m_Reader.keepAlive(),
-                                          m_Server.m_CloseAfterResponses);
+  auto Guard = m_Memory.complete();
+  Request.m_Body.keep(Guard);
+  m_Exchange = std::make_shared<Exchange>(
+      *this, std::move(Request), std::move(Guard), m_Reader.keepAlive(),
+      m_Server.m_CloseAfterResponses);
   // Keeps the exchange alive, because the connection may end inside the
   // handler's call.
   auto Current = m_Exchange;
@@ -229,10 +217,12 @@
   m_SentBytes = 0;
   accountResponse();
   m_WriteWatcher.enable(false);
-  if (m_NextRequestPending && !m_NextRequestTimer)
+  if (m_CloseWhenSent) {
+    if (!m_Lingering)
+      startLinger();
+  } else if (m_NextRequestPending && !m_NextRequestTimer) {
     scheduleNextRequest();
-  if (m_CloseWhenSent && !m_Lingering)
-    startLinger();
+  }
 }
 
 auto StrictHttpServer::Impl::Connection::releaseSentBytes() -> void {
@@ -291,11 +281,6 @@
     return WaitTime > Limits.m_IdleTimeout;
   if (m_NextRequestPending)
     return WaitTime > Limits.m_IdleTimeout;
-  if (m_Reader.state() == RequestReader::State::Body &&
-      Now - m_BodySince >
-          Limits.m_HeaderTimeout +
-              Seconds(m_Reader.bodyBytes() / MinBodyBytesPerSecond))
-    return true;
   return WaitTime >
          (m_Reader.started() ? Limits.m_HeaderTimeout : Limits.m_IdleTimeout);
 }
@@ -304,10 +289,15 @@
     -> void {
   if (m_Closed || hasExchange() || m_NextRequestTimer || !timedOut(Now))
     return;
-  if (m_Lingering || m_CloseWhenSent || m_NextRequestPending) {
+  if (m_Lingering || m_CloseWhenSent) {
     close();
     return;
   }
+  // The caller has the idle timeout once more to begin to read.
+  if (m_NextRequestPending) {
+    closeAfterFlush("idle timeout");
+    return;
+  }
   if (!m_Reader.started()) {
     closeIfIdle("idle timeout");
     return;
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -264,7 +264,6 @@
   };
   Set("no_room", Counts.m_Refused);
   Set("yielded", Counts.m_GivenUp);
-  Set("response_not_read", Counts.m_ResponsesDropped);
 }
 
 auto ServingMetrics::setActive(double Count) -> void {
