Keep late server orders from following newer ones

Cause: a platform that does not check fencing tokens may execute a server order that it has not answered seconds later, after a newer one. A holder sent the next order for a subject as soon as the earlier call had ended, and the next holder sent its orders as soon as it had read the plan. An increase of one kind of servers also followed a decrease of the other kind that was sent but not accepted, and an answer to an order of an earlier grant was booked to the newer order for its subject.

Ruled out: a mark of open orders in the stored plan (two more store writes a change, and a late one must not undo a newer one); a refusal by holders of what others sent (they do not see it).

Change: where fencing is not checked, a different order waits until no copy of the earlier one can be executed: OrderCopies for the orders of one grant, m_MaxOrderDelay after the grant for those of earlier ones, unless the store has never had a plan. OrderSender decides by the same mayReplaceOrder. An increase waits until the other kind's decrease was accepted or rejected. Where fencing is checked, nothing changes. Stage orders to engines are not covered.

Each of the three waits left out by itself fails a test of fault-LateOrders: no wait after a grant, none within one, no wait for the other kind. The booking of earlier answers has no test of its own. unit-tests: all passed.

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -9,6 +9,7 @@
 
 #include "dotterel/base/Random.h"
 #include "dotterel/fleet/CallBackoff.h"
+#include "dotterel/fleet/OrderCopies.h"
 #include "dotterel/host/HostSettings.h"
 #include "dotterel/lease/DutyLease.h"
 #include "dotterel/serving/BackendDirectory.h"
@@ -38,6 +39,10 @@
   Duration m_OrderRetryDelay = Milliseconds(2000);
   /// Delay before an order that was rejected is sent again.
   Duration m_RejectedOrderDelay = Seconds(60);
+  /// Maximum time after which the platform executes a server order that it has
+  /// not answered. A different order waits for that long where the platform
+  /// does not check fencing tokens.
+  Duration m_MaxOrderDelay = Seconds(10);
   /// Pace of the reports, and of the server orders, while the platform accepts
   /// none.
   CallBackoffOptions m_Backoff;
@@ -85,6 +90,10 @@
 /// repeated with the same token, at the pace of CallBackoff.
 /// \invariant Servers are ordered only according to a plan that is in the
 /// store, so that the next holder continues from that plan.
+/// \invariant Unless the platform checks fencing tokens, a server order is sent
+/// only once no different order about its subject can be executed any more:
+/// m_MaxOrderDelay after the grant, if there was an earlier one, and after the
+/// end of each call that was not answered conclusively.
 class FleetDuty {
 public:
   FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
@@ -106,10 +115,21 @@
 private:
   auto step() -> void;
   auto readPlan() -> void;
+  /// Plans from the stored plan, once orders may be sent.
+  auto continuePlan() -> void;
   auto planServers() -> void;
   auto storePlan(FleetPlan Plan) -> void;
   auto orderServers() -> void;
   auto orderStages() -> void;
+  /// Returns whether orders of an earlier grant may still be executed.
+  [[nodiscard]] auto awaitsEarlierOrders() const -> bool {
+    return m_Scheduler.now() < m_OrdersHeldUntil;
+  }
+  /// Holds server orders back until those of earlier grants were executed.
+  auto holdOrders() -> void;
+  /// Returns whether \p Order must wait for orders about the other kind of
+  /// servers, with which it shares an upper bound.
+  [[nodiscard]] auto mustWaitForOther(const ServerOrder &Order) -> bool;
   [[nodiscard]] auto isDue(const ServerOrder &Order, MonotonicTime Now) -> bool;
   auto send(const ServerOrder &Order) -> void;
   auto send(const StageOrder &Order) -> void;
@@ -131,6 +151,10 @@
     bool m_Rejected = false;
     bool m_Pending = false;
     MonotonicTime m_SentAt;
+    /// Maximum count that may be in force, by the orders of this grant.
+    std::uint32_t m_MaxInForce = 0;
+    OrderCopies m_Copies;
+    bool m_Held = false; ///< Whether a different order waits.
   };
 
   Scheduler &m_Scheduler;
@@ -144,6 +168,9 @@
   std::optional<FleetPlan> m_StoredPlan; ///< Empty until read from the store.
   /// Whether a read or write of the plan is in flight.
   bool m_PlanCallPending = false;
+  bool m_PlanRestored = false; ///< Whether the planner has the stored plan.
+  MonotonicTime m_GrantSeenAt; ///< When the current grant was observed.
+  MonotonicTime m_OrdersHeldUntil;
   std::vector<ServerOrder> m_TargetOrders; ///< According to the stored plan.
   std::map<std::string, SentOrder> m_ServerOrders; ///< Under the current lease.
   std::map<BackendId, SentOrder> m_StageOrders;    ///< Under the current lease.
--- a/src/fleet/OrderSender.cpp
+++ b/src/fleet/OrderSender.cpp
@@ -1,5 +1,7 @@
 #include "dotterel/fleet/OrderSender.h"
 
+#include "dotterel/fleet/OrderCopies.h"
+
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
 #include "dotterel/store/FencingToken.h"
@@ -95,7 +97,8 @@
   const auto &InForce = Current->m_State.m_InForce;
   auto Reverted = Record.m_Accepted && InForce && *InForce != Current->m_Wanted;
   auto Different = Reverted || Record.m_Directive != Current->m_Wanted;
-  auto MayReplace = Record.isComplete() || m_Options.m_ChecksFencing;
+  auto MayReplace =
+      mayReplaceOrder(Record.isComplete(), m_Options.m_ChecksFencing);
   if (Pending && (!Different || !MayReplace)) {
     // Sent again under the same identifier, even if another directive is wanted
     // by now, because an earlier copy may have arrived.
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -152,6 +152,11 @@
                                           std::optional(m_CurrentFencing);
     m_StoredPlan = LastHolder ? std::optional(FleetPlan()) : std::nullopt;
     m_CurrentFencing = m_Lease.fencing();
+    m_GrantSeenAt = m_Scheduler.now();
+    m_OrdersHeldUntil = MonotonicTime();
+    m_PlanRestored = LastHolder;
+    if (LastHolder)
+      holdOrders();
     m_UnansweredSince.reset();
     m_ServerOrders.clear();
     m_StageOrders.clear();
@@ -166,10 +171,20 @@
     readPlan();
     return;
   }
-  planServers();
+  continuePlan();
   orderStages();
 }
 
+auto FleetDuty::holdOrders() -> void {
+  if (m_Options.m_Bounds.m_ChecksFencing)
+    return;
+  m_OrdersHeldUntil = m_GrantSeenAt + m_Options.m_MaxOrderDelay;
+  logInfo("fleet.orders-held",
+          {{"fencing", m_CurrentFencing},
+           {"reason", "orders of an earlier grant"},
+           {"wait_ms", toMilliseconds(m_OrdersHeldUntil - m_GrantSeenAt)}});
+}
+
 auto FleetDuty::readPlan() -> void {
   m_PlanCallPending = true;
   m_Store.read(
@@ -195,12 +210,26 @@
                 {{"fencing", Number},
                  {"services", m_StoredPlan->m_Sizes.size()},
                  {"data_centres", m_StoredPlan->m_Supplies.size()}});
-        m_Planner.restore(*m_StoredPlan, m_Scheduler.now());
+        // Orders follow a stored plan only, so that there were none without.
+        // A restored store may have lost it.
+        if (!Values.empty() || m_Store.history().restored())
+          holdOrders();
         if (mayAct())
-          planServers();
+          continuePlan();
       });
 }
 
+auto FleetDuty::continuePlan() -> void {
+  if (!m_PlanRestored) {
+    // The planner expects servers from the time when it plans them.
+    if (awaitsEarlierOrders())
+      return;
+    m_Planner.restore(*m_StoredPlan, m_Scheduler.now());
+    m_PlanRestored = true;
+  }
+  planServers();
+}
+
 auto FleetDuty::planServers() -> void {
   auto Wanted =
       m_Planner.servers(*m_Inputs.m_Configuration(), m_Inputs.m_Directory,
@@ -242,13 +271,45 @@
   auto &Last = m_ServerOrders[orderKey(Order)];
   if (Last.m_Pending || (Last.m_Accepted && Last.m_Count == Order.m_Count))
     return false;
+  if (Last.m_Count != Order.m_Count &&
+      !mayReplaceOrder(Last.m_Copies.isComplete(Now),
+                       m_Options.m_Bounds.m_ChecksFencing)) {
+    if (!std::exchange(Last.m_Held, true))
+      logInfo("fleet.order-held", {{"service", Order.m_Service},
+                                   {"data_centre", Order.m_DataCentre},
+                                   {"reclaimable", Order.m_Reclaimable},
+                                   {"count", Order.m_Count},
+                                   {"earlier_count", Last.m_Count},
+                                   {"fencing", m_CurrentFencing}});
+    return false;
+  }
   auto Delay = Last.m_Rejected ? m_Options.m_RejectedOrderDelay
                                : m_Options.m_OrderRetryDelay;
   return Last.m_Count != Order.m_Count || Last.m_SentAt == MonotonicTime() ||
          Now - Last.m_SentAt >= Delay;
 }
 
+auto FleetDuty::mustWaitForOther(const ServerOrder &Order) -> bool {
+  auto Increases = Order.m_Count > m_ServerOrders[orderKey(Order)].m_Count;
+  return std::any_of(
+      m_TargetOrders.begin(), m_TargetOrders.end(),
+      [&](const ServerOrder &Other) {
+        if (Other.m_Service != Order.m_Service ||
+            Other.m_DataCentre != Order.m_DataCentre ||
+            Other.m_Reclaimable == Order.m_Reclaimable)
+          return false;
+        const auto &Sent = m_ServerOrders[orderKey(Other)];
+        // A rejected decrease is never executed; waiting for it has no end.
+        auto InForce = m_Options.m_Bounds.m_ChecksFencing || Sent.m_Rejected
+                           ? Sent.m_Count
+                           : Sent.m_MaxInForce;
+        return Sent.m_Pending || (Increases && Other.m_Count < InForce);
+      });
+}
+
 auto FleetDuty::orderServers() -> void {
+  if (awaitsEarlierOrders())
+    return;
   auto Now = m_Scheduler.now();
   const auto &Orders = m_TargetOrders;
   // The platform may fail for some orders alone, so that the ones that were not
@@ -269,26 +330,20 @@
       return;
     if (!isDue(Order, Now))
       continue;
-    auto Increases = Order.m_Count > m_ServerOrders[orderKey(Order)].m_Count;
-    auto MustWait = std::any_of(
-        Orders.begin(), Orders.end(), [&](const ServerOrder &Other) {
-          if (Other.m_Service != Order.m_Service ||
-              Other.m_DataCentre != Order.m_DataCentre ||
-              Other.m_Reclaimable == Order.m_Reclaimable)
-            return false;
-          const auto &Sent = m_ServerOrders[orderKey(Other)];
-          return Sent.m_Pending || (Increases && Other.m_Count < Sent.m_Count);
-        });
-    if (!MustWait)
+    if (!mustWaitForOther(Order))
       send(Order);
   }
 }
 
 auto FleetDuty::send(const ServerOrder &Order) -> void {
   auto Number = m_Lease.fencing();
-  m_ServerOrders[orderKey(Order)] = {.m_Count = Order.m_Count,
-                                     .m_Pending = true,
-                                     .m_SentAt = m_Scheduler.now()};
+  auto &Last = m_ServerOrders[orderKey(Order)];
+  Last = {.m_Count = Order.m_Count,
+          .m_Pending = true,
+          .m_SentAt = m_Scheduler.now(),
+          .m_MaxInForce = std::max(Last.m_MaxInForce, Order.m_Count),
+          .m_Copies = Last.m_Copies};
+  Last.m_Copies.recordSent();
   m_Calls.orderServers(
       Order, Number,
       [this, Alive = m_Alive, Order, Number, Call = m_OrderBackoff.begin(),
@@ -317,10 +372,19 @@
                             {"failures", m_OrderBackoff.failures()}});
   if (m_Inputs.m_OnOutcome)
     m_Inputs.m_OnOutcome("servers", Outcome);
+  // Orders of an earlier grant are no longer tracked. An answer to one says
+  // nothing about the newer order for its subject.
+  if (Number != m_CurrentFencing && !m_Options.m_Bounds.m_ChecksFencing)
+    return;
   auto &Last = m_ServerOrders[orderKey(Order)];
+  if (Number == m_CurrentFencing)
+    Last.m_Copies.recordOutcome(Outcome, m_Scheduler.now(),
+                                m_Options.m_MaxOrderDelay);
   Last.m_Pending = false;
   Last.m_Accepted = Outcome == OrderOutcome::Accepted;
   Last.m_Rejected = Outcome == OrderOutcome::Rejected;
+  if (Last.m_Accepted)
+    Last.m_MaxInForce = Order.m_Count;
   if (Last.m_Rejected)
     logError("fleet.order-rejected", {{"service", Order.m_Service},
                                       {"data_centre", Order.m_DataCentre},
--- a/tests/support/FleetWorld.h
+++ b/tests/support/FleetWorld.h
@@ -35,6 +35,15 @@
   auto orderServers(const ServerOrder &Order, FencingNumber Fencing,
                     std::function<void(OrderOutcome)> Done) -> void override {
     m_OrderCalls.push_back(m_Scheduler.now());
+    auto Number = m_OrderCalls.size();
+    auto Fate = m_Fates ? m_Fates() : OrderFate{};
+    for (auto Delay : Fate.m_Late)
+      m_Scheduler.schedule(Delay,
+                           [this, Order, Number] { execute(Order, Number); });
+    if (!Fate.m_Late.empty() || Fate.m_Lost) {
+      fail(OrderOutcome::Unknown, Done);
+      return;
+    }
     auto Failure = m_Outage;
     if (auto Found = m_RejectedOrders.find(Order.m_Service);
         Found != m_RejectedOrders.end()) {
@@ -46,15 +55,11 @@
       return;
     }
     m_MaxFencing = std::max(m_MaxFencing, Fencing);
-    auto Refused = Fencing < m_MaxFencing ||
+    auto Refused = (m_ChecksFencing && Fencing < m_MaxFencing) ||
                    (m_NoReclaimable && Order.m_Reclaimable &&
                     Order.m_Count > m_Counts[Order.m_Reclaimable]);
-    if (!Refused) {
-      if (m_Counts[Order.m_Reclaimable] != Order.m_Count)
-        ++m_Changes;
-      m_Counts[Order.m_Reclaimable] = Order.m_Count;
-      m_MinTotal = std::min(m_MinTotal, m_Counts[false] + m_Counts[true]);
-    }
+    if (!Refused)
+      execute(Order, Number);
     m_Scheduler.schedule(Milliseconds(5), [Refused, Done] {
       Done(Refused ? OrderOutcome::Refused : OrderOutcome::Accepted);
     });
@@ -82,6 +87,27 @@
                          [Done] { Done(OrderOutcome::Accepted); });
   }
 
+  /// What becomes of an order on its way.
+  struct OrderFate {
+    bool m_Lost = false;
+    std::vector<Duration> m_Late; ///< When each copy is executed, unanswered.
+  };
+
+  /// Executes the order that was sent as the one with \p Number.
+  auto execute(const ServerOrder &Order, std::size_t Number) -> void {
+    for (const auto &[Other, Count] : m_Executed[Order.m_Reclaimable])
+      if (Other > Number && Count != Order.m_Count) {
+        ++m_Overtaken;
+        break;
+      }
+    m_Executed[Order.m_Reclaimable].emplace_back(Number, Order.m_Count);
+    if (m_Counts[Order.m_Reclaimable] != Order.m_Count)
+      ++m_Changes;
+    m_Counts[Order.m_Reclaimable] = Order.m_Count;
+    m_MinTotal = std::min(m_MinTotal, m_Counts[false] + m_Counts[true]);
+    m_MaxTotal = std::max(m_MaxTotal, m_Counts[false] + m_Counts[true]);
+  }
+
   /// Answers a call with \p Outcome. One that is not answered ends by its
   /// timeout.
   auto fail(OrderOutcome Outcome, const std::function<void(OrderOutcome)> &Done)
@@ -114,7 +140,14 @@
   std::vector<MonotonicTime> m_OrderCalls;
   std::map<bool, std::uint32_t> m_Counts; ///< Ordinary and reclaimable.
   std::uint32_t m_MinTotal = MaxServers;  ///< Minimum of their sum.
+  std::uint32_t m_MaxTotal = 0;           ///< Maximum of their sum.
   int m_Changes = 0;
+  /// Returns the fate of each order; empty: all are executed at once.
+  std::function<OrderFate()> m_Fates;
+  bool m_ChecksFencing = true;
+  /// Executed orders by number and count, ordinary and reclaimable.
+  std::map<bool, std::vector<std::pair<std::size_t, std::uint32_t>>> m_Executed;
+  int m_Overtaken = 0; ///< Orders executed after a newer, different one.
   bool m_NoReclaimable = false;
   std::vector<BackendId> m_StageOrders;
   ServerNotice m_EngineNotice; ///< In the responses of engines to orders.
@@ -186,7 +219,8 @@
 struct Holder {
   Holder(VirtualScheduler &Scheduler, InMemoryStore &Model, FleetCalls &Calls,
          const BackendDirectory &Directory,
-         const ServingConfiguration &Configuration, const std::string &Name)
+         const ServingConfiguration &Configuration, const std::string &Name,
+         bool ChecksFencing)
       : m_Store(Scheduler, Model),
         m_Duty(Scheduler, m_Store, Calls, m_Random,
                {.m_Directory = Directory,
@@ -196,7 +230,8 @@
                 .m_NeededEngines = []() -> std::optional<double> { return {}; },
                 .m_HostCount = [] { return std::size_t{2}; },
                 .m_Eligible = [] { return true; }},
-               {.m_Host = HostId{Name}}) {
+               {.m_Bounds = {.m_ChecksFencing = ChecksFencing},
+                .m_Host = HostId{Name}}) {
     m_Duty.start();
   }
 
@@ -222,9 +257,9 @@
   auto add(const std::string &Name) -> void {
     m_Recorders.push_back(std::make_unique<RecordedCalls>(m_Scheduler, m_Fleet,
                                                           Name, m_Received));
-    m_Holders.push_back(
-        std::make_unique<Holder>(m_Scheduler, m_Model, *m_Recorders.back(),
-                                 m_Directory, m_Configuration, Name));
+    m_Holders.push_back(std::make_unique<Holder>(
+        m_Scheduler, m_Model, *m_Recorders.back(), m_Directory, m_Configuration,
+        Name, m_ChecksFencing));
   }
 
   /// Registers the servers that the platform runs.
@@ -273,6 +308,8 @@
   Fleet m_Fleet{m_Scheduler};
   BackendDirectory m_Directory;
   ServingConfiguration m_Configuration;
+  /// Whether holders that are added rely on the platform's check of tokens.
+  bool m_ChecksFencing = false;
   std::vector<ReceivedCall> m_Received; ///< By the platform, in order.
   std::vector<std::unique_ptr<RecordedCalls>> m_Recorders;
   std::vector<std::unique_ptr<Holder>> m_Holders;
