Warnings on a configuration and differences between two

A pure module finds entries that never match and limits that contradict each other, and compares two configurations by name. What decoding drops (a key or a service that stands twice, an organisation without keys) is noted by the decoder. A wider route hides no narrower one, since the longest prefix decides; only equal prefixes are reported.

The decoder's errors name the entry. For malformed JSON they name the byte only: the parser's message quoted the document, and so may have put a key into the log. Times that a Duration cannot hold were undefined behaviour; they are bounded to about 30 years.

Hosts log the first 20 warnings when they apply a configuration; findings never keep it from being applied.

--- a/include/dotterel/serving/ServingConfiguration.h
+++ b/include/dotterel/serving/ServingConfiguration.h
@@ -94,6 +94,12 @@
   std::optional<std::uint32_t> m_Priority; ///< Overrides the route's priority.
 };
 
+/// A remark on an entry of a configuration. Contains no key.
+struct ConfigurationFinding {
+  std::string m_Path; ///< Place in the configuration, such as `routes[3]`.
+  std::string m_Reason;
+};
+
 /// One accepted configuration.
 ///
 /// \invariant Routes of the same host have different prefixes.
@@ -104,6 +110,9 @@
   CallerLimits m_Limits;
   bool m_KeysRequired = false; ///< Whether any organisation is configured.
   std::unordered_map<std::string, KeyHolder> m_Keys;
+  /// Entries that have no effect, since an earlier one has the same name or
+  /// key, or since they are empty.
+  std::vector<ConfigurationFinding> m_IgnoredEntries;
 };
 
 /// Looks up routes. Refers to the configuration it was built from, which must
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -1,6 +1,7 @@
 #include "dotterel/serving/ServingCore.h"
 
 #include "dotterel/base/Log.h"
+#include "dotterel/serving/ConfigurationCheck.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -83,6 +84,7 @@
            {"keys", m_Configuration->m_Keys.size()},
            {"idle_timeout_ms",
             toMilliseconds(m_Configuration->m_Limits.m_IdleTimeout)}});
+  logFindings(*m_Configuration);
   m_Metrics.setConfigRevision(
       static_cast<double>(m_Configuration->m_Revision.number()));
   return true;
