--- a/include/dotterel/base/Errors.h
+++ b/include/dotterel/base/Errors.h
@@ -62,6 +62,7 @@
 /// 401: cannot listen on the address
 /// 402: a library could not be initialised
 /// 403: cannot connect
+/// 404: a file cannot be read or is too large
 class IoError : public Error {
 public:
   IoError(int Id, std::string_view Text) : Error("io_error", Id, Text) {}
--- a/src/ctl/Command.cpp
+++ b/src/ctl/Command.cpp
@@ -137,7 +137,11 @@
   for (const auto &Item : commands())
     if (Item.m_Name == Name)
       return Item;
-  auto Known = std::string();
+  if (Name.starts_with("check"))
+    throw SettingsError(102, "check goes before its flags: dotterelctl check "
+                             "FILE [--against=FILE] [--json]");
+  auto Known = fmt::format("\n  {:<18} {}", "check",
+                           "checks a configuration before it is sent");
   for (const auto &Item : commands())
     Known += fmt::format("\n  {:<18} {}", Item.m_Name, Item.m_Summary);
   throw SettingsError(102,
