Test that hosts log findings when they apply a configuration

The test called the function that logs, not the code that calls it. It now goes through ServingCore::apply(), and checks that a revision that is not taken over is not reported again.

--- a/tests/unit-ConfigurationCheck.cpp
+++ b/tests/unit-ConfigurationCheck.cpp
@@ -2,6 +2,7 @@
 #include "dotterel/base/Log.h"
 #include "dotterel/ctl/CheckCommand.h"
 #include "platform/RecordDecoder.h"
+#include "support/ServingFakes.h"
 
 #include <chrono>
 #include <cstdio>
@@ -252,14 +253,22 @@
 
 TEST_CASE("configuration check: hosts log at most 20 findings, one line each") {
   auto Document = validDocument();
+  Document["version"] = 1000;
   for (auto Index = 0; Index < 30; ++Index)
     Document["services"].push_back({{"name", fmt::format("u\n{}", Index)}});
+  auto Test = test::ServingFixture();
   auto Lines = std::vector<std::string>();
-  setLogSink([&](std::string_view Line) { Lines.emplace_back(Line); });
-  logFindings(platform::decodeConfiguration(Document.dump()));
+  setLogSink([&](std::string_view Line) {
+    if (Line.find("config.finding") != std::string_view::npos)
+      Lines.emplace_back(Line);
+  });
+  auto Applied =
+      Test.m_Core.apply(platform::decodeConfiguration(Document.dump()));
+  // A revision that is not taken over is not reported again.
+  Test.m_Core.apply(platform::decodeConfiguration(Document.dump()));
   setLogSink({});
+  CHECK(Applied);
   REQUIRE(Lines.size() == 20);
-  CHECK(Lines[0].find("config.finding") != std::string::npos);
   CHECK(Lines[0].find("findings=30") != std::string::npos);
   CHECK(Lines[0].find('\n') >= Lines[0].size() - 1);
 }
