Report numbers below 0 that decoding wraps

The decoder is left as it is, so that hosts accept what they accepted; the check reports the number that is in force.

--- a/src/serving/ConfigurationCheck.cpp
+++ b/src/serving/ConfigurationCheck.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -14,6 +15,12 @@
 
 constexpr auto MaxLoggedFindings = std::size_t{20};
 
+/// Returns whether a number has probably been below 0 in the document: decoding
+/// wraps it.
+auto isWrapped(std::uint32_t Value) -> bool {
+  return Value > std::uint32_t{std::numeric_limits<std::int32_t>::max()};
+}
+
 /// Collects the warnings on one configuration.
 class ConfigurationChecker {
 public:
@@ -73,6 +80,16 @@
                        "target ({} ms)",
                        Name, toMilliseconds(Route.m_Timeout),
                        toMilliseconds(Route.m_LatencyTarget)));
+    if (isWrapped(Route.m_Priority))
+      warn(fmt::format("route {} has the priority {}, as read from a number "
+                       "below 0 or too large",
+                       Name, Route.m_Priority));
+    if (isWrapped(Route.m_MaxAttempts)) {
+      warn(fmt::format("route {} allows {} attempts, as read from a number "
+                       "below 0 or too large",
+                       Name, Route.m_MaxAttempts));
+      return;
+    }
     if (Route.m_MaxAttempts == 0)
       warn(fmt::format("route {} allows 0 attempts", Name));
     if (Route.m_MaxAttempts > 1 && !Route.repeatable())
@@ -135,15 +152,22 @@
     m_Path = "keys";
     auto WithoutOrganisation = std::size_t{0};
     auto EmptyKeys = std::set<OrganisationId>();
+    auto WrappedPriorities = std::map<OrganisationId, std::uint32_t>();
     for (const auto &[Key, Holder] : m_Configuration.m_Keys) {
       if (Holder.m_Organisation.empty())
         ++WithoutOrganisation;
+      if (Holder.m_Priority && isWrapped(*Holder.m_Priority))
+        WrappedPriorities[Holder.m_Organisation] = *Holder.m_Priority;
       if (Key.empty())
         EmptyKeys.insert(Holder.m_Organisation);
     }
     if (WithoutOrganisation > 0)
       warn(fmt::format("{} keys belong to an organisation without a name",
                        WithoutOrganisation));
+    for (const auto &[Organisation, Priority] : WrappedPriorities)
+      warn(fmt::format("organisation {} has the priority {}, as read from a "
+                       "number below 0 or too large",
+                       Organisation.text(), Priority));
     for (const auto &Organisation : EmptyKeys)
       warn(
           fmt::format("organisation {} has an empty key", Organisation.text()));
