--- a/include/dotterel/admission/OrganisationLimits.h
+++ b/include/dotterel/admission/OrganisationLimits.h
@@ -133,6 +133,7 @@
   std::optional<LimitCharge> m_Charge;
   /// Time until the same request is likely to be granted.
   Duration m_RetryAfter{};
+  LimitAmount m_Requested;
   /// What was left of the limit before the request; negative if it was
   /// exceeded.
   LimitAmount m_Left;
@@ -146,8 +147,9 @@
 /// Figures for metrics, over all organisations with a limit.
 struct LimitFigures {
   std::size_t m_Limits = 0;
-  std::size_t m_InUse = 0; ///< With known use.
-  /// Highest use of an organisation in a window, as a share of its limit.
+  std::size_t m_InUse = 0; ///< Used at this host.
+  /// Highest use of an organisation in a window, as a share of its limit; among
+  /// those that this host uses most.
   double m_MaxUse = 0;
   /// Part of that use which is this host's.
   double m_OwnPart = 0;
@@ -171,10 +173,7 @@
                      const OrganisationLimitOptions &Options);
 
   /// Sets the limits of a configuration. The known use stays in force.
-  auto setLimits(OrganisationLimitTable Limits, MonotonicTime Now) -> void;
-
-  /// Changes the bounds; the window must be the same as before.
-  auto setBounds(double Overshoot, LimitAmount Slack) -> void;
+  auto setLimits(OrganisationLimitTable Limits) -> void;
 
   /// Sets the registered hosts: this one and the others, with their data
   /// centres. Before the first call nothing is granted.
@@ -263,6 +262,7 @@
   struct Headroom {
     double m_Least = 0;
     double m_Missing = 0; ///< What the request lacks; 0: it fits.
+    Duration m_Wait{};    ///< Until it fits, if nothing else is granted.
     bool m_Starting = false;
   };
 
@@ -279,18 +279,28 @@
   [[nodiscard]] auto counted(const OrganisationUse::Entry &Entry,
                              std::size_t Window, Duration Age) const -> double;
   [[nodiscard]] auto known(const OrganisationId &Organisation, LimitUnit Unit,
-                           bool LocalOnly, MonotonicTime Now) const -> Known;
+                           MonotonicTime Now) const -> Known;
   [[nodiscard]] auto unheard(MonotonicTime Now) const -> std::vector<Unheard>;
   /// Returns the amount by which a window may exceed the limit.
   [[nodiscard]] auto room(const OrganisationLimit &Limit) const -> double;
+  /// Returns the time after which \p Amount of the use in \p Window lies before
+  /// it.
+  [[nodiscard]] auto timeToExpire(const UseByWindow &Use, std::size_t Window,
+                                  double Amount) const -> Duration;
   [[nodiscard]] auto headroom(const OrganisationLimit &Limit, double Amount,
                               const Known &Use, const UseByWindow &OwnUse,
                               MonotonicTime Now) const -> Headroom;
   [[nodiscard]] auto retryAfter(Own &Item, const OrganisationLimit &Limit,
-                                double Amount, double Missing,
+                                double Amount, Duration Earliest,
                                 double OthersDemand, MonotonicTime Now)
       -> Duration;
-  auto sortAndBound(OrganisationUse &Report) const -> void;
+  [[nodiscard]] auto windowLimit(const OrganisationLimit &Limit) const
+      -> double;
+  [[nodiscard]] auto ownEntries(MonotonicTime Now) const
+      -> std::vector<OrganisationUse::Entry>;
+  /// Returns \p Report with the most used organisations only.
+  [[nodiscard]] auto bounded(OrganisationUse Report, MonotonicTime Now) const
+      -> OrganisationUse;
 
   Random &m_Random;
   std::uint64_t m_Incarnation;
--- a/include/dotterel/peers/HostMessage.h
+++ b/include/dotterel/peers/HostMessage.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_PEERS_HOSTMESSAGE_H
 #define DOTTEREL_PEERS_HOSTMESSAGE_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/poison/CrashRegistry.h"
@@ -53,7 +54,7 @@
   HostId m_Sender;
   DataCentreId m_DataCentre;
   std::variant<LoadSummary, RelayQuery, RelayReply, RelayedChanges,
-               UsageSegment, CrashReports>
+               UsageSegment, CrashReports, OrganisationUse>
       m_Content;
 };
 
--- a/include/dotterel/peers/LoadExchange.h
+++ b/include/dotterel/peers/LoadExchange.h
@@ -62,6 +62,20 @@
                const HostRegistry &Registry, Source Source, Sink Sink,
                const LoadExchangeOptions &Options);
 
+  /// Returns the use of limited organisations by this host, or by its whole
+  /// data centre; empty if no limit is set.
+  using UseSource =
+      std::function<std::optional<OrganisationUse>(bool WholeDataCentre)>;
+  using UseSink =
+      std::function<void(const HostId &Sender, const DataCentreId &DataCentre,
+                         const OrganisationUse &Use)>;
+
+  /// Sends the use of organisations along with the loads.
+  auto exchangeUse(UseSource Source, UseSink Sink) -> void {
+    m_UseSource = std::move(Source);
+    m_UseSink = std::move(Sink);
+  }
+
   auto start() -> void;
 
   /// Processes a message that was received from \p Address as \p Bytes.
@@ -97,13 +111,23 @@
   [[nodiscard]] auto chooseRemoteTargets() -> std::vector<std::string>;
   [[nodiscard]] auto isFromLocalHost(const std::string &Address) const -> bool;
   [[nodiscard]] auto isRelay() const -> bool;
-  [[nodiscard]] auto message(LoadSummary Loads) const -> std::string;
+  template <typename Content>
+  [[nodiscard]] auto message(Content Loads) const -> std::string;
+  /// Sends a summary of another data centre, received as \p Bytes, on in this
+  /// one.
+  template <typename Content>
+  auto distribute(const HostMessage &Message, const std::string &Address,
+                  std::string_view Bytes) -> void;
+  auto receiveUse(const HostMessage &Message, const OrganisationUse &Use,
+                  const std::string &Address, std::string_view Bytes) -> void;
 
   Scheduler &m_Scheduler;
   DatagramPort &m_Port;
   const HostRegistry &m_Registry;
   Source m_Source;
   Sink m_Sink;
+  UseSource m_UseSource;
+  UseSink m_UseSink;
   LoadExchangeOptions m_Options;
   /// Number of summaries that were sent to other data centres.
   std::uint64_t m_Round = 0;
--- a/schema/HostExchange.capnp
+++ b/schema/HostExchange.capnp
@@ -14,6 +14,7 @@
     changes @5 :List(RecordChange);
     usage @6 :UsageSegment;
     crashes @7 :CrashReports;
+    organisationUse @8 :OrganisationUse;
   }
 }
 
@@ -69,6 +70,24 @@
   }
 }
 
+# Use of limited organisations by a host or by all hosts of a data centre.
+struct OrganisationUse {
+  wholeDataCentre @0 :Bool;
+  distributor @1 :Text;  # as in LoadSummary
+  incarnation @2 :UInt64;  # of the sending process
+  number @3 :UInt64;  # increases with each message of the process
+  hosts @4 :UInt32;  # whose use is included
+  entries @5 :List(Entry);
+
+  struct Entry {
+    organisation @0 :Text;
+    countsTokens @1 :Bool;
+    demandPerSecond @2 :Float32;
+    use @3 :List(Float32);  # by window, shortest first
+    total @4 :Float32;  # over all hosts that the sender hears
+  }
+}
+
 # Asks a relay how recently its copy of the store was confirmed.
 struct Question {
   sentAt @0 :UInt64;  # on the clock of the asking host, echoed by the reply
--- a/schema/HostExchange.capnp.h
+++ b/schema/HostExchange.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(c448cf29b7a33d18);
 CAPNP_DECLARE_SCHEMA(caad8f8abe8fbdc1);
 CAPNP_DECLARE_SCHEMA(a1422d732847a32d);
+CAPNP_DECLARE_SCHEMA(95bb8b6bbac68ff6);
+CAPNP_DECLARE_SCHEMA(849b8ed65e79f3dd);
 CAPNP_DECLARE_SCHEMA(a0a65383703625f5);
 CAPNP_DECLARE_SCHEMA(f955f3c4e04af797);
 CAPNP_DECLARE_SCHEMA(b88d1c92a0e9910f);
@@ -50,6 +52,7 @@
     CHANGES,
     USAGE,
     CRASHES,
+    ORGANISATION_USE,
   };
 
   struct _capnpPrivate {
@@ -169,6 +172,37 @@
   };
 };
 
+struct OrganisationUse {
+  OrganisationUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Entry;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(95bb8b6bbac68ff6, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrganisationUse::Entry {
+  Entry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(849b8ed65e79f3dd, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Question {
   Question() = delete;
 
@@ -264,6 +298,10 @@
   inline bool hasCrashes() const;
   inline  ::dotterel::schema::CrashReports::Reader getCrashes() const;
 
+  inline bool isOrganisationUse() const;
+  inline bool hasOrganisationUse() const;
+  inline  ::dotterel::schema::OrganisationUse::Reader getOrganisationUse() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -355,6 +393,14 @@
   inline void adoptCrashes(::capnp::Orphan< ::dotterel::schema::CrashReports>&& value);
   inline ::capnp::Orphan< ::dotterel::schema::CrashReports> disownCrashes();
 
+  inline bool isOrganisationUse();
+  inline bool hasOrganisationUse();
+  inline  ::dotterel::schema::OrganisationUse::Builder getOrganisationUse();
+  inline void setOrganisationUse( ::dotterel::schema::OrganisationUse::Reader value);
+  inline  ::dotterel::schema::OrganisationUse::Builder initOrganisationUse();
+  inline void adoptOrganisationUse(::capnp::Orphan< ::dotterel::schema::OrganisationUse>&& value);
+  inline ::capnp::Orphan< ::dotterel::schema::OrganisationUse> disownOrganisationUse();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1073,6 +1119,224 @@
 };
 #endif  // !CAPNP_LITE
 
+class OrganisationUse::Reader {
+public:
+  typedef OrganisationUse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getWholeDataCentre() const;
+
+  inline bool hasDistributor() const;
+  inline  ::capnp::Text::Reader getDistributor() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint32_t getHosts() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrganisationUse::Builder {
+public:
+  typedef OrganisationUse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getWholeDataCentre();
+  inline void setWholeDataCentre(bool value);
+
+  inline bool hasDistributor();
+  inline  ::capnp::Text::Builder getDistributor();
+  inline void setDistributor( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDistributor(unsigned int size);
+  inline void adoptDistributor(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDistributor();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrganisationUse::Pipeline {
+public:
+  typedef OrganisationUse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class OrganisationUse::Entry::Reader {
+public:
+  typedef Entry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline bool getCountsTokens() const;
+
+  inline float getDemandPerSecond() const;
+
+  inline bool hasUse() const;
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader getUse() const;
+
+  inline float getTotal() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OrganisationUse::Entry::Builder {
+public:
+  typedef Entry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline bool getCountsTokens();
+  inline void setCountsTokens(bool value);
+
+  inline float getDemandPerSecond();
+  inline void setDemandPerSecond(float value);
+
+  inline bool hasUse();
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder getUse();
+  inline void setUse( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUse(::kj::ArrayPtr<const float> value);
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder initUse(unsigned int size);
+  inline void adoptUse(::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> disownUse();
+
+  inline float getTotal();
+  inline void setTotal(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OrganisationUse::Entry::Pipeline {
+public:
+  typedef Entry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Question::Reader {
 public:
   typedef Question Reads;
@@ -1807,6 +2071,60 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool HostMessage::Reader::isOrganisationUse() const {
+  return which() == HostMessage::ORGANISATION_USE;
+}
+inline bool HostMessage::Builder::isOrganisationUse() {
+  return which() == HostMessage::ORGANISATION_USE;
+}
+inline bool HostMessage::Reader::hasOrganisationUse() const {
+  if (which() != HostMessage::ORGANISATION_USE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostMessage::Builder::hasOrganisationUse() {
+  if (which() != HostMessage::ORGANISATION_USE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::dotterel::schema::OrganisationUse::Reader HostMessage::Reader::getOrganisationUse() const {
+  KJ_IREQUIRE((which() == HostMessage::ORGANISATION_USE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterel::schema::OrganisationUse::Builder HostMessage::Builder::getOrganisationUse() {
+  KJ_IREQUIRE((which() == HostMessage::ORGANISATION_USE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::setOrganisationUse( ::dotterel::schema::OrganisationUse::Reader value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::ORGANISATION_USE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::dotterel::schema::OrganisationUse::Builder HostMessage::Builder::initOrganisationUse() {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::ORGANISATION_USE);
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HostMessage::Builder::adoptOrganisationUse(
+    ::capnp::Orphan< ::dotterel::schema::OrganisationUse>&& value) {
+  _builder.setDataField<HostMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, HostMessage::ORGANISATION_USE);
+  ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::dotterel::schema::OrganisationUse> HostMessage::Builder::disownOrganisationUse() {
+  KJ_IREQUIRE((which() == HostMessage::ORGANISATION_USE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::dotterel::schema::OrganisationUse>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool RecordChange::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2431,6 +2749,244 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool OrganisationUse::Reader::getWholeDataCentre() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool OrganisationUse::Builder::getWholeDataCentre() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setWholeDataCentre(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUse::Reader::hasDistributor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUse::Builder::hasDistributor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrganisationUse::Reader::getDistributor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrganisationUse::Builder::getDistributor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OrganisationUse::Builder::setDistributor( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrganisationUse::Builder::initDistributor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUse::Builder::adoptDistributor(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUse::Builder::disownDistributor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OrganisationUse::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OrganisationUse::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OrganisationUse::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OrganisationUse::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t OrganisationUse::Reader::getHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t OrganisationUse::Builder::getHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Builder::setHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUse::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUse::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Reader OrganisationUse::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Builder OrganisationUse::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OrganisationUse::Builder::setEntries( ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>::Builder OrganisationUse::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUse::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>> OrganisationUse::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterel::schema::OrganisationUse::Entry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool OrganisationUse::Entry::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUse::Entry::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader OrganisationUse::Entry::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder OrganisationUse::Entry::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OrganisationUse::Entry::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder OrganisationUse::Entry::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUse::Entry::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUse::Entry::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool OrganisationUse::Entry::Reader::getCountsTokens() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool OrganisationUse::Entry::Builder::getCountsTokens() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Entry::Builder::setCountsTokens(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float OrganisationUse::Entry::Reader::getDemandPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float OrganisationUse::Entry::Builder::getDemandPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Entry::Builder::setDemandPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OrganisationUse::Entry::Reader::hasUse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrganisationUse::Entry::Builder::hasUse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader OrganisationUse::Entry::Reader::getUse() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder OrganisationUse::Entry::Builder::getUse() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OrganisationUse::Entry::Builder::setUse( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void OrganisationUse::Entry::Builder::setUse(::kj::ArrayPtr<const float> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder OrganisationUse::Entry::Builder::initUse(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OrganisationUse::Entry::Builder::adoptUse(
+    ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> OrganisationUse::Entry::Builder::disownUse() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline float OrganisationUse::Entry::Reader::getTotal() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float OrganisationUse::Entry::Builder::getTotal() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OrganisationUse::Entry::Builder::setTotal(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Question::Reader::getSentAt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -80,8 +80,7 @@
     : m_Random(Random), m_Incarnation(Incarnation), m_Options(Options),
       m_StartedAt(Now) {}
 
-auto OrganisationLimits::setLimits(OrganisationLimitTable Limits,
-                                   MonotonicTime /*Now*/) -> void {
+auto OrganisationLimits::setLimits(OrganisationLimitTable Limits) -> void {
   m_Limits = std::move(Limits);
   // A limit in another unit cannot use what was counted before.
   std::erase_if(m_Own, [this](const auto &Item) {
@@ -91,12 +90,6 @@
   });
 }
 
-auto OrganisationLimits::setBounds(double Overshoot, LimitAmount Slack)
-    -> void {
-  m_Options.m_Overshoot = Overshoot;
-  m_Options.m_Slack = Slack;
-}
-
 auto OrganisationLimits::setHosts(const HostId &Self,
                                   const DataCentreId &DataCentre,
                                   const std::map<HostId, DataCentreId> &Others)
@@ -191,14 +184,12 @@
 }
 
 auto OrganisationLimits::known(const OrganisationId &Organisation,
-                               LimitUnit Unit, bool LocalOnly,
-                               MonotonicTime Now) const -> Known {
+                               LimitUnit Unit, MonotonicTime Now) const
+    -> Known {
   auto Result = Known();
   // Reports of several hosts on one data centre are about the same use.
   auto Remote = std::map<DataCentreId, std::pair<UseByWindow, double>>();
   for (const auto &[Key, Item] : m_Sources) {
-    if (LocalOnly && Item.m_WholeDataCentre)
-      continue;
     auto Found = Item.m_Entries.find(Organisation);
     if (Found == Item.m_Entries.end() || Found->second.m_Unit != Unit)
       continue;
@@ -257,12 +248,35 @@
 }
 
 auto OrganisationLimits::room(const OrganisationLimit &Limit) const -> double {
-  return m_Options.m_Overshoot *
-             (Limit.m_PerSecond.number() * seconds(m_Options.m_Window) +
-              Limit.m_Burst.number()) +
+  return m_Options.m_Overshoot * windowLimit(Limit) +
          m_Options.m_Slack.number();
 }
 
+auto OrganisationLimits::windowLimit(const OrganisationLimit &Limit) const
+    -> double {
+  return Limit.m_PerSecond.number() * seconds(m_Options.m_Window) +
+         Limit.m_Burst.number();
+}
+
+auto OrganisationLimits::timeToExpire(const UseByWindow &Use,
+                                      std::size_t Window, double Amount) const
+    -> Duration {
+  // Use is taken as even between the ends of two windows, and as just made in
+  // the shortest one.
+  for (auto Shorter = Window; Shorter-- > 0;) {
+    auto Expired = Use[Window] - Use[Shorter];
+    if (Expired < Amount)
+      continue;
+    auto Before = Use[Window] - Use[Shorter + 1];
+    auto Part = (Amount - Before) / (Expired - Before);
+    auto Begin = windowLength(Window) - windowLength(Shorter + 1);
+    auto Step = windowLength(Shorter + 1) - windowLength(Shorter);
+    return Begin + std::chrono::duration_cast<Duration>(Step * Part) +
+           binLength();
+  }
+  return windowLength(Window) + binLength();
+}
+
 auto OrganisationLimits::headroom(const OrganisationLimit &Limit, double Amount,
                                   const Known &Use, const UseByWindow &OwnUse,
                                   MonotonicTime Now) const -> Headroom {
@@ -282,6 +296,7 @@
   auto Alone =
       !m_Term.contains(Now) && Heard < m_Options.m_Quorum * m_HostCount;
   auto Result = Headroom{.m_Least = std::numeric_limits<double>::infinity()};
+  auto Totals = UseByWindow();
   for (auto Window = std::size_t{0}; Window < UseWindows; ++Window) {
     auto Length = windowLength(Window);
     auto Used = OwnUse[Window] + Use.m_Use[Window];
@@ -314,6 +329,11 @@
       Lacks = std::max(Lacks, OwnUse[Window] + Amount - Share);
     }
     Result.m_Least = std::min(Result.m_Least, Left);
+    Totals[Window] = Used;
+    if (Lacks > 0)
+      Result.m_Wait = std::max(Result.m_Wait,
+                               Starting ? fromSeconds(Lacks / Rate, Length)
+                                        : timeToExpire(Totals, Window, Lacks));
     if (Lacks > Result.m_Missing) {
       Result.m_Missing = Lacks;
       Result.m_Starting = Starting;
@@ -323,7 +343,7 @@
 }
 
 auto OrganisationLimits::retryAfter(Own &Item, const OrganisationLimit &Limit,
-                                    double Amount, double Missing,
+                                    double Amount, Duration Earliest,
                                     double OthersDemand, MonotonicTime Now)
     -> Duration {
   auto Rate = Limit.m_PerSecond.number();
@@ -332,8 +352,7 @@
   auto OwnDemand = std::max(demandOf(Item, Now), Amount);
   auto Part = OwnDemand / (OwnDemand + OthersDemand);
   auto Max = m_Options.m_MaxRetryAfter;
-  auto Earliest = Now + fromSeconds(Missing / Rate, Max);
-  auto At = std::max(Earliest, Item.m_Promised);
+  auto At = std::max(Now + std::min(Earliest, Max), Item.m_Promised);
   Item.m_Promised =
       std::min(At + fromSeconds(Amount / (Rate * Part), Max), Now + Max);
   auto Wait = std::clamp(At - Now, m_Options.m_MinRetryAfter, Max);
@@ -358,15 +377,16 @@
       Item.m_Demand * decay(std::max(Now - Item.m_DemandAt, Duration::zero())) +
       Amount;
   Item.m_DemandAt = Now;
-  auto Use = known(Organisation, Limit.m_Unit, false, Now);
+  auto Use = known(Organisation, Limit.m_Unit, Now);
   auto Left = headroom(Limit, Amount, Use, ownUse(Item, Now), Now);
-  auto Decision = LimitDecision{.m_Left = LimitAmount{Left.m_Least},
+  auto Decision = LimitDecision{.m_Requested = LimitAmount{Amount},
+                                .m_Left = LimitAmount{Left.m_Least},
                                 .m_OldestReport = Use.m_OldestReport};
   if (Left.m_Missing > 0) {
     Decision.m_Denial =
         Left.m_Starting ? LimitDenial::Starting : LimitDenial::Exhausted;
-    Decision.m_RetryAfter = retryAfter(Item, Limit, Amount, Left.m_Missing,
-                                       Use.m_OthersDemand, Now);
+    Decision.m_RetryAfter =
+        retryAfter(Item, Limit, Amount, Left.m_Wait, Use.m_OthersDemand, Now);
     return Decision;
   }
   // The other hosts grant what is left as well until they know of this
@@ -377,8 +397,8 @@
       m_Random.unit() * Unknown >
           std::max(Left.m_Least, 0.0) + ContentionPart * room(Limit)) {
     Decision.m_Denial = LimitDenial::Contended;
-    Decision.m_RetryAfter =
-        retryAfter(Item, Limit, Amount, Amount, Use.m_OthersDemand, Now);
+    Decision.m_RetryAfter = retryAfter(
+        Item, Limit, Amount, m_Options.m_ReportDelay, Use.m_OthersDemand, Now);
     return Decision;
   }
   add(Item, Now, Amount, Now);
@@ -396,12 +416,11 @@
     add(Found->second, Charge.m_At, -Charge.m_Amount.number(), Now);
 }
 
-auto OrganisationLimits::sortAndBound(OrganisationUse &Report) const -> void {
+auto OrganisationLimits::bounded(OrganisationUse Report,
+                                 MonotonicTime Now) const -> OrganisationUse {
   auto Part = [this](const OrganisationUse::Entry &Entry) {
     const auto &Limit = m_Limits.at(Entry.m_Organisation);
-    return Entry.m_Use[BoundWindow] /
-           (Limit.m_PerSecond.number() * seconds(m_Options.m_Window) +
-            Limit.m_Burst.number());
+    return Entry.m_Use[BoundWindow] / windowLimit(Limit);
   };
   auto Count = std::min(Report.m_Entries.size(), OrganisationUse::MaxEntries);
   auto End = Report.m_Entries.begin() + static_cast<std::ptrdiff_t>(Count);
@@ -410,29 +429,40 @@
                       return Part(Left) > Part(Right);
                     });
   Report.m_Entries.erase(End, Report.m_Entries.end());
+  for (auto &Entry : Report.m_Entries)
+    Entry.m_Total = use(Entry.m_Organisation, Now).number();
+  return Report;
 }
 
-auto OrganisationLimits::ownReport(MonotonicTime Now) const -> OrganisationUse {
-  auto Report = OrganisationUse{
-      .m_Incarnation = m_Incarnation,
-      .m_Number = static_cast<std::uint64_t>(Now.time_since_epoch().count())};
+auto OrganisationLimits::ownEntries(MonotonicTime Now) const
+    -> std::vector<OrganisationUse::Entry> {
+  auto Result = std::vector<OrganisationUse::Entry>();
   for (const auto &[Organisation, Item] : m_Own) {
     auto Use = ownUse(Item, Now);
-    if (Use.back() > 0 || demandOf(Item, Now) >= 1)
-      Report.m_Entries.push_back({.m_Organisation = Organisation,
-                                  .m_Unit = Item.m_Unit,
-                                  .m_Demand = demandOf(Item, Now),
-                                  .m_Use = Use,
-                                  .m_Total = use(Organisation, Now).number()});
+    auto Demand = demandOf(Item, Now);
+    if (Use.back() > 0 || Demand >= 1)
+      Result.push_back({.m_Organisation = Organisation,
+                        .m_Unit = Item.m_Unit,
+                        .m_Demand = Demand,
+                        .m_Use = Use});
   }
-  sortAndBound(Report);
-  return Report;
+  return Result;
+}
+
+auto OrganisationLimits::ownReport(MonotonicTime Now) const -> OrganisationUse {
+  return bounded(
+      {.m_Incarnation = m_Incarnation,
+       .m_Number = static_cast<std::uint64_t>(Now.time_since_epoch().count()),
+       .m_Entries = ownEntries(Now)},
+      Now);
 }
 
 auto OrganisationLimits::dataCentreReport(MonotonicTime Now) const
     -> OrganisationUse {
-  auto Report = ownReport(Now);
-  Report.m_WholeDataCentre = true;
+  auto Report = OrganisationUse{
+      .m_WholeDataCentre = true,
+      .m_Incarnation = m_Incarnation,
+      .m_Number = static_cast<std::uint64_t>(Now.time_since_epoch().count())};
   for (const auto &Host : m_LocalHosts) {
     auto Found = m_HeardHosts.find(Host);
     if (Found != m_HeardHosts.end() &&
@@ -440,38 +470,32 @@
       ++Report.m_Hosts;
   }
   auto Sums = std::unordered_map<OrganisationId, OrganisationUse::Entry>();
-  auto Include = [&](const OrganisationId &Organisation) {
-    auto Limit = m_Limits.find(Organisation);
-    if (Limit == m_Limits.end() || Sums.contains(Organisation))
-      return;
-    auto Unit = Limit->second.m_Unit;
-    auto Local = known(Organisation, Unit, true, Now);
-    auto Entry =
-        OrganisationUse::Entry{.m_Organisation = Organisation,
-                               .m_Unit = Unit,
-                               .m_Demand = Local.m_OthersDemand,
-                               .m_Use = Local.m_Use,
-                               .m_Total = use(Organisation, Now).number()};
-    if (auto Own = m_Own.find(Organisation); Own != m_Own.end()) {
-      auto Use = ownUse(Own->second, Now);
-      Entry.m_Demand += demandOf(Own->second, Now);
+  for (auto &Entry : ownEntries(Now)) {
+    auto Organisation = Entry.m_Organisation;
+    Sums.emplace(std::move(Organisation), std::move(Entry));
+  }
+  for (const auto &[Key, Item] : m_Sources) {
+    auto Age = Now - Item.m_ReceivedAt;
+    if (Item.m_WholeDataCentre)
+      continue;
+    for (const auto &[Organisation, Entry] : Item.m_Entries) {
+      auto Limit = m_Limits.find(Organisation);
+      if (Limit == m_Limits.end() || Limit->second.m_Unit != Entry.m_Unit)
+        continue;
+      auto &Sum = Sums.try_emplace(
+                          Organisation,
+                          OrganisationUse::Entry{.m_Organisation = Organisation,
+                                                 .m_Unit = Entry.m_Unit})
+                      .first->second;
+      if (Age < m_Options.m_ReportTimeout)
+        Sum.m_Demand += Entry.m_Demand;
       for (auto Window = std::size_t{0}; Window < UseWindows; ++Window)
-        Entry.m_Use[Window] += Use[Window];
+        Sum.m_Use[Window] += counted(Entry, Window, Age);
     }
-    if (Entry.m_Use.back() > 0 || Entry.m_Demand >= 1)
-      Sums.emplace(Organisation, std::move(Entry));
-  };
-  for (const auto &[Organisation, Item] : m_Own)
-    Include(Organisation);
-  for (const auto &[Key, Item] : m_Sources)
-    if (!Item.m_WholeDataCentre)
-      for (const auto &[Organisation, Entry] : Item.m_Entries)
-        Include(Organisation);
-  Report.m_Entries.clear();
+  }
   for (auto &[Organisation, Entry] : Sums)
     Report.m_Entries.push_back(std::move(Entry));
-  sortAndBound(Report);
-  return Report;
+  return bounded(std::move(Report), Now);
 }
 
 auto OrganisationLimits::merge(const HostId &Sender,
@@ -525,28 +549,22 @@
   auto Found = m_Limits.find(Organisation);
   if (Found == m_Limits.end())
     return {};
-  auto Sum =
-      known(Organisation, Found->second.m_Unit, false, Now).m_Use[BoundWindow];
+  auto Sum = known(Organisation, Found->second.m_Unit, Now).m_Use[BoundWindow];
   if (auto Own = m_Own.find(Organisation); Own != m_Own.end())
     Sum += ownUse(Own->second, Now)[BoundWindow];
   return LimitAmount{Sum};
 }
 
 auto OrganisationLimits::figures(MonotonicTime Now) const -> LimitFigures {
-  auto Result = LimitFigures{.m_Limits = m_Limits.size()};
-  for (const auto &[Organisation, Item] : m_Own) {
-    auto Limit = m_Limits.find(Organisation);
-    auto Sum = use(Organisation, Now).number();
-    if (Limit == m_Limits.end() || Sum <= 0)
-      continue;
-    ++Result.m_InUse;
-    auto Allowed =
-        Limit->second.m_PerSecond.number() * seconds(m_Options.m_Window) +
-        Limit->second.m_Burst.number();
-    if (Sum / Allowed <= Result.m_MaxUse)
+  auto Result =
+      LimitFigures{.m_Limits = m_Limits.size(), .m_InUse = m_Own.size()};
+  // Those that this host uses most, so that the cost is bounded.
+  for (const auto &Entry : ownReport(Now).m_Entries) {
+    auto Part = Entry.m_Total / windowLimit(m_Limits.at(Entry.m_Organisation));
+    if (Part <= Result.m_MaxUse)
       continue;
-    Result.m_MaxUse = Sum / Allowed;
-    Result.m_OwnPart = ownUse(Item, Now)[BoundWindow] / Sum;
+    Result.m_MaxUse = Part;
+    Result.m_OwnPart = Entry.m_Use[BoundWindow] / Entry.m_Total;
   }
   auto Silent = 0.0;
   for (const auto &Item : unheard(Now))
--- a/src/peers/HostMessage.cpp
+++ b/src/peers/HostMessage.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <limits>
@@ -241,6 +242,63 @@
   return Crashes;
 }
 
+auto encodeOrganisationUse(const OrganisationUse &Use,
+                           schema::OrganisationUse::Builder Target) -> void {
+  Target.setWholeDataCentre(Use.m_WholeDataCentre);
+  Target.setDistributor(Use.m_Distributor.text());
+  Target.setIncarnation(Use.m_Incarnation);
+  Target.setNumber(Use.m_Number);
+  Target.setHosts(Use.m_Hosts);
+  auto Entries =
+      Target.initEntries(static_cast<unsigned>(Use.m_Entries.size()));
+  auto Index = 0U;
+  for (const auto &Item : Use.m_Entries) {
+    auto Entry = Entries[Index++];
+    Entry.setOrganisation(Item.m_Organisation.text());
+    Entry.setCountsTokens(Item.m_Unit == LimitUnit::Tokens);
+    Entry.setDemandPerSecond(static_cast<float>(Item.m_Demand));
+    Entry.setTotal(static_cast<float>(Item.m_Total));
+    auto Windows = Entry.initUse(static_cast<unsigned>(UseWindows));
+    for (auto Window = 0U; Window < UseWindows; ++Window)
+      Windows.set(Window, static_cast<float>(Item.m_Use[Window]));
+  }
+}
+
+/// Returns a value that sums of use may contain.
+auto decodeAmount(float Value) -> double {
+  if (!(Value >= 0) || std::isinf(Value))
+    throw ProtocolError(301, "host message has an invalid amount");
+  return Value;
+}
+
+auto decodeOrganisationUse(schema::OrganisationUse::Reader Source)
+    -> OrganisationUse {
+  auto Entries = Source.getEntries();
+  if (Entries.size() > OrganisationUse::MaxEntries)
+    throw ProtocolError(301, "host message has too many organisations");
+  auto Use =
+      OrganisationUse{.m_WholeDataCentre = Source.getWholeDataCentre(),
+                      .m_Distributor = HostId{Source.getDistributor().cStr()},
+                      .m_Incarnation = Source.getIncarnation(),
+                      .m_Number = Source.getNumber(),
+                      .m_Hosts = Source.getHosts()};
+  for (auto Item : Entries) {
+    auto Windows = Item.getUse();
+    if (Windows.size() != UseWindows)
+      throw ProtocolError(301, "host message has other windows of use");
+    auto Entry = OrganisationUse::Entry{
+        .m_Organisation = OrganisationId{Item.getOrganisation().cStr()},
+        .m_Unit =
+            Item.getCountsTokens() ? LimitUnit::Tokens : LimitUnit::Requests,
+        .m_Demand = decodeAmount(Item.getDemandPerSecond()),
+        .m_Total = decodeAmount(Item.getTotal())};
+    for (auto Window = 0U; Window < UseWindows; ++Window)
+      Entry.m_Use[Window] = decodeAmount(Windows[Window]);
+    Use.m_Entries.push_back(std::move(Entry));
+  }
+  return Use;
+}
+
 } // namespace
 
 auto encodeHostMessage(const HostMessage &Message) -> std::string {
@@ -260,9 +318,11 @@
                                 Changes->m_Changes.size())));
   else if (const auto *Segment = std::get_if<UsageSegment>(&Message.m_Content))
     encodeUsage(*Segment, Root.initUsage());
+  else if (const auto *Crashes = std::get_if<CrashReports>(&Message.m_Content))
+    encodeCrashes(*Crashes, Root.initCrashes());
   else
-    encodeCrashes(std::get<CrashReports>(Message.m_Content),
-                  Root.initCrashes());
+    encodeOrganisationUse(std::get<OrganisationUse>(Message.m_Content),
+                          Root.initOrganisationUse());
   auto Output = kj::VectorOutputStream();
   capnp::writePackedMessage(Output, Builder);
   auto Bytes = Output.getArray();
@@ -298,6 +358,9 @@
     case schema::HostMessage::CRASHES:
       Message.m_Content = decodeCrashes(Root.getCrashes());
       break;
+    case schema::HostMessage::ORGANISATION_USE:
+      Message.m_Content = decodeOrganisationUse(Root.getOrganisationUse());
+      break;
     default:
       throw ProtocolError(301, "host message has an unknown content type");
     }
--- a/src/peers/LoadExchange.cpp
+++ b/src/peers/LoadExchange.cpp
@@ -51,7 +51,8 @@
                         [this] { sendRemote(); });
 }
 
-auto LoadExchange::message(LoadSummary Loads) const -> std::string {
+template <typename Content>
+auto LoadExchange::message(Content Loads) const -> std::string {
   const auto &Self = m_Registry.self();
   return encodeHostMessage({.m_Sender = Self.m_Host,
                             .m_DataCentre = Self.m_DataCentre,
@@ -64,6 +65,8 @@
   m_UnsentReads.insert(m_UnsentReads.end(), m_OwnLoads.m_Reads.begin(),
                        m_OwnLoads.m_Reads.end());
   sendToLocalHosts(message(m_OwnLoads));
+  if (auto Use = m_UseSource ? m_UseSource(false) : std::nullopt)
+    sendToLocalHosts(message(std::move(*Use)));
 }
 
 auto LoadExchange::liveLocalHosts() const -> std::vector<HostId> {
@@ -106,8 +109,14 @@
   for (auto &[Backend, Report] : RateLimits)
     Total.m_RateLimits.push_back(std::move(Report));
   auto Bytes = message(std::move(Total));
-  for (const auto &Address : chooseRemoteTargets())
+  auto Targets = chooseRemoteTargets();
+  for (const auto &Address : Targets)
     m_Port.send(Address, Bytes);
+  if (auto Use = m_UseSource ? m_UseSource(true) : std::nullopt) {
+    auto UseBytes = message(std::move(*Use));
+    for (const auto &Address : Targets)
+      m_Port.send(Address, UseBytes);
+  }
 }
 
 auto LoadExchange::chooseRemoteTargets() -> std::vector<std::string> {
@@ -194,6 +203,10 @@
 auto LoadExchange::receive(const HostMessage &Message,
                            const std::string &Address, std::string_view Bytes)
     -> void {
+  if (const auto *Use = std::get_if<OrganisationUse>(&Message.m_Content)) {
+    receiveUse(Message, *Use, Address, Bytes);
+    return;
+  }
   const auto *Loads = std::get_if<LoadSummary>(&Message.m_Content);
   if (Loads == nullptr)
     return;
@@ -214,16 +227,38 @@
                                            .m_Demand =
                                                Loads->m_PrefillTokensPerSecond};
   m_Sink(Message.m_DataCentre.text(), *Loads);
-  if (!Loads->m_Distributor.empty()) {
-    sendOn(Loads->m_Distributor, Bytes);
+  distribute<LoadSummary>(Message, Address, Bytes);
+}
+
+template <typename Content>
+auto LoadExchange::distribute(const HostMessage &Message,
+                              const std::string &Address,
+                              std::string_view Bytes) -> void {
+  const auto &Distributor = std::get<Content>(Message.m_Content).m_Distributor;
+  if (!Distributor.empty()) {
+    sendOn(Distributor, Bytes);
     return;
   }
   // An older host sends a summary on to all hosts itself.
   if (isFromLocalHost(Address))
     return;
+  const auto &Self = m_Registry.self();
   auto Distributed = Message;
-  std::get<LoadSummary>(Distributed.m_Content).m_Distributor = Self.m_Host;
+  std::get<Content>(Distributed.m_Content).m_Distributor = Self.m_Host;
   sendOn(Self.m_Host, encodeHostMessage(Distributed));
 }
 
+auto LoadExchange::receiveUse(const HostMessage &Message,
+                              const OrganisationUse &Use,
+                              const std::string &Address,
+                              std::string_view Bytes) -> void {
+  auto Local = Message.m_DataCentre == m_Registry.self().m_DataCentre;
+  if (Local == Use.m_WholeDataCentre)
+    return;
+  if (m_UseSink)
+    m_UseSink(Message.m_Sender, Message.m_DataCentre, Use);
+  if (!Local)
+    distribute<OrganisationUse>(Message, Address, Bytes);
+}
+
 } // namespace dotterel
--- a/tests/unit-HostMessage.cpp
+++ b/tests/unit-HostMessage.cpp
@@ -162,3 +162,42 @@
   CHECK_THROWS_WITH_AS(decodeHostMessage(pack(Builder)),
                        doctest::Contains("unknown content"), ProtocolError);
 }
+
+TEST_CASE("HostMessage: the use of organisations arrives unchanged, and is "
+          "rejected if it is invalid") {
+  auto Use = OrganisationUse{.m_WholeDataCentre = true,
+                             .m_Distributor = HostId{"h2"},
+                             .m_Incarnation = 7,
+                             .m_Number = 9,
+                             .m_Hosts = 13};
+  Use.m_Entries.push_back({.m_Organisation = OrganisationId{"o"},
+                           .m_Unit = LimitUnit::Tokens,
+                           .m_Demand = 5,
+                           .m_Use = {1, 2, 3, 4, 5, 6, 7},
+                           .m_Total = 8});
+  auto Sent = HostMessage{.m_Sender = HostId{"h1"},
+                          .m_DataCentre = DataCentreId{"a"},
+                          .m_Content = Use};
+  auto Received = decodeHostMessage(encodeHostMessage(Sent));
+  const auto &After = std::get<OrganisationUse>(Received.m_Content);
+  CHECK(After.m_WholeDataCentre);
+  CHECK(After.m_Distributor == Use.m_Distributor);
+  CHECK(After.m_Incarnation == 7);
+  CHECK(After.m_Number == 9);
+  CHECK(After.m_Hosts == 13);
+  REQUIRE(After.m_Entries.size() == 1);
+  CHECK(After.m_Entries[0].m_Organisation == OrganisationId{"o"});
+  CHECK(After.m_Entries[0].m_Unit == LimitUnit::Tokens);
+  CHECK(After.m_Entries[0].m_Use == Use.m_Entries[0].m_Use);
+  CHECK(After.m_Entries[0].m_Total == 8);
+  for (auto Invalid : {-1.0, std::numeric_limits<double>::quiet_NaN(),
+                       std::numeric_limits<double>::infinity()}) {
+    auto Altered = Sent;
+    std::get<OrganisationUse>(Altered.m_Content).m_Entries[0].m_Use[3] =
+        Invalid;
+    CHECK_FALSE(survives(encodeHostMessage(Altered)));
+  }
+  std::get<OrganisationUse>(Sent.m_Content)
+      .m_Entries.resize(OrganisationUse::MaxEntries + 1);
+  CHECK_FALSE(survives(encodeHostMessage(Sent)));
+}
--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -66,13 +66,13 @@
       if (Other != Number)
         Others.emplace(nameOf(Other), placeOf(Other));
     m_Hosts[Number]->setHosts(nameOf(Number), placeOf(Number), Others);
-    m_Hosts[Number]->setLimits({{Organisation, m_Limit}}, m_Now);
+    m_Hosts[Number]->setLimits({{Organisation, m_Limit}});
   }
 
   auto setLimit(const OrganisationLimit &Limit) -> void {
     m_Limit = Limit;
     for (auto &Host : m_Hosts)
-      Host->setLimits({{Organisation, Limit}}, m_Now);
+      Host->setLimits({{Organisation, Limit}});
   }
 
   auto take(std::size_t Host, double Amount) -> LimitDecision {
@@ -410,7 +410,7 @@
   CHECK(Test.granted(Since) >= 0.95 * Rate * 20);
   CHECK(Test.highest() <= Test.allowed());
   for (auto &Host : Test.m_Hosts)
-    Host->setLimits({}, Test.m_Now);
+    Host->setLimits({});
   CHECK(!Test.take(0, 1e9).m_Charge);
   CHECK(!Test.m_Hosts[0]->active());
 }
@@ -436,7 +436,7 @@
   auto Source = Random(1);
   auto Now = MonotonicTime(Seconds(100));
   auto Limits = OrganisationLimits(Source, 1, Now, bounds());
-  Limits.setLimits({{Organisation, tokenLimit()}}, Now);
+  Limits.setLimits({{Organisation, tokenLimit()}});
   Now += Seconds(20);
   CHECK(Limits.take(Organisation, std::nullopt, Now).m_Denial ==
         LimitDenial::HostsUnknown);
