Limits of organisations: decode them from configuration and settings

Cause: unit, rate, burst and the weight of a request without counts were ignored, as were the window, overshoot and slack of the settings.

Change: OrganisationLimit in ServingConfiguration; absent or 0 is no limit; a value that cannot be read, an unknown unit or a burst without a rate is a ConfigurationError that names the organisation.

--- a/include/dotterel/host/HostSettings.h
+++ b/include/dotterel/host/HostSettings.h
@@ -38,6 +38,13 @@
   /// Maximum time between the end of a window and its report.
   Duration m_UsageDue = Seconds(10);
 
+  /// Windows in which the limits of organisations must hold.
+  Duration m_LimitWindow = Seconds(8);
+  /// Amount by which a window may exceed a limit: this share of the limit, and
+  /// a fixed amount in the limit's unit.
+  double m_LimitOvershoot = 0;
+  double m_LimitSlack = 0;
+
   auto operator==(const ServiceBounds &) const -> bool = default;
 };
 
--- a/include/dotterel/serving/ServingConfiguration.h
+++ b/include/dotterel/serving/ServingConfiguration.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_SERVINGCONFIGURATION_H
 #define DOTTEREL_SERVING_SERVINGCONFIGURATION_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/io/StrictHttpServer.h"
@@ -104,6 +105,7 @@
   CallerLimits m_Limits;
   bool m_KeysRequired = false; ///< Whether any organisation is configured.
   std::unordered_map<std::string, KeyHolder> m_Keys;
+  OrganisationLimitTable m_OrganisationLimits;
 };
 
 /// Looks up routes. Refers to the configuration it was built from, which must
--- a/tests/unit-Platform.cpp
+++ b/tests/unit-Platform.cpp
@@ -128,6 +128,54 @@
   CHECK(Decoded.m_Limits.m_IdleTimeout == Seconds(15));
 }
 
+namespace {
+
+/// Returns a configuration whose organisation "o" has the fields \p Fields.
+auto limited(const std::string &Fields) -> std::string {
+  return R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"o",)"
+         R"("api_keys":["k"])" +
+         Fields + "}]}";
+}
+
+} // namespace
+
+TEST_CASE("platform records: limits of organisations are decoded with their "
+          "unit") {
+  auto Tokens = decodeConfiguration(limited(
+      R"(,"unit":"tokens","plain_tokens":200,"rate_per_s":1.5,"burst":7)"));
+  CHECK(Tokens.m_OrganisationLimits.at(OrganisationId{"o"}) ==
+        OrganisationLimit{.m_Unit = LimitUnit::Tokens,
+                          .m_PerSecond = LimitAmount{1.5},
+                          .m_Burst = LimitAmount{7},
+                          .m_UnstatedTokens = LimitAmount{200}});
+  auto Requests = decodeConfiguration(limited(R"(,"rate_per_s":3)"));
+  CHECK(Requests.m_OrganisationLimits.at(OrganisationId{"o"}).m_Unit ==
+        LimitUnit::Requests);
+  for (const auto *None :
+       {"", R"(,"rate_per_s":0)", R"(,"rate_per_s":null,"burst":0)",
+        R"(,"unit":"tokens","plain_tokens":200)"})
+    CHECK(decodeConfiguration(limited(None)).m_OrganisationLimits.empty());
+  for (const auto *Invalid :
+       {R"(,"rate_per_s":-1)", R"(,"rate_per_s":"5")", R"(,"burst":5)",
+        R"(,"rate_per_s":5,"burst":-1)", R"(,"rate_per_s":5,"unit":"bytes")",
+        R"(,"rate_per_s":5,"unit":3)",
+        R"(,"rate_per_s":5,"plain_tokens":[])"}) {
+    CAPTURE(std::string(Invalid));
+    CHECK_THROWS_WITH_AS(decodeConfiguration(limited(Invalid)),
+                         doctest::Contains("limit of organisation o"),
+                         ConfigurationError);
+  }
+}
+
+TEST_CASE("platform settings: the bounds of limits are read") {
+  auto Settings = decodeNodeSettings(
+      SettingsText + "bounds.quota_window_s=4\nbounds.quota_overshoot=0.1\n"
+                     "bounds.quota_slack=190000\n");
+  CHECK(Settings.m_Bounds.m_LimitWindow == Seconds(4));
+  CHECK(Settings.m_Bounds.m_LimitOvershoot == 0.1);
+  CHECK(Settings.m_Bounds.m_LimitSlack == 190'000);
+}
+
 TEST_CASE("platform records: malformed documents are rejected") {
   for (const auto *Text :
        {"", "[]", "{}", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}",
