Limits of organisations: kept by the serving hosts

Ruled out: a charge when an attempt is sent, which would charge retries and the prefill again; another refusal code than 429, which promises that the request has not run.

Change: ServingCore charges a request after the checks of route, key and shutdown, and refuses it with over_limit (429) and the time at which it is likely to fit. ServedRequest gives the charge back if no attempt, nor a prefill, may have reached a server. Bounds come from the settings and take effect at a restart, as all others.

--- a/include/dotterel/gate/Refusal.h
+++ b/include/dotterel/gate/Refusal.h
@@ -46,6 +46,7 @@
   ShuttingDown,
   ConfigurationStale,
   QueueFull,
+  OverLimit,
   DeadlineExceeded,
   NoBackend,
   Quarantined,
--- a/include/dotterel/serving/ServedRequest.h
+++ b/include/dotterel/serving/ServedRequest.h
@@ -8,6 +8,7 @@
 #ifndef DOTTEREL_SERVING_SERVEDREQUEST_H
 #define DOTTEREL_SERVING_SERVEDREQUEST_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/DemandMeter.h"
 #include "dotterel/routing/ServerRateLimits.h"
 #include "dotterel/serving/CrashMonitor.h"
@@ -70,6 +71,7 @@
   RetryWindow &m_Retries;
   ServerRateLimits &m_RateLimits;
   ServerAccess &m_Access;
+  OrganisationLimits &m_OrganisationLimits;
   CrashMonitor &m_Crashes;
   ServingMetrics &m_Metrics;
   const ServerChoice &m_ServerChoice;
@@ -100,6 +102,8 @@
   const ServiceSpec *m_Service = nullptr; ///< In m_Configuration.
   OrganisationId m_Organisation;          ///< Empty on public routes.
   std::uint32_t m_Priority = 0;
+  /// Empty if the organisation has no limit.
+  std::optional<LimitCharge> m_Charge;
 };
 
 /// Serves one request.
@@ -108,6 +112,8 @@
 /// only if no earlier attempt may have executed it.
 /// \invariant A refusal states "not run" only if no attempt may have executed
 /// the request.
+/// \invariant A request is charged once to its organisation's limit, whatever
+/// its attempts, and not at all if none reached a server that may have run it.
 /// \invariant A request is not sent, nor its prefilled prompt passed on, while
 /// one of its digests is quarantined, unless it is a trial.
 class ServedRequest final : public AttemptListener {
@@ -268,6 +274,8 @@
   bool m_EventStream = false;
   bool m_FirstDataReceived = false;
   bool m_UsageCounted = false;
+  /// Whether an attempt, also a prefill, may have reached its server.
+  bool m_MayHaveReached = false;
   bool m_Done = false;
   EventSplitter m_Events;
   /// Servers and outcomes of the attempts, for the log.
--- a/include/dotterel/serving/ServingCore.h
+++ b/include/dotterel/serving/ServingCore.h
@@ -27,6 +27,9 @@
   bool m_RequireConfirmation = true;
   RetryWindowOptions m_Retries;
   ServerRateLimitOptions m_RateLimits;
+  OrganisationLimitOptions m_OrganisationLimits;
+  /// Number of this process, which no earlier one of the host had.
+  std::uint64_t m_Incarnation = 0;
   ServerAccessOptions m_Access;
   OutlierOptions m_Outliers;
   LoadTrackerOptions m_Loads;
@@ -81,6 +84,9 @@
   [[nodiscard]] auto rateLimits() -> ServerRateLimits & {
     return m_Access.rateLimits();
   }
+  [[nodiscard]] auto organisationLimits() -> OrganisationLimits & {
+    return m_OrganisationLimits;
+  }
   [[nodiscard]] auto access() -> ServerAccess & { return m_Access; }
   [[nodiscard]] auto crashes() -> CrashMonitor & { return m_Crashes; }
   /// Returns the active configuration, or null if there is none yet.
@@ -104,6 +110,10 @@
   /// whether it was refused.
   auto refuseForShutdown(const CallerExchangePtr &Exchange,
                          const ServingRoute &Route) -> bool;
+  /// Refuses the request if it is over its organisation's limit. \returns
+  /// whether it was refused.
+  auto refuseOverLimit(const CallerExchangePtr &Exchange,
+                       RequestParameters &Parameters) -> bool;
   auto chooseService(const ServingRoute &Route) -> const ServiceSpec *;
   auto retire(std::uint64_t Id) -> void;
 
@@ -116,6 +126,7 @@
   PrefillSpeed m_Speed;
   RetryWindow m_Retries;
   ServerAccess m_Access;
+  OrganisationLimits m_OrganisationLimits;
   CrashMonitor m_Crashes;
   FreshnessTracker m_Freshness;
   ShutdownAdmission m_Shutdown;
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_SERVINGMETRICS_H
 #define DOTTEREL_SERVING_SERVINGMETRICS_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/BackendTransport.h"
 
@@ -41,6 +42,8 @@
   auto setRateLimitedServers(double Count) -> void;
   auto setLeavingServers(double Count) -> void;
   auto setPausedServers(double Count) -> void;
+  auto countLimitDenial(LimitDenial Denial) -> void;
+  auto setLimitFigures(const LimitFigures &Figures) -> void;
   auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
   auto setConfigRevision(double Revision) -> void;
--- a/src/gate/Refusal.cpp
+++ b/src/gate/Refusal.cpp
@@ -65,6 +65,8 @@
        "this gate cannot tell whether the key is still granted"},
       {QueueFull, "queue_full", 429, NotRun, true,
        "too many requests are waiting"},
+      {OverLimit, "over_limit", 429, NotRun, true,
+       "the organisation has used up its limit"},
       {DeadlineExceeded, "deadline_exceeded", 503, DependsOnCase, true,
        "the request could not be served within its class's deadline"},
       {NoBackend, "no_backend", 503, NotRun, true,
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/base/Log.h"
+#include "dotterel/peers/LimitReports.h"
 #include "dotterel/peers/RateSenders.h"
 #include "dotterel/supervision/FunctionComponent.h"
 
@@ -72,6 +73,11 @@
   Options.m_RequireConfirmation = Bounds.m_StrictWithdrawal;
   Options.m_Retries.m_Window = Bounds.m_RetryWindow;
   Options.m_Retries.m_Ratio = Bounds.m_RetryRatio;
+  Options.m_OrganisationLimits = {.m_Window = Bounds.m_LimitWindow,
+                                  .m_Overshoot = Bounds.m_LimitOvershoot,
+                                  .m_Slack = LimitAmount{Bounds.m_LimitSlack},
+                                  .m_MaxRetryAfter = Bounds.m_LimitWindow};
+  Options.m_Incarnation = systemSeed();
   Options.m_Access.m_SpreadSeed =
       std::hash<HostId>()(Settings.m_Location.m_Host);
   return Options;
@@ -200,6 +206,15 @@
   });
   m_BackendMirror.onConfirmed(
       [this](MonotonicTime At) { confirmBackends(At); });
+  m_Exchange.exchangeUse(
+      [this](bool WholeDataCentre) {
+        return reportUse(m_Core.organisationLimits(), WholeDataCentre,
+                         m_Loop.now());
+      },
+      [this](const auto &Sender, const auto &DataCentre, const auto &Use) {
+        m_Core.organisationLimits().merge(Sender, DataCentre, Use,
+                                          m_Loop.now());
+      });
   m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
     m_CrashExchange.announce(Digests);
   });
@@ -286,7 +301,8 @@
     auto Message = decodeHostMessage(Bytes);
     // It also observes which hosts are heard.
     m_CrashExchange.receive(Message, Address);
-    if (std::holds_alternative<LoadSummary>(Message.m_Content))
+    if (std::holds_alternative<LoadSummary>(Message.m_Content) ||
+        std::holds_alternative<OrganisationUse>(Message.m_Content))
       m_Exchange.receive(Message, Address, Bytes);
     else if (const auto *Segment =
                  std::get_if<UsageSegment>(&Message.m_Content))
@@ -391,6 +407,8 @@
   if (Age != Duration::max())
     m_Metrics.setConfirmationAge(std::chrono::duration<double>(Age).count());
   updateSenders(m_Hosts, m_Core.rateLimits(), Now);
+  m_Metrics.setLimitFigures(
+      updateLimits(m_Hosts, m_Core.organisationLimits(), Now));
   m_Metrics.setRateLimitedServers(
       static_cast<double>(m_Core.rateLimits().limitedCount(Now)));
   m_Metrics.setLeavingServers(
--- a/src/serving/ServedRequest.cpp
+++ b/src/serving/ServedRequest.cpp
@@ -48,6 +48,7 @@
   if (!m_Attempt)
     return;
   auto Dropped = *m_Attempt;
+  m_MayHaveReached = true;
   m_Attempt.reset();
   m_Context.m_Loads.prefillDone(Dropped.m_Backend, Dropped.m_PendingTokens);
   m_Context.m_Loads.endAttempt(Dropped.m_Backend);
@@ -100,6 +101,9 @@
   m_ActivityTimer.reset();
   m_Exchange->onDisconnect(nullptr);
   cancelAttempt();
+  if (m_Parameters.m_Charge && !m_MayHaveReached)
+    m_Context.m_OrganisationLimits.refund(*m_Parameters.m_Charge,
+                                          m_Context.m_Scheduler.now());
   m_Trial.reset();
   if (Outcome == "cut")
     m_Exchange->abort();
--- a/src/serving/ServedRequestResponses.cpp
+++ b/src/serving/ServedRequestResponses.cpp
@@ -172,6 +172,10 @@
       Ended.m_Backend.text(), nameOf(Result.m_Outcome), Result.m_Head.m_Status,
       toMilliseconds(Now - Ended.m_StartedAt), Ended.m_PlannedTokens,
       Ended.m_FetchedParts ? ":fetched" : "");
+  m_MayHaveReached = m_MayHaveReached || Ended.m_Begun ||
+                     (Result.m_Outcome != AttemptOutcome::NotSent &&
+                      Result.m_Outcome != AttemptOutcome::NotExecuted &&
+                      Result.m_Outcome != AttemptOutcome::WrongServer);
   switch (Result.m_Outcome) {
   case AttemptOutcome::Complete:
     m_Context.m_Loads.recordAcceptance(Ended.m_Backend);
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -28,30 +28,33 @@
       m_Health(Options.m_Outliers), m_Speed(Options.m_Speed),
       m_Retries(Options.m_Retries),
       m_Access(Options.m_RateLimits, Options.m_Access),
+      m_OrganisationLimits(Random, Options.m_Incarnation, Scheduler.now(),
+                           Options.m_OrganisationLimits),
       m_Crashes(Scheduler, Transport, Metrics, Options.m_Crashes),
       m_Freshness({.m_MaxAge = Options.m_MaxConfirmationAge}),
       m_ServerChoice(Options.m_ServerChoice), m_Placement(Options.m_Placement),
       m_Random(Random),
-      m_Metrics(Metrics), m_Context{.m_Scheduler = Scheduler,
-                                    .m_Random = Random,
-                                    .m_Transport = Transport,
-                                    .m_Directory = m_Directory,
-                                    .m_Loads = m_Loads,
-                                    .m_Health = m_Health,
-                                    .m_Distance = Distance,
-                                    .m_Caches = m_Caches,
-                                    .m_Speed = m_Speed,
-                                    .m_Retries = m_Retries,
-                                    .m_RateLimits = m_Access.rateLimits(),
-                                    .m_Access = m_Access,
-                                    .m_Crashes = m_Crashes,
-                                    .m_Metrics = Metrics,
-                                    .m_ServerChoice = m_ServerChoice,
-                                    .m_Placement = m_Placement,
-                                    .m_Options = Options.m_Requests,
-                                    .m_CountUsage = std::move(CountUsage),
-                                    .m_Demand =
-                                        DemandMeter(DemandTimeConstant)} {
+      m_Metrics(Metrics), m_Context{
+                              .m_Scheduler = Scheduler,
+                              .m_Random = Random,
+                              .m_Transport = Transport,
+                              .m_Directory = m_Directory,
+                              .m_Loads = m_Loads,
+                              .m_Health = m_Health,
+                              .m_Distance = Distance,
+                              .m_Caches = m_Caches,
+                              .m_Speed = m_Speed,
+                              .m_Retries = m_Retries,
+                              .m_RateLimits = m_Access.rateLimits(),
+                              .m_Access = m_Access,
+                              .m_OrganisationLimits = m_OrganisationLimits,
+                              .m_Crashes = m_Crashes,
+                              .m_Metrics = Metrics,
+                              .m_ServerChoice = m_ServerChoice,
+                              .m_Placement = m_Placement,
+                              .m_Options = Options.m_Requests,
+                              .m_CountUsage = std::move(CountUsage),
+                              .m_Demand = DemandMeter(DemandTimeConstant)} {
   m_Directory.onInvalidate([this](const BackendId &Id) {
     m_Loads.remove(Id);
     m_Health.remove(Id);
@@ -72,11 +75,13 @@
   m_Configuration =
       std::make_shared<const ServingConfiguration>(std::move(Configuration));
   m_Routes.emplace(*m_Configuration);
+  m_OrganisationLimits.setLimits(m_Configuration->m_OrganisationLimits);
   logInfo("config.applied",
           {{"revision", m_Configuration->m_Revision},
            {"before", Before},
            {"routes", m_Configuration->m_Routes.size()},
            {"keys", m_Configuration->m_Keys.size()},
+           {"limits", m_Configuration->m_OrganisationLimits.size()},
            {"idle_timeout_ms",
             toMilliseconds(m_Configuration->m_Limits.m_IdleTimeout)}});
   m_Metrics.setConfigRevision(
@@ -182,6 +187,32 @@
   return true;
 }
 
+auto ServingCore::refuseOverLimit(const CallerExchangePtr &Exchange,
+                                  RequestParameters &Parameters) -> bool {
+  const auto &Prompt = Exchange->request().m_Prompt;
+  auto Tokens =
+      Prompt ? std::optional(Prompt->m_PromptTokens + Prompt->m_OutputLimit)
+             : std::nullopt;
+  auto Decision = m_OrganisationLimits.take(Parameters.m_Organisation, Tokens,
+                                            m_Scheduler.now());
+  Parameters.m_Charge = Decision.m_Charge;
+  if (Decision.granted())
+    return false;
+  m_Metrics.countLimitDenial(Decision.m_Denial);
+  refuse(
+      Exchange,
+      Decision.m_Denial == LimitDenial::HostsUnknown ? RefusalCode::NotReady
+                                                     : RefusalCode::OverLimit,
+      fmt::format("limit of organisation {}: {}, {:.0f} of {:.0f} left, "
+                  "oldest report {} ms, retry after {} ms",
+                  Parameters.m_Organisation.text(), nameOf(Decision.m_Denial),
+                  Decision.m_Left.number(), Decision.m_Requested.number(),
+                  toMilliseconds(Decision.m_OldestReport),
+                  toMilliseconds(Decision.m_RetryAfter)),
+      Decision.m_RetryAfter);
+  return true;
+}
+
 auto ServingCore::serve(CallerExchangePtr Exchange) -> void {
   if (!m_Configuration) {
     refuse(Exchange, RefusalCode::NotReady, "", NotReadyRetryAfter);
@@ -228,6 +259,8 @@
            NotReadyRetryAfter);
     return;
   }
+  if (refuseOverLimit(Exchange, Parameters))
+    return;
   auto Id = ++m_LastRequest;
   auto Created = std::make_unique<ServedRequest>(m_Context, std::move(Exchange),
                                                  std::move(Parameters),
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -133,6 +133,22 @@
             "Age of the newest answer of the store on the configuration.");
   Gauge &m_DutyHeld = gauge(m_Registry, "dotterel_serving_duty_held",
                             "Whether this host holds the fleet duty.");
+  Family<Counter> &m_LimitDenials =
+      counters(m_Registry, "dotterel_serving_limit_denials_total",
+               "Requests refused by the limit of their organisation.");
+  Gauge &m_Limits = gauge(m_Registry, "dotterel_serving_limited_organisations",
+                          "Organisations with a limit.");
+  Gauge &m_LimitsInUse =
+      gauge(m_Registry, "dotterel_serving_limits_in_use",
+            "Organisations with a limit that this host has lately served.");
+  Gauge &m_LimitUse =
+      gauge(m_Registry, "dotterel_serving_limit_use",
+            "Highest known use of a limit, as a share of the limit.");
+  Gauge &m_LimitOwnPart = gauge(m_Registry, "dotterel_serving_limit_own_part",
+                                "Part of that use which is this host's.");
+  Gauge &m_LimitUnheardHosts =
+      gauge(m_Registry, "dotterel_serving_limit_unheard_hosts",
+            "Registered hosts whose share of the limits is reserved.");
   Gauge &m_LinesDropped =
       gauge(m_Registry, "dotterel_serving_log_lines_dropped",
             "Log lines dropped since the start, since their reader was slow "
@@ -198,6 +214,18 @@
   m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
 }
 
+auto ServingMetrics::countLimitDenial(LimitDenial Denial) -> void {
+  m_Impl->m_LimitDenials.Add({{"reason", nameOf(Denial)}}).Increment();
+}
+
+auto ServingMetrics::setLimitFigures(const LimitFigures &Figures) -> void {
+  m_Impl->m_Limits.Set(static_cast<double>(Figures.m_Limits));
+  m_Impl->m_LimitsInUse.Set(static_cast<double>(Figures.m_InUse));
+  m_Impl->m_LimitUse.Set(Figures.m_MaxUse);
+  m_Impl->m_LimitOwnPart.Set(Figures.m_OwnPart);
+  m_Impl->m_LimitUnheardHosts.Set(static_cast<double>(Figures.m_UnheardHosts));
+}
+
 auto ServingMetrics::setStoreEra(double Era) -> void {
   m_Impl->m_StoreEra.Set(Era);
 }
