Load exchange: test that use of organisations reaches all hosts

Change: a test with 60 hosts in 6 data centres; its host notes messages that are no loads, which ended a test before, and the case without limits checks for none.

--- a/tests/unit-LoadExchange.cpp
+++ b/tests/unit-LoadExchange.cpp
@@ -48,7 +48,9 @@
       if (m_Down)
         return;
       auto Message = decodeHostMessage(Bytes);
-      if (std::get<LoadSummary>(Message.m_Content).m_WholeDataCentre)
+      const auto *Loads = std::get_if<LoadSummary>(&Message.m_Content);
+      m_OnlyLoads = m_OnlyLoads && Loads != nullptr;
+      if (Loads != nullptr && Loads->m_WholeDataCentre)
         ++m_SummariesFrom[From];
       m_Exchange.receive(Message, From, Bytes);
     });
@@ -66,6 +68,7 @@
   std::map<std::string, MonotonicTime> m_HeardAt;
   std::map<std::string, std::size_t> m_SummariesFrom; ///< By sender.
   bool m_Down = false;
+  bool m_OnlyLoads = true; ///< Whether no other messages were received.
 };
 
 struct Installation {
@@ -187,3 +190,35 @@
   Test.advance(Seconds(2));
   CHECK(Test.known() > 0.9);
 }
+
+TEST_CASE(
+    "load exchange: the use of organisations reaches the hosts of a data "
+    "centre from each of them, and those of the others as one sum; without "
+    "limits nothing is sent") {
+  for (auto Limited : {false, true}) {
+    CAPTURE(Limited);
+    auto Test = Installation(60, 6);
+    auto Heard = std::vector<std::map<std::string, MonotonicTime>>(60);
+    for (auto Number = std::size_t{0}; Number < 60; ++Number)
+      Test.m_Hosts[Number]->m_Exchange.exchangeUse(
+          [Limited](bool WholeDataCentre) {
+            return Limited ? std::optional(OrganisationUse{.m_WholeDataCentre =
+                                                               WholeDataCentre})
+                           : std::nullopt;
+          },
+          [&, Number](const HostId &Sender, const DataCentreId &DataCentre,
+                      const OrganisationUse &Use) {
+            Heard[Number]
+                 [Use.m_WholeDataCentre ? DataCentre.text() : Sender.text()] =
+                     Test.m_Scheduler.now();
+          });
+    Test.advance(Seconds(2));
+    for (auto Number = std::size_t{0}; Number < 60; ++Number) {
+      CHECK(Test.m_Hosts[Number]->m_OnlyLoads == !Limited);
+      // Nine hosts of its data centre, and five other data centres.
+      CHECK(Heard[Number].size() == (Limited ? 14 : 0));
+      for (const auto &[Origin, At] : Heard[Number])
+        CHECK(Test.m_Scheduler.now() - At < Milliseconds(500));
+    }
+  }
+}
