Load exchange: the older tests fail on any other message again

The test host of unit-LoadExchange recorded a message that is not a load only in a flag that one case checks, so the older cases no longer failed on it.

A host now accepts use of organisations only where the case expects it; any other message throws, as before. The new case checks that such reports arrive exactly where limits are set.

--- a/tests/unit-LoadExchange.cpp
+++ b/tests/unit-LoadExchange.cpp
@@ -48,9 +48,11 @@
       if (m_Down)
         return;
       auto Message = decodeHostMessage(Bytes);
-      const auto *Loads = std::get_if<LoadSummary>(&Message.m_Content);
-      m_OnlyLoads = m_OnlyLoads && Loads != nullptr;
-      if (Loads != nullptr && Loads->m_WholeDataCentre)
+      if (m_UseExpected &&
+          std::holds_alternative<OrganisationUse>(Message.m_Content))
+        ++m_UseReports;
+      // Throws if it is any other message.
+      else if (std::get<LoadSummary>(Message.m_Content).m_WholeDataCentre)
         ++m_SummariesFrom[From];
       m_Exchange.receive(Message, From, Bytes);
     });
@@ -68,7 +70,8 @@
   std::map<std::string, MonotonicTime> m_HeardAt;
   std::map<std::string, std::size_t> m_SummariesFrom; ///< By sender.
   bool m_Down = false;
-  bool m_OnlyLoads = true; ///< Whether no other messages were received.
+  bool m_UseExpected = false; ///< Otherwise only loads may be received.
+  std::size_t m_UseReports = 0;
 };
 
 struct Installation {
@@ -199,7 +202,8 @@
     CAPTURE(Limited);
     auto Test = Installation(60, 6);
     auto Heard = std::vector<std::map<std::string, MonotonicTime>>(60);
-    for (auto Number = std::size_t{0}; Number < 60; ++Number)
+    for (auto Number = std::size_t{0}; Number < 60; ++Number) {
+      Test.m_Hosts[Number]->m_UseExpected = Limited;
       Test.m_Hosts[Number]->m_Exchange.exchangeUse(
           [Limited](bool WholeDataCentre) {
             return Limited ? std::optional(OrganisationUse{.m_WholeDataCentre =
@@ -212,9 +216,10 @@
                  [Use.m_WholeDataCentre ? DataCentre.text() : Sender.text()] =
                      Test.m_Scheduler.now();
           });
+    }
     Test.advance(Seconds(2));
     for (auto Number = std::size_t{0}; Number < 60; ++Number) {
-      CHECK(Test.m_Hosts[Number]->m_OnlyLoads == !Limited);
+      CHECK((Test.m_Hosts[Number]->m_UseReports > 0) == Limited);
       // Nine hosts of its data centre, and five other data centres.
       CHECK(Heard[Number].size() == (Limited ? 14 : 0));
       for (const auto &[Origin, At] : Heard[Number])
