Limits of organisations: a restarted host serves what is below the limit

A process that had run for less than the window of the bound compared the use that the others report over the whole window, also from before its start, to the rate since its start. So it refused organisations far below their limit for up to 8 s.

Only the shortest window that begins before the start is held to the rate since the start now; longer ones are held to the limit without what is tolerated for measurement and large requests. That alone left the new test red (8 refusals, in the second half of each window): the shortest such window is up to twice as long as the time since the start. Its use is therefore bounded by the use in the next shorter window and the rate between the start and the beginning of that one, which is the most that processes of the same rule have granted there. The totals of others, which include use from before the start, are held to the limit.

--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -299,23 +299,32 @@
   auto Totals = UseByWindow();
   for (auto Window = std::size_t{0}; Window < UseWindows; ++Window) {
     auto Length = windowLength(Window);
-    auto Used = OwnUse[Window] + Use.m_Use[Window];
-    // Two hosts that do not hear each other may both hear a third one.
-    if (Window == BoundWindow)
-      Used = std::max(Used, Use.m_Total);
-    // What an unheard host may have granted since it was heard. The longer
+    // What unheard hosts may have granted since they were heard. The longer
     // windows would keep the limit from being used for long after a partition.
+    auto Reserve = 0.0;
     for (const auto &Item : Missing)
       if (Window <= BoundWindow)
-        Used += Item.m_Hosts / m_HostCount *
-                (Rate * seconds(std::min(Length, Item.m_SilentFor)) + Burst);
-    // Use before the start is not known.
-    auto Starting = Window <= BoundWindow && Length > Running;
-    auto Allowed = Starting ? Rate * seconds(Running)
-                            : Rate * seconds(Length) + Burst + Measured;
-    auto Tolerated = Starting ? 0 : LargeRequestPart * Room;
+        Reserve += Item.m_Hosts / m_HostCount *
+                   (Rate * seconds(std::min(Length, Item.m_SilentFor)) + Burst);
+    auto Used = OwnUse[Window] + Use.m_Use[Window] + Reserve;
+    // Use before the start is not known. The shortest window that begins before
+    // it is held to the rate since the start. Of what the others report for
+    // that window, a part may be from before the start: at most the rate was
+    // granted from the start until the next shorter window begins.
+    auto Unknown = Window <= BoundWindow && Length > Running;
+    auto Shorter = Window == 0 ? Duration::zero() : windowLength(Window - 1);
+    auto Starting = Unknown && Shorter <= Running;
+    if (Starting && Window > 0)
+      Used = std::min(Used,
+                      Totals[Window - 1] + Rate * seconds(Running - Shorter));
+    auto Normal = Rate * seconds(Length) + Burst + (Unknown ? 0 : Measured);
+    auto Allowed = Starting ? Rate * seconds(Running) : Normal;
+    // Two hosts that do not hear each other may both hear a third one.
+    if (Window == BoundWindow)
+      Used = std::max(Used, Use.m_Total + Reserve - (Normal - Allowed));
+    auto Tolerated = Unknown ? 0 : LargeRequestPart * Room;
     // A short window may be too small for a request that the bound permits.
-    if (!Starting && Window != BoundWindow &&
+    if (!Unknown && Window != BoundWindow &&
         Heard >= m_Options.m_Quorum * m_HostCount)
       Tolerated += std::max(0.0, Amount - Rate * seconds(Length) - Burst);
     auto Left = Allowed - Used;
--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -367,6 +367,20 @@
   CHECK(Test.highest() <= Test.allowed());
 }
 
+TEST_CASE("organisation limits: a host that restarts refuses nothing of an "
+          "organisation below its limit, once it is in touch") {
+  auto Test = Installation(30);
+  Test.run(Window); // The start is over.
+  Test.run(Seconds(20), Test.demand(0.7 * Rate));
+  REQUIRE(Test.m_Refused == 0);
+  Test.restart(4);
+  Test.run(Seconds(1), Test.demand(0.7 * Rate));
+  Test.m_Refused = 0;
+  Test.run(Seconds(20), Test.demand(0.7 * Rate));
+  CHECK(Test.m_Refused == 0);
+  CHECK(Test.highest() <= Test.allowed());
+}
+
 TEST_CASE("organisation limits: hosts that were suspended do not exceed the "
           "limit") {
   auto Test = Installation(30);
