Limits of organisations: a restarted host does not make its data centre unheard

A process reported on its data centre with itself as the only host before it had heard the others, and the other data centres reserved the whole share of its data centre at once. The time of the last complete report was kept for this, but never read.

Instead the process itself counts hosts as heard from its start on, for the timeout; a partition is found as late as any other one. The unused field is removed.

--- a/include/dotterel/admission/OrganisationLimits.h
+++ b/include/dotterel/admission/OrganisationLimits.h
@@ -240,8 +240,6 @@
   struct Heard {
     MonotonicTime m_At;
     std::uint32_t m_Hosts = 0; ///< That the report includes.
-    /// When a report last included all registered hosts.
-    std::optional<MonotonicTime> m_CompleteAt;
   };
 
   /// Registered hosts that are not heard.
--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -473,9 +473,11 @@
       .m_Incarnation = m_Incarnation,
       .m_Number = static_cast<std::uint64_t>(Now.time_since_epoch().count())};
   for (const auto &Host : m_LocalHosts) {
+    // A process that has just started has not heard the others yet. What they
+    // use is known from the reports of its predecessor for as long.
     auto Found = m_HeardHosts.find(Host);
-    if (Found != m_HeardHosts.end() &&
-        Now - Found->second < m_Options.m_ReportTimeout)
+    auto HeardAt = Found == m_HeardHosts.end() ? m_StartedAt : Found->second;
+    if (Now - HeardAt < m_Options.m_ReportTimeout)
       ++Report.m_Hosts;
   }
   auto Sums = std::unordered_map<OrganisationId, OrganisationUse::Entry>();
@@ -532,13 +534,7 @@
     m_HeardHosts[Sender] = Now;
     return;
   }
-  auto &Place = m_HeardDataCentres[DataCentre];
-  Place.m_At = Now;
-  Place.m_Hosts = Report.m_Hosts;
-  auto Registered = m_RemoteHosts.find(DataCentre);
-  if (Registered != m_RemoteHosts.end() &&
-      static_cast<double>(Report.m_Hosts) >= Registered->second)
-    Place.m_CompleteAt = Now;
+  m_HeardDataCentres[DataCentre] = {.m_At = Now, .m_Hosts = Report.m_Hosts};
 }
 
 auto OrganisationLimits::discardOld(MonotonicTime Now) -> void {
--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -381,6 +381,21 @@
   CHECK(Test.highest() <= Test.allowed());
 }
 
+TEST_CASE(
+    "organisation limits: the others refuse nothing below the limit while "
+    "a restarted host that reports on its data centre hears few") {
+  auto Test = Installation(12, 2);
+  Test.run(Window);
+  auto Others = std::vector<std::size_t>{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11};
+  Test.run(Seconds(20), Test.demand(0.8 * Rate, Others));
+  REQUIRE(Test.m_Refused == 0);
+  for (auto Round = 0; Round < 5; ++Round) {
+    Test.restart(0);
+    Test.run(Seconds(2), Test.demand(0.8 * Rate, Others));
+  }
+  CHECK(Test.m_Refused == 0);
+}
+
 TEST_CASE("organisation limits: hosts that were suspended do not exceed the "
           "limit") {
   auto Test = Installation(30);
