--- a/include/dotterel/serving/ServingConfiguration.h
+++ b/include/dotterel/serving/ServingConfiguration.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_SERVINGCONFIGURATION_H
 #define DOTTEREL_SERVING_SERVINGCONFIGURATION_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/Ids.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/io/StrictHttpServer.h"
@@ -113,6 +114,7 @@
   /// Entries that have no effect, since an earlier one has the same name or
   /// key, or since they are empty.
   std::vector<ConfigurationFinding> m_IgnoredEntries;
+  OrganisationLimitTable m_OrganisationLimits;
 };
 
 /// Looks up routes. Refers to the configuration it was built from, which must
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -7,6 +7,7 @@
 #ifndef DOTTEREL_SERVING_SERVINGMETRICS_H
 #define DOTTEREL_SERVING_SERVINGMETRICS_H
 
+#include "dotterel/admission/OrganisationLimits.h"
 #include "dotterel/base/Units.h"
 #include "dotterel/serving/BackendTransport.h"
 
@@ -51,6 +52,8 @@
   auto setPausedServers(double Count) -> void;
   /// Sets the number of servers where work takes clearly longer than usual.
   auto setSlowServers(double Count) -> void;
+  auto countLimitDenial(LimitDenial Denial) -> void;
+  auto setLimitFigures(const LimitFigures &Figures) -> void;
   auto setStoreEra(double Era) -> void;
   auto setActive(double Count) -> void;
   auto setCallerMemory(const MemoryBudget &Memory) -> void;
--- a/src/serving/ServedRequestResponses.cpp
+++ b/src/serving/ServedRequestResponses.cpp
@@ -194,6 +194,10 @@
       Ended.m_FetchedParts ? ":fetched" : "",
       Ended.m_Slowdown != 1 ? fmt::format(":slowdown={:.2f}", Ended.m_Slowdown)
                             : std::string());
+  m_MayHaveReached = m_MayHaveReached || Ended.m_Begun ||
+                     (Result.m_Outcome != AttemptOutcome::NotSent &&
+                      Result.m_Outcome != AttemptOutcome::NotExecuted &&
+                      Result.m_Outcome != AttemptOutcome::WrongServer);
   switch (Result.m_Outcome) {
   case AttemptOutcome::Complete:
     m_Context.m_Loads.recordAcceptance(Ended.m_Backend);
--- a/tests/unit-LoadExchange.cpp
+++ b/tests/unit-LoadExchange.cpp
@@ -54,7 +54,11 @@
       if (m_Down)
         return;
       auto Message = decodeHostMessage(Bytes);
-      if (std::get<LoadSummary>(Message.m_Content).m_WholeDataCentre)
+      if (m_UseExpected &&
+          std::holds_alternative<OrganisationUse>(Message.m_Content))
+        ++m_UseReports;
+      // Throws if it is any other message.
+      else if (std::get<LoadSummary>(Message.m_Content).m_WholeDataCentre)
         ++m_SummariesFrom[From];
       m_Exchange.receive(Message, From, Bytes);
     });
@@ -74,6 +78,8 @@
   std::vector<SpeedReport> m_Speeds;                  ///< To be reported once.
   std::vector<SpeedReport> m_HeardSpeeds;
   bool m_Down = false;
+  bool m_UseExpected = false; ///< Otherwise only loads may be received.
+  std::size_t m_UseReports = 0;
 };
 
 struct Installation {
@@ -228,3 +234,37 @@
   Test.advance(Seconds(2));
   CHECK(Test.known() > 0.9);
 }
+
+TEST_CASE(
+    "load exchange: the use of organisations reaches the hosts of a data "
+    "centre from each of them, and those of the others as one sum; without "
+    "limits nothing is sent") {
+  for (auto Limited : {false, true}) {
+    CAPTURE(Limited);
+    auto Test = Installation(60, 6);
+    auto Heard = std::vector<std::map<std::string, MonotonicTime>>(60);
+    for (auto Number = std::size_t{0}; Number < 60; ++Number) {
+      Test.m_Hosts[Number]->m_UseExpected = Limited;
+      Test.m_Hosts[Number]->m_Exchange.exchangeUse(
+          [Limited](bool WholeDataCentre) {
+            return Limited ? std::optional(OrganisationUse{.m_WholeDataCentre =
+                                                               WholeDataCentre})
+                           : std::nullopt;
+          },
+          [&, Number](const HostId &Sender, const DataCentreId &DataCentre,
+                      const OrganisationUse &Use) {
+            Heard[Number]
+                 [Use.m_WholeDataCentre ? DataCentre.text() : Sender.text()] =
+                     Test.m_Scheduler.now();
+          });
+    }
+    Test.advance(Seconds(2));
+    for (auto Number = std::size_t{0}; Number < 60; ++Number) {
+      CHECK((Test.m_Hosts[Number]->m_UseReports > 0) == Limited);
+      // Nine hosts of its data centre, and five other data centres.
+      CHECK(Heard[Number].size() == (Limited ? 14 : 0));
+      for (const auto &[Origin, At] : Heard[Number])
+        CHECK(Test.m_Scheduler.now() - At < Milliseconds(500));
+    }
+  }
+}
