Limits of organisations: bogus token counts harm nobody

A caller may state any number of tokens. The sum of prompt and output limit wrapped, so that a request of 2^64 tokens counted as one of 1; and a refused request of 1e18 tokens kept the reported demand so high that requests within the limit were refused as contended for tens of seconds.

The sum now stops at the largest count (in integers; exact below it, which a sum in floating point is not), and a request adds at most the limit of a window to the demand.

--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -384,7 +384,7 @@
   Item.m_Unit = Limit.m_Unit;
   Item.m_Demand =
       Item.m_Demand * decay(std::max(Now - Item.m_DemandAt, Duration::zero())) +
-      Amount;
+      std::min(Amount, windowLimit(Limit)); // No more is ever granted at once.
   Item.m_DemandAt = Now;
   auto Use = known(Organisation, Limit.m_Unit, Now);
   auto Left = headroom(Limit, Amount, Use, ownUse(Item, Now), Now);
--- a/src/serving/ServingCore.cpp
+++ b/src/serving/ServingCore.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 #include <utility>
 
 namespace dotterel {
@@ -190,9 +191,14 @@
 auto ServingCore::refuseOverLimit(const CallerExchangePtr &Exchange,
                                   RequestParameters &Parameters) -> bool {
   const auto &Prompt = Exchange->request().m_Prompt;
-  auto Tokens =
-      Prompt ? std::optional(Prompt->m_PromptTokens + Prompt->m_OutputLimit)
-             : std::nullopt;
+  auto Tokens = std::optional<TokenCount>();
+  if (Prompt) {
+    // Callers may state any numbers: the sum must not wrap.
+    auto Most = std::numeric_limits<std::uint64_t>::max();
+    Tokens = TokenCount{std::min(Prompt->m_PromptTokens.number(),
+                                 Most - Prompt->m_OutputLimit.number()) +
+                        Prompt->m_OutputLimit.number()};
+  }
   auto Decision = m_OrganisationLimits.take(Parameters.m_Organisation, Tokens,
                                             m_Scheduler.now());
   Parameters.m_Charge = Decision.m_Charge;
--- a/tests/unit-LimitedRequest.cpp
+++ b/tests/unit-LimitedRequest.cpp
@@ -1,6 +1,7 @@
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -94,3 +95,18 @@
   CHECK(Test.serve("safe")->m_Refusal->code() == RefusalCode::NotReady);
   CHECK(!Test.serve("safe", "other")->m_Refusal);
 }
+
+TEST_CASE("limited request: numbers of tokens that are too large to add are "
+          "over the limit") {
+  auto Test = LimitedFixture();
+  auto Configuration = *Test.m_Core.configuration();
+  Configuration.m_Revision = ConfigRevision{3};
+  Configuration.m_OrganisationLimits[Organisation].m_Unit = LimitUnit::Tokens;
+  Test.m_Core.apply(std::move(Configuration));
+  constexpr auto Most = std::numeric_limits<std::uint64_t>::max();
+  auto View = Test.serve("safe", "k",
+                         PromptShape{.m_PromptTokens = TokenCount{Most},
+                                     .m_OutputLimit = TokenCount{2}});
+  REQUIRE(View->m_Refusal);
+  CHECK(View->m_Refusal->code() == RefusalCode::OverLimit);
+}
--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -444,6 +444,16 @@
   CHECK(!Test.m_Hosts[0]->active());
 }
 
+TEST_CASE("organisation limits: a request with a bogus number of tokens does "
+          "not keep others from being granted") {
+  auto Test = Installation(9);
+  Test.run(Window);
+  CHECK(!Test.take(0, 1e18).granted());
+  Test.run(Seconds(3));
+  Test.run(Seconds(5), Test.demand(0.7 * Rate));
+  CHECK(Test.m_Refused == 0);
+}
+
 TEST_CASE("organisation limits: what was not run is given back") {
   auto Test = Installation(1);
   Test.run(Window);
