Limits of organisations: the hosts are known before the first limit

While no limit was set, the registered hosts were not passed on, so the first limit refused requests as not ready until the next update.

The new test was red before and is green.

--- a/include/dotterel/peers/LimitReports.h
+++ b/include/dotterel/peers/LimitReports.h
@@ -13,9 +13,8 @@
 
 namespace dotterel {
 
-/// Sets the registered hosts, once they have been read, and discards what no
-/// longer counts. Does nothing while no limit is set. \returns the figures for
-/// metrics.
+/// Sets the registered hosts, once they have been read, also while no limit is
+/// set, and discards what no longer counts. \returns the figures for metrics.
 auto updateLimits(const HostRegistry &Hosts, OrganisationLimits &Limits,
                   MonotonicTime Now) -> LimitFigures;
 
--- a/tests/unit-LimitedRequest.cpp
+++ b/tests/unit-LimitedRequest.cpp
@@ -1,3 +1,5 @@
+#include "dotterel/peers/LimitReports.h"
+#include "support/ScriptedStore.h"
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
@@ -110,3 +112,22 @@
   REQUIRE(View->m_Refusal);
   CHECK(View->m_Refusal->code() == RefusalCode::OverLimit);
 }
+
+TEST_CASE("limited request: the hosts are known when the first limit is set") {
+  auto Scheduler = VirtualScheduler();
+  auto Store = ScriptedStore();
+  auto Source = Random(1);
+  auto Hosts = HostRegistry(Scheduler, Store, Store, Source,
+                            {.m_Host = HostId{"h"},
+                             .m_DataCentre = DataCentreId{"a"},
+                             .m_Address = "h:1"},
+                            {});
+  auto Limits = OrganisationLimits(Source, 1, Scheduler.now(), {});
+  Hosts.start();
+  Store.respondToRead({});
+  REQUIRE(Hosts.complete());
+  Scheduler.advance(Seconds(20));
+  CHECK(updateLimits(Hosts, Limits, Scheduler.now()).m_Limits == 0);
+  Limits.setLimits({{Organisation, {.m_PerSecond = LimitAmount{10}}}});
+  CHECK(Limits.take(Organisation, std::nullopt, Scheduler.now()).granted());
+}
