--- a/tests/unit-LimitedRequest.cpp
+++ b/tests/unit-LimitedRequest.cpp
@@ -1,6 +1,9 @@
+#include "dotterel/peers/LimitReports.h"
+#include "support/ScriptedStore.h"
 #include "support/ServingFakes.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace dotterel;
 using namespace dotterel::test;
@@ -94,3 +97,37 @@
   CHECK(Test.serve("safe")->m_Refusal->code() == RefusalCode::NotReady);
   CHECK(!Test.serve("safe", "other")->m_Refusal);
 }
+
+TEST_CASE("limited request: numbers of tokens that are too large to add are "
+          "over the limit") {
+  auto Test = LimitedFixture();
+  auto Configuration = *Test.m_Core.configuration();
+  Configuration.m_Revision = ConfigRevision{3};
+  Configuration.m_OrganisationLimits[Organisation].m_Unit = LimitUnit::Tokens;
+  Test.m_Core.apply(std::move(Configuration));
+  constexpr auto Most = std::numeric_limits<std::uint64_t>::max();
+  auto View = Test.serve("safe", "k",
+                         PromptShape{.m_PromptTokens = TokenCount{Most},
+                                     .m_OutputLimit = TokenCount{2}});
+  REQUIRE(View->m_Refusal);
+  CHECK(View->m_Refusal->code() == RefusalCode::OverLimit);
+}
+
+TEST_CASE("limited request: the hosts are known when the first limit is set") {
+  auto Scheduler = VirtualScheduler();
+  auto Store = ScriptedStore();
+  auto Source = Random(1);
+  auto Hosts = HostRegistry(Scheduler, Store, Store, Source,
+                            {.m_Host = HostId{"h"},
+                             .m_DataCentre = DataCentreId{"a"},
+                             .m_Address = "h:1"},
+                            {});
+  auto Limits = OrganisationLimits(Source, 1, Scheduler.now(), {});
+  Hosts.start();
+  Store.respondToRead({});
+  REQUIRE(Hosts.complete());
+  Scheduler.advance(Seconds(20));
+  CHECK(updateLimits(Hosts, Limits, Scheduler.now()).m_Limits == 0);
+  Limits.setLimits({{Organisation, {.m_PerSecond = LimitAmount{10}}}});
+  CHECK(Limits.take(Organisation, std::nullopt, Scheduler.now()).granted());
+}
