--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -509,11 +509,20 @@
   CHECK(Served >= 0.9 * Total);
 }
 
-TEST_CASE("organisation limits: over random histories no window exceeds the "
-          "bound, and what is within the limit is not refused") {
-  auto Passed = rc::check([] {
+namespace {
+
+/// Returns whether no window exceeds the bound over random histories and
+/// nothing within the limit is refused. Draws slack and burst as well if \p
+/// DrawLimits is set.
+auto historiesHold(bool DrawLimits) -> bool {
+  return rc::check([DrawLimits] {
+    auto Options = bounds();
+    if (DrawLimits)
+      Options.m_Slack = LimitAmount{*rc::gen::element(0.0, 190'000.0)};
     auto Test = Installation(*rc::gen::inRange<std::size_t>(1, 25),
-                             *rc::gen::inRange<std::size_t>(1, 5));
+                             *rc::gen::inRange<std::size_t>(1, 5), Options);
+    if (DrawLimits)
+      Test.setLimit(tokenLimit(Rate, Rate * *rc::gen::element(0.2, 1.0, 10.0)));
     auto Count = Test.m_Hosts.size();
     Test.m_LossRate = *rc::gen::element(0.0, 0.02, 0.1);
     Test.m_RepeatRate = *rc::gen::element(0.0, 0.1);
@@ -559,5 +568,32 @@
     Test.run(Seconds(10), Test.demand(0.7 * Rate));
     RC_ASSERT(Test.m_Refused == 0U);
   });
-  CHECK(Passed);
+}
+
+} // namespace
+
+TEST_CASE("organisation limits: over random histories no window exceeds the "
+          "bound, and what is within the limit is not refused") {
+  CHECK(historiesHold(false));
+}
+
+TEST_CASE("organisation limits: with drawn bursts and slacks no window exceeds "
+          "the bound over random histories") {
+  CHECK(historiesHold(true));
+}
+
+TEST_CASE("organisation limits: a burst of many seconds of the rate is kept to "
+          "by hosts that grant at the same time") {
+  for (auto Factor : {3.0, 6.0, 10.0}) {
+    CAPTURE(Factor);
+    auto Options = bounds();
+    Options.m_Slack = LimitAmount{0};
+    auto Test = Installation(30, 6, Options);
+    Test.setLimit(tokenLimit(Rate, 10 * Rate));
+    Test.run(Window);
+    auto Since = Test.m_Now;
+    Test.run(Seconds(40), Test.demand(Factor * Rate));
+    CHECK(Test.highest() <= Test.allowed());
+    CHECK(Test.granted(Since) >= 0.95 * Rate * seconds(Test.m_Now - Since));
+  }
 }
