Log what ties a response to its request

Callers saw requests run that had been refused, and run twice. Logs could not tell the hypotheses apart: whether a refused request came back to the same address on a kept connection, and whether the refusal named it. Each attempt of a closing line now says 'reused=ADDRESS', 'unnamed' and 'skipped=N', and a metric counts skipped responses. Placement and retries are unchanged.

--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -11,6 +11,7 @@
 #include "dotterel/io/EventLoop.h"
 #include "dotterel/io/HttpMessage.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,11 @@
   /// Whether the response had no length and ended with its connection. The
   /// pooled client alone reports it.
   bool m_EndedByClose = false;
+  /// Whether the response repeats the call's echoed header. The pooled client
+  /// alone reports this and the next figure.
+  bool m_NamesCall = false;
+  /// Number of responses to other calls that came before the response.
+  std::uint32_t m_SkippedResponses = 0;
 };
 
 struct HttpCall {
--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -72,11 +72,17 @@
   /// the response, no response was skipped, and the peer keeps the connection
   /// open.
   [[nodiscard]] auto reusable() const -> bool {
-    return m_Reusable && !m_HasTrailingBytes && !m_SkippedResponse;
+    return m_Reusable && !m_HasTrailingBytes && m_SkippedResponses == 0;
   }
   /// Returns whether the response was broken off because it exceeded a limit.
   [[nodiscard]] auto overLimit() const -> bool { return m_OverLimit; }
   [[nodiscard]] auto started() const -> bool { return m_Started; }
+  /// Returns whether the response repeats the expected header.
+  [[nodiscard]] auto namesCall() const -> bool { return m_NamesCall; }
+  /// Returns the number of responses to other calls that were skipped.
+  [[nodiscard]] auto skippedResponses() const -> std::uint32_t {
+    return m_SkippedResponses;
+  }
   /// Returns the time for which the peer keeps an idle connection open, from
   /// its Keep-Alive header.
   [[nodiscard]] auto keepAliveTimeout() const -> std::optional<Duration>;
@@ -102,7 +108,8 @@
   bool m_HeadersDone = false;
   bool m_MessageDone = false;
   bool m_BelongsToOtherCall = false; ///< State of the current response.
-  bool m_SkippedResponse = false;
+  std::uint32_t m_SkippedResponses = 0;
+  bool m_NamesCall = false;
   bool m_HasTrailingBytes = false;
   bool m_Reusable = false;
   bool m_Started = false;
--- a/include/dotterel/serving/BackendTransport.h
+++ b/include/dotterel/serving/BackendTransport.h
@@ -105,6 +105,10 @@
   /// The response had no length and ended with its connection, which also ends
   /// when the server crashes.
   bool m_EndedByClose = false;
+  /// The response does not repeat the request's id.
+  bool m_Unnamed = false;
+  /// Number of responses to other requests that came before the response.
+  std::uint32_t m_SkippedResponses = 0;
 };
 
 /// Receives the response to an attempt.
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -31,6 +31,8 @@
   /// event request.ended.
   auto countRequest(RequestKind Kind, const std::string &Outcome) -> void;
   auto countAttempt(AttemptPurpose Purpose, AttemptOutcome Outcome) -> void;
+  /// Counts responses of servers to other requests than the one that was sent.
+  auto countSkippedResponses(std::uint32_t Count) -> void;
   /// Counts a server, or a request, that something was not sent to, or for.
   auto countSendDenial(SendDenial Denial) -> void;
   /// Counts a decision about leaving the data centre, and the distance that the
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -363,6 +363,8 @@
   releaseBuffer();
   m_Result.m_Outcome = Outcome;
   m_Result.m_Detail = Detail;
+  m_Result.m_NamesCall = m_Reader->namesCall();
+  m_Result.m_SkippedResponses = m_Reader->skippedResponses();
   auto Result = std::move(m_Result);
   auto Keep = Outcome == HttpOutcome::Complete && m_Reader->reusable() &&
               m_SentBytes == m_RequestBytes && !Call.m_DedicatedConnection;
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -89,6 +89,7 @@
     // A response without the header was sent before the server read the call,
     // for example because the server was at its capacity.
     m_BelongsToOtherCall = Value && *Value != m_Options.m_EchoedHeader.m_Value;
+    m_NamesCall = Value && !m_BelongsToOtherCall;
   }
   if (!m_BelongsToOtherCall) {
     m_Started = true;
@@ -151,7 +152,8 @@
   auto Interim = m_Parser.status_code < FirstFinalStatus;
   if (!m_BelongsToOtherCall && !Interim)
     return State::Complete;
-  m_SkippedResponse = m_SkippedResponse || m_BelongsToOtherCall;
+  if (m_BelongsToOtherCall)
+    ++m_SkippedResponses;
   restart();
   return State::Reading;
 }
--- a/src/serving/ServedRequestResponses.cpp
+++ b/src/serving/ServedRequestResponses.cpp
@@ -30,6 +30,20 @@
                         EventStream);
 }
 
+/// Describes, for the log, what tells whether the response is one to this
+/// attempt.
+auto describeConnection(const std::string &Address, const AttemptResult &Result)
+    -> std::string {
+  auto Text = std::string();
+  if (Result.m_ReusedConnection)
+    Text += fmt::format(":reused={}", Address);
+  if (Result.m_Unnamed)
+    Text += ":unnamed";
+  if (Result.m_SkippedResponses > 0)
+    Text += fmt::format(":skipped={}", Result.m_SkippedResponses);
+  return Text;
+}
+
 } // namespace
 
 auto ServedRequest::countUsage() -> void {
@@ -187,13 +201,15 @@
                      !Ended.m_Begun);
   }
   m_Context.m_Metrics.countAttempt(Ended.m_Purpose, Result.m_Outcome);
+  m_Context.m_Metrics.countSkippedResponses(Result.m_SkippedResponses);
   m_AttemptLog += fmt::format(
-      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}{}", nameOf(Ended.m_Purpose),
+      " {}@{}:{}:{}:{}ms:tokens={:.0f}{}{}{}", nameOf(Ended.m_Purpose),
       Ended.m_Backend.text(), nameOf(Result.m_Outcome), Result.m_Head.m_Status,
       toMilliseconds(Now - Ended.m_StartedAt), Ended.m_PlannedTokens,
       Ended.m_FetchedParts ? ":fetched" : "",
       Ended.m_Slowdown != 1 ? fmt::format(":slowdown={:.2f}", Ended.m_Slowdown)
-                            : std::string());
+                            : std::string(),
+      describeConnection(Ended.m_Address, Result));
   m_MayHaveReached = m_MayHaveReached || Ended.m_Begun ||
                      (Result.m_Outcome != AttemptOutcome::NotSent &&
                       Result.m_Outcome != AttemptOutcome::NotExecuted &&
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -99,6 +99,11 @@
           .Help("Delay of a periodic check of the event loop.")
           .Register(m_Registry)
           .Add({}, LatencyBuckets);
+  Counter &m_SkippedResponses =
+      counters(m_Registry, "dotterel_serving_skipped_responses_total",
+               "Responses of servers that belonged to another request than the "
+               "one that was sent.")
+          .Add({});
   Counter &m_LostServers =
       counters(m_Registry, "dotterel_serving_lost_servers_total",
                "Servers that accepted no connections after an attempt at them "
@@ -261,6 +266,10 @@
   m_Impl->m_SlowServers.Set(Count);
 }
 
+auto ServingMetrics::countSkippedResponses(std::uint32_t Count) -> void {
+  m_Impl->m_SkippedResponses.Increment(Count);
+}
+
 auto ServingMetrics::countSendDenial(SendDenial Denial) -> void {
   m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
 }
--- a/tests/unit-ResponseReader.cpp
+++ b/tests/unit-ResponseReader.cpp
@@ -75,9 +75,20 @@
     CHECK(Target.m_HeaderCalls == 1);
     CHECK(Target.m_Body == "abc");
     CHECK_FALSE(Reader->reusable());
+    CHECK(Reader->namesCall());
+    CHECK(Reader->skippedResponses() == 1);
   }
 }
 
+TEST_CASE("response reader: says whether a response names its call") {
+  auto Target = ReceivedResponse();
+  auto Reader = makeReader(Target);
+  CHECK(Reader->feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") ==
+        State::Complete);
+  CHECK_FALSE(Reader->namesCall());
+  CHECK(Reader->skippedResponses() == 0);
+}
+
 TEST_CASE("response reader: a response without a length is complete when the "
           "connection is closed cleanly, and broken otherwise") {
   auto Head = std::string("HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nab");
