A connection carries no two calls with the same id

Callers saw requests run that had been refused, and run twice. A backend server may send a copy of a refusal where the next response is due; it bears the id of the refused request. If that request is in flight again on the same connection, the copy was taken for its response: the request went to a third server, or was refused with a promise, while the server ran it. It comes back to an address under another server id while the registration of a crashed server outlives its restart (421 for the old id, then the new id at the same address), and after a caller uses an id twice.

The class of fault: a claim that a request has not run is believed though nothing ties the response to the call. Ids cannot tell here, a connection that has never carried the id can: no earlier response to it can arrive there. The pool therefore remembers the ids that a connection has carried, and closes it after 1,000, so that the memory is bounded.

--- a/include/dotterel/io/PooledHttpClient.h
+++ b/include/dotterel/io/PooledHttpClient.h
@@ -20,6 +20,9 @@
   /// shorter time.
   Duration m_IdleTimeout = Seconds(20);
   std::size_t m_MaxIdlePerAddress = 64;
+  /// Number of calls with an echoed header after which a connection is closed,
+  /// since it remembers them.
+  std::size_t m_MaxCallsPerConnection = 1000;
   /// Maximum size of a body that is buffered for a call without onData, if the
   /// call allows no smaller one.
   std::size_t m_MaxResponseBytes = std::size_t{64} << 20U;
@@ -31,6 +34,10 @@
 /// Creates a client that sends each call at most once: it never re-sends a call
 /// whose connection failed, whatever its method.
 ///
+/// A connection never carries two calls with the same value of the echoed
+/// header: a late response to the first one could not be told from the response
+/// to the second one.
+///
 /// A pooled connection that receives data between calls is closed. A connection
 /// on which the response completed before the request was sent completely is
 /// not returned to the pool.
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/io/Socket.h"
+#include "dotterel/io/detail/CarriedCalls.h"
 #include "dotterel/io/detail/ResponseReader.h"
 
 #include <algorithm>
@@ -87,6 +88,9 @@
     return m_BufferedBytes;
   }
   [[nodiscard]] auto closed() const -> bool { return m_Closed; }
+  [[nodiscard]] auto carriedCalls() const -> const detail::CarriedCalls & {
+    return m_CarriedCalls;
+  }
 
 private:
   /// Reads once. \returns whether bytes were read.
@@ -108,6 +112,7 @@
   Socket m_Socket;
   bool m_Connected = false;
   bool m_CarriedCall = false;
+  detail::CarriedCalls m_CarriedCalls;
   bool m_Closed = false;
   HttpCallId m_Id;
   std::optional<HttpCall> m_Call;
@@ -152,7 +157,10 @@
   }
 
 private:
-  auto acquireIdle(const std::string &Address) -> PooledConnection *;
+  /// Returns the most recently used idle connection on which the response to
+  /// \p Call can be told from those to earlier calls, or null.
+  auto acquireIdle(const std::string &Address, const HttpCall &Call)
+      -> PooledConnection *;
   auto sweep() -> void;
 
   EventLoop &m_Loop;
@@ -188,6 +196,7 @@
   m_Call = std::move(Call);
   m_Result = HttpCallResult();
   m_Result.m_Reused = m_CarriedCall;
+  m_CarriedCalls.add(m_Call->m_EchoedHeader);
   m_Head = std::move(Head);
   m_Body = std::exchange(m_Call->m_Body, {});
   m_RequestBytes = m_Head.size() + m_Body.size();
@@ -404,28 +413,32 @@
   m_Client.retire(*this);
 }
 
-auto PooledClient::acquireIdle(const std::string &Address)
+auto PooledClient::acquireIdle(const std::string &Address, const HttpCall &Call)
     -> PooledConnection * {
+  auto Found = m_Idle.find(Address);
+  if (Found == m_Idle.end())
+    return nullptr;
   auto Now = m_Loop.now();
-  // Closing a connection may remove the address's entry, so the entry is looked
-  // up again in each iteration.
-  while (true) {
-    auto Found = m_Idle.find(Address);
-    if (Found == m_Idle.end() || Found->second.empty())
-      return nullptr;
-    auto *Newest = Found->second.back();
-    Found->second.pop_back();
-    if (Newest->idleUntil() > Now)
-      return Newest;
-    Newest->close();
-  }
+  auto Expired = std::vector<PooledConnection *>();
+  PooledConnection *Chosen = nullptr;
+  for (auto *Current : Found->second)
+    if (Current->idleUntil() <= Now)
+      Expired.push_back(Current);
+    else if (Current->carriedCalls().distinguishes(Call.m_EchoedHeader))
+      Chosen = Current;
+  std::erase(Found->second, Chosen);
+  // Closing a connection may remove the address's entry.
+  for (auto *Current : Expired)
+    Current->close();
+  return Chosen;
 }
 
 auto PooledClient::start(HttpCall Call) -> HttpCallId {
   auto Id = HttpCallId{++m_LastId};
   auto Target = splitUrl(Call.m_Url);
-  auto *Connection =
-      Call.m_DedicatedConnection ? nullptr : acquireIdle(Target.m_Address);
+  auto *Connection = Call.m_DedicatedConnection
+                         ? nullptr
+                         : acquireIdle(Target.m_Address, Call);
   if (Connection == nullptr) {
     try {
       auto Created = std::make_unique<PooledConnection>(
@@ -482,7 +495,8 @@
     -> void {
   auto &Connections = m_Idle[Target.address()];
   if (Idle <= Duration::zero() ||
-      Connections.size() >= m_Options.m_MaxIdlePerAddress) {
+      Connections.size() >= m_Options.m_MaxIdlePerAddress ||
+      Target.carriedCalls().size() >= m_Options.m_MaxCallsPerConnection) {
     Target.close();
     return;
   }
--- /dev/null
+++ b/tests/unit-CarriedCalls.cpp
@@ -0,0 +1,112 @@
+#include "dotterel/io/PooledHttpClient.h"
+#include "dotterel/io/detail/CarriedCalls.h"
+#include "support/RawServer.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace dotterel;
+using namespace dotterel::test;
+using detail::CarriedCalls;
+
+namespace {
+
+auto echoed(const std::string &Value) -> HttpHeader {
+  return {.m_Name = "X-Id", .m_Value = Value};
+}
+
+/// A server that numbers the calls it gets, and sends a copy of each response
+/// before the next one on the same connection.
+class NumberingServer {
+public:
+  explicit NumberingServer(EventLoop &Loop)
+      : m_Server(Loop, [this](int Connection, const std::string &Head) {
+          auto Last = std::exchange(
+              m_Last[Connection],
+              rawResponse(200, "X-Id: " + headerIn(Head, "X-Id") + "\r\n",
+                          headerIn(Head, "X-Number")));
+          m_Server.send(Connection, Last + m_Last[Connection]);
+        }) {}
+
+  [[nodiscard]] auto url() const -> std::string {
+    return "http://" + m_Server.address() + "/";
+  }
+  [[nodiscard]] auto connections() const -> int {
+    return m_Server.connections();
+  }
+
+private:
+  std::map<int, std::string> m_Last;
+  RawServer m_Server;
+};
+
+/// Makes one call after the other, and returns the bodies of the responses.
+auto callAll(EventLoop &Loop, HttpClient &Client, const std::string &Url,
+             const std::vector<std::string> &Ids) -> std::vector<std::string> {
+  auto Bodies = std::vector<std::string>();
+  for (auto Index = std::size_t{0}; Index < Ids.size(); ++Index) {
+    Client.start({.m_Url = Url,
+                  .m_Headers = {{.m_Name = "X-Id", .m_Value = Ids[Index]},
+                                {.m_Name = "X-Number",
+                                 .m_Value = std::to_string(Index)}},
+                  .m_EchoedHeader = echoed(Ids[Index]),
+                  .m_OnDone = [&](const HttpCallResult &Result) {
+                    Bodies.push_back(Result.m_Body);
+                    Loop.stop();
+                  }});
+    Loop.run();
+  }
+  return Bodies;
+}
+
+} // namespace
+
+TEST_CASE(
+    "carried calls: the response to a second call with the same id cannot "
+    "be told from a late one") {
+  auto Carried = CarriedCalls();
+  CHECK(Carried.distinguishes(echoed("a")));
+  Carried.add(echoed("a"));
+  CHECK_FALSE(Carried.distinguishes(echoed("a")));
+  CHECK(Carried.distinguishes(echoed("b")));
+  CHECK(Carried.size() == 1);
+}
+
+// Guards against copies of earlier responses that pass for the response to a
+// call, since its id was sent on the same connection before.
+TEST_CASE("pooled client: a call gets its own response also if the server "
+          "copies its responses, for any order of repeated ids") {
+  CHECK(rc::check([](const std::vector<std::uint8_t> &Calls) {
+    constexpr auto DifferentIds = 4;
+    auto Ids = std::vector<std::string>();
+    for (auto Call : Calls)
+      Ids.push_back(std::to_string(Call % DifferentIds));
+    auto Loop = EventLoop();
+    auto Server = NumberingServer(Loop);
+    auto Client = makePooledHttpClient(Loop, {});
+    auto Bodies = callAll(Loop, *Client, Server.url(), Ids);
+    for (auto Index = std::size_t{0}; Index < Ids.size(); ++Index)
+      RC_ASSERT(Bodies[Index] == std::to_string(Index));
+  }));
+}
+
+TEST_CASE("pooled client: calls with different ids share a connection up to a "
+          "number of calls") {
+  auto Loop = EventLoop();
+  std::unique_ptr<RawServer> Server;
+  Server = std::make_unique<RawServer>(Loop, [&](int Connection,
+                                                 const std::string &Head) {
+    Server->send(Connection,
+                 rawResponse(200, "X-Id: " + headerIn(Head, "X-Id") + "\r\n"));
+  });
+  auto Client = makePooledHttpClient(Loop, {.m_MaxCallsPerConnection = 10});
+  auto Ids = std::vector<std::string>();
+  for (auto Number = 0; Number < 30; ++Number)
+    Ids.push_back(std::to_string(Number));
+  callAll(Loop, *Client, "http://" + Server->address() + "/", Ids);
+  CHECK(Server->connections() == 3);
+}
