Calls with and without an id share no connection

Releases of KV caches and orders to engines carry no id, and shared pooled connections with requests. If the copy of a response stands where that to such a call is due, the call's own response comes where the next request's is due. It names no request, so it was believed: a 503 that says 'not executed' sent the request to another server, or had it refused with a promise, while the server ran it.

The new test of the pool got 503 for the next request before, and its own 200 now.

--- a/include/dotterel/io/PooledHttpClient.h
+++ b/include/dotterel/io/PooledHttpClient.h
@@ -36,7 +36,8 @@
 ///
 /// A connection never carries two calls with the same value of the echoed
 /// header: a late response to the first one could not be told from the response
-/// to the second one.
+/// to the second one. For the same reason calls with and without such a header
+/// share no connection.
 ///
 /// A pooled connection that receives data between calls is closed. A connection
 /// on which the response completed before the request was sent completely is
--- a/include/dotterel/io/detail/CarriedCalls.h
+++ b/include/dotterel/io/detail/CarriedCalls.h
@@ -30,6 +30,8 @@
 
 private:
   std::unordered_set<std::uint64_t> m_Values; ///< Hashes.
+  /// Whether responses to some of the calls repeat nothing.
+  bool m_Unnamed = false;
 };
 
 } // namespace dotterel::detail
--- a/tests/unit-CarriedCalls.cpp
+++ b/tests/unit-CarriedCalls.cpp
@@ -76,6 +76,60 @@
   CHECK(Carried.size() == 1);
 }
 
+TEST_CASE("carried calls: calls with and without an id share no connection") {
+  auto Unnamed = CarriedCalls();
+  Unnamed.add({});
+  CHECK(Unnamed.distinguishes({}));
+  CHECK_FALSE(Unnamed.distinguishes(echoed("a")));
+  auto Named = CarriedCalls();
+  Named.add(echoed("a"));
+  CHECK_FALSE(Named.distinguishes({}));
+  CHECK(Named.distinguishes(echoed("b")));
+}
+
+// Guards against a response without an id that passes for that to a request: a
+// copied response had taken its place.
+TEST_CASE("pooled client: the late response to a call without an id does not "
+          "pass for that to the next call") {
+  auto Loop = EventLoop();
+  auto Copies = std::map<int, std::string>();
+  auto Late = std::map<int, std::string>();
+  std::unique_ptr<RawServer> Server;
+  Server = std::make_unique<RawServer>(
+      Loop, [&](int Connection, const std::string &Head) {
+        auto Id = headerIn(Head, "X-Id");
+        if (Id.empty()) {
+          // The copy stands where the response is due.
+          Server->send(Connection, std::exchange(Copies[Connection], {}));
+          Late[Connection] = rawResponse(503, "X-Not-Executed: 1\r\n");
+          return;
+        }
+        auto Own = rawResponse(200, "X-Id: " + Id + "\r\n", "own");
+        Copies[Connection] = Own;
+        Server->send(Connection, std::exchange(Late[Connection], {}) + Own);
+      });
+  auto Client = makePooledHttpClient(Loop, {});
+  auto Call = [&](const std::string &Id) {
+    auto Status = 0U;
+    auto Call = HttpCall{.m_Url = "http://" + Server->address() + "/",
+                         .m_Timeout = Milliseconds(200)};
+    if (!Id.empty()) {
+      Call.m_Headers = {{.m_Name = "X-Id", .m_Value = Id}};
+      Call.m_EchoedHeader = echoed(Id);
+    }
+    Call.m_OnDone = [&](const HttpCallResult &Result) {
+      Status = Result.m_Status;
+      Loop.stop();
+    };
+    Client->start(std::move(Call));
+    Loop.run();
+    return Status;
+  };
+  CHECK(Call("a") == 200);
+  Call("");
+  CHECK(Call("b") == 200);
+}
+
 // Guards against copies of earlier responses that pass for the response to a
 // call, since its id was sent on the same connection before.
 TEST_CASE("pooled client: a call gets its own response also if the server "
