A gate believes only refusals that name the attempt

The same cause on the gates' path, found by looking for it: a completion took any status but 200 as the engine's refusal of this attempt, whatever x-request-id it bore. A late copy of another refusal on a kept connection then sent the request to the next engine, and the error to the caller said 'not_run' of a request that engines had taken.

Hosts, completions and calls of services now compare the id with one function. A response that does not name the attempt fails it as one that may have run. New test with a fault of the stand-in: backend_unreachable/ not_run before, backend_failed/may_have_run now.

--- a/include/dotterel/fakes/FakeRunner.h
+++ b/include/dotterel/fakes/FakeRunner.h
@@ -50,6 +50,9 @@
   std::int64_t m_BreakStreams = 0;
   /// `cross_answers`: number with another request's id.
   std::int64_t m_CrossResponses = 0;
+  /// `cross_refusals`: number that the engine takes, while a refusal with
+  /// another request's id stands where their response is due.
+  std::int64_t m_CrossRefusals = 0;
   /// `duplicate_tokens`: number sent twice.
   std::int64_t m_DuplicateTokens = 0;
   std::int64_t m_HangStreams = 0; ///< `hang_streams`: number without any token.
--- a/include/dotterel/io/HttpMessage.h
+++ b/include/dotterel/io/HttpMessage.h
@@ -10,6 +10,7 @@
 
 #include "dotterel/base/SharedBytes.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,16 @@
 auto findHeader(const HttpHeaders &Headers, std::string_view Name)
     -> std::optional<std::string>;
 
+/// Whose response it is, by a header that responses repeat.
+enum class ResponseName : std::uint8_t {
+  Own,   ///< The header has the value that was sent.
+  Other, ///< It has another value: the response belongs to another call.
+  None,  ///< There is no such header.
+};
+
+auto nameInResponse(const HttpHeaders &Headers, const HttpHeader &Sent)
+    -> ResponseName;
+
 /// A request as received from a caller.
 struct HttpRequest {
   std::string m_Method;
--- a/src/fakes/FakeRunner.cpp
+++ b/src/fakes/FakeRunner.cpp
@@ -161,6 +161,14 @@
     detail::refuseForPause(*Exchange, m_Faults.m_Notice);
     return;
   }
+  if (m_Faults.m_CrossRefusals > 0) {
+    --m_Faults.m_CrossRefusals;
+    auto Refusal = jsonReply(503, {{"error", "busy"}});
+    Refusal.m_Headers.push_back(
+        {.m_Name = "x-request-id", .m_Value = "another"});
+    Exchange->respond(std::move(Refusal));
+    return;
+  }
   if (!m_Faults.m_CrashOn.empty() &&
       Prompt.find(m_Faults.m_CrashOn) != std::string::npos) {
     m_Crash();
@@ -347,6 +355,7 @@
   F.m_StopAfterTokens = Body.value("stop_after_tokens", F.m_StopAfterTokens);
   F.m_BreakStreams = Body.value("break_streams", F.m_BreakStreams);
   F.m_CrossResponses = Body.value("cross_answers", F.m_CrossResponses);
+  F.m_CrossRefusals = Body.value("cross_refusals", F.m_CrossRefusals);
   F.m_DuplicateTokens = Body.value("duplicate_tokens", F.m_DuplicateTokens);
   F.m_HangStreams = Body.value("hang_streams", F.m_HangStreams);
   F.m_Slowdown = Body.value("slowdown", F.m_Slowdown);
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto StatusOk = 200U;
+/// Names the attempt to an engine, which repeats it in its response.
+constexpr auto RequestIdHeader = "x-request-id";
 
 auto seconds(Duration Span) -> double {
   return std::chrono::duration<double>(Span).count();
@@ -197,7 +199,7 @@
       m_Services.m_Engines.find(Engine)->m_Url + enginePath(Completion.m_Shape);
   Call.m_Headers = {
       {.m_Name = "Content-Type", .m_Value = "application/json"},
-      {.m_Name = "x-request-id", .m_Value = m_Attempt.text()},
+      {.m_Name = RequestIdHeader, .m_Value = m_Attempt.text()},
       {.m_Name = "x-priority", .m_Value = workClassName(Completion.m_Class)}};
   Call.m_Body = m_Position == 0 ? Completion.m_EngineBody
                                 : Completion.resumeBody(m_Position);
@@ -245,6 +247,15 @@
   if (m_Ended || !m_EngineCall)
     return;
   recordRateLimit(m_Services, m_Engine, Headers);
+  // Only a response that names the attempt says what has become of it: another
+  // one may be a late copy on a kept connection.
+  if (nameInResponse(
+          Headers, {.m_Name = RequestIdHeader, .m_Value = m_Attempt.text()}) !=
+      ResponseName::Own) {
+    failAttempt(AttemptFailure::InvalidStream,
+                "the response does not name the attempt");
+    return;
+  }
   if (Status == StatusOk)
     return;
   constexpr auto BadRequest = 400U;
--- a/src/gate/ServiceCall.cpp
+++ b/src/gate/ServiceCall.cpp
@@ -231,8 +231,9 @@
 
 auto ServiceCall::isResponseToAttempt(const HttpCallResult &Result) const
     -> bool {
-  auto Echoed = findHeader(Result.m_Headers, "x-request-id");
-  return !Echoed || *Echoed == m_Attempt.text();
+  return nameInResponse(Result.m_Headers, {.m_Name = "x-request-id",
+                                           .m_Value = m_Attempt.text()}) !=
+         ResponseName::Other;
 }
 
 auto ServiceCall::onResponse(const HttpCallResult &Result) -> void {
--- a/src/io/HttpMessage.cpp
+++ b/src/io/HttpMessage.cpp
@@ -35,4 +35,12 @@
       .m_Body = std::move(Document)};
 }
 
+auto nameInResponse(const HttpHeaders &Headers, const HttpHeader &Sent)
+    -> ResponseName {
+  auto Value = findHeader(Headers, Sent.m_Name);
+  if (!Value)
+    return ResponseName::None;
+  return *Value == Sent.m_Value ? ResponseName::Own : ResponseName::Other;
+}
+
 } // namespace dotterel
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -85,11 +85,11 @@
   if (Status < FirstFinalStatus)
     return 0;
   if (!m_Options.m_EchoedHeader.m_Name.empty()) {
-    auto Value = findHeader(m_Headers, m_Options.m_EchoedHeader.m_Name);
+    auto Name = nameInResponse(m_Headers, m_Options.m_EchoedHeader);
     // A response without the header was sent before the server read the call,
     // for example because the server was at its capacity.
-    m_BelongsToOtherCall = Value && *Value != m_Options.m_EchoedHeader.m_Value;
-    m_NamesCall = Value && !m_BelongsToOtherCall;
+    m_BelongsToOtherCall = Name == ResponseName::Other;
+    m_NamesCall = Name == ResponseName::Own;
   }
   if (!m_BelongsToOtherCall) {
     m_Started = true;
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -396,6 +396,26 @@
   }
 }
 
+// Guards against refusals that promise "not run" for a request that an engine
+// has taken: the refusal of another request stood where its response was due.
+TEST_CASE("e2e: a refusal with another request's id does not prove that a "
+          "request has not run") {
+  auto Test = Cluster({.m_Gates = 1});
+  auto Key = Test.grantKey("ghent");
+  for (const auto &Url : Test.m_RunnerUrls)
+    Test.setFaults(Url, {{"cross_refusals", 100}});
+  for (auto Stream : {false, true}) {
+    CAPTURE(Stream);
+    auto Response = Test.call(Test.chatCall(0, Key, {{"stream", Stream}}));
+    CHECK(Response.error() == "backend_failed/may_have_run");
+  }
+  for (const auto &Url : Test.m_RunnerUrls)
+    Test.setFaults(Url, {{"cross_refusals", 0}});
+  Test.waitFor("a complete response", [&] {
+    return Test.call(Test.chatCall(0, Key)).m_Status == 200;
+  });
+}
+
 TEST_CASE("e2e: when an engine crashes during a stream, another one continues "
           "the response where it stopped") {
   auto Test = Cluster({.m_Gates = 1});
