A response that names no request is rejected on a kept connection

On a new connection nothing else can arrive there; on a kept one it may be late, and a 503 of that kind had the request sent again, or refused with a promise. It counts as a broken response now: the request may have run.

The stand-in of the tests names it now in refusals too, as the protocol says. Review: the pool's page says what does not count, and connections carry 400 calls, since an id takes some 40 bytes.

--- a/include/dotterel/io/PooledHttpClient.h
+++ b/include/dotterel/io/PooledHttpClient.h
@@ -20,9 +20,9 @@
   /// shorter time.
   Duration m_IdleTimeout = Seconds(20);
   std::size_t m_MaxIdlePerAddress = 64;
-  /// Number of calls with an echoed header after which a connection is closed,
-  /// since it remembers them.
-  std::size_t m_MaxCallsPerConnection = 1000;
+  /// Number of calls with an echoed header after which a connection is closed.
+  /// Bounds the memory for their values; other calls do not count.
+  std::size_t m_MaxCallsPerConnection = 400;
   /// Maximum size of a body that is buffered for a call without onData, if the
   /// call allows no smaller one.
   std::size_t m_MaxResponseBytes = std::size_t{64} << 20U;
--- a/include/dotterel/io/detail/CarriedCalls.h
+++ b/include/dotterel/io/detail/CarriedCalls.h
@@ -29,7 +29,8 @@
   [[nodiscard]] auto size() const -> std::size_t { return m_Values.size(); }
 
 private:
-  std::unordered_set<std::uint64_t> m_Values; ///< Hashes.
+  std::unordered_set<std::uint64_t>
+      m_Values; ///< Hashes; equal ones only prevent reuse.
   /// Whether responses to some of the calls repeat nothing.
   bool m_Unnamed = false;
 };
--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -23,6 +23,9 @@
   /// A response whose header of this name has another value belongs to another
   /// call. Unused when the name is empty.
   HttpHeader m_EchoedHeader;
+  /// Whether a response without that header is rejected: on a connection that
+  /// has carried other calls nothing else ties it to this one.
+  bool m_RequireEcho = false;
   /// Maximum number of bytes of bodies, those of skipped responses included.
   std::size_t m_MaxBodyBytes = std::size_t{64} << 20U;
 };
@@ -76,6 +79,10 @@
   }
   /// Returns whether the response was broken off because it exceeded a limit.
   [[nodiscard]] auto overLimit() const -> bool { return m_OverLimit; }
+  /// Returns whether the response was rejected since it names no call.
+  [[nodiscard]] auto rejectedUnnamed() const -> bool {
+    return m_RejectedUnnamed;
+  }
   [[nodiscard]] auto started() const -> bool { return m_Started; }
   /// Returns whether the response repeats the expected header.
   [[nodiscard]] auto namesCall() const -> bool { return m_NamesCall; }
@@ -110,6 +117,7 @@
   bool m_BelongsToOtherCall = false; ///< State of the current response.
   std::uint32_t m_SkippedResponses = 0;
   bool m_NamesCall = false;
+  bool m_RejectedUnnamed = false;
   bool m_HasTrailingBytes = false;
   bool m_Reusable = false;
   bool m_Started = false;
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -204,6 +204,7 @@
   m_Reader = std::make_unique<detail::ResponseReader>(
       detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
                                     .m_EchoedHeader = m_Call->m_EchoedHeader,
+                                    .m_RequireEcho = m_CarriedCall,
                                     .m_MaxBodyBytes = maxBodyBytes()},
       detail::ResponseReader::Callbacks{
           .m_OnHeaders =
@@ -355,9 +356,10 @@
   if (m_Closed || !m_Call)
     return;
   if (State == detail::ResponseReader::State::Broken)
-    finish(HttpOutcome::Broken, m_Reader->overLimit()
-                                    ? "the answer is over the limit"
-                                    : "the bytes are no answer");
+    finish(HttpOutcome::Broken,
+           m_Reader->overLimit()         ? "the answer is over the limit"
+           : m_Reader->rejectedUnnamed() ? "the answer names no request"
+                                         : "the bytes are no answer");
   else if (State == detail::ResponseReader::State::Complete)
     finish(HttpOutcome::Complete, "");
 }
--- a/src/io/detail/CarriedCalls.cpp
+++ b/src/io/detail/CarriedCalls.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 auto CarriedCalls::distinguishes(const HttpHeader &Echoed) const -> bool {
-  // A copy of a response may stand where that to an unnamed call is due, which
-  // then comes in place of a later one.
+  // An unnamed call may consume a copy of an earlier response; its own response
+  // would then be read as that of the next call.
   if (Echoed.m_Name.empty())
     return m_Values.empty();
   return !m_Unnamed && !m_Values.contains(hashOf(Echoed));
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -15,6 +15,9 @@
 constexpr auto FirstFinalStatus = 200U;
 /// Returned by a parser callback to stop the parser with an error.
 constexpr auto StopParser = 1;
+/// The same for the callback that runs after the headers, where 1 and 2 have
+/// another meaning.
+constexpr auto ParserError = -1;
 
 } // namespace
 
@@ -86,10 +89,14 @@
     return 0;
   if (!m_Options.m_EchoedHeader.m_Name.empty()) {
     auto Name = nameInResponse(m_Headers, m_Options.m_EchoedHeader);
-    // A response without the header was sent before the server read the call,
-    // for example because the server was at its capacity.
     m_BelongsToOtherCall = Name == ResponseName::Other;
     m_NamesCall = Name == ResponseName::Own;
+    // On a new connection the server may have sent it before it read the call,
+    // for example because it was at its capacity.
+    if (Name == ResponseName::None && m_Options.m_RequireEcho) {
+      m_RejectedUnnamed = true;
+      return ParserError;
+    }
   }
   if (!m_BelongsToOtherCall) {
     m_Started = true;
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -266,7 +266,8 @@
   const auto &Headers = Exchange->request().m_Headers;
   auto Request = findHeader(Headers, "X-Request-Id").value_or("");
   if (findHeader(Headers, "X-Expect-Instance").value_or(m_Id) != m_Id) {
-    Exchange->respond({.m_Status = 421});
+    Exchange->respond(
+        {.m_Status = 421, .m_Headers = {{"X-Request-Id", Request}}});
     return;
   }
   if (m_OnArrival)
@@ -274,7 +275,8 @@
   if (m_RequestsToRefuse > 0) {
     --m_RequestsToRefuse;
     Exchange->respond(
-        {.m_Status = 503, .m_Headers = {{"X-Not-Executed", "1"}}});
+        {.m_Status = 503,
+         .m_Headers = {{"X-Request-Id", Request}, {"X-Not-Executed", "1"}}});
     return;
   }
   ++m_Executions[Request];
--- a/tests/unit-CarriedCalls.cpp
+++ b/tests/unit-CarriedCalls.cpp
@@ -74,6 +74,8 @@
   CHECK_FALSE(Carried.distinguishes(echoed("a")));
   CHECK(Carried.distinguishes(echoed("b")));
   CHECK(Carried.size() == 1);
+  Carried.add(echoed("b"));
+  CHECK_FALSE(Carried.distinguishes(echoed("a")));
 }
 
 TEST_CASE("carried calls: calls with and without an id share no connection") {
--- a/tests/unit-ResponseReader.cpp
+++ b/tests/unit-ResponseReader.cpp
@@ -89,6 +89,34 @@
   CHECK(Reader->skippedResponses() == 0);
 }
 
+// Guards against the late response to a call without an id that passes for the
+// response to this one.
+TEST_CASE("response reader: a response that names no call is rejected where an "
+          "echo is required, for every split of the bytes") {
+  const auto Unnamed = std::string("HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+                                   "Content-Length: 0\r\n\r\n");
+  auto Calls = 0;
+  for (auto ChunkBytes = std::size_t{1}; ChunkBytes <= Unnamed.size();
+       ++ChunkBytes) {
+    auto Reader = ResponseReader(
+        {.m_EchoedHeader = {.m_Name = "X-Id", .m_Value = "7"},
+         .m_RequireEcho = true},
+        {.m_OnHeaders = [&Calls](unsigned, const HttpHeaders &) { ++Calls; }});
+    for (auto Position = std::size_t{0}; Position < Unnamed.size();
+         Position += ChunkBytes)
+      Reader.feed(std::string_view(Unnamed).substr(Position, ChunkBytes));
+    CHECK(Reader.feed("") == State::Broken);
+    CHECK(Reader.rejectedUnnamed());
+  }
+  CHECK(Calls == 0);
+  auto Named =
+      ResponseReader({.m_EchoedHeader = {.m_Name = "X-Id", .m_Value = "7"},
+                      .m_RequireEcho = true},
+                     {});
+  CHECK(Named.feed("HTTP/1.1 100 Continue\r\n\r\n" + OwnResponse) ==
+        State::Complete);
+}
+
 TEST_CASE("response reader: a response without a length is complete when the "
           "connection is closed cleanly, and broken otherwise") {
   auto Head = std::string("HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nab");
