--- a/tests/fault-CopiedRefusal.cpp
+++ b/tests/fault-CopiedRefusal.cpp
@@ -1,5 +1,6 @@
 #include "dotterel/io/PooledHttpClient.h"
 #include "platform/EngineTransport.h"
+#include "platform/PlatformFleetCalls.h"
 #include "support/RawServer.h"
 #include "support/ServingFakes.h"
 
@@ -200,3 +201,37 @@
   CHECK(View->m_Status == 200);
   CHECK_FALSE(View->m_Refusal);
 }
+
+// Guards against an order whose outcome is taken from a copy of the response to
+// an earlier order.
+TEST_CASE("copied refusal: an order gets its own response") {
+  auto Loop = EventLoop();
+  auto Earlier = std::map<int, std::string>();
+  auto Orders = 0;
+  std::unique_ptr<RawServer> Server;
+  Server = std::make_unique<RawServer>(
+      Loop, [&](int Connection, const std::string &) {
+        auto Own = rawResponse(++Orders == 1 ? 421 : 202, "");
+        Server->send(Connection, std::exchange(Earlier[Connection], Own) + Own);
+      });
+  auto Client = makePooledHttpClient(Loop, {});
+  auto Calls = platform::PlatformFleetCalls(
+      *Client, {.m_Holder = HostId{"h"}, .m_ChecksFencing = true});
+  auto Access = ServerAccess({}, {});
+  auto Backend = BackendId{"i"};
+  auto Target = SendTarget{.m_Backend = Backend, .m_Address = "a"};
+  auto Outcomes = std::vector<OrderOutcome>();
+  for (auto Number = std::uint64_t{1}; Number <= 2; ++Number) {
+    auto Decision = Access.admit(Target, SendPurpose::Order,
+                                 {.m_Listed = &Target}, Loop.now());
+    REQUIRE(Decision.m_Permit);
+    Calls.orderStage(std::move(*Decision.m_Permit),
+                     {.m_Backend = Backend, .m_Address = Server->address()},
+                     FencingNumber{Number}, [&](const StageOrderReply &Reply) {
+                       Outcomes.push_back(Reply.m_Outcome);
+                     });
+    run(Loop, [&] { return Outcomes.size() == Number; });
+  }
+  CHECK(Outcomes[0] != OrderOutcome::Accepted);
+  CHECK(Outcomes[1] == OrderOutcome::Accepted);
+}
