--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -295,7 +295,9 @@
             findHeader(Exchange->request().m_Headers, EventCountHeader)) {
       ResponseHeaders.push_back({"Content-Type", "text/event-stream"});
       Exchange->startStream(200, ResponseHeaders);
-      sendEvents(Exchange, 1, std::stoi(*Events));
+      auto Last = findHeader(Exchange->request().m_Headers, "Last-Event-Id");
+      sendEvents(Exchange, std::stoi(Last.value_or("0")) + 1,
+                 std::stoi(*Events));
       return;
     }
     Exchange->respond({.m_Status = 200,
@@ -307,6 +309,10 @@
 
 auto FakeServer::sendEvents(const HttpExchangePtr &Exchange, int Number,
                             int Count) -> void {
+  if (m_EventsToBreakAfter > 0 && Number > m_EventsToBreakAfter) {
+    Exchange->abort();
+    return;
+  }
   if (Number > Count) {
     Exchange->finish();
     return;
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -99,7 +99,8 @@
 auto fakeEvents(int Count) -> std::string;
 
 /// A backend server of a plain service that counts the requests it executes. A
-/// request with an EventCountHeader gets a stream.
+/// request with an EventCountHeader gets a stream, which begins after the event
+/// that Last-Event-Id names.
 class FakeServer final : public HttpHandler {
 public:
   FakeServer(EventLoop &Loop, std::string Id);
@@ -119,6 +120,8 @@
   Duration m_WorkTime = Milliseconds(5);
   /// Number of requests to execute with a truncated response.
   int m_ResponsesToTruncate = 0;
+  /// Number of events after which streams break off; 0: they do not.
+  int m_EventsToBreakAfter = 0;
   /// Number of requests to refuse without execution.
   int m_RequestsToRefuse = 0;
   /// Number of executions by request id.
