Gates: a response goes on only at the version that began it

The platform's list may state a version now; both paths decide by the same function. A response is refused if no engine of its version is listed any more; one whose engines are merely busy waits as before.

The new e2e test fails with the check taken out, and passes with it.

--- a/include/dotterel/fleet/Backend.h
+++ b/include/dotterel/fleet/Backend.h
@@ -34,6 +34,7 @@
   DataCentreId m_DataCentre;
   RegionId m_Region;
   std::string m_Url;
+  SoftwareVersion m_Version;
   bool m_Cheap = false;         ///< May be reclaimed at any time.
   bool m_ChecksFencing = false; ///< Refuses orders with an old fencing token.
   bool m_Leaving = false;       ///< Takes no new work.
--- a/include/dotterel/gate/CompletionCall.h
+++ b/include/dotterel/gate/CompletionCall.h
@@ -64,6 +64,8 @@
   auto endAttempt() -> void;
   auto failAttempt(AttemptFailure Kind, const std::string &Reason) -> void;
   auto retry(bool RequestSent, bool ServerLost) -> void;
+  /// Returns whether an engine is listed that may go on with the response.
+  [[nodiscard]] auto canContinue() const -> bool;
   auto sendText(const std::string &Text) -> void;
   auto complete() -> void;
   auto sendResponse() -> void;
@@ -89,6 +91,7 @@
   std::optional<EngineStream> m_Stream;
   AttemptId m_Attempt;
   BackendId m_Engine;
+  StreamOrigin m_EngineOrigin; ///< Of streams that begin at m_Engine.
   std::optional<TimerId> m_StallTimer;
 
   // State kept across attempts.
@@ -97,6 +100,8 @@
   std::set<BackendId> m_TriedEngines;
   std::set<DataCentreId> m_LostIn; ///< Data centres of the engines lost.
   std::uint64_t m_Position = 0;
+  /// Software that produced the first token; empty before it.
+  std::optional<StreamOrigin> m_Origin;
   std::string m_ResponseText;
   std::string m_FinishReason;
   std::uint64_t m_PromptTokens = 0;
--- a/include/dotterel/routing/EngineTable.h
+++ b/include/dotterel/routing/EngineTable.h
@@ -15,6 +15,7 @@
 #include "dotterel/routing/PrefixIndex.h"
 #include "dotterel/routing/ServerAccess.h"
 #include "dotterel/routing/ServerRateLimits.h"
+#include "dotterel/routing/StreamOrigin.h"
 
 #include <functional>
 #include <map>
@@ -80,6 +81,8 @@
   /// Data centres where the request lost engines. A request that must run
   /// alone uses them only when no engine elsewhere is reachable.
   std::set<DataCentreId> m_LostIn;
+  /// Origin of the stream that the request goes on with, if it does.
+  std::optional<StreamOrigin> m_Stream;
 };
 
 /// Table of backend servers.
@@ -140,6 +143,10 @@
 
   /// Returns whether any engine, busy or not, serves \p Model.
   [[nodiscard]] auto serves(const ModelId &Model) const -> bool;
+  /// Returns whether any engine, busy or not, may go on with a stream of
+  /// \p Origin.
+  [[nodiscard]] auto continues(const ModelId &Model,
+                               const StreamOrigin &Origin) const -> bool;
   /// Returns the running requests as a fraction of the slots, over all engines
   /// that report their load and are not leaving; 1 when there is none.
   /// Complexity: linear in the number of engines.
--- a/src/fleet/Backend.cpp
+++ b/src/fleet/Backend.cpp
@@ -21,6 +21,7 @@
       .m_DataCentre = DataCentreId{Item.at("data_centre").get<std::string>()},
       .m_Region = RegionId{Item.at("region").get<std::string>()},
       .m_Url = Item.at("url").get<std::string>(),
+      .m_Version = SoftwareVersion{Item.value("version", "")},
       .m_Cheap = Item.value("cheap", false),
       .m_ChecksFencing = Item.value("checks_fencing", false),
       .m_Leaving = Item.value("state", "running") != "running",
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -121,7 +121,8 @@
           m_Services.m_Configuration.current()->presetInForce().m_CheapServers,
       .m_Alone = Suspect,
       .m_Tried = m_TriedEngines,
-      .m_LostIn = m_LostIn};
+      .m_LostIn = m_LostIn,
+      .m_Stream = m_Origin};
 }
 
 auto CompletionCall::enqueue() -> void {
@@ -183,6 +184,9 @@
   m_Attempt =
       AttemptId{fmt::format("{}.{}", m_Input.m_Request.text(), m_Attempts)};
   m_Stream.emplace(m_Attempt, Completion.m_Shape, m_Position);
+  const auto *Server = m_Services.m_Engines.find(Engine);
+  m_EngineOrigin = {.m_Service = Server->m_Service,
+                    .m_Version = Server->m_Version};
   auto Query = query();
   m_Services.m_Engines.begin(Engine,
                              {.m_Request = m_Input.m_Request,
@@ -195,8 +199,7 @@
   auto Self = weak_from_this();
   auto Call = HttpCall();
   Call.m_Method = "POST";
-  Call.m_Url =
-      m_Services.m_Engines.find(Engine)->m_Url + enginePath(Completion.m_Shape);
+  Call.m_Url = Server->m_Url + enginePath(Completion.m_Shape);
   Call.m_Headers = {
       {.m_Name = "Content-Type", .m_Value = "application/json"},
       {.m_Name = RequestIdHeader, .m_Value = m_Attempt.text()},
@@ -294,6 +297,8 @@
   m_LastTokenTime = Now;
   m_Position = m_Stream->position();
   m_MayHaveRun = true;
+  if (!m_Origin)
+    m_Origin = m_EngineOrigin;
   m_Services.m_Engines.markPrefilled(m_Engine, m_Attempt);
   sendText(Event.m_Text);
 }
@@ -407,7 +412,7 @@
       BudgetExempt || (m_Services.m_OrganisationRetries.spend(
                            m_Input.m_Caller.m_Organisation.text()) &&
                        m_Services.m_BackendRetries.spend(m_Engine.text()));
-  if (AttemptsExhausted || !WithinBudget) {
+  if (AttemptsExhausted || !WithinBudget || !canContinue()) {
     refuse(m_MayHaveRun ? Refusal(RefusalCode::BackendFailed, executionState())
                         : Refusal(RefusalCode::BackendUnreachable));
     return;
@@ -416,6 +421,11 @@
   enqueue();
 }
 
+auto CompletionCall::canContinue() const -> bool {
+  return !m_Origin || m_Services.m_Engines.continues(
+                          m_Input.m_Completion.m_Model, *m_Origin);
+}
+
 auto CompletionCall::executionState() const -> Execution {
   if (m_Position > 0)
     return Execution::Ran;
--- a/src/routing/EngineTable.cpp
+++ b/src/routing/EngineTable.cpp
@@ -17,6 +17,11 @@
          static_cast<double>(Denominator.count());
 }
 
+auto servesModel(const Backend &Server, const ModelId &Model) -> bool {
+  return std::find(Server.m_Models.begin(), Server.m_Models.end(), Model) !=
+         Server.m_Models.end();
+}
+
 /// Returns the options of the access, which the host's name makes differ
 /// between processes.
 auto accessOptions(const Location &Self, ServerAccessOptions Options)
@@ -206,8 +211,10 @@
   if (m_Access.check(targetOf(Item), SendPurpose::Execute, Now) !=
       SendDenial::None)
     return false;
-  return std::find(Server.m_Models.begin(), Server.m_Models.end(),
-                   Query.m_Model) != Server.m_Models.end();
+  if (Query.m_Stream &&
+      !mayContinue(*Query.m_Stream, Server.m_Service, Server.m_Version))
+    return false;
+  return servesModel(Server, Query.m_Model);
 }
 
 auto EngineTable::isOpenTo(const Entry &Item, const EngineQuery &Query)
@@ -339,11 +346,19 @@
 }
 
 auto EngineTable::serves(const ModelId &Model) const -> bool {
-  return std::any_of(
-      m_Entries.begin(), m_Entries.end(), [&Model](const auto &Item) {
-        const auto &Models = Item.second.m_Backend.m_Models;
-        return std::find(Models.begin(), Models.end(), Model) != Models.end();
-      });
+  return std::any_of(m_Entries.begin(), m_Entries.end(),
+                     [&Model](const auto &Item) {
+                       return servesModel(Item.second.m_Backend, Model);
+                     });
+}
+
+auto EngineTable::continues(const ModelId &Model,
+                            const StreamOrigin &Origin) const -> bool {
+  return std::any_of(m_Entries.begin(), m_Entries.end(), [&](const auto &Item) {
+    const auto &Server = Item.second.m_Backend;
+    return !Server.m_Stopped && servesModel(Server, Model) &&
+           mayContinue(Origin, Server.m_Service, Server.m_Version);
+  });
 }
 
 auto EngineTable::utilisation(MonotonicTime Now) const -> double {
--- a/tests/e2e-Serving.cpp
+++ b/tests/e2e-Serving.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <set>
 #include <string>
 #include <sys/socket.h>
@@ -396,6 +397,46 @@
   }
 }
 
+// Guards against a response that is joined from tokens of engines of two
+// software versions.
+TEST_CASE(
+    "e2e: a response goes on only at engines of the software version that "
+    "began it") {
+  auto Test = Cluster({.m_Gates = 1});
+  auto Key = Test.grantKey("ghent");
+  for (auto Index = std::size_t{0}; Index < Test.m_RunnerUrls.size(); ++Index)
+    Test.m_ExtraBackendMembers[fmt::format("runner{}", Index)]["version"] =
+        fmt::format("v{}", Index);
+  Test.publishBackends();
+  // The gate reads the list again within this time.
+  Test.runLoopFor(Seconds(3));
+  for (auto Stream : {false, true})
+    for (auto Round = 0; Round < 4; ++Round) {
+      for (const auto &Url : Test.m_RunnerUrls)
+        Test.setFaults(Url, {{"break_streams", 1}});
+      auto Response = Test.call(
+          Test.chatCall(0, Key, {{"max_tokens", 20}, {"stream", Stream}}));
+      CHECK((Stream ? streamedText(Response.m_Body) : contentOf(Response)) ==
+            expectedText(20));
+    }
+  auto Resumed = 0;
+  for (const auto &Url : Test.m_RunnerUrls) {
+    auto Begun = std::set<std::string>();
+    auto Seen = Test.seen(Url);
+    for (const auto &Request : Seen["requests"]) {
+      auto Attempt = Request["headers"]["x-request-id"].get<std::string>();
+      auto Id = Attempt.substr(0, Attempt.find('.'));
+      auto Body = Json::parse(Request["body"].get<std::string>());
+      if (Body.contains("resume_position")) {
+        CHECK(Begun.contains(Id));
+        ++Resumed;
+      }
+      Begun.insert(Id);
+    }
+  }
+  CHECK(Resumed > 0);
+}
+
 // Guards against refusals that promise "not run" for a request that an engine
 // has taken: the refusal of another request stood where its response was due.
 TEST_CASE("e2e: a refusal with another request's id does not prove that a "
--- a/tests/unit-Routing.cpp
+++ b/tests/unit-Routing.cpp
@@ -295,3 +295,39 @@
   CHECK(Granted <= 20);
   CHECK(Budget.spend("other"));
 }
+
+// Guards against a response that is joined from tokens of two software
+// versions.
+TEST_CASE("routing: a stream goes on only at engines of the version that began "
+          "it, busy or tried before or not") {
+  auto Table = makeTable(0);
+  auto Listed = std::vector<Backend>();
+  for (auto Number = 0; Number < 4; ++Number) {
+    Listed.push_back(engine(Number));
+    Listed.back().m_Version = SoftwareVersion{Number < 3 ? "v1" : "v2"};
+  }
+  Table.updateList(Listed);
+  for (const auto &Server : Listed)
+    Table.updateLoad(Server.m_Id, load(0, 0), Now);
+  auto Chosen = [&](const std::string &Version) {
+    auto Continued = Query;
+    Continued.m_Stream = StreamOrigin{.m_Version = SoftwareVersion{Version}};
+    auto Ids = std::set<std::string>();
+    for (const auto &Engine : Table.candidates(Continued, Now))
+      Ids.insert(Engine.m_Id.text());
+    return Ids;
+  };
+  CHECK(Chosen("v1") == std::set<std::string>{"e0", "e1", "e2"});
+  CHECK(Chosen("v2") == std::set<std::string>{"e3"});
+  CHECK(Chosen("v3").empty());
+  CHECK(Table.candidates(Query, Now).size() == 4);
+  auto Continues = [&](const std::string &Version) {
+    return Table.continues(ModelId{"m"},
+                           {.m_Version = SoftwareVersion{Version}});
+  };
+  CHECK(Continues("v2"));
+  CHECK_FALSE(Continues("v3"));
+  Listed.back().m_Leaving = Listed.back().m_Stopped = true;
+  Table.updateList(Listed);
+  CHECK_FALSE(Continues("v2"));
+}
