--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -99,6 +99,17 @@
           .Help("Delay of a periodic check of the event loop.")
           .Register(m_Registry)
           .Add({}, LatencyBuckets);
+  Counter &m_SkippedResponses =
+      counters(m_Registry, "dotterel_serving_skipped_responses_total",
+               "Responses of servers that belonged to another request than the "
+               "one that was sent.")
+          .Add({});
+  Family<Counter> &m_TakeUps =
+      counters(m_Registry, "dotterel_serving_streams_taken_up_total",
+               "Streams that callers took up again, by how their origin was "
+               "found.");
+  Gauge &m_StreamOrigins = gauge(m_Registry, "dotterel_serving_stream_origins",
+                                 "Streams whose origin this host keeps.");
   Counter &m_LostServers =
       counters(m_Registry, "dotterel_serving_lost_servers_total",
                "Servers that accepted no connections after an attempt at them "
@@ -261,6 +272,18 @@
   m_Impl->m_SlowServers.Set(Count);
 }
 
+auto ServingMetrics::countSkippedResponses(std::uint32_t Count) -> void {
+  m_Impl->m_SkippedResponses.Increment(Count);
+}
+
+auto ServingMetrics::countTakeUp(const char *Found) -> void {
+  m_Impl->m_TakeUps.Add({{"found", Found}}).Increment();
+}
+
+auto ServingMetrics::setStreamOrigins(double Count) -> void {
+  m_Impl->m_StreamOrigins.Set(Count);
+}
+
 auto ServingMetrics::countSendDenial(SendDenial Denial) -> void {
   m_Impl->m_SendDenials.Add({{"reason", nameOf(Denial)}}).Increment();
 }
