--- a/tests/e2e-StreamVersions.cpp
+++ b/tests/e2e-StreamVersions.cpp
@@ -66,9 +66,8 @@
   auto waitForHosts() -> void {
     auto Others = fmt::format("others={}", m_Hosts.size() - 1);
     for (const auto &Host : m_Hosts)
-      waitFor("all hosts", [&] {
-        return Host->log().find(Others) != std::string::npos;
-      });
+      waitFor("all hosts",
+              [&] { return Host->log().find(Others) != std::string::npos; });
   }
 
   /// Returns the versions of the servers that executed a request.
