Limits of organisations: hosts share the end of a long burst

Callers of ten times the rate with a burst of ten seconds and no slack were granted 2.05 million tokens in a window that allows 1.98 million (30 hosts).

Hosts granted at random only if the demand was above rate plus burst in a second. With a long burst a demand far above the rate is not, also when the burst is used up, so all hosts granted its end until they knew of each other.

Of the burst at most a second of the rate counts now; bursts up to a second are treated as before. Demand below rate plus burst may still keep to the limit, so for it a host expects reports after 0.3 s, as is usual, not after 0.5 s.

The test was red with a factor of 10 (2,051,110 of 1,980,000) and is green, as are all 23 cases of organisation limits and limited requests.

--- a/include/dotterel/admission/OrganisationLimits.h
+++ b/include/dotterel/admission/OrganisationLimits.h
@@ -98,8 +98,10 @@
   LimitAmount m_Slack;
   /// Time without a report after which a host or data centre is not heard.
   Duration m_ReportTimeout = Milliseconds(600);
-  /// Time after which the use of a host is known to the others.
+  /// Time after which the use of a host is known to the others, at the latest
+  /// while none is lost, and usually.
   Duration m_ReportDelay = Milliseconds(500);
+  Duration m_UsualReportDelay = Milliseconds(300);
   /// Share of the registered hosts that must be heard by a host whose own
   /// registration may be over: the others may have divided its share.
   double m_Quorum = 0.75;
--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -399,10 +399,18 @@
     return Decision;
   }
   // The other hosts grant what is left as well until they know of this
-  // request. While demand is within the limit, they cannot exceed it.
+  // request. Demand that is over the limit for certain is held to the longest
+  // delay of reports, other demand to the usual one, so that of a burst that
+  // keeps to the limit hardly anything is refused. Of a long burst a part may
+  // have been used before, so a second of the rate is the most that demand may
+  // be above it without a look at what is left.
+  auto Rate = Limit.m_PerSecond.number();
+  auto Burst = Limit.m_Burst.number();
   auto Demand = demandOf(Item, Now) + Use.m_OthersDemand;
-  auto Unknown = Use.m_OthersDemand * seconds(m_Options.m_ReportDelay);
-  if (Demand > Limit.m_PerSecond.number() + Limit.m_Burst.number() &&
+  auto Unknown = Use.m_OthersDemand *
+                 seconds(Demand > Rate + Burst ? m_Options.m_ReportDelay
+                                               : m_Options.m_UsualReportDelay);
+  if (Demand > Rate + std::min(Burst, Rate * seconds(DemandTimeConstant)) &&
       m_Random.unit() * Unknown >
           std::max(Left.m_Least, 0.0) + ContentionPart * room(Limit)) {
     Decision.m_Denial = LimitDenial::Contended;
