Limits of organisations: the only host restarts within the bound

With one host, no slack and demand over the limit, a restart after a burst granted up to 2.14 million in a window that allows 1.98 million.

A new process grants the rate since its start on top of what was used before. That holds the bound only if what was used in any shorter time was within rate and burst. The windows double, so between two of them up to the limit of the longer one was granted early: of a burst of ten seconds, eighteen seconds of the rate in just over four, which with four more after a restart makes 22 in eight.

A host now also keeps its own use in each length of bins up to the window of the bound to rate and burst, with what others report for the next shorter window. What is within rate and burst fits each length, so it is not refused.

Still open: all of several hosts restart, as the use of others is known in the seven windows only.

--- a/include/dotterel/admission/OrganisationLimits.h
+++ b/include/dotterel/admission/OrganisationLimits.h
@@ -274,6 +274,10 @@
            MonotonicTime Now) const -> void;
   [[nodiscard]] auto ownUse(const Own &Item, MonotonicTime Now) const
       -> UseByWindow;
+  /// Returns for each window how far the use by this host in a length of time
+  /// between the next shorter window and it exceeds \p PerSecond, at most.
+  [[nodiscard]] auto ownExcess(const Own &Item, double PerSecond,
+                               MonotonicTime Now) const -> UseByWindow;
   [[nodiscard]] auto demandOf(const Own &Item, MonotonicTime Now) const
       -> double;
   [[nodiscard]] auto counted(const OrganisationUse::Entry &Entry,
@@ -288,7 +292,7 @@
   [[nodiscard]] auto timeToExpire(const UseByWindow &Use, std::size_t Window,
                                   double Amount) const -> Duration;
   [[nodiscard]] auto headroom(const OrganisationLimit &Limit, double Amount,
-                              const Known &Use, const UseByWindow &OwnUse,
+                              const Known &Use, const Own &Item,
                               MonotonicTime Now) const -> Headroom;
   [[nodiscard]] auto retryAfter(Own &Item, const OrganisationLimit &Limit,
                                 double Amount, Duration Earliest,
--- a/src/admission/OrganisationLimits.cpp
+++ b/src/admission/OrganisationLimits.cpp
@@ -162,6 +162,26 @@
   return Result;
 }
 
+auto OrganisationLimits::ownExcess(const Own &Item, double PerSecond,
+                                   MonotonicTime Now) const -> UseByWindow {
+  auto Result = UseByWindow();
+  Result.fill(std::numeric_limits<double>::lowest());
+  if (Item.m_Bins.empty())
+    return Result;
+  auto Current = std::max(binOf(Now), Item.m_LastBin);
+  auto Sum = 0.0;
+  auto Bins = std::int64_t{0};
+  for (auto Window = std::size_t{0}; Window < UseWindows; ++Window)
+    for (; Bins <= BinsPerShortestWindow << Window; ++Bins) {
+      auto Bin = Current - Bins;
+      if (Bin <= Item.m_LastBin && Bin > Item.m_LastBin - BinCount && Bin >= 0)
+        Sum += Item.m_Bins[static_cast<std::size_t>(Bin % BinCount)];
+      Result[Window] = std::max(
+          Result[Window], Sum - PerSecond * seconds(binLength() * (Bins + 1)));
+    }
+  return Result;
+}
+
 auto OrganisationLimits::demandOf(const Own &Item, MonotonicTime Now) const
     -> double {
   return Item.m_Demand *
@@ -278,14 +298,16 @@
 }
 
 auto OrganisationLimits::headroom(const OrganisationLimit &Limit, double Amount,
-                                  const Known &Use, const UseByWindow &OwnUse,
+                                  const Known &Use, const Own &Item,
                                   MonotonicTime Now) const -> Headroom {
   auto Rate = Limit.m_PerSecond.number();
+  auto OwnUse = ownUse(Item, Now);
+  auto OwnExcess = ownExcess(Item, Rate, Now);
   auto Burst = Limit.m_Burst.number();
   auto Missing = unheard(Now);
   auto Count = 0.0;
-  for (const auto &Item : Missing)
-    Count += Item.m_Hosts;
+  for (const auto &Group : Missing)
+    Count += Group.m_Hosts;
   // Hosts that do not hear each other share the room.
   auto Heard = m_HostCount - Count;
   auto Room = room(Limit) * Heard / m_HostCount;
@@ -302,10 +324,11 @@
     // What unheard hosts may have granted since they were heard. The longer
     // windows would keep the limit from being used for long after a partition.
     auto Reserve = 0.0;
-    for (const auto &Item : Missing)
+    for (const auto &Group : Missing)
       if (Window <= BoundWindow)
-        Reserve += Item.m_Hosts / m_HostCount *
-                   (Rate * seconds(std::min(Length, Item.m_SilentFor)) + Burst);
+        Reserve +=
+            Group.m_Hosts / m_HostCount *
+            (Rate * seconds(std::min(Length, Group.m_SilentFor)) + Burst);
     auto Used = OwnUse[Window] + Use.m_Use[Window] + Reserve;
     // Use before the start is not known. The shortest window that begins before
     // it is held to the rate since the start. Of what the others report for
@@ -328,6 +351,12 @@
         Heard >= m_Options.m_Quorum * m_HostCount)
       Tolerated += std::max(0.0, Amount - Rate * seconds(Length) - Burst);
     auto Left = Allowed - Used;
+    // Between two windows only this host's use is known. A process that starts
+    // anew adds the rate to what was used before, which must not be more than
+    // the rate and the burst in any part of the window of the bound.
+    if (Window > 0 && Window <= BoundWindow)
+      Left = std::min(Left, Burst + (Unknown ? 0 : Measured) -
+                                OwnExcess[Window] - Use.m_Use[Window - 1]);
     auto Lacks = Amount - Left - std::min(Tolerated, Amount);
     // A request may exceed what is left, not what is already exceeded.
     if (Left <= 0)
@@ -387,7 +416,7 @@
       std::min(Amount, windowLimit(Limit)); // No more is ever granted at once.
   Item.m_DemandAt = Now;
   auto Use = known(Organisation, Limit.m_Unit, Now);
-  auto Left = headroom(Limit, Amount, Use, ownUse(Item, Now), Now);
+  auto Left = headroom(Limit, Amount, Use, Item, Now);
   auto Decision = LimitDecision{.m_Requested = LimitAmount{Amount},
                                 .m_Left = LimitAmount{Left.m_Least},
                                 .m_OldestReport = Use.m_OldestReport};
--- a/tests/unit-OrganisationLimits.cpp
+++ b/tests/unit-OrganisationLimits.cpp
@@ -597,3 +597,22 @@
     CHECK(Test.granted(Since) >= 0.95 * Rate * seconds(Test.m_Now - Since));
   }
 }
+
+TEST_CASE(
+    "organisation limits: the only host that restarts after a burst keeps "
+    "to the bound without slack") {
+  for (auto BurstSeconds : {1.0, 3.0, 10.0})
+    for (auto Before : {1000, 2300, 3000, 4200, 4900, 6000}) {
+      CAPTURE(BurstSeconds);
+      CAPTURE(Before);
+      auto Options = bounds();
+      Options.m_Slack = LimitAmount{0};
+      auto Test = Installation(1, 1, Options);
+      Test.setLimit(tokenLimit(Rate, BurstSeconds * Rate));
+      Test.run(Window);
+      Test.run(Milliseconds(Before), Test.demand(6 * Rate));
+      Test.restart(0);
+      Test.run(Window, Test.demand(6 * Rate));
+      CHECK(Test.highest() <= Test.allowed());
+    }
+}
