--- a/include/dotterel/admission/OrganisationLimits.h
+++ b/include/dotterel/admission/OrganisationLimits.h
@@ -98,8 +98,10 @@
   LimitAmount m_Slack;
   /// Time without a report after which a host or data centre is not heard.
   Duration m_ReportTimeout = Milliseconds(600);
-  /// Time after which the use of a host is known to the others.
+  /// Time after which the use of a host is known to the others, at the latest
+  /// while none is lost, and usually.
   Duration m_ReportDelay = Milliseconds(500);
+  Duration m_UsualReportDelay = Milliseconds(300);
   /// Share of the registered hosts that must be heard by a host whose own
   /// registration may be over: the others may have divided its share.
   double m_Quorum = 0.75;
@@ -272,6 +274,10 @@
            MonotonicTime Now) const -> void;
   [[nodiscard]] auto ownUse(const Own &Item, MonotonicTime Now) const
       -> UseByWindow;
+  /// Returns for each window how far the use by this host in a length of time
+  /// between the next shorter window and it exceeds \p PerSecond, at most.
+  [[nodiscard]] auto ownExcess(const Own &Item, double PerSecond,
+                               MonotonicTime Now) const -> UseByWindow;
   [[nodiscard]] auto demandOf(const Own &Item, MonotonicTime Now) const
       -> double;
   [[nodiscard]] auto counted(const OrganisationUse::Entry &Entry,
@@ -286,7 +292,7 @@
   [[nodiscard]] auto timeToExpire(const UseByWindow &Use, std::size_t Window,
                                   double Amount) const -> Duration;
   [[nodiscard]] auto headroom(const OrganisationLimit &Limit, double Amount,
-                              const Known &Use, const UseByWindow &OwnUse,
+                              const Known &Use, const Own &Item,
                               MonotonicTime Now) const -> Headroom;
   [[nodiscard]] auto retryAfter(Own &Item, const OrganisationLimit &Limit,
                                 double Amount, Duration Earliest,
