Soak: servers copy refusals and restart under another id

What callers saw in the incident of the copied refusals needs two events that the soak did not bring about: a copy of a refusal before the next response on its connection, and a server that comes back at its address under another id while the store still holds the old entry, so that the refused request is sent there again.

The proxy before each server sends half of the refusals again when the next request arrives on their connection. Servers restart under another id, and the old entry stays for 0.3 to 3 s. The fake server's refusals name their request and say that it was not executed, as those of the platform do. These faults have a random source of their own; those of the existing faults are drawn as before.

--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <deque>
 #include <sys/socket.h>
+#include <utility>
 
 namespace dotterel::soak {
 
@@ -18,6 +19,11 @@
 /// from the sender.
 constexpr auto MaxBufferedBytes = std::size_t{1} << 20U;
 
+auto isRefusal(const std::string &Bytes) -> bool {
+  return Bytes.starts_with("HTTP/1.1 421 ") ||
+         Bytes.starts_with("HTTP/1.1 503 ");
+}
+
 } // namespace
 
 auto linkFaultName(LinkFault Fault) -> const char * {
@@ -97,15 +103,18 @@
       auto Now = m_Connection.m_Owner.m_Loop.now();
       auto Delayed = m_Connection.m_Owner.m_Fault == LinkFault::Delay;
       if (Count > 0) {
-        m_BufferedBytes += static_cast<std::size_t>(Count);
-        m_Buffered.push_back(
-            {.m_Bytes =
-                 std::string(Block.data(), static_cast<std::size_t>(Count)),
-             .m_DueAt = Delayed ? Now + ExtraDelay : Now});
+        auto Bytes = std::string(Block.data(), static_cast<std::size_t>(Count));
+        m_Connection.copyRefusal(*this, Bytes);
+        buffer(std::move(Bytes), Delayed ? Now + ExtraDelay : Now);
       }
       forwardBuffered();
     }
 
+    auto buffer(std::string Bytes, MonotonicTime DueAt) -> void {
+      m_BufferedBytes += Bytes.size();
+      m_Buffered.push_back({.m_Bytes = std::move(Bytes), .m_DueAt = DueAt});
+    }
+
     auto forwardBuffered() -> void {
       if (!m_Connection.forwards(*this))
         return;
@@ -160,6 +169,22 @@
     }
   }
 
+  /// Keeps a refusal among the bytes from the target, and sends it again when
+  /// the next request arrives.
+  auto copyRefusal(const End &From, const std::string &Bytes) -> void {
+    if (&From == &m_Responses) {
+      if (m_Owner.m_CopiesRefusal && isRefusal(Bytes) &&
+          m_Owner.m_CopiesRefusal())
+        m_RefusalCopy = Bytes;
+      return;
+    }
+    if (m_RefusalCopy.empty())
+      return;
+    ++m_Owner.m_CopiedRefusals;
+    m_Responses.buffer(std::exchange(m_RefusalCopy, {}), m_Owner.m_Loop.now());
+    m_Responses.forwardBuffered();
+  }
+
   auto forwardLater(Duration Delay) -> void {
     scheduleIfAlive(Delay, [this] { forwardBuffered(); });
   }
@@ -185,6 +210,7 @@
 
   FaultProxy &m_Owner;
   bool m_Reset = false;
+  std::string m_RefusalCopy; ///< Empty: none to send.
   std::shared_ptr<bool> m_AliveFlag = std::make_shared<bool>(true);
   End m_Requests;
   End m_Responses;
@@ -224,6 +250,10 @@
       Current->forwardBuffered();
     return;
   }
+  resetConnections();
+}
+
+auto FaultProxy::resetConnections() -> void {
   for (const auto &Current : m_Connections)
     Current->reset();
   m_Connections.clear();
--- a/soak/FaultProxy.h
+++ b/soak/FaultProxy.h
@@ -12,9 +12,11 @@
 #include "dotterel/io/Socket.h"
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace dotterel::soak {
 
@@ -46,6 +48,19 @@
   /// Applies a fault to all open and later connections; None ends the fault.
   auto setFault(LinkFault Fault) -> void;
 
+  /// Resets all open connections, as a crash of the target does.
+  auto resetConnections() -> void;
+
+  /// Sets the function that decides, for each refusal (status 421 or 503) that
+  /// the target sends in one block, whether a copy of it precedes the next
+  /// response on its connection.
+  auto setRefusalCopies(std::function<bool()> Decide) -> void {
+    m_CopiesRefusal = std::move(Decide);
+  }
+
+  /// Returns the number of copies that were sent.
+  [[nodiscard]] auto copiedRefusals() const -> int { return m_CopiedRefusals; }
+
 private:
   class Connection;
 
@@ -55,6 +70,8 @@
   EventLoop &m_Loop;
   std::string m_Target;
   LinkFault m_Fault = LinkFault::None;
+  std::function<bool()> m_CopiesRefusal;
+  int m_CopiedRefusals = 0;
   Socket m_Listener;
   std::list<std::unique_ptr<Connection>> m_Connections;
   std::unique_ptr<FdWatcher> m_Watcher;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -28,6 +28,12 @@
 constexpr auto ReconnectDelay = Milliseconds(100);
 /// Maximum interval between the starts of two faults or planned changes.
 constexpr auto MaxFaultInterval = Milliseconds(900);
+constexpr auto MaxServerChangeInterval = Milliseconds(1200);
+/// Share of a server's refusals that it sends again later.
+constexpr auto RefusalCopyShare = 0.5;
+/// Time for which a restarted server's old entry stays in the store.
+constexpr auto MinOldEntryTime = Milliseconds(300);
+constexpr auto MaxOldEntryTime = Milliseconds(3000);
 constexpr auto MinFaultDuration = Milliseconds(200);
 constexpr auto MaxFaultDuration = Milliseconds(3500);
 /// A share of the faults lasts longer than the bound within which a withdrawn
@@ -48,6 +54,11 @@
 /// Time beyond its grace period within which a host must have stopped.
 constexpr auto StopMargin = Seconds(2);
 
+auto drawDuration(Random &Source, Duration Min, Duration Max) -> Duration {
+  return Min + Duration(Source.below(
+                   static_cast<std::uint64_t>((Max - Min).count())));
+}
+
 auto route(const char *Name, const char *Kind,
            Duration Timeout = Milliseconds(3000)) -> Json {
   return {{"name", Name},
@@ -65,9 +76,9 @@
 
 SoakRun::SoakRun(const SoakOptions &Options)
     : m_Options(Options), m_Random(Options.m_Seed),
-      m_WorkRandom(Options.m_Seed), m_Promises(m_Bounds), m_Store(m_Loop),
-      m_Fleet(m_Loop), m_Client(makePooledHttpClient(m_Loop, {})),
-      m_StartedAt(m_Loop.now()) {
+      m_WorkRandom(Options.m_Seed), m_ServerRandom(Options.m_Seed),
+      m_Promises(m_Bounds), m_Store(m_Loop), m_Fleet(m_Loop),
+      m_Client(makePooledHttpClient(m_Loop, {})), m_StartedAt(m_Loop.now()) {
   for (auto Index = std::size_t{0}; Index < Options.m_Servers; ++Index)
     addServer();
   for (auto Index = std::size_t{0}; Index < KeyCount; ++Index)
@@ -102,8 +113,9 @@
 auto SoakRun::addServer() -> void {
   auto Id = fmt::format("i-{}", m_Servers.size());
   auto Process = std::make_unique<test::FakeServer>(m_Loop, Id);
-  Process->m_OnArrival = [this, Id, &Server = *Process](
-                             const HttpHeaders &Headers, bool Executed) {
+  Process->m_OnArrival = [this, &Server = *Process](const HttpHeaders &Headers,
+                                                    bool Executed) {
+    const auto &Id = Server.m_Id;
     Server.m_WorkTime = m_SlowServers.contains(Id)            ? SlowWorkTime
                         : m_WorkRandom.unit() < LongWorkShare ? LongWorkTime
                                                               : ShortWorkTime;
@@ -112,6 +124,8 @@
       m_Promises.responseCut(findHeader(Headers, "X-Request-Id").value_or(""));
   };
   auto Link = std::make_unique<FaultProxy>(m_Loop, Process->address());
+  Link->setRefusalCopies(
+      [this] { return m_ServerRandom.unit() < RefusalCopyShare; });
   m_Servers.push_back(
       {.m_Id = Id, .m_Process = std::move(Process), .m_Link = std::move(Link)});
   writeServer(m_Servers.size() - 1, "ready");
@@ -481,10 +495,7 @@
 }
 
 auto SoakRun::replaceServer() -> void {
-  auto Ready = std::vector<std::size_t>();
-  for (auto Index = std::size_t{0}; Index < m_Servers.size(); ++Index)
-    if (m_Servers[Index].m_State == "ready")
-      Ready.push_back(Index);
+  auto Ready = readyServers();
   if (Ready.size() < 2)
     return;
   addServer();
@@ -500,8 +511,54 @@
                     [this, Index] { writeServer(Index, "gone"); });
 }
 
+auto SoakRun::readyServers() const -> std::vector<std::size_t> {
+  auto Ready = std::vector<std::size_t>();
+  for (auto Index = std::size_t{0}; Index < m_Servers.size(); ++Index)
+    if (m_Servers[Index].m_State == "ready")
+      Ready.push_back(Index);
+  return Ready;
+}
+
+auto SoakRun::restartServer() -> void {
+  auto Ready = readyServers();
+  auto Index = Ready[m_ServerRandom.below(Ready.size())];
+  auto &Target = m_Servers[Index];
+  auto OldId =
+      std::exchange(Target.m_Id, fmt::format("i-{}-{}", Index, ++m_Restarts));
+  recordEvent(fmt::format("server {} restarts as {}", OldId, Target.m_Id));
+  Target.m_Process->m_Id = Target.m_Id;
+  Target.m_Link->resetConnections();
+  m_Promises.recordGlobalFault(m_Loop.now());
+  writeServer(Index, "ready");
+  m_Loop.schedule(
+      drawDuration(m_ServerRandom, MinOldEntryTime, MaxOldEntryTime),
+      [this, OldId] { m_Store.remove("servers/" + OldId); });
+}
+
+auto SoakRun::refuseRequests() -> void {
+  constexpr auto MaxRefusals = 20;
+  auto Index = m_ServerRandom.below(m_Servers.size());
+  recordEvent(fmt::format("server {} refuses", Index));
+  m_Servers[Index].m_Process->m_RequestsToRefuse = MaxRefusals;
+}
+
+auto SoakRun::changeServersRepeatedly() -> void {
+  m_Loop.schedule(
+      drawDuration(m_ServerRandom, Duration::zero(), MaxServerChangeInterval),
+      [this] {
+        if (!m_InjectingFaults)
+          return;
+        const auto Steps =
+            std::array{&SoakRun::restartServer, &SoakRun::restartServer,
+                       &SoakRun::restartServer, &SoakRun::refuseRequests};
+        (this->*Steps[m_ServerRandom.below(Steps.size())])();
+        changeServersRepeatedly();
+      });
+}
+
 auto SoakRun::injectFaults(Duration Span) -> void {
   m_InjectingFaults = true;
+  changeServersRepeatedly();
   auto Until = m_Loop.now() + Span;
   const auto Steps = std::array{&SoakRun::injectStoreLinkFault,
                                 &SoakRun::injectServerLinkFault,
@@ -626,6 +683,10 @@
   for (const auto &[Status, Count] : m_Promises.statuses())
     Text += fmt::format("{}{}={}", Text.empty() ? "" : " ",
                         Status == 0 ? "none" : std::to_string(Status), Count);
+  auto Copies = 0;
+  for (const auto &Current : m_Servers)
+    Copies += Current.m_Link->copiedRefusals();
+  Text += fmt::format(" copied-refusals={}", Copies);
   return Text;
 }
 
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -130,6 +130,16 @@
   /// Adds a backend server and removes a random other one.
   auto replaceServer() -> void;
 
+  /// Makes a change of the servers or hosts now and then while faults are
+  /// injected, independently of the other faults.
+  auto changeServersRepeatedly() -> void;
+  /// Restarts a server under another id; the store holds its old entry for
+  /// some time.
+  auto restartServer() -> void;
+  auto refuseRequests() -> void;
+  /// Returns the indices of the servers whose state is "ready".
+  [[nodiscard]] auto readyServers() const -> std::vector<std::size_t>;
+
   /// Schedules the end of a fault after a random duration; returns its time.
   auto endFaultLater(std::function<void()> End) -> MonotonicTime;
   /// Returns the index of a random host.
@@ -142,6 +152,7 @@
   EventLoop m_Loop;
   Random m_Random;
   Random m_WorkRandom;
+  Random m_ServerRandom;
   std::set<std::string> m_SlowServers; ///< Ids of servers that respond slowly.
   Promises m_Promises;
   test::FakeStore m_Store;
@@ -155,6 +166,7 @@
   int m_ConfigVersion = 0;
   int m_Sequence = 0;
   int m_LastKeyNumber = 0;
+  int m_Restarts = 0;
   int m_LastRequestNumber = 0;
   std::size_t m_RequestsInFlight = 0;
   std::size_t m_SavedLogs = 0;
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -259,22 +259,23 @@
 }
 
 FakeServer::FakeServer(EventLoop &Loop, std::string Id)
-    : m_Loop(Loop), m_Id(std::move(Id)),
+    : m_Id(std::move(Id)), m_Loop(Loop),
       m_Server(Loop, *this, loopbackOptions()) {}
 
 auto FakeServer::handle(HttpExchangePtr Exchange) -> void {
   const auto &Headers = Exchange->request().m_Headers;
   auto Request = findHeader(Headers, "X-Request-Id").value_or("");
+  auto RefusalHeaders =
+      HttpHeaders{{"X-Request-Id", Request}, {"X-Not-Executed", "1"}};
   if (findHeader(Headers, "X-Expect-Instance").value_or(m_Id) != m_Id) {
-    Exchange->respond({.m_Status = 421});
+    Exchange->respond({.m_Status = 421, .m_Headers = RefusalHeaders});
     return;
   }
   if (m_OnArrival)
     m_OnArrival(Headers, m_RequestsToRefuse == 0);
   if (m_RequestsToRefuse > 0) {
     --m_RequestsToRefuse;
-    Exchange->respond(
-        {.m_Status = 503, .m_Headers = {{"X-Not-Executed", "1"}}});
+    Exchange->respond({.m_Status = 503, .m_Headers = RefusalHeaders});
     return;
   }
   ++m_Executions[Request];
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -113,6 +113,9 @@
     return m_Server.address().text();
   }
 
+  /// Responds with 421 to requests for another id. A change takes the place of
+  /// a restart.
+  std::string m_Id;
   /// Called with the headers of each request, and whether the request is
   /// executed.
   std::function<void(const HttpHeaders &, bool)> m_OnArrival;
@@ -131,7 +134,6 @@
       -> void;
 
   EventLoop &m_Loop;
-  std::string m_Id;
   StrictHttpServer m_Server;
 };
 
