Soak: streams hold events of one software version

The soak registered all servers with one version, and no caller resumed a stream.

Servers now have a version, which they state in each event and in the store. A release replaces them one by one, and a restarted server has the new version. Callers on a resumable route resume a stream that breaks off at a random host, with Last-Event-Id and Resumes; all hosts are killed in series. The promise one-version holds if the events of a stream, in one response and over its resumptions, are of one version. The events of a stream that breaks off must now also be the stream's next ones. The cap on violations counts for each promise, so that those of one do not hide another's.

--- a/soak/Promises.cpp
+++ b/soak/Promises.cpp
@@ -1,14 +1,18 @@
 #include "Promises.h"
 
+#include "support/PlatformFakes.h"
+
 #include <algorithm>
 #include <fmt/format.h>
+#include <string_view>
 
 namespace dotterel::soak {
 
 namespace {
 
-/// Maximum violations kept for one run; further ones add no information.
-constexpr auto MaxViolations = std::size_t{20};
+/// Maximum violations of one promise kept for one run; further ones add no
+/// information.
+constexpr auto MaxViolations = 20;
 /// Allowance for the time between a server's receipt of a request and this
 /// process's reading of the clock.
 constexpr auto ClockSlack = Milliseconds(100);
@@ -17,6 +21,29 @@
 
 } // namespace
 
+auto parseEvents(const std::string &Body) -> StreamEvents {
+  constexpr auto EventEnd = std::string_view("\n\n");
+  constexpr auto VersionField = std::string_view(test::EventVersionField);
+  auto Events = StreamEvents();
+  for (auto Begin = std::size_t{0};;) {
+    auto End = Body.find(EventEnd, Begin);
+    if (End == std::string::npos) {
+      Events.m_Incomplete = Body.substr(Begin);
+      return Events;
+    }
+    auto Event = Body.substr(Begin, End + EventEnd.size() - Begin);
+    Begin = End + EventEnd.size();
+    auto &Version = Events.m_Versions.emplace_back();
+    if (auto Field = Event.find(VersionField); Field != std::string::npos) {
+      auto LineEnd = Event.find('\n', Field);
+      Version = Event.substr(Field + VersionField.size(),
+                             LineEnd - Field - VersionField.size());
+      Event.erase(Field, LineEnd + 1 - Field);
+    }
+    Events.m_Text += Event;
+  }
+}
+
 auto Promises::requestSent(const std::string &Request, SentRequest Sent)
     -> void {
   m_SentTimes.push_back(Sent.m_SentAt);
@@ -65,7 +92,7 @@
 
 auto Promises::reportViolation(const std::string &Promise,
                                const std::string &Detail) -> void {
-  if (m_Violations.size() < MaxViolations)
+  if (++m_ViolationCounts[Promise] <= MaxViolations)
     m_Violations.push_back(fmt::format("{}: {}", Promise, Detail));
 }
 
@@ -136,6 +163,7 @@
   const auto &Sent = Record.m_Sent;
   auto Complete = Result.m_Outcome == HttpOutcome::Complete;
   ++m_Statuses[Complete ? Result.m_Status : 0];
+  checkEvents(Request, Result);
   if (!Complete) {
     auto Stopping = m_HostsStopping.find(Sent.m_Host);
     // A connection without an execution may have been closed by the host while
@@ -155,8 +183,9 @@
   }
   auto Status = Result.m_Status;
   constexpr auto Good = 200U;
+  auto Events = parseEvents(Result.m_Body);
   if (Status == Good &&
-      (Result.m_Body != Sent.m_ExpectedBody ||
+      (Events.m_Text + Events.m_Incomplete != Sent.m_ExpectedBody ||
        findHeader(Result.m_Headers, "X-Response-Stamp") != "stamp-" + Request))
     reportViolation("own-answer",
                     fmt::format("{} got a response that is not its own: {}",
@@ -173,6 +202,32 @@
     checkDenial(Request, Status, Now);
 }
 
+auto Promises::checkEvents(const std::string &Request,
+                           const HttpCallResult &Result) -> void {
+  const auto &Sent = m_Requests.at(Request).m_Sent;
+  auto Events = parseEvents(Result.m_Body);
+  if (Events.m_Versions.empty())
+    return;
+  if (!Sent.m_ExpectedBody.starts_with(Events.m_Text))
+    reportViolation("own-answer",
+                    fmt::format("{} got events that are not its own: {}",
+                                Request, Result.m_Body));
+  const auto &Stream = Sent.m_Resumes.empty() ? Request : Sent.m_Resumes;
+  const auto &First =
+      m_StreamVersions.emplace(Stream, Events.m_Versions.front()).first->second;
+  auto Other =
+      std::find_if(Events.m_Versions.begin(), Events.m_Versions.end(),
+                   [&First](const auto &Version) { return Version != First; });
+  if (Other != Events.m_Versions.end())
+    reportViolation(
+        "one-version",
+        fmt::format("the stream of {} began at version {} and went on at {} in "
+                    "{}",
+                    Stream, First, *Other,
+                    Request == Stream ? "the same response"
+                                      : Request + ", which resumes it"));
+}
+
 auto Promises::checkDenial(const std::string &Request, unsigned Status,
                            MonotonicTime Now) -> void {
   const auto &Sent = m_Requests.at(Request).m_Sent;
--- a/soak/Promises.h
+++ b/soak/Promises.h
@@ -42,9 +42,22 @@
   std::string m_Key;
   std::string m_Organisation;
   std::string m_ExpectedBody; ///< The body of a correct response.
+  /// The request that brought the first event of the stream that this one
+  /// resumes; empty: it begins a stream, or sends none.
+  std::string m_Resumes;
   bool m_Idempotent = false;
 };
 
+/// The complete events of a stream, or of its part that one response brought.
+struct StreamEvents {
+  std::string m_Text;                  ///< Without the servers' versions.
+  std::string m_Incomplete;            ///< What follows the last event.
+  std::vector<std::string> m_Versions; ///< Of each event's server.
+};
+
+/// Splits the body of a response into events.
+auto parseEvents(const std::string &Body) -> StreamEvents;
+
 /// Collects observations of a run and records each violation of a promise.
 class Promises {
 public:
@@ -119,9 +132,15 @@
   auto checkDenial(const std::string &Request, unsigned Status,
                    MonotonicTime Now) -> void;
   auto checkRetryBudget() -> void;
+  /// Checks that the events that a response brought are the next ones of the
+  /// request's stream, and of servers of one version.
+  auto checkEvents(const std::string &Request, const HttpCallResult &Result)
+      -> void;
 
   SoakBounds m_Bounds;
   std::map<std::string, RequestRecord> m_Requests;
+  /// The version of each stream's first event, by the request that brought it.
+  std::map<std::string, std::string> m_StreamVersions;
   std::map<std::string, MonotonicTime> m_KeysWithdrawn;
   std::map<std::string, MonotonicTime> m_KeysAdded;
   std::map<std::string, MonotonicTime> m_ServersWithdrawn;
@@ -132,6 +151,7 @@
   std::vector<MonotonicTime> m_SentTimes;
   std::vector<MonotonicTime> m_ExtraArrivals;
   std::map<unsigned, int> m_Statuses;
+  std::map<std::string, int> m_ViolationCounts; ///< By promise.
   std::vector<std::string> m_Violations;
 };
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -23,12 +23,26 @@
 /// Callers of streams for each host, the lengths of their streams, and the time
 /// until they connect again.
 constexpr auto StreamCallersPerHost = std::size_t{3};
+/// Callers for each host that resume a stream that breaks off, and how often
+/// they try to for one stream.
+constexpr auto ResumingCallersPerHost = std::size_t{3};
+constexpr auto MaxResumptions = 8;
 constexpr auto MinEvents = 4;
 constexpr auto MaxEvents = 46;
 constexpr auto ReconnectDelay = Milliseconds(100);
+constexpr auto MaxResumptionDelay = Milliseconds(600);
 /// Maximum interval between the starts of two faults or planned changes.
 constexpr auto MaxFaultInterval = Milliseconds(900);
 constexpr auto MaxServerChangeInterval = Milliseconds(1200);
+/// Interval between the replacements of two servers in a release.
+constexpr auto MinReleaseStep = Milliseconds(300);
+constexpr auto MaxReleaseStep = Milliseconds(1500);
+/// Number of times that all hosts are killed in a series, and the interval
+/// between two of them.
+constexpr auto MaxKillsInSeries = 3;
+constexpr auto MinKillInterval = Milliseconds(600);
+constexpr auto MaxKillInterval = Milliseconds(2000);
+constexpr auto WithoutNoticeShare = 0.3;
 /// Share of a server's refusals that it sends again later.
 constexpr auto RefusalCopyShare = 0.5;
 /// Time for which a restarted server's old entry stays in the store.
@@ -60,7 +74,8 @@
 }
 
 auto route(const char *Name, const char *Kind,
-           Duration Timeout = Milliseconds(3000)) -> Json {
+           Duration Timeout = Milliseconds(3000), bool Resumable = false)
+    -> Json {
   return {{"name", Name},
           {"host", "soak.example"},
           {"path_prefix", fmt::format("/{}/", Name)},
@@ -69,6 +84,7 @@
           {"target_latency_ms", 400},
           {"service", "desk"},
           {"max_attempts", 3},
+          {"resumable", Resumable},
           {"public", false}};
 }
 
@@ -112,7 +128,9 @@
 
 auto SoakRun::addServer() -> void {
   auto Id = fmt::format("i-{}", m_Servers.size());
+  auto Version = fmt::format("v{}", m_Version);
   auto Process = std::make_unique<test::FakeServer>(m_Loop, Id);
+  Process->m_Version = Version;
   Process->m_OnArrival = [this, &Server = *Process](const HttpHeaders &Headers,
                                                     bool Executed) {
     const auto &Id = Server.m_Id;
@@ -126,8 +144,10 @@
   auto Link = std::make_unique<FaultProxy>(m_Loop, Process->address());
   Link->setRefusalCopies(
       [this] { return m_ServerRandom.unit() < RefusalCopyShare; });
-  m_Servers.push_back(
-      {.m_Id = Id, .m_Process = std::move(Process), .m_Link = std::move(Link)});
+  m_Servers.push_back({.m_Id = Id,
+                       .m_Process = std::move(Process),
+                       .m_Link = std::move(Link),
+                       .m_Version = Version});
   writeServer(m_Servers.size() - 1, "ready");
 }
 
@@ -142,7 +162,7 @@
   m_Store.put(Key, {{"service", "desk"},
                     {"address", Target.m_Link->address()},
                     {"zone", "z1"},
-                    {"version", "v1"},
+                    {"version", Target.m_Version},
                     {"slots", 8},
                     {"state", State},
                     {"sequence", ++m_Sequence}});
@@ -153,7 +173,8 @@
               {{"version", ++m_ConfigVersion},
                {"routes",
                 {route("safe", "safe"), route("once", "unsafe"),
-                 route("stream", "streaming", StreamDeadline)}},
+                 route("stream", "streaming", StreamDeadline),
+                 route("resumable", "streaming", StreamDeadline, true)}},
                {"services", {{{"name", "desk"}}}},
                {"limits",
                 {{"max_header_bytes", 4096},
@@ -262,38 +283,78 @@
        [](const HttpCallResult &) {});
 }
 
-auto SoakRun::sendStream(std::size_t Caller, std::size_t Host) -> void {
+auto SoakRun::resumesStreams(std::size_t Caller) const -> bool {
+  return Caller >= m_Hosts.size() * StreamCallersPerHost;
+}
+
+auto SoakRun::reconnect(std::size_t Caller, const StreamProgress &Progress)
+    -> void {
+  auto Delay =
+      Progress.m_FirstRequest.empty()
+          ? ReconnectDelay
+          : drawDuration(m_WorkRandom, ReconnectDelay, MaxResumptionDelay);
+  m_Loop.schedule(Delay, [this, Caller, Progress] {
+    sendStream(Caller, m_WorkRandom.below(m_Hosts.size()), Progress);
+  });
+}
+
+auto SoakRun::sendStream(std::size_t Caller, std::size_t Host,
+                         StreamProgress Progress) -> void {
   if (!m_Sending)
     return;
-  auto Reconnect = [this, Caller] {
-    m_Loop.schedule(ReconnectDelay, [this, Caller] {
-      sendStream(Caller, m_WorkRandom.below(m_Hosts.size()));
-    });
-  };
   if (m_Hosts[Host].m_CallerAddress.empty()) {
-    Reconnect();
+    reconnect(Caller, Progress);
     return;
   }
-  auto Events = MinEvents +
-                static_cast<int>(m_WorkRandom.below(MaxEvents - MinEvents + 1));
-  send(*m_StreamClients[Caller],
-       {.m_Host = Host,
-        .m_Route = "stream",
-        .m_Key = m_Keys[m_WorkRandom.below(m_Keys.size())],
-        .m_Events = Events},
-       [this, Caller, Host, Reconnect](const HttpCallResult &Result) {
-         constexpr auto Good = 200U;
-         if (Result.m_Outcome == HttpOutcome::Complete &&
-             Result.m_Status == Good)
-           sendStream(Caller, Host);
-         else
-           Reconnect();
+  if (Progress.m_Events == 0)
+    Progress.m_Events =
+        MinEvents +
+        static_cast<int>(m_WorkRandom.below(MaxEvents - MinEvents + 1));
+  auto Request =
+      Work{.m_Host = Host,
+           .m_Route = resumesStreams(Caller) ? "resumable" : "stream",
+           .m_Key = m_Keys[m_WorkRandom.below(m_Keys.size())],
+           .m_Id = newRequestId(),
+           .m_Events = Progress.m_Events,
+           .m_Received = Progress.m_Received,
+           .m_Resumes = Progress.m_FirstRequest};
+  send(*m_StreamClients[Caller], Request,
+       [this, Caller, Request, Progress](const HttpCallResult &Result) {
+         streamEnded(Caller, Request, Progress, Result);
        });
 }
 
+auto SoakRun::streamEnded(std::size_t Caller, const Work &Request,
+                          StreamProgress Progress, const HttpCallResult &Result)
+    -> void {
+  constexpr auto Good = 200U;
+  auto Received =
+      static_cast<int>(parseEvents(Result.m_Body).m_Versions.size());
+  if (!Request.m_Resumes.empty()) {
+    ++m_Resumptions;
+    m_Resumed += Received > 0 ? 1 : 0;
+    ++Progress.m_Resumptions;
+  }
+  if (Result.m_Outcome == HttpOutcome::Complete && Result.m_Status == Good) {
+    sendStream(Caller, Request.m_Host, {});
+    return;
+  }
+  if (Received > 0 && Progress.m_FirstRequest.empty())
+    Progress.m_FirstRequest = Request.m_Id;
+  Progress.m_Received += Received;
+  auto Resumes = resumesStreams(Caller) && Progress.m_Received > 0 &&
+                 Progress.m_Received < Progress.m_Events &&
+                 Progress.m_Resumptions < MaxResumptions;
+  reconnect(Caller, Resumes ? Progress : StreamProgress());
+}
+
+auto SoakRun::newRequestId() -> std::string {
+  return fmt::format("q{}", ++m_LastRequestNumber);
+}
+
 auto SoakRun::send(HttpClient &Client, const Work &Request,
                    std::function<void(const HttpCallResult &)> OnDone) -> void {
-  auto Id = fmt::format("q{}", ++m_LastRequestNumber);
+  auto Id = Request.m_Id.empty() ? newRequestId() : Request.m_Id;
   auto Path = fmt::format("/{}/{}", Request.m_Route, Id);
   auto Stream = Request.m_Events > 0;
   m_Promises.requestSent(
@@ -301,9 +362,12 @@
            .m_SentAt = m_Loop.now(),
            .m_Key = Request.m_Key,
            .m_Organisation = "org",
-           .m_ExpectedBody =
-               Stream ? test::fakeEvents(Request.m_Events) : Path + "|" + Id,
-           .m_Idempotent = Request.m_Route == "safe"});
+           .m_ExpectedBody = Stream ? test::fakeEvents(Request.m_Events,
+                                                       Request.m_Received + 1)
+                                    : Path + "|" + Id,
+           .m_Resumes = Request.m_Resumes,
+           .m_Idempotent =
+               Request.m_Route == "safe" || Request.m_Route == "resumable"});
   ++m_RequestsInFlight;
   auto Deadline = Stream ? StreamDeadline : RequestDeadline;
   auto Headers =
@@ -314,6 +378,10 @@
   if (Stream)
     Headers.push_back(
         {test::EventCountHeader, std::to_string(Request.m_Events)});
+  if (!Request.m_Resumes.empty()) {
+    Headers.push_back({"Last-Event-Id", std::to_string(Request.m_Received)});
+    Headers.push_back({"Resumes", Request.m_Resumes});
+  }
   Client.start(
       {.m_Method = "POST",
        .m_Url = "http://" + m_Hosts[Request.m_Host].m_CallerAddress + Path,
@@ -421,14 +489,32 @@
   constexpr auto AllShare = 0.15;
   auto All = m_Random.unit() < AllShare;
   auto Chosen = randomHost();
-  for (auto Index = std::size_t{0}; Index < m_Hosts.size(); ++Index) {
-    if (!All && Index != Chosen)
-      continue;
-    recordEvent(fmt::format("host {} is killed", Index));
-    m_Hosts[Index].m_Killed = true;
-    m_Hosts[Index].m_Process->signal(SIGKILL);
-    m_Promises.recordHostFault(Index, m_Loop.now());
-  }
+  for (auto Index = std::size_t{0}; Index < m_Hosts.size(); ++Index)
+    if (All || Index == Chosen)
+      kill(Index);
+}
+
+auto SoakRun::kill(std::size_t Index) -> void {
+  recordEvent(fmt::format("host {} is killed", Index));
+  m_Hosts[Index].m_Killed = true;
+  m_Hosts[Index].m_Process->signal(SIGKILL);
+  m_Promises.recordHostFault(Index, m_Loop.now());
+}
+
+auto SoakRun::killAllHostsRepeatedly() -> void {
+  if (!std::exchange(m_KillingAll, true))
+    killAllHosts(1 + static_cast<int>(m_ServerRandom.below(MaxKillsInSeries)));
+}
+
+auto SoakRun::killAllHosts(int Remaining) -> void {
+  m_KillingAll = Remaining > 0 && m_InjectingFaults;
+  if (!m_KillingAll)
+    return;
+  for (auto Index = std::size_t{0}; Index < m_Hosts.size(); ++Index)
+    kill(Index);
+  m_Loop.schedule(
+      drawDuration(m_ServerRandom, MinKillInterval, MaxKillInterval),
+      [this, Remaining] { killAllHosts(Remaining - 1); });
 }
 
 auto SoakRun::stopHost() -> void {
@@ -500,8 +586,10 @@
     return;
   addServer();
   auto Index = Ready[m_Random.below(Ready.size())];
-  constexpr auto WithoutNoticeShare = 0.3;
-  auto WithoutNotice = m_Random.unit() < WithoutNoticeShare;
+  withdrawServer(Index, m_Random.unit() < WithoutNoticeShare);
+}
+
+auto SoakRun::withdrawServer(std::size_t Index, bool WithoutNotice) -> void {
   recordEvent(fmt::format("server {} leaves{}", Index,
                           WithoutNotice ? " without notice" : ""));
   writeServer(Index, WithoutNotice ? "gone" : "draining");
@@ -525,8 +613,11 @@
   auto &Target = m_Servers[Index];
   auto OldId =
       std::exchange(Target.m_Id, fmt::format("i-{}-{}", Index, ++m_Restarts));
-  recordEvent(fmt::format("server {} restarts as {}", OldId, Target.m_Id));
+  Target.m_Version = fmt::format("v{}", m_Version);
+  recordEvent(fmt::format("server {} restarts as {} with {}", OldId,
+                          Target.m_Id, Target.m_Version));
   Target.m_Process->m_Id = Target.m_Id;
+  Target.m_Process->m_Version = Target.m_Version;
   Target.m_Link->resetConnections();
   m_Promises.recordGlobalFault(m_Loop.now());
   writeServer(Index, "ready");
@@ -535,6 +626,27 @@
       [this, OldId] { m_Store.remove("servers/" + OldId); });
 }
 
+auto SoakRun::startRelease() -> void {
+  if (std::exchange(m_Releasing, true))
+    return;
+  recordEvent(fmt::format("release of v{}", ++m_Version));
+  continueRelease();
+}
+
+auto SoakRun::continueRelease() -> void {
+  auto Ready = readyServers();
+  auto Old = std::find_if(Ready.begin(), Ready.end(), [this](auto Index) {
+    return m_Servers[Index].m_Version != fmt::format("v{}", m_Version);
+  });
+  m_Releasing = Old != Ready.end() && m_Sending;
+  if (!m_Releasing)
+    return;
+  addServer();
+  withdrawServer(*Old, m_ServerRandom.unit() < WithoutNoticeShare);
+  m_Loop.schedule(drawDuration(m_ServerRandom, MinReleaseStep, MaxReleaseStep),
+                  [this] { continueRelease(); });
+}
+
 auto SoakRun::refuseRequests() -> void {
   constexpr auto MaxRefusals = 20;
   auto Index = m_ServerRandom.below(m_Servers.size());
@@ -548,9 +660,10 @@
       [this] {
         if (!m_InjectingFaults)
           return;
-        const auto Steps =
-            std::array{&SoakRun::restartServer, &SoakRun::restartServer,
-                       &SoakRun::restartServer, &SoakRun::refuseRequests};
+        const auto Steps = std::array{
+            &SoakRun::restartServer, &SoakRun::restartServer,
+            &SoakRun::restartServer, &SoakRun::refuseRequests,
+            &SoakRun::startRelease,  &SoakRun::killAllHostsRepeatedly};
         (this->*Steps[m_ServerRandom.below(Steps.size())])();
         changeServersRepeatedly();
       });
@@ -652,9 +765,11 @@
                          [this] { sendRequest(); });
   m_Sending = true;
   for (auto Caller = std::size_t{0};
-       Caller < m_Hosts.size() * StreamCallersPerHost; ++Caller) {
+       Caller <
+       m_Hosts.size() * (StreamCallersPerHost + ResumingCallersPerHost);
+       ++Caller) {
     m_StreamClients.push_back(makePooledHttpClient(m_Loop, {}));
-    sendStream(Caller, Caller % m_Hosts.size());
+    sendStream(Caller, Caller % m_Hosts.size(), {});
   }
   for (auto Round = std::size_t{0}; Round < m_Options.m_Rounds; ++Round) {
     injectFaults(m_Options.m_FaultTime);
@@ -686,7 +801,8 @@
   auto Copies = 0;
   for (const auto &Current : m_Servers)
     Copies += Current.m_Link->copiedRefusals();
-  Text += fmt::format(" copied-refusals={}", Copies);
+  Text += fmt::format(" copied-refusals={} resumed={}/{}", Copies, m_Resumed,
+                      m_Resumptions);
   return Text;
 }
 
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -70,6 +70,7 @@
     std::string m_Id;
     std::unique_ptr<test::FakeServer> m_Process;
     std::unique_ptr<FaultProxy> m_Link;
+    std::string m_Version;
     std::string m_State;
   };
 
@@ -98,13 +99,34 @@
     std::size_t m_Host = 0;
     std::string m_Route;
     std::string m_Key;
-    int m_Events = 0; ///< Of a stream; 0: not a stream.
+    std::string m_Id;      ///< Empty: drawn when it is sent.
+    int m_Events = 0;      ///< Of a stream; 0: not a stream.
+    int m_Received = 0;    ///< Events of the stream that the caller has.
+    std::string m_Resumes; ///< Request that brought the first of them.
   };
 
+  /// A caller's stream over its resumptions.
+  struct StreamProgress {
+    int m_Events = 0; ///< Of the complete stream; 0: not begun.
+    int m_Received = 0;
+    std::string m_FirstRequest; ///< Brought the first event.
+    int m_Resumptions = 0;
+  };
+
+  auto newRequestId() -> std::string;
   auto sendRequest() -> void;
   /// Sends a stream as one of the callers that send the next one on the same
-  /// connection at once, until it is closed.
-  auto sendStream(std::size_t Caller, std::size_t Host) -> void;
+  /// connection at once, until it is closed. Some callers resume a stream that
+  /// breaks off.
+  auto sendStream(std::size_t Caller, std::size_t Host, StreamProgress Progress)
+      -> void;
+  /// Goes on with a caller's stream, or with a new one, at a random host.
+  auto reconnect(std::size_t Caller, const StreamProgress &Progress) -> void;
+  /// Returns whether a caller sends streams that may be resumed.
+  [[nodiscard]] auto resumesStreams(std::size_t Caller) const -> bool;
+  auto streamEnded(std::size_t Caller, const Work &Request,
+                   StreamProgress Progress, const HttpCallResult &Result)
+      -> void;
   auto send(HttpClient &Client, const Work &Request,
             std::function<void(const HttpCallResult &)> OnDone) -> void;
   auto injectFaults(Duration Span) -> void;
@@ -137,6 +159,15 @@
   /// some time.
   auto restartServer() -> void;
   auto refuseRequests() -> void;
+  /// Replaces the servers one by one by servers of a new version.
+  auto startRelease() -> void;
+  auto continueRelease() -> void;
+  /// Kills all hosts a few times.
+  auto killAllHostsRepeatedly() -> void;
+  auto killAllHosts(int Remaining) -> void;
+  auto kill(std::size_t Index) -> void;
+  /// Announces that a server leaves, or removes its entry at once.
+  auto withdrawServer(std::size_t Index, bool WithoutNotice) -> void;
   /// Returns the indices of the servers whose state is "ready".
   [[nodiscard]] auto readyServers() const -> std::vector<std::size_t>;
 
@@ -167,6 +198,11 @@
   int m_Sequence = 0;
   int m_LastKeyNumber = 0;
   int m_Restarts = 0;
+  int m_Version = 1; ///< Of the software of new servers.
+  bool m_Releasing = false;
+  bool m_KillingAll = false;
+  int m_Resumptions = 0; ///< Requests that took up a stream.
+  int m_Resumed = 0;     ///< Those that brought an event.
   int m_LastRequestNumber = 0;
   std::size_t m_RequestsInFlight = 0;
   std::size_t m_SavedLogs = 0;
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -245,16 +245,17 @@
 
 namespace {
 
-auto fakeEvent(int Number) -> std::string {
-  return fmt::format("id: {0}\ndata: event {0}\n\n", Number);
+auto fakeEvent(int Number, const std::string &Version) -> std::string {
+  return fmt::format("id: {0}\n{1}data: event {0}\n\n", Number,
+                     Version.empty() ? "" : EventVersionField + Version + "\n");
 }
 
 } // namespace
 
-auto fakeEvents(int Count) -> std::string {
+auto fakeEvents(int Count, int First) -> std::string {
   auto Text = std::string();
-  for (auto Number = 1; Number <= Count; ++Number)
-    Text += fakeEvent(Number);
+  for (auto Number = First; Number <= Count; ++Number)
+    Text += fakeEvent(Number, "");
   return Text;
 }
 
@@ -290,11 +291,12 @@
       Exchange->abort();
       return;
     }
-    if (auto Events =
-            findHeader(Exchange->request().m_Headers, EventCountHeader)) {
+    const auto &RequestHeaders = Exchange->request().m_Headers;
+    if (auto Events = findHeader(RequestHeaders, EventCountHeader)) {
       ResponseHeaders.push_back({"Content-Type", "text/event-stream"});
       Exchange->startStream(200, ResponseHeaders);
-      sendEvents(Exchange, 1, std::stoi(*Events));
+      auto LastId = findHeader(RequestHeaders, "Last-Event-Id").value_or("0");
+      sendEvents(Exchange, std::stoi(LastId) + 1, std::stoi(*Events));
       return;
     }
     Exchange->respond({.m_Status = 200,
@@ -311,7 +313,7 @@
     return;
   }
   m_Loop.schedule(EventInterval, [this, Exchange, Number, Count] {
-    Exchange->write(fakeEvent(Number));
+    Exchange->write(fakeEvent(Number, m_Version));
     sendEvents(Exchange, Number + 1, Count);
   });
 }
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -95,11 +95,16 @@
 inline constexpr auto EventCountHeader = "X-Fake-Events";
 inline constexpr auto EventInterval = Milliseconds(100);
 
-/// Returns the events of a FakeServer's stream.
-auto fakeEvents(int Count) -> std::string;
+/// Returns the events \p First to \p Count of a FakeServer's stream.
+auto fakeEvents(int Count, int First = 1) -> std::string;
+
+/// Field of an event with the version of the FakeServer that sent it, if the
+/// server has one.
+inline constexpr auto EventVersionField = "version: ";
 
 /// A backend server of a plain service that counts the requests it executes. A
-/// request with an EventCountHeader gets a stream.
+/// request with an EventCountHeader gets a stream, which begins after the event
+/// that the request names in Last-Event-Id.
 class FakeServer final : public HttpHandler {
 public:
   FakeServer(EventLoop &Loop, std::string Id);
@@ -116,6 +121,7 @@
   /// Responds with 421 to requests for another id. A change takes the place of
   /// a restart.
   std::string m_Id;
+  std::string m_Version; ///< Of its software; empty: not in its events.
   /// Called with the headers of each request, and whether the request is
   /// executed.
   std::function<void(const HttpHeaders &, bool)> m_OnArrival;
