The origins of streams outlive the core that asks for them

Found on reading the diff: requests cancel their lookups when they end, and the core was destroyed after the exchange, so that a process that ends on a failure, with a lookup in flight, used it after its end. The registry and the exchange are declared before the core now. No test: no callers saw it, and the order of destruction has none of its own.

--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -122,11 +122,11 @@
   StepFilteredClock m_Time;
   Distance m_Distance;
   ServingMetrics m_Metrics;
-  ServingCore m_Core;
   HostRegistry m_Hosts;
+  StreamOriginExchange m_Origins; ///< Used by requests until m_Core ends.
+  ServingCore m_Core;
   LoadExchange m_Exchange;
   StoreRelay m_Relay;
-  StreamOriginExchange m_Origins;
   RecoveryPeriod m_ConfigurationRecovery;
   KeyspaceMirror m_ConfigurationMirror;
   KeyspaceMirror m_BackendMirror;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -114,6 +114,12 @@
     : m_Loop(Loop), m_Dependencies(Dependencies), m_Options(Options),
       m_Random(systemSeed()), m_Log(Loop, {}), m_Time(Loop, {}),
       m_Distance(Options.m_Settings.m_Location, Options.m_Settings.m_Regions),
+      m_Hosts(Loop, Dependencies.m_Store, Dependencies.m_Watch, m_Random,
+              {.m_Host = Options.m_Settings.m_Location.m_Host,
+               .m_DataCentre = Options.m_Settings.m_Location.m_DataCentre,
+               .m_Address = Dependencies.m_Datagrams.address()},
+              {}),
+      m_Origins(Loop, Dependencies.m_Datagrams, m_Hosts, {}),
       m_Core(
           Loop, m_Random, Dependencies.m_Transport, m_Distance, m_Metrics,
           [this](const OrganisationId &Organisation) {
@@ -121,11 +127,6 @@
                            [] {});
           },
           coreOptions(Options.m_Settings, Options.m_Offload)),
-      m_Hosts(Loop, Dependencies.m_Store, Dependencies.m_Watch, m_Random,
-              {.m_Host = Options.m_Settings.m_Location.m_Host,
-               .m_DataCentre = Options.m_Settings.m_Location.m_DataCentre,
-               .m_Address = Dependencies.m_Datagrams.address()},
-              {}),
       m_Exchange(
           Loop, Dependencies.m_Datagrams, m_Hosts,
           [this] { return m_Core.collectLoads(); },
@@ -137,7 +138,6 @@
               {.m_FallbackTimeout =
                    scaled(confirmationBound(Options.m_Settings.m_Bounds),
                           RelayFallbackShare)}),
-      m_Origins(Loop, Dependencies.m_Datagrams, m_Hosts, {}),
       m_ConfigurationRecovery(Loop, Dependencies.m_Store.history(),
                               RecoveryTime),
       m_ConfigurationMirror(
