--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -245,38 +245,38 @@
 
 namespace {
 
-auto fakeEvent(int Number) -> std::string {
-  return fmt::format("id: {0}\ndata: event {0}\n\n", Number);
+auto fakeEvent(int Number, const std::string &Version) -> std::string {
+  return fmt::format("id: {0}\n{1}data: event {0}\n\n", Number,
+                     Version.empty() ? "" : EventVersionField + Version + "\n");
 }
 
 } // namespace
 
-auto fakeEvents(int Count) -> std::string {
+auto fakeEvents(int Count, int First) -> std::string {
   auto Text = std::string();
-  for (auto Number = 1; Number <= Count; ++Number)
-    Text += fakeEvent(Number);
+  for (auto Number = First; Number <= Count; ++Number)
+    Text += fakeEvent(Number, "");
   return Text;
 }
 
 FakeServer::FakeServer(EventLoop &Loop, std::string Id)
-    : m_Loop(Loop), m_Id(std::move(Id)),
+    : m_Id(std::move(Id)), m_Loop(Loop),
       m_Server(Loop, *this, loopbackOptions()) {}
 
 auto FakeServer::handle(HttpExchangePtr Exchange) -> void {
   const auto &Headers = Exchange->request().m_Headers;
   auto Request = findHeader(Headers, "X-Request-Id").value_or("");
+  auto RefusalHeaders =
+      HttpHeaders{{"X-Request-Id", Request}, {"X-Not-Executed", "1"}};
   if (findHeader(Headers, "X-Expect-Instance").value_or(m_Id) != m_Id) {
-    Exchange->respond(
-        {.m_Status = 421, .m_Headers = {{"X-Request-Id", Request}}});
+    Exchange->respond({.m_Status = 421, .m_Headers = RefusalHeaders});
     return;
   }
   if (m_OnArrival)
     m_OnArrival(Headers, m_RequestsToRefuse == 0);
   if (m_RequestsToRefuse > 0) {
     --m_RequestsToRefuse;
-    Exchange->respond(
-        {.m_Status = 503,
-         .m_Headers = {{"X-Request-Id", Request}, {"X-Not-Executed", "1"}}});
+    Exchange->respond({.m_Status = 503, .m_Headers = RefusalHeaders});
     return;
   }
   ++m_Executions[Request];
@@ -291,13 +291,12 @@
       Exchange->abort();
       return;
     }
-    if (auto Events =
-            findHeader(Exchange->request().m_Headers, EventCountHeader)) {
+    const auto &RequestHeaders = Exchange->request().m_Headers;
+    if (auto Events = findHeader(RequestHeaders, EventCountHeader)) {
       ResponseHeaders.push_back({"Content-Type", "text/event-stream"});
       Exchange->startStream(200, ResponseHeaders);
-      auto Last = findHeader(Exchange->request().m_Headers, "Last-Event-Id");
-      sendEvents(Exchange, std::stoi(Last.value_or("0")) + 1,
-                 std::stoi(*Events));
+      auto LastId = findHeader(RequestHeaders, "Last-Event-Id").value_or("0");
+      sendEvents(Exchange, std::stoi(LastId) + 1, std::stoi(*Events));
       return;
     }
     Exchange->respond({.m_Status = 200,
@@ -318,7 +317,7 @@
     return;
   }
   m_Loop.schedule(EventInterval, [this, Exchange, Number, Count] {
-    Exchange->write(fakeEvent(Number));
+    Exchange->write(fakeEvent(Number, m_Version));
     sendEvents(Exchange, Number + 1, Count);
   });
 }
