--- a/review/standins-2/Sim.h
+++ b/review/standins-2/Sim.h
@@ -325,6 +325,10 @@
     auto Lock = std::lock_guard(m_Mutex);
     apply({{{"key", Key}, {"value", base64(Value.dump())}}}, {});
   }
+  auto remove(const std::string &Key) -> void {
+    auto Lock = std::lock_guard(m_Mutex);
+    apply(Json::array(), {Key});
+  }
   [[nodiscard]] auto address() const -> std::string {
     return m_Server.address();
   }
@@ -551,12 +555,15 @@
 
   /// A model runner has a \p Stage; another one has none.
   Runner(Store &Store, std::string Id, std::string Service, Work Run,
-         std::string Stage = {})
+         std::string Stage = {}, std::string Zone = "zone-a")
       : m_Store(Store), m_Id(std::move(Id)), m_Service(std::move(Service)),
-        m_Stage(std::move(Stage)), m_Run(std::move(Run)),
+        m_Zone(std::move(Zone)), m_Stage(std::move(Stage)),
+        m_Run(std::move(Run)),
         m_Server([this](const Request &Call,
                         Stream &Peer) -> std::optional<Response> {
-          // Orders for the stage that it has, and handles to be freed.
+          if (Call.m_Target == "/dotterelpoint/order")
+            return takeOrder(Call);
+          // Handles to be freed.
           if (Call.m_Target.rfind("/dotterelpoint/", 0) == 0)
             return Response{.m_Body = "{}"};
           if (auto Expected = Call.header("x-expect-instance");
@@ -564,6 +571,13 @@
             return Response{
                 .m_Status = 421,
                 .m_Headers = {{"X-Request-Id", Call.header("x-request-id")}}};
+          if (m_Switching)
+            return notExecuted(Call, 503);
+          // The wrong stage.
+          if (auto Stage = stage();
+              !Stage.empty() &&
+              (Call.header("x-stage") == "prefill") != (Stage == "prefill"))
+            return notExecuted(Call, 421);
           if (Call.header("x-stage") == "prefill") {
             auto Headers = ownHeaders(Call);
             Headers.emplace_back("Content-Type", "application/json");
@@ -579,21 +593,22 @@
   }
   auto start() -> void {
     m_Server.start();
-    auto Born = std::chrono::duration_cast<std::chrono::milliseconds>(
+    m_Born = std::chrono::duration_cast<std::chrono::milliseconds>(
                     std::chrono::system_clock::now().time_since_epoch())
-                    .count();
-    auto Entry = Json{{"service", m_Service},
-                      {"address", m_Server.address()},
-                      {"zone", "zone-a"},
-                      {"version", "1"},
-                      {"slots", m_Stage.empty() ? 6 : 64},
-                      {"state", "ready"},
-                      {"cold_remaining_ms", 0},
-                      {"sequence", 0},
-                      {"born", Born}};
-    if (!m_Stage.empty())
-      Entry["stage"] = m_Stage;
-    m_Store.put("servers/" + m_Id, Entry);
+                 .count();
+    writeEntry();
+  }
+  /// Ends for good. Its entry is removed after three heartbeats of 1.2 s.
+  auto end() -> void {
+    m_Server.stop();
+    std::thread([this] {
+      pause(3.6);
+      m_Store.remove("servers/" + m_Id);
+    }).detach();
+  }
+  [[nodiscard]] auto stage() -> std::string {
+    auto Lock = std::lock_guard(m_Mutex);
+    return m_Stage;
   }
   /// Crashes, and starts again after \p Time.
   auto crash(double Time) -> void {
@@ -612,10 +627,60 @@
   }
 
 private:
+  /// Time of a change of the stage: `role_switch_s` of the configuration.
+  static constexpr auto SwitchTime = 3.0;
+
+  static auto notExecuted(const Request &Call, int Status) -> Response {
+    return {.m_Status = Status,
+            .m_Headers = {{"X-Request-Id", Call.header("x-request-id")},
+                          {"X-Not-Executed", "1"}}};
+  }
+  auto writeEntry() -> void {
+    auto Stage = stage();
+    auto Entry = Json{{"service", m_Service},
+                      {"address", m_Server.address()},
+                      {"zone", m_Zone},
+                      {"version", "1"},
+                      {"slots", Stage.empty() ? 6 : 64},
+                      {"state", "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"sequence", m_Sequence.load()},
+                      {"born", m_Born}};
+    if (!Stage.empty())
+      Entry["stage"] = Stage;
+    m_Store.put("servers/" + m_Id, Entry);
+  }
+  auto takeOrder(const Request &Call) -> Response {
+    auto Wanted = Json::parse(Call.m_Body).at("stage").get<std::string>();
+    if (m_Switching)
+      return {.m_Status = 409, .m_Body = "{}"};
+    if (Wanted == stage())
+      return {.m_Status = 200, .m_Body = "{}"};
+    Record::line("runner " + m_Id + " in " + m_Zone + " is ordered to " +
+                 Wanted);
+    ++m_Sequence;
+    m_Switching = true;
+    std::thread([this, Wanted] {
+      pause(SwitchTime);
+      {
+        auto Lock = std::lock_guard(m_Mutex);
+        m_Stage = Wanted;
+      }
+      m_Switching = false;
+      writeEntry();
+    }).detach();
+    return {.m_Status = 202, .m_Body = "{}"};
+  }
+
   Store &m_Store;
   std::string m_Id;
   std::string m_Service;
+  std::string m_Zone;
+  std::mutex m_Mutex;
   std::string m_Stage;
+  std::atomic<bool> m_Switching = false;
+  std::atomic<int> m_Sequence = 0;
+  std::int64_t m_Born = 0;
   Work m_Run;
   Server m_Server;
 };
@@ -625,16 +690,19 @@
 class Host {
 public:
   Host(std::string Program, const std::string &Folder, int Number,
-       const Store &Store, const Cloud &Cloud)
+       const Store &Store, const Cloud &Cloud,
+       const std::string &Zone = "zone-a")
       : m_Program(std::move(Program)),
         m_Path(Folder + "/host-" + std::to_string(Number)),
         m_CallerPort(freePort()), m_ReadyPort(freePort()),
         m_MetricsPort(freePort()) {
     auto Peers = freePort(SOCK_DGRAM);
     std::ofstream(m_Path + ".conf")
-        << "node_name=front-zone-a-" << Number
+        << "node_name=front-" << Zone << "-" << Number
         << "\nrole=host\nmachine_class=front\nserves=front\nip=127.0.0.1\n"
-           "zone=zone-a\nregion=region-a\nzones.zone-a=region-a\n"
+        << "zone=" << Zone << "\nregion=region-" << Zone.back()
+        << "\nzones.zone-a=region-a\nzones.zone-b=region-b\n"
+           "zones.zone-c=region-c\n"
         << "listen.front=127.0.0.1:" << m_CallerPort
         << "\nlisten.ready=127.0.0.1:" << m_ReadyPort
         << "\ninternal_ports=" << m_MetricsPort << "," << Peers
@@ -795,7 +863,8 @@
 
 /// Returns a configuration with a service of plain servers, one of model
 /// runners, and one tenant. The figures are those of the platform's pages.
-inline auto configuration() -> Json {
+/// Without \p Models no route leads to the model runners.
+inline auto configuration(int Version = 7, bool Models = true) -> Json {
   auto Route = [](const char *Name, const char *Path, const char *Kind,
                   int Attempts) {
     return Json{{"name", Name},
@@ -817,10 +886,12 @@
   Rationale["target_gap_ms"] = 300;
   Rationale["session_affinity"] = true;
   Rationale["priority"] = 1;
-  return {{"version", 7},
-          {"routes",
-           {Route("filing", "/filing/", "unsafe", 1),
-            Route("status", "/status/", "safe", 2), Rationale}},
+  auto Routes = Json{Route("filing", "/filing/", "unsafe", 1),
+                     Route("status", "/status/", "safe", 2)};
+  if (Models)
+    Routes.push_back(Rationale);
+  return {{"version", Version},
+          {"routes", Routes},
           {"services",
            {{{"name", "desk"},
              {"health_path", "/health"},
