--- a/review/standins-2/Sim.h
+++ b/review/standins-2/Sim.h
@@ -533,16 +533,34 @@
 class Cloud {
 public:
   Cloud()
-      : m_Server([](const Request &, Stream &) -> std::optional<Response> {
+      : m_Server([this](const Request &Call,
+                        Stream &) -> std::optional<Response> {
+          if (Call.m_Target == "/usage") {
+            auto Report = Json::parse(Call.m_Body);
+            auto Lock = std::lock_guard(m_Mutex);
+            m_Usage[Report.at("window_id").get<std::uint64_t>()] =
+                Report.at("counts");
+          }
           return Response{.m_Body = "{}"};
         }) {
     m_Server.start();
   }
+  /// Returns the requests that were reported for all windows and tenants.
+  auto reported() -> int {
+    auto Lock = std::lock_guard(m_Mutex);
+    auto Sum = 0;
+    for (const auto &[Window, Counts] : m_Usage)
+      for (const auto &[Tenant, Requests] : Counts.items())
+        Sum += Requests.get<int>();
+    return Sum;
+  }
   [[nodiscard]] auto address() const -> std::string {
     return m_Server.address();
   }
 
 private:
+  std::mutex m_Mutex;
+  std::map<std::uint64_t, Json> m_Usage;
   Server m_Server;
 };
 
@@ -745,6 +763,16 @@
     ::waitpid(m_Pid, nullptr, 0);
     m_Pid = -1;
   }
+  [[nodiscard]] auto running() -> bool {
+    return ::waitpid(m_Pid, nullptr, WNOHANG) == 0;
+  }
+  /// Waits for the end of the process. \returns its status, as of waitpid().
+  auto wait() -> int {
+    auto Status = 0;
+    ::waitpid(m_Pid, &Status, 0);
+    m_Pid = -1;
+    return Status;
+  }
   /// Returns whether the host reports that it is ready within \p Time.
   auto waitReady(double Time) -> bool;
   [[nodiscard]] auto callerPort() const -> int { return m_CallerPort; }
