--- a/review/10/Case.cpp
+++ b/review/10/Case.cpp
@@ -31,9 +31,7 @@
   auto Trouble = std::string(Arguments[3]) != "0";
   Record::open(Arguments[2] + std::string("/record.txt"));
   startTime();
-  char Folder[] = "/tmp/review-10-XXXXXX";
-  if (::mkdtemp(Folder) == nullptr)
-    return 2;
+  auto Folder = TemporaryFolder();
   Record::line(Trouble ? "TROUBLE=1: versions move the route to another service"
                        : "TROUBLE=0: versions leave the route where it is");
 
@@ -80,7 +78,7 @@
 
   auto Hosts = std::vector<std::unique_ptr<Host>>();
   for (auto Number = 1; Number <= HostCount; ++Number)
-    Hosts.push_back(std::make_unique<Host>(Arguments[1], Folder, Number,
+    Hosts.push_back(std::make_unique<Host>(Arguments[1], Folder.path(), Number,
                                            *Platform, Api));
   auto End = [&](int Status) {
     for (auto &Each : Hosts)
@@ -88,7 +86,7 @@
     Record::line(Status == 1   ? "BUDGET is broken"
                  : Status == 0 ? "BUDGET holds"
                                : "the case could not run");
-    std::fflush(stdout);
+    Folder.remove();
     std::_Exit(Status);
   };
   for (auto &Each : Hosts)
@@ -110,8 +108,8 @@
       return -1;
     auto Got = Connection.receive();
     Record::line("request " + Id + " sent to host " +
-                   std::to_string(Number + 1) + ", answered " +
-                   std::to_string(Got.m_Status));
+                 std::to_string(Number + 1) + ", answered " +
+                 std::to_string(Got.m_Status));
     return Got.m_Status;
   };
 
--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -42,9 +42,7 @@
   auto Trouble = std::string(Arguments[3]) != "0";
   Record::open(Arguments[2] + std::string("/record.txt"));
   startTime();
-  char Folder[] = "/tmp/review-6-XXXXXX";
-  if (::mkdtemp(Folder) == nullptr)
-    return 2;
+  auto Folder = TemporaryFolder();
   Record::line(Trouble ? "TROUBLE=1: callers read nothing for 3.5 s"
                        : "TROUBLE=0: callers read at once");
 
@@ -86,8 +84,8 @@
 
   auto Status = 2;
   {
-    auto First = Host(Arguments[1], Folder, 1, *Platform, Api);
-    auto Second = Host(Arguments[1], Folder, 2, *Platform, Api);
+    auto First = Host(Arguments[1], Folder.path(), 1, *Platform, Api);
+    auto Second = Host(Arguments[1], Folder.path(), 2, *Platform, Api);
     First.start();
     Second.start();
     if (!First.waitReady(15) || !Second.waitReady(15)) {
@@ -152,6 +150,6 @@
   Record::line(Status == 1   ? "LOST is broken"
                : Status == 0 ? "LOST holds"
                              : "the case could not run");
-  std::fflush(stdout);
+  Folder.remove();
   std::_Exit(Status);
 }
--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -41,9 +41,7 @@
   auto Trouble = std::string(Arguments[3]) != "0";
   Record::open(Arguments[2] + std::string("/record.txt"));
   startTime();
-  char Folder[] = "/tmp/review-8-XXXXXX";
-  if (::mkdtemp(Folder) == nullptr)
-    return 2;
+  auto Folder = TemporaryFolder();
   Record::line(Trouble ? "TROUBLE=1: one model runner of four is lost for good"
                        : "TROUBLE=0: no runner is lost");
 
@@ -79,8 +77,8 @@
   const auto Zones = std::vector<std::string>{"zone-a", "zone-b", "zone-c"};
   auto Runners = std::vector<std::unique_ptr<Runner>>();
   for (const auto &Zone : Zones)
-    Runners.push_back(std::make_unique<Runner>(
-        *Platform, "desk-" + Zone, "desk", Plain, "", Zone));
+    Runners.push_back(std::make_unique<Runner>(*Platform, "desk-" + Zone,
+                                               "desk", Plain, "", Zone));
   auto Models = std::vector<std::unique_ptr<Runner>>();
   for (const auto *Zone : {"zone-a", "zone-a", "zone-b", "zone-c"})
     Models.push_back(std::make_unique<Runner>(
@@ -89,16 +87,16 @@
 
   auto Hosts = std::vector<std::unique_ptr<Host>>();
   for (const auto &Zone : Zones)
-    Hosts.push_back(std::make_unique<Host>(
-        Arguments[1], Folder, static_cast<int>(Hosts.size()) + 1, *Platform,
-        Api, Zone));
+    Hosts.push_back(std::make_unique<Host>(Arguments[1], Folder.path(),
+                                           static_cast<int>(Hosts.size()) + 1,
+                                           *Platform, Api, Zone));
   auto End = [&](int Status) {
     for (auto &Each : Hosts)
       Each->kill();
     Record::line(Status == 1   ? "CONFIG is broken"
                  : Status == 0 ? "CONFIG holds"
                                : "the case could not run");
-    std::fflush(stdout);
+    Folder.remove();
     std::_Exit(Status);
   };
   for (auto &Each : Hosts)
@@ -145,8 +143,8 @@
     if (WithAdded)
       Record::line(std::string(Name) + ": added route: " + Added.text());
     for (auto &Each : Models)
-      Record::line(std::string(Name) + ": runner " + Each->id() + " is in stage " +
-                   Each->stage());
+      Record::line(std::string(Name) + ": runner " + Each->id() +
+                   " is in stage " + Each->stage());
     return std::pair(First, Added);
   };
 
@@ -154,7 +152,8 @@
   Platform->put("op/config", configuration(12, true));
   Record::line("version 12 adds the route to the model runners");
   pause(5);
-  auto [FirstBefore, AddedBefore] = Measure("after the route is added", 12, true);
+  auto [FirstBefore, AddedBefore] =
+      Measure("after the route is added", 12, true);
   if (AddedBefore.share() < 0.9) {
     Record::line("the added route is not served before the loss");
     End(2);
--- a/review/9/Case.cpp
+++ b/review/9/Case.cpp
@@ -28,9 +28,7 @@
   auto Trouble = std::string(Arguments[3]) != "0";
   Record::open(Arguments[2] + std::string("/record.txt"));
   startTime();
-  char Folder[] = "/tmp/review-9-XXXXXX";
-  if (::mkdtemp(Folder) == nullptr)
-    return 2;
+  auto Folder = TemporaryFolder();
   Record::line(Trouble ? "TROUBLE=1: all hosts are killed at once, twice"
                        : "TROUBLE=0: no host is killed");
 
@@ -75,7 +73,7 @@
 
   auto Hosts = std::vector<std::unique_ptr<Host>>();
   for (auto Number = 1; Number <= HostCount; ++Number)
-    Hosts.push_back(std::make_unique<Host>(Arguments[1], Folder, Number,
+    Hosts.push_back(std::make_unique<Host>(Arguments[1], Folder.path(), Number,
                                            *Platform, Api));
   auto End = [&](int Status) {
     for (auto &Each : Hosts)
@@ -83,7 +81,7 @@
     Record::line(Status == 1   ? "BUDGET is broken"
                  : Status == 0 ? "BUDGET holds"
                                : "the case could not run");
-    std::fflush(stdout);
+    Folder.remove();
     std::_Exit(Status);
   };
   auto StartAll = [&] {
@@ -161,8 +159,8 @@
                std::to_string(CountFrom) + " s it reached runners in " +
                std::to_string(Retries) + " retries, allowed are " +
                std::to_string(AllowedRetries));
-  Record::line("other filings broken off by the crashes: " +
-               std::to_string(Before) + " before, " +
-               std::to_string(Broken - Before) + " by these retries");
+  Record::line(
+      "other filings broken off by the crashes: " + std::to_string(Before) +
+      " before, " + std::to_string(Broken - Before) + " by these retries");
   End(Retries > AllowedRetries ? 1 : 0);
 }
--- a/review/standins-2/Sim.h
+++ b/review/standins-2/Sim.h
@@ -17,6 +17,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -28,6 +29,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -74,6 +76,26 @@
   }
 };
 
+/// A temporary folder. The case removes it before it ends.
+class TemporaryFolder {
+public:
+  TemporaryFolder() {
+    auto Template = std::filesystem::temp_directory_path() / "review-XXXXXX";
+    m_Path = Template.string();
+    if (::mkdtemp(m_Path.data()) == nullptr)
+      std::exit(2);
+  }
+  TemporaryFolder(const TemporaryFolder &) = delete;
+  auto operator=(const TemporaryFolder &) -> TemporaryFolder & = delete;
+  ~TemporaryFolder() { remove(); }
+
+  auto remove() -> void { std::filesystem::remove_all(m_Path); }
+  [[nodiscard]] auto path() const -> const std::string & { return m_Path; }
+
+private:
+  std::string m_Path;
+};
+
 inline auto randomId() -> std::string {
   static auto Mutex = std::mutex();
   static auto Engine = std::mt19937_64(std::random_device()());
@@ -111,8 +133,8 @@
   auto sendAll(const std::string &Text) -> bool {
     auto Sent = std::size_t{0};
     while (Sent < Text.size()) {
-      auto Count = ::send(m_Fd, Text.data() + Sent, Text.size() - Sent,
-                          MSG_NOSIGNAL);
+      auto Count =
+          ::send(m_Fd, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
       if (Count <= 0)
         return false;
       Sent += static_cast<std::size_t>(Count);
@@ -168,8 +190,8 @@
   while (Begin != std::string::npos) {
     Begin += 2;
     auto End = Head.find("\r\n", Begin);
-    auto Line = Head.substr(
-        Begin, End == std::string::npos ? std::string::npos : End - Begin);
+    auto Line = Head.substr(Begin, End == std::string::npos ? std::string::npos
+                                                            : End - Begin);
     Begin = End;
     auto Colon = Line.find(':');
     if (Colon == std::string::npos)
@@ -229,8 +251,9 @@
     ::getsockname(m_Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
     m_Port = ntohs(Address.sin_port);
     m_Running = true;
-    std::thread([this, Listener = m_Listener] { acceptAll(Listener); })
-        .detach();
+    std::thread([this, Listener = m_Listener] {
+      acceptAll(Listener);
+    }).detach();
   }
   /// Ends like a process that crashes: resets all connections, and closes the
   /// port.
@@ -278,8 +301,7 @@
       Message.m_Headers = parseHeaders(*Head, First);
       auto Space = First.find(' ');
       Message.m_Method = First.substr(0, Space);
-      Message.m_Target =
-          First.substr(Space + 1, First.rfind(' ') - Space - 1);
+      Message.m_Target = First.substr(Space + 1, First.rfind(' ') - Space - 1);
       if (auto Length = Message.header("content-length"); !Length.empty()) {
         auto Body = Peer.readExactly(std::stoul(Length));
         if (!Body)
@@ -315,9 +337,9 @@
 /// The platform's store: keys, leases, transactions, watches.
 class Store {
 public:
-  Store() : m_Server([this](const Request &Call, Stream &) {
-              return handle(Call);
-            }) {
+  Store()
+      : m_Server(
+            [this](const Request &Call, Stream &) { return handle(Call); }) {
     m_Server.start();
     std::thread([this] { expireLeases(); }).detach();
   }
@@ -351,10 +373,10 @@
     for (auto Index = std::size_t{0}; Index < Bytes.size(); Index += 3) {
       auto Group = 0U;
       for (auto Part = std::size_t{0}; Part < 3; ++Part)
-        Group = Group << 8U |
-                (Index + Part < Bytes.size()
-                     ? static_cast<unsigned char>(Bytes[Index + Part])
-                     : 0U);
+        Group =
+            Group << 8U | (Index + Part < Bytes.size()
+                               ? static_cast<unsigned char>(Bytes[Index + Part])
+                               : 0U);
       for (auto Part = std::size_t{0}; Part < 4; ++Part)
         Text += Index + Part > Bytes.size()
                     ? '='
@@ -460,14 +482,15 @@
       for (const auto &[Key, Item] : m_Items)
         if (begins(Key, Prefix) && Key > After)
           Items.push_back(Item);
-      return reply(
-          200, {{"items", Items}, {"has_more", false}, {"at", m_Revision}});
+      return reply(200,
+                   {{"items", Items}, {"has_more", false}, {"at", m_Revision}});
     }
     if (Name == "kv-watch") {
       auto Prefix = query(Call.m_Target, "path_prefix");
       auto After = std::stoull(query(Call.m_Target, "after"));
-      auto Until = Clock::now() + std::chrono::milliseconds(
-                                      std::stol(query(Call.m_Target, "wait_ms")));
+      auto Until =
+          Clock::now() +
+          std::chrono::milliseconds(std::stol(query(Call.m_Target, "wait_ms")));
       for (;;) {
         auto Events = Json::array();
         for (const auto &Item : m_History)
@@ -492,9 +515,8 @@
         if (auto Id = Put.value("lease", std::uint64_t{0});
             Id != 0 && !m_Leases.contains(Id))
           return reply(404, Json::object());
-      auto Revision =
-          apply(Body.at("puts"),
-                Body.at("remove").get<std::vector<std::string>>());
+      auto Revision = apply(Body.at("puts"),
+                            Body.at("remove").get<std::vector<std::string>>());
       return reply(200, {{"revision", Revision}});
     }
     if (Name == "kv-lease") {
@@ -533,16 +555,16 @@
 class Cloud {
 public:
   Cloud()
-      : m_Server([this](const Request &Call,
-                        Stream &) -> std::optional<Response> {
-          if (Call.m_Target == "/usage") {
-            auto Report = Json::parse(Call.m_Body);
-            auto Lock = std::lock_guard(m_Mutex);
-            m_Usage[Report.at("window_id").get<std::uint64_t>()] =
-                Report.at("counts");
-          }
-          return Response{.m_Body = "{}"};
-        }) {
+      : m_Server(
+            [this](const Request &Call, Stream &) -> std::optional<Response> {
+              if (Call.m_Target == "/usage") {
+                auto Report = Json::parse(Call.m_Body);
+                auto Lock = std::lock_guard(m_Mutex);
+                m_Usage[Report.at("window_id").get<std::uint64_t>()] =
+                    Report.at("counts");
+              }
+              return Response{.m_Body = "{}"};
+            }) {
     m_Server.start();
   }
   /// Returns the requests that were reported for all windows and tenants.
@@ -600,10 +622,11 @@
             auto Headers = ownHeaders(Call);
             Headers.emplace_back("Content-Type", "application/json");
             return Response{.m_Headers = Headers,
-                            .m_Body = Json{{"kv_handle", randomId()},
-                                           {"tokens", 1460},
-                                           {"version", 1}}
-                                          .dump()};
+                            .m_Body = Json{
+                                {"kv_handle", randomId()},
+                                {"tokens", 1460},
+                                {"version",
+                                 1}}.dump()};
           }
           return m_Run(*this, Call, Peer);
         }) {
@@ -612,7 +635,7 @@
   auto start() -> void {
     m_Server.start();
     m_Born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                    std::chrono::system_clock::now().time_since_epoch())
+                 std::chrono::system_clock::now().time_since_epoch())
                  .count();
     writeEntry();
   }
@@ -744,6 +767,8 @@
   auto start() -> void {
     m_Pid = ::fork();
     if (m_Pid == 0) {
+      // Ends with the case, also if that is ended itself.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       auto Log = ::open((m_Path + ".log").c_str(),
                         O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(Log, 1);
@@ -895,16 +920,11 @@
 inline auto configuration(int Version = 7, bool Models = true) -> Json {
   auto Route = [](const char *Name, const char *Path, const char *Kind,
                   int Attempts) {
-    return Json{{"name", Name},
-                {"host", "shop.example"},
-                {"path_prefix", Path},
-                {"kind", Kind},
-                {"service", "desk"},
-                {"max_attempts", Attempts},
-                {"timeout_ms", 3000},
-                {"target_latency_ms", 400},
-                {"priority", 2},
-                {"public", false},
+    return Json{{"name", Name},        {"host", "shop.example"},
+                {"path_prefix", Path}, {"kind", Kind},
+                {"service", "desk"},   {"max_attempts", Attempts},
+                {"timeout_ms", 3000},  {"target_latency_ms", 400},
+                {"priority", 2},       {"public", false},
                 {"resumable", false}};
   };
   auto Rationale = Route("rationale", "/rationale/", "streaming", 1);
