--- a/review/10/Case.cpp
+++ b/review/10/Case.cpp
@@ -9,6 +9,7 @@
 constexpr auto HostCount = 3;
 /// Of each service.
 constexpr auto RunnerCount = 3;
+constexpr auto OtherCallers = 4;
 /// Time after which a crashed runner is back.
 constexpr auto CrashTime = 2.0;
 constexpr auto WorkTime = 0.06;
@@ -38,6 +39,8 @@
   auto Mutex = std::mutex();
   /// Times at which the request reached a runner, and crashed it.
   auto Crashes = std::vector<double>();
+  auto Running = std::map<std::string, std::set<std::string>>();
+  auto Broken = 0;
   auto Platform = std::make_unique<Store>();
   auto Api = Cloud();
   const auto Services = std::vector<std::string>{"desk", "ledger", "archive"};
@@ -63,15 +66,27 @@
           *Platform, Service + "-" + std::to_string(Number), Service,
           [&](Runner &Self, const Request &Call,
               Stream &) -> std::optional<Response> {
+            auto Id = Call.header("x-request-id");
             if (Call.m_Body == CrashingBody) {
               auto Lock = std::lock_guard(Mutex);
               Crashes.push_back(seconds());
-              Record::line("request " + Call.header("x-request-id") +
-                           " reaches " + Self.id() + ", which crashes");
+              auto Beside = Running[Self.id()].size();
+              Broken += static_cast<int>(Beside);
+              Running[Self.id()].clear();
+              Record::line("request " + Id + " reaches " + Self.id() +
+                           ", which crashes; other filings it was running: " +
+                           std::to_string(Beside));
               Self.crash(CrashTime);
               return Response{.m_Drop = true};
             }
+            {
+              auto Lock = std::lock_guard(Mutex);
+              Running[Self.id()].insert(Id);
+            }
             pause(WorkTime);
+            auto Lock = std::lock_guard(Mutex);
+            if (Running[Self.id()].erase(Id) == 0)
+              return Response{.m_Drop = true};
             return Response{.m_Headers = Self.ownHeaders(Call),
                             .m_Body = "filed"};
           }));
@@ -113,6 +128,20 @@
     return Got.m_Status;
   };
 
+  // Other callers' filings, about as many as on the sheet.
+  auto Busy = std::atomic<bool>(true);
+  auto Others = std::vector<std::thread>();
+  for (auto Number = 0; Number < OtherCallers; ++Number)
+    Others.emplace_back([&, Number] {
+      while (Busy) {
+        auto Connection = Client(Hosts[Number % HostCount]->callerPort());
+        if (Connection.connected() &&
+            Connection.send("POST", "/filing/f", randomId(), "key-of-a",
+                            DeadlineMs, "other filing " + randomId()))
+          Connection.receive();
+        pause(0.02);
+      }
+    });
   for (auto Retry = 0; Retry < 5; ++Retry) {
     Ask(CrashingBody);
     pause(RetryInterval);
@@ -122,6 +151,7 @@
     End(2);
   }
   auto CountFrom = Crashes[2] + ContactTime;
+  auto Before = Broken;
   for (auto Round = std::size_t{1}; Round <= 2; ++Round) {
     Configure(7 + 5 * static_cast<int>(Round),
               Trouble ? Services[Round] : Services[0]);
@@ -131,6 +161,9 @@
       pause(RetryInterval);
     }
   }
+  Busy = false;
+  for (auto &Each : Others)
+    Each.join();
   auto Retries = 0;
   for (auto Time : Crashes)
     Retries += Time > CountFrom ? 1 : 0;
@@ -139,5 +172,8 @@
                std::to_string(CountFrom) + " s it reached runners in " +
                std::to_string(Retries) + " retries, allowed are " +
                std::to_string(AllowedRetries));
+  Record::line(
+      "other filings broken off by the crashes: " + std::to_string(Before) +
+      " before, " + std::to_string(Broken - Before) + " by these retries");
   End(Retries > AllowedRetries ? 1 : 0);
 }
--- a/review/9/Case.cpp
+++ b/review/9/Case.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto HostCount = 3;
 constexpr auto RunnerCount = 6;
+constexpr auto OtherCallers = 4;
 /// Time after which a crashed runner is back.
 constexpr auto CrashTime = 2.0;
 constexpr auto WorkTime = 0.06;
@@ -112,18 +113,20 @@
   };
 
   StartAll();
-  // Other callers' filings.
+  // Other callers' filings, about as many as on the sheet.
   auto Busy = std::atomic<bool>(true);
-  auto Others = std::thread([&] {
-    while (Busy) {
-      auto Connection = Client(Hosts[0]->callerPort());
-      if (Connection.connected() &&
-          Connection.send("POST", "/filing/f", randomId(), "key-of-a",
-                          DeadlineMs, "other filing " + randomId()))
-        Connection.receive();
-      pause(0.02);
-    }
-  });
+  auto Others = std::vector<std::thread>();
+  for (auto Number = 0; Number < OtherCallers; ++Number)
+    Others.emplace_back([&, Number] {
+      while (Busy) {
+        auto Connection = Client(Hosts[Number % HostCount]->callerPort());
+        if (Connection.connected() &&
+            Connection.send("POST", "/filing/f", randomId(), "key-of-a",
+                            DeadlineMs, "other filing " + randomId()))
+          Connection.receive();
+        pause(0.02);
+      }
+    });
   for (auto Retry = 0; Retry < 5; ++Retry) {
     Ask(CrashingBody);
     pause(RetryInterval);
@@ -150,7 +153,8 @@
     }
   }
   Busy = false;
-  Others.join();
+  for (auto &Each : Others)
+    Each.join();
   auto Retries = 0;
   for (auto Time : Crashes)
     Retries += Time > CountFrom ? 1 : 0;
