--- a/review/9/Case.cpp
+++ b/review/9/Case.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr auto HostCount = 3;
-constexpr auto RunnerCount = 6;
+constexpr auto RunnerCount = 3;
 constexpr auto OtherCallers = 4;
 /// Time after which a crashed runner is back.
 constexpr auto CrashTime = 2.0;
