A request that crashes its servers is known to every service

Cause: the digest of a request's content included the service, so that it was a new request to each service.

The host that was asked after the move back to the first service refused the request, so the evidence was there, under another digest. Tests before the change: 3 of 3 new cases failed (13 requests sent, 5 allowed; no refusal during a trial; not refused after a crash at each of three services).

Change: a content has a second digest that follows the request, by host name, organisation, method, target and body. Three losses in all quarantine it. A service that has lost no server to the request tries it once, one request at a time on a host; a request that has crashed more than three servers is not tried.

Why it works: losses are counted wherever the route leads, so a moved route costs one server at most, whatever the number of moves. A success at one service releases the shared digest and not that of the service that crashes, so a request that only one service cannot serve is served by the others.

Changed checks of unit-CrashMonitor: the numbers of reports and announcements (257, 6, 7) counted one digest for each content; they count two now, and are as exact as before.

Tried and not kept: one digest for all services, since a success elsewhere would release it.

--- a/include/dotterel/serving/CrashMonitor.h
+++ b/include/dotterel/serving/CrashMonitor.h
@@ -39,6 +39,9 @@
   /// Maximum number of attempts that a loss is recorded for.
   std::size_t m_MaxAttemptsPerCheck = 256;
   Duration m_ExpiryInterval = Seconds(5);
+  /// Maximum number of servers of all services that a request may have crashed
+  /// for it to be tried on a service of which it has crashed none.
+  std::size_t m_MaxLossesBeforeTrial = 3;
 };
 
 /// One run of a backend server: each restart yields a new one.
@@ -60,7 +63,9 @@
   };
 
   RequestId m_Request;
-  RequestDigest m_Content;
+  RequestDigest m_Content; ///< Of the request, at its service.
+  /// Of the request as its caller names it, at whatever service.
+  std::optional<RequestDigest> m_ContentAnywhere;
   /// The parts of the prompt that other prompts share: all but the last.
   std::vector<Part> m_Parts;
 
@@ -72,8 +77,9 @@
 
 class CrashMonitor;
 
-/// A request that is served although parts of its prompt are quarantined, to
-/// find out whether they crash servers. Ends when it is destroyed.
+/// A request that is served although parts of its prompt are quarantined, or
+/// although it crashed servers of other services, to find out whether it
+/// crashes servers. Ends when it is destroyed.
 class CrashTrial {
 public:
   CrashTrial(CrashMonitor &Monitor, std::vector<RequestDigest> Digests);
@@ -120,7 +126,8 @@
 
   /// Makes a request with quarantined parts a trial, if all losses of each part
   /// can be explained by another quarantined digest that the request does not
-  /// have. Returns null if it must be refused.
+  /// have. Makes a request that crashed servers of other services a trial, if
+  /// this service has lost none to it. Returns null if it must be refused.
   [[nodiscard]] auto beginTrial(const RequestDigests &Digests)
       -> std::unique_ptr<CrashTrial>;
 
@@ -175,6 +182,9 @@
   [[nodiscard]] auto explainedByOther(RequestDigest Digest,
                                       const RequestDigests &Request) const
       -> bool;
+  /// Returns whether the request has crashed servers of other services, but
+  /// none of its own.
+  [[nodiscard]] auto newToService(const RequestDigests &Digests) const -> bool;
   auto notify(const std::vector<RequestDigest> &Changed) -> void;
   auto removeOldChecks() -> void;
   auto expire() -> void;
--- a/src/serving/CrashMonitor.cpp
+++ b/src/serving/CrashMonitor.cpp
@@ -13,6 +13,9 @@
 /// Maximum number of suspected parts that are logged for one loss.
 constexpr auto MaxSuspectsLogged = 8;
 
+/// Stands for all services in a digest. No service has an empty name.
+const auto AnyService = ModelId{""};
+
 } // namespace
 
 auto BackendIncarnation::lossId() const -> BackendId {
@@ -21,6 +24,8 @@
 
 auto RequestDigests::all() const -> std::vector<RequestDigest> {
   auto Result = std::vector<RequestDigest>{m_Content};
+  if (m_ContentAnywhere)
+    Result.push_back(*m_ContentAnywhere);
   for (const auto &Item : m_Parts)
     Result.push_back(Item.m_Digest);
   return Result;
@@ -28,8 +33,9 @@
 
 auto digestsOf(const CallerRequest &Request, const ServiceSpec &Service,
                const OrganisationId &Organisation) -> RequestDigests {
-  // Digests of requests to different services differ: a service that runs a
-  // request says nothing about the others.
+  // A service that runs a request says nothing about the others, so each has a
+  // digest of its own. The other digest follows the request when its route
+  // leads to another service.
   auto Model = ModelId{Service.m_Id.text()};
   auto Content = std::string();
   auto Add = [&Content](const std::string &Text) {
@@ -52,6 +58,8 @@
              .m_Digest = digestPromptPart(Model, Parts[Index].m_Id)});
   }
   Result.m_Content = digestRequest(Model, Content);
+  Add(Request.m_Host);
+  Result.m_ContentAnywhere = digestRequest(AnyService, Content);
   return Result;
 }
 
@@ -208,11 +216,17 @@
 auto CrashMonitor::quarantined(const RequestDigests &Digests,
                                const CrashTrial *Trial) const
     -> std::optional<RequestDigest> {
+  auto IsTried = [&](RequestDigest Digest) {
+    if (Trial == nullptr || !Trial->covers(Digest) ||
+        !m_Quarantined.contains(Digest))
+      return false;
+    return Digest == Digests.m_ContentAnywhere
+               ? newToService(Digests)
+               : explainedByOther(Digest, Digests);
+  };
   auto IsQuarantined = [&](RequestDigest Digest) {
     return m_Registry.verdict(Digest) == CrashVerdict::Quarantined &&
-           !(Trial != nullptr && Trial->covers(Digest) &&
-             m_Quarantined.contains(Digest) &&
-             explainedByOther(Digest, Digests));
+           !IsTried(Digest);
   };
   // A part explains more than the one request does.
   for (const auto &Item : Digests.m_Parts)
@@ -220,15 +234,30 @@
       return Item.m_Digest;
   if (IsQuarantined(Digests.m_Content))
     return Digests.m_Content;
+  if (Digests.m_ContentAnywhere && IsQuarantined(*Digests.m_ContentAnywhere))
+    return Digests.m_ContentAnywhere;
   return std::nullopt;
 }
 
+auto CrashMonitor::newToService(const RequestDigests &Digests) const -> bool {
+  auto Found = m_Quarantined.find(*Digests.m_ContentAnywhere);
+  return m_Registry.verdict(Digests.m_Content) == CrashVerdict::Clear &&
+         Found != m_Quarantined.end() &&
+         Found->second.size() <= m_Options.m_MaxLossesBeforeTrial;
+}
+
 auto CrashMonitor::beginTrial(const RequestDigests &Digests)
     -> std::unique_ptr<CrashTrial> {
   // A request cannot be told apart from another one with the same content.
   if (m_Quarantined.contains(Digests.m_Content))
     return nullptr;
   auto Tried = std::vector<RequestDigest>();
+  if (auto Anywhere = Digests.m_ContentAnywhere;
+      Anywhere && m_Quarantined.contains(*Anywhere)) {
+    if (m_Trials.contains(*Anywhere) || !newToService(Digests))
+      return nullptr;
+    Tried.push_back(*Anywhere);
+  }
   for (const auto &Item : Digests.m_Parts) {
     if (!m_Quarantined.contains(Item.m_Digest))
       continue;
@@ -241,8 +270,11 @@
   }
   if (Tried.empty())
     return nullptr;
-  logInfo("crash.trial",
-          {{"digest", Tried.front()}, {"request", Digests.m_Request}});
+  logInfo("crash.trial", {{"digest", Tried.front()},
+                          {"reason", Tried.front() == Digests.m_ContentAnywhere
+                                         ? "new_service"
+                                         : "other_digest"},
+                          {"request", Digests.m_Request}});
   return std::make_unique<CrashTrial>(*this, std::move(Tried));
 }
 
@@ -278,6 +310,8 @@
                               .m_Part = Part};
   };
   Add(Digests.m_Content, {}, false);
+  if (Digests.m_ContentAnywhere)
+    Add(*Digests.m_ContentAnywhere, {}, false);
   for (const auto &Item : Digests.m_Parts)
     Add(Item.m_Digest, Item.m_Id, true);
 }
--- a/src/serving/ServedRequestRefusals.cpp
+++ b/src/serving/ServedRequestRefusals.cpp
@@ -46,8 +46,10 @@
   refuse(RefusalCode::Quarantined,
          fmt::format("{} (digest {}) was running on several servers when they "
                      "crashed",
-                     *Found == m_Digests.m_Content ? "the request"
-                                                   : "a part of the prompt",
+                     Found == m_Digests.m_Content ||
+                             Found == m_Digests.m_ContentAnywhere
+                         ? "the request"
+                         : "a part of the prompt",
                      Found->number()));
   return true;
 }
--- a/tests/support/ServingFakes.h
+++ b/tests/support/ServingFakes.h
@@ -133,6 +133,10 @@
              std::optional<PromptShape> Prompt = std::nullopt)
       -> std::shared_ptr<CallerView>;
 
+  /// Puts a configuration in force in which the plain routes lead to a service
+  /// with three servers of its own.
+  auto movePlainRoutes(const std::string &Service) -> void;
+
   /// Lets the core destroy requests that have ended.
   auto destroyEnded() -> void { m_Scheduler.advance(Milliseconds(1)); }
 
@@ -223,6 +227,25 @@
   return View;
 }
 
+inline auto ServingFixture::movePlainRoutes(const std::string &Service)
+    -> void {
+  auto Moved = *m_Core.configuration();
+  Moved.m_Revision = ConfigRevision{Moved.m_Revision.number() + 1};
+  Moved.m_Services.insert_or_assign(ServiceId{Service},
+                                    ServiceSpec{.m_Id = ServiceId{Service}});
+  for (auto &Route : Moved.m_Routes)
+    if (Route.m_Kind != RequestKind::Stream)
+      Route.m_Shares = {{.m_Service = ServiceId{Service}}};
+  m_Core.apply(std::move(Moved));
+  for (auto Number = 1; Number <= 3; ++Number) {
+    auto Record = *m_Core.directory().find(BackendId{"d1"});
+    Record.m_Id = BackendId{Service + std::to_string(Number)};
+    Record.m_Service = ServiceId{Service};
+    Record.m_Address = Record.m_Id.text() + ":1";
+    m_Core.directory().put(Record);
+  }
+}
+
 } // namespace dotterel::test
 
 #endif // DOTTEREL_TESTS_SUPPORT_SERVINGFAKES_H
--- a/tests/unit-CrashMonitor.cpp
+++ b/tests/unit-CrashMonitor.cpp
@@ -77,13 +77,22 @@
   CHECK(digestsOf(Resent, Engines, Organisation).m_Content == First.m_Content);
   CHECK(digestsOf(Request, Engines, OrganisationId{"p"}).m_Content !=
         First.m_Content);
-  CHECK(digestsOf(Request, {.m_Id = ServiceId{"desk"}}, Organisation)
-            .m_Parts.empty());
+  auto Moved = digestsOf(Request, {.m_Id = ServiceId{"desk"}}, Organisation);
+  CHECK(Moved.m_Parts.empty());
+  CHECK(Moved.m_Content != First.m_Content);
+  CHECK(Moved.m_ContentAnywhere == First.m_ContentAnywhere);
+  CHECK(First.m_ContentAnywhere != First.m_Content);
   auto Vary = [&](auto Change) {
     auto Other = Request;
     Change(Other);
-    CHECK(digestsOf(Other, Engines, Organisation).m_Content != First.m_Content);
+    auto Digests = digestsOf(Other, Engines, Organisation);
+    CHECK(Digests.m_Content != First.m_Content);
+    CHECK(Digests.m_ContentAnywhere != First.m_ContentAnywhere);
   };
+  auto OtherHost = Request;
+  OtherHost.m_Host = "other.example";
+  CHECK(digestsOf(OtherHost, Engines, Organisation).m_ContentAnywhere !=
+        First.m_ContentAnywhere);
   Vary([](CallerRequest &Other) { Other.m_Method = "PUT"; });
   Vary([](CallerRequest &Other) { Other.m_Target = "/y"; });
   Vary([](CallerRequest &Other) { Other.m_Body = "other"; });
@@ -233,9 +242,9 @@
   CHECK(Test.m_Transport.m_Checks.size() == 256);
   Test.m_Transport.m_LostAddresses.insert("e0:1");
   Test.m_Transport.endChecks();
-  // The first attempt has a part as well.
+  // Two digests of each content; the first attempt has a part as well.
   CHECK(Test.m_Monitor.registry().reports(Test.m_Scheduler.now()).size() ==
-        257);
+        2 * 256 + 1);
 }
 
 // Guards against blaming a part that a request with it has just been proved
@@ -295,15 +304,16 @@
   auto Request = prompt("x", {"part"});
   for (auto Number = 1; Number <= 3; ++Number)
     First.crash(MonitorFixture::server(Number), Request);
-  CHECK(Announced == 6);
+  // The part, and two digests of the content, with each loss.
+  CHECK(Announced == 3 * 3);
   CHECK(Second.m_Monitor.quarantined(prompt("y", {"part"})));
   First.m_Monitor.attemptSucceeded(prompt("y", {"part"}));
-  CHECK(Announced == 7);
+  CHECK(Announced == 3 * 3 + 1);
   CHECK_FALSE(Second.m_Monitor.quarantined(prompt("y", {"part"})));
   CHECK(SecondAnnounced == 0);
   // A success that refutes nothing changes nothing.
   First.m_Monitor.attemptSucceeded(prompt("y", {"part"}));
-  CHECK(Announced == 7);
+  CHECK(Announced == 3 * 3 + 1);
 }
 
 TEST_CASE("crash monitor: a part with a success after each loss is never "
--- a/tests/unit-ServedRequest.cpp
+++ b/tests/unit-ServedRequest.cpp
@@ -680,6 +680,78 @@
   CHECK(Test.reachesServer("safe"));
 }
 
+// Guards against a request that crashes servers anew at each service to which
+// its route is moved.
+TEST_CASE(
+    "served request: a request that crashed three servers crashes at most "
+    "one more after its route was moved, however often") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    Test.serve("unsafe");
+    Test.crash(endedWith(AttemptOutcome::Failed));
+  }
+  CHECK_FALSE(Test.reachesServer("unsafe"));
+  auto Before = Test.m_Transport.m_Sent.size();
+  for (const auto *Service : {"ledger", "archive", "vault", "desk"}) {
+    Test.movePlainRoutes(Service);
+    for (auto Index = 0; Index < 4; ++Index) {
+      auto Sent = Test.m_Transport.m_Sent.size();
+      auto View = Test.serve("unsafe");
+      if (Test.m_Transport.m_Sent.size() > Sent) {
+        Test.crash(endedWith(AttemptOutcome::Failed));
+        continue;
+      }
+      REQUIRE(View->m_Refusal);
+      CHECK(View->m_Refusal->code() == RefusalCode::Quarantined);
+      CHECK(View->m_Refusal->execution() == Execution::NotRun);
+    }
+    // Other requests are served by the same servers.
+    CHECK(Test.reachesServer("safe"));
+  }
+  CHECK(Test.m_Transport.m_Sent.size() - Before <= 1 + 4);
+}
+
+// Guards against refusing requests that crash the servers of one service at
+// another one that serves them.
+TEST_CASE(
+    "served request: a request that crashed the servers of one service is "
+    "served by another one") {
+  auto Test = CrashFixture();
+  for (auto Index = 0; Index < 3; ++Index) {
+    Test.serve("unsafe");
+    Test.crash(endedWith(AttemptOutcome::Failed));
+  }
+  REQUIRE_FALSE(Test.reachesServer("unsafe"));
+  Test.movePlainRoutes("ledger");
+  auto Trial = Test.serve("unsafe");
+  auto TrialServer = Test.m_Transport.m_Sent.back().m_Attempt;
+  CHECK(TrialServer.m_Backend.text().starts_with("ledger"));
+  // One at a time, until it is known whether it crashes the servers.
+  CHECK(Test.serve("unsafe")->m_Refusal);
+  Test.m_Transport.end(complete(200));
+  CHECK(Trial->m_Status == 200);
+  for (auto Index = 0; Index < 3; ++Index)
+    CHECK(Test.reachesServer("unsafe"));
+  Test.movePlainRoutes("desk");
+  CHECK_FALSE(Test.reachesServer("unsafe"));
+  Test.movePlainRoutes("ledger");
+  CHECK(Test.reachesServer("unsafe"));
+}
+
+// Guards against losing count of a request whose route is split over services.
+TEST_CASE("served request: a request that crashes one server of each of three "
+          "services is refused") {
+  auto Test = CrashFixture();
+  for (const auto *Service : {"desk", "ledger", "archive"}) {
+    Test.movePlainRoutes(Service);
+    REQUIRE_FALSE(Test.serve("unsafe")->m_Refusal);
+    Test.crash(endedWith(AttemptOutcome::Failed));
+  }
+  CHECK_FALSE(Test.reachesServer("unsafe"));
+  Test.movePlainRoutes("desk");
+  CHECK_FALSE(Test.reachesServer("unsafe"));
+}
+
 // Guards against evidence that is missed because a reused connection without a
 // response is taken for an idle one that its server closed.
 TEST_CASE("served request: a crash is also found by a reused connection that "
