A caller that pauses keeps its connection and the rest of its response

Cause: TCP_USER_TIMEOUT, 2.5 s on every connection, counts not only data that is not acknowledged, but also a closed window of a peer that acknowledges each probe. The system then drops what the process has handed over.

The new test failed with the option set on accepted sockets (2,048 of 12,288 bytes, the large response's connection gone) and passes without it.

Change: callers' connections have no user timeout. The server checks with TCP_INFO, 2.5 s after something was sent and every second from then on, whether the peer acknowledges transmissions and probes, and resets the connection if it does not. What a closed connection has left to send ends with the idle timeout.

Why it works: a caller that is alive acknowledges, whatever it reads, and a vanished one does not. A caller that never reads again still ends by the idle timeout, counted from what it last read.

--- a/include/dotterel/io/detail/StrictHttpConnection.h
+++ b/include/dotterel/io/detail/StrictHttpConnection.h
@@ -51,6 +51,7 @@
   HttpHandler &m_Handler;
   StrictHttpServerOptions m_Options;
   LogThrottle m_RejectionLog;
+  LogThrottle m_UnresponsiveLog;
   bool m_CloseAfterResponses = false;
   bool m_CloseIdle = false;
   Socket m_Listener;
@@ -143,6 +144,8 @@
   /// Closes the connection if no request has arrived on it.
   auto closeIfIdle(const char *Reason) -> void;
   auto closeIfTimedOut(MonotonicTime Now) -> void;
+  /// Closes the connection if its peer has vanished while data was on its way.
+  auto closeIfUnresponsive(MonotonicTime Now) -> void;
   auto close() -> void;
   auto giveUpMemory() -> void override;
 
@@ -196,6 +199,9 @@
   bool m_NextRequestPending = false;
   std::optional<TimerId> m_NextRequestTimer;
   std::size_t m_LingerBytes = 0;
+  /// When to find out whether the peer has acknowledged what was sent; empty if
+  /// it has acknowledged everything.
+  std::optional<MonotonicTime> m_PeerCheckAt;
   MemoryHolding m_Memory;
   FdWatcher m_ReadWatcher;
   FdWatcher m_WriteWatcher;
--- a/src/io/Socket.cpp
+++ b/src/io/Socket.cpp
@@ -18,13 +18,13 @@
 /// Number of connections that may wait to be accepted. The kernel may lower it.
 constexpr auto ListenBacklog = 1024;
 
-/// Time after which unacknowledged data ends a connection. Longer than the loss
-/// of a few consecutive packets, shorter than the timeouts of callers.
-constexpr auto UserTimeoutMilliseconds = 2500U;
 /// Idle time before the first keep-alive probe, and interval between probes.
 constexpr auto KeepAliveIntervalSeconds = 1;
 /// Number of unacknowledged keep-alive probes that end a connection.
 constexpr auto MaxKeepAliveProbes = 3;
+/// Number of unacknowledged probes of a closed window from which a peer counts
+/// as dead.
+constexpr auto MaxWindowProbes = 3U;
 
 auto setOption(int Fd, int Level, int Name, int Value) -> void {
   // Errors are ignored: without an option that the system lacks, the connection
@@ -52,14 +52,38 @@
 
 auto Socket::setTcpOptions() const -> void {
   setOption(m_Fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(m_Fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(UserTimeoutMilliseconds));
   setOption(m_Fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(m_Fd, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIntervalSeconds);
   setOption(m_Fd, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
   setOption(m_Fd, IPPROTO_TCP, TCP_KEEPCNT, MaxKeepAliveProbes);
 }
 
+auto Socket::setUserTimeout(Duration Limit) const -> void {
+  setOption(m_Fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(toMilliseconds(Limit)));
+}
+
+auto Socket::hasUnacknowledged() const -> bool {
+  auto Bytes = 0;
+  return ::ioctl(m_Fd, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
+auto Socket::peerUnresponsive() const -> bool {
+  auto Info = tcp_info{};
+  auto Size = socklen_t{sizeof(Info)};
+  // A system that cannot tell leaves the peer to the other timeouts.
+  if (::getsockopt(m_Fd, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+    return false;
+  if (Info.tcpi_probes >= MaxWindowProbes)
+    return true;
+  // A peer that drops data for want of memory acknowledges each repetition, so
+  // its newest acknowledgement is not older than the newest transmission.
+  return Info.tcpi_unacked > 0 &&
+         Info.tcpi_last_ack_recv >= Info.tcpi_last_data_sent &&
+         Milliseconds(Info.tcpi_last_ack_recv - Info.tcpi_last_data_sent) >=
+             DeadPeerTime;
+}
+
 auto Socket::resetOnClose() const -> void { setResetOnClose(m_Fd); }
 
 auto resetOnCloseIfUnsent(int Fd) -> void {
@@ -93,6 +117,7 @@
   if (Created.fd() < 0)
     throw IoError(403, fmt::format("no socket: {}", std::strerror(errno)));
   Created.setTcpOptions();
+  Created.setUserTimeout(DeadPeerTime);
   const auto &Raw = Address.raw();
   if (::connect(Created.fd(), reinterpret_cast<const sockaddr *>(&Raw),
                 sizeof(Raw)) != 0 &&
--- a/src/io/StrictHttpServer.cpp
+++ b/src/io/StrictHttpServer.cpp
@@ -54,8 +54,10 @@
   Targets.reserve(m_Connections.size());
   for (auto &[Key, Current] : m_Connections)
     Targets.push_back(Key);
-  for (auto *Target : Targets)
+  for (auto *Target : Targets) {
+    Target->closeIfUnresponsive(Now);
     Target->closeIfTimedOut(Now);
+  }
 }
 
 auto StrictHttpServer::Impl::retire(Connection &Target) -> void {
--- a/src/io/detail/StrictHttpConnection.cpp
+++ b/src/io/detail/StrictHttpConnection.cpp
@@ -16,6 +16,8 @@
 /// closed, for example after a refusal in the middle of a body. Closing a
 /// socket with unread bytes resets the connection and may lose the response.
 constexpr auto LingerTimeout = Milliseconds(1000);
+/// Interval between checks whether a peer still acknowledges.
+constexpr auto PeerCheckInterval = Milliseconds(1000);
 /// Maximum number of bytes that are dropped so.
 constexpr auto MaxLingerBytes = std::size_t{8} << 20U;
 /// Maximum number of buffered bytes of pipelined requests. Further ones stay in
@@ -25,6 +27,9 @@
 } // namespace
 
 StrictHttpServer::Impl::Connection::~Connection() {
+  // The system goes on sending what the caller has not read.
+  if (m_PeerCheckAt)
+    m_Socket.setUserTimeout(m_Server.m_Options.m_Limits.m_IdleTimeout);
   // Also if the server is destroyed first, the exchange must not use its
   // connection any more.
   if (auto OpenExchange = std::exchange(m_Exchange, nullptr))
@@ -208,6 +213,8 @@
       return;
     }
     m_SentBytes += static_cast<std::size_t>(Count);
+    if (!m_PeerCheckAt)
+      m_PeerCheckAt = m_Server.m_Loop.now() + DeadPeerTime;
     // A caller that reads its response is not idle.
     if (!hasExchange() && !m_Lingering &&
         (m_NextRequestPending || !m_Reader.started()))
@@ -285,6 +292,25 @@
          (m_Reader.started() ? Limits.m_HeaderTimeout : Limits.m_IdleTimeout);
 }
 
+auto StrictHttpServer::Impl::Connection::closeIfUnresponsive(MonotonicTime Now)
+    -> void {
+  if (m_Closed || !m_PeerCheckAt || *m_PeerCheckAt > Now)
+    return;
+  if (!m_Socket.hasUnacknowledged()) {
+    m_PeerCheckAt.reset();
+    return;
+  }
+  m_PeerCheckAt = Now + PeerCheckInterval;
+  if (!m_Socket.peerUnresponsive())
+    return;
+  if (auto Suppressed = m_Server.m_UnresponsiveLog.admit(Now))
+    logInfo("caller.unresponsive",
+            {{"unsent", unsentBytes()}, {"not_logged", *Suppressed}});
+  m_PeerCheckAt.reset();
+  m_Socket.resetOnClose();
+  close();
+}
+
 auto StrictHttpServer::Impl::Connection::closeIfTimedOut(MonotonicTime Now)
     -> void {
   if (m_Closed || hasExchange() || m_NextRequestTimer || !timedOut(Now))
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -1,9 +1,11 @@
 #include "dotterel/io/EventLoop.h"
 #include "dotterel/io/PooledHttpClient.h"
+#include "dotterel/io/Socket.h"
 #include "dotterel/io/StrictHttpServer.h"
 
 #include <array>
 #include <doctest/doctest.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -121,6 +123,13 @@
     auto Count = ::recv(m_Fd, Buffer.data(), Limit, MSG_DONTWAIT);
     return Count > 0 ? static_cast<std::size_t>(Count) : 0;
   }
+  /// Drops all packets that arrive from now on, like a host that has vanished.
+  auto vanish() const -> void {
+    auto Drop = sock_filter{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
+    auto Program = sock_fprog{.len = 1, .filter = &Drop};
+    REQUIRE(::setsockopt(m_Fd, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+                         sizeof(Program)) == 0);
+  }
   /// Returns whether the server has ended the connection.
   auto ended() -> bool {
     m_Target.runFor(Milliseconds(50));
@@ -344,6 +353,80 @@
   }
 }
 
+// Guards against a system timeout that ends the connection of a caller which
+// acknowledges everything but reads nothing for some seconds.
+TEST_CASE(
+    "strict server: a caller that reads nothing for some seconds gets the "
+    "rest of its response") {
+  constexpr auto Pause = DeadPeerTime * 2;
+  constexpr auto SmallBufferBytes = 2048;
+  constexpr auto MediumBodyBytes = std::size_t{12} << 10U;
+  auto Test = Server();
+  Test.m_Handler.m_Delay = Milliseconds(100);
+  // What the system has taken over, what is still to be passed to it, and the
+  // rest of a stream.
+  auto Medium = Caller(Test, SmallBufferBytes);
+  auto Large = Caller(Test, SmallBufferBytes);
+  auto Stream = Caller(Test, SmallBufferBytes);
+  Test.runFor(Milliseconds(20));
+  Medium.request("/" + std::string(MediumBodyBytes, 'x'));
+  Large.request("/large");
+  Stream.request("/stream");
+  Test.runFor(Pause);
+  CHECK(Test.m_Server.busyConnections() == 1);
+  auto Read = [&](Caller &From, std::size_t Expected) {
+    auto Bytes = std::size_t{0};
+    auto Silent = 0;
+    while (Bytes < Expected && Silent < 100) {
+      auto Part = From.take(std::size_t{1} << 20U);
+      Silent = Part > 0 ? 0 : Silent + 1;
+      Bytes += Part;
+      Test.runFor(Milliseconds(10));
+    }
+    return Bytes;
+  };
+  CHECK(Read(Medium, MediumBodyBytes) >= MediumBodyBytes);
+  CHECK(contains(Stream.received(), "/stream\r\n0\r\n\r\n"));
+  // A sample of the rest: it takes long with a small buffer.
+  constexpr auto SampleBytes = std::size_t{1} << 20U;
+  CHECK(Read(Large, SampleBytes) >= SampleBytes);
+}
+
+// Guards against callers that hold their connections forever, since the system
+// does not end them for a closed window.
+TEST_CASE("strict server: a caller that never reads again, or that has "
+          "vanished, loses its connection") {
+  for (auto Vanished : {false, true}) {
+    CAPTURE(Vanished);
+    // Only the idle timeout may end a caller that acknowledges.
+    auto Test =
+        Server({.m_IdleTimeout = Vanished ? Duration(Seconds(600))
+                                          : Duration(Milliseconds(400))});
+    constexpr auto SmallBufferBytes = 2048;
+    auto Large = Caller(Test, SmallBufferBytes);
+    auto Streaming = Caller(Test);
+    Test.m_Handler.m_Delay = Milliseconds(300);
+    Large.request("/large");
+    if (Vanished)
+      Streaming.request("/stream");
+    Test.runFor(Milliseconds(200));
+    if (Vanished) {
+      Large.vanish();
+      Streaming.vanish();
+    }
+    constexpr auto Limit = 40;
+    auto Rounds = 0;
+    while (Test.m_Server.busyConnections() > 0 && ++Rounds < Limit)
+      Test.runFor(Milliseconds(500));
+    CHECK(Test.m_Server.busyConnections() == 0);
+    if (Vanished)
+      continue;
+    while (Large.take(std::size_t{1} << 20U) > 0) {
+    }
+    CHECK(Large.ended());
+  }
+}
+
 // Guards against a reset that destroys a response which the caller has not read
 // yet, when its connection is closed as idle and it sends early.
 TEST_CASE("strict server: a response in transit survives the closing of its "
