A call survives a server that pauses while it reads a long body

What callers saw: a 502 for a request with a long body whose server read nothing for 2.5 s, though the server was sound and would have served it.

Cause: as for callers that pause, TCP_USER_TIMEOUT counts a closed window.

A kept connection gets the option back after such a call.

Why it works: smaller bodies fit into the receiver's buffer, so that their window does not close, and the kernel goes on finding vanished servers there.

--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -27,6 +27,9 @@
 /// so that the peer does not close it while a call is on its way.
 constexpr auto IdleTimeoutFraction = 0.6;
 constexpr auto SweepInterval = Milliseconds(250);
+/// Size of a body from which its receiver may be slower than the network. A
+/// smaller one fits into the receiver's buffer.
+constexpr auto LargeBodyBytes = std::size_t{4} << 10U;
 
 /// Address and target of a URL `http://IP:PORT/target`.
 struct CallTarget {
@@ -80,6 +83,13 @@
   /// Ends the call because its timeout has expired.
   auto onTimeout() -> void;
 
+  /// Ends the call if its large body is sent to a peer that has vanished.
+  auto endIfUnresponsive() -> void {
+    if (m_SendsLargeBody && !m_Closed && m_Socket.hasUnacknowledged() &&
+        m_Socket.peerUnresponsive())
+      finish(HttpOutcome::Broken, "the peer does not respond");
+  }
+
   [[nodiscard]] auto address() const -> const std::string & {
     return m_Address;
   }
@@ -112,6 +122,7 @@
   Socket m_Socket;
   bool m_Connected = false;
   bool m_CarriedCall = false;
+  bool m_SendsLargeBody = false;
   detail::CarriedCalls m_CarriedCalls;
   bool m_Closed = false;
   HttpCallId m_Id;
@@ -200,6 +211,10 @@
   m_Head = std::move(Head);
   m_Body = std::exchange(m_Call->m_Body, {});
   m_RequestBytes = m_Head.size() + m_Body.size();
+  // The system's timeout would also end the call to a peer that reads slowly.
+  m_SendsLargeBody = m_Body.size() >= LargeBodyBytes;
+  if (m_SendsLargeBody)
+    m_Socket.setUserTimeout(Duration::zero());
   m_SentBytes = 0;
   m_Reader = std::make_unique<detail::ResponseReader>(
       detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
@@ -381,6 +396,8 @@
               m_SentBytes == m_RequestBytes && !Call.m_DedicatedConnection;
   if (Keep) {
     m_CarriedCall = true;
+    if (std::exchange(m_SendsLargeBody, false))
+      m_Socket.setUserTimeout(DeadPeerTime);
     auto Idle = m_Client.options().m_IdleTimeout;
     if (auto PeerTimeout = m_Reader->keepAliveTimeout())
       Idle = std::min(Idle, std::chrono::duration_cast<Duration>(
@@ -529,6 +546,11 @@
         Expired.push_back(Current);
   for (auto *Current : Expired)
     Current->close();
+  auto Open = std::vector<PooledConnection *>();
+  for (const auto &[Key, Current] : m_Connections)
+    Open.push_back(Key);
+  for (auto *Current : Open)
+    Current->endIfUnresponsive();
 }
 
 } // namespace
--- a/tests/unit-StrictHttpServer.cpp
+++ b/tests/unit-StrictHttpServer.cpp
@@ -82,6 +82,14 @@
   StrictHttpServer m_Server;
 };
 
+/// Makes a socket drop all packets that arrive from now on.
+auto dropPackets(int Fd) -> void {
+  auto Drop = sock_filter{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
+  auto Program = sock_fprog{.len = 1, .filter = &Drop};
+  REQUIRE(::setsockopt(Fd, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+                       sizeof(Program)) == 0);
+}
+
 /// A blocking connection of a caller.
 class Caller {
 public:
@@ -124,12 +132,7 @@
     return Count > 0 ? static_cast<std::size_t>(Count) : 0;
   }
   /// Drops all packets that arrive from now on, like a host that has vanished.
-  auto vanish() const -> void {
-    auto Drop = sock_filter{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
-    auto Program = sock_fprog{.len = 1, .filter = &Drop};
-    REQUIRE(::setsockopt(m_Fd, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
-                         sizeof(Program)) == 0);
-  }
+  auto vanish() const -> void { dropPackets(m_Fd); }
   /// Returns whether the server has ended the connection.
   auto ended() -> bool {
     m_Target.runFor(Milliseconds(50));
@@ -162,6 +165,26 @@
     ::close(m_Peer);
   }
 
+  /// Makes the receive buffer of the connection small.
+  auto setReceiveBuffer(int Bytes) const -> void {
+    REQUIRE(::setsockopt(m_Listener, SOL_SOCKET, SO_RCVBUF, &Bytes,
+                         sizeof(Bytes)) == 0);
+  }
+  /// Waits for a connection, but reads nothing.
+  auto accept() -> void { m_Peer = ::accept(m_Listener, nullptr, nullptr); }
+  /// Reads what has arrived, and returns how many bytes.
+  auto take() const -> std::size_t {
+    auto Buffer = std::vector<char>(std::size_t{1} << 20U);
+    auto Count = ::recv(m_Peer, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    return Count > 0 ? static_cast<std::size_t>(Count) : 0;
+  }
+  auto send(const std::string &Bytes) const -> void {
+    REQUIRE(::send(m_Peer, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(Bytes.size()));
+  }
+  /// Drops all packets that arrive from now on, like a host that has vanished.
+  auto vanish() const -> void { dropPackets(m_Peer); }
+
   /// Waits for a connection and its request, and responds.
   auto respond(const std::string &Bytes) -> void {
     m_Peer = ::accept(m_Listener, nullptr, nullptr);
@@ -516,3 +539,61 @@
   CHECK(Result.m_Outcome == HttpOutcome::Complete);
   CHECK(Result.m_Body.size() == BodyBytes);
 }
+
+// Guards against a system timeout that ends the call to a server which reads
+// nothing of a long body for some seconds.
+TEST_CASE("pooled client: a call to a server that pauses while it reads a long "
+          "body is completed, and one to a server that vanishes ends") {
+  for (auto Vanished : {false, true}) {
+    for (auto BodyBytes : {std::size_t{16} << 10U, std::size_t{8} << 20U}) {
+      CAPTURE(Vanished);
+      CAPTURE(BodyBytes);
+      auto Loop = EventLoop();
+      auto Client = makePooledHttpClient(Loop, {});
+      auto Server = OneResponseServer();
+      constexpr auto SmallBufferBytes = 4096;
+      Server.setReceiveBuffer(SmallBufferBytes);
+      auto Result = HttpCallResult();
+      auto Ended = false;
+      Client->start({.m_Method = "POST",
+                     .m_Url = Server.url(),
+                     .m_Body = SharedBytes(std::string(BodyBytes, 'x')),
+                     .m_Timeout = Seconds(60),
+                     .m_OnDone = [&](HttpCallResult Done) {
+                       Result = std::move(Done);
+                       Ended = true;
+                       Loop.stop();
+                     }});
+      auto RunFor = [&Loop](Duration Time) {
+        Loop.schedule(Time, [&Loop] { Loop.stop(); });
+        Loop.run();
+      };
+      RunFor(Milliseconds(50));
+      Server.accept();
+      RunFor(Milliseconds(50));
+      if (Vanished)
+        Server.vanish();
+      RunFor(DeadPeerTime * 2);
+      if (Vanished) {
+        constexpr auto Limit = 40;
+        for (auto Round = 0; !Ended && Round < Limit; ++Round)
+          RunFor(Milliseconds(500));
+        CHECK(Result.m_Outcome == HttpOutcome::Broken);
+        continue;
+      }
+      REQUIRE_FALSE(Ended);
+      auto Bytes = std::size_t{0};
+      for (auto Silent = 0; Bytes < BodyBytes && Silent < 100; ++Silent) {
+        auto Part = Server.take();
+        Bytes += Part;
+        if (Part > 0)
+          Silent = 0;
+        RunFor(Milliseconds(1));
+      }
+      CHECK(Bytes >= BodyBytes);
+      Server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      RunFor(Milliseconds(100));
+      CHECK(Result.m_Outcome == HttpOutcome::Complete);
+    }
+  }
+}
