Evidence of crashes outlives a restart of all hosts

Cause: the evidence was in the hosts' memory alone. Hosts that restart one after another learn it from the others; when all restart it is gone.

Change: each host keeps one record in the platform's store with the digests that have two consecutive losses or more and with releases, and reads all hosts' records after its start.

Why it works: the host that observes a loss writes it within about a second. A record has one writer and is replaced at a known revision only, so that delayed writes and other writers have no effect on it. A digest that was released stays released, as the count of releases is stored and ranks first. Losses at one moment, as of a data centre, are not stored. All hosts together write at most some 20 times a second; while the store is away a host makes a call every 0.5 to 4 s.

--- a/include/dotterel/fleet/CallBackoff.h
+++ b/include/dotterel/fleet/CallBackoff.h
@@ -39,6 +39,9 @@
   /// when the first of them failed count as one failure.
   auto end(std::uint64_t Round, bool Succeeded, MonotonicTime Now) -> void;
 
+  /// Returns when the next call is permitted after a failure.
+  [[nodiscard]] auto retryAt() const -> MonotonicTime { return m_RetryAt; }
+
   [[nodiscard]] auto failures() const -> std::uint32_t { return m_Failures; }
 
 private:
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -20,6 +20,7 @@
 #include "dotterel/peers/StoreRelay.h"
 #include "dotterel/peers/StreamOriginExchange.h"
 #include "dotterel/peers/UsageRelay.h"
+#include "dotterel/poison/CrashEvidenceStore.h"
 #include "dotterel/serving/ServingCore.h"
 #include "dotterel/store/KeyspaceMirror.h"
 #include "dotterel/store/RecoveryPeriod.h"
@@ -107,6 +108,7 @@
   auto receive(const std::string &Address, std::string_view Bytes) -> void;
   auto logUnreadable(const std::string &Address, const std::string &Reason)
       -> void;
+  auto mergeStoredCrashes(const std::vector<CrashReport> &Reports) -> void;
   auto mergeCrashReport(const CrashReport &Report, MonotonicTime Now) -> bool;
   auto reload() -> void;
   auto tick() -> void;
@@ -133,6 +135,7 @@
   UsageRecorder m_Usage;
   UsageRelay m_UsageRelay;
   CrashExchange m_CrashExchange;
+  CrashEvidenceStore m_CrashStore;
   FleetDuty m_Duty;
   Supervisor m_Tree;
   MemoryBudget m_CallerMemory;
--- a/include/dotterel/peers/CrashExchange.h
+++ b/include/dotterel/peers/CrashExchange.h
@@ -87,6 +87,10 @@
   /// observation.
   auto announce(const std::vector<RequestDigest> &Digests) -> void;
 
+  /// Records that evidence about \p Digests was read from the store, where
+  /// other hosts read it too.
+  auto noteStored(const std::vector<RequestDigest> &Digests) -> void;
+
   /// Processes a message of any content that was received from \p Address.
   auto receive(const HostMessage &Message, const std::string &Address) -> void;
 
--- a/include/dotterel/poison/CrashRegistry.h
+++ b/include/dotterel/poison/CrashRegistry.h
@@ -113,6 +113,10 @@
   /// Complexity: logarithmic in the digests, linear in the losses of this one.
   [[nodiscard]] auto verdict(RequestDigest Digest) const -> CrashVerdict;
 
+  /// Returns the number of consecutive losses of a digest.
+  [[nodiscard]] auto consecutiveLosses(RequestDigest Digest) const
+      -> std::size_t;
+
   /// Records that a request ran to completion. This clears a suspect digest,
   /// and a quarantined one if the options say so. Returns whether it did.
   auto recordSuccess(RequestDigest Digest) -> bool;
@@ -155,6 +159,8 @@
   /// Discards the evidence of recent losses if together they form a reclaim.
   auto discardReclaimEvidence(const DataCentreId &DataCentre) -> void;
   [[nodiscard]] auto verdict(const Evidence &Item) const -> CrashVerdict;
+  [[nodiscard]] static auto countConsecutive(const Evidence &Item)
+      -> std::size_t;
   [[nodiscard]] static auto makeReport(RequestDigest Digest,
                                        const Evidence &Known, MonotonicTime Now)
       -> CrashReport;
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -176,6 +176,15 @@
                         return mergeCrashReport(Report, Now);
                       },
                       {}),
+      m_CrashStore(
+          m_Time, Dependencies.m_Store, m_Random, m_Core.crashes().registry(),
+          Options.m_Settings.m_Location.m_Host.text(),
+          {.m_Merge =
+               [this](const std::vector<CrashReport> &Reports) {
+                 mergeStoredCrashes(Reports);
+               },
+           .m_WriterCount = [this] { return m_Hosts.others().size() + 1; }},
+          {}),
       m_Duty(m_Time, Dependencies.m_Store, Dependencies.m_Fleet, m_Random,
              {.m_Directory = m_Core.directory(),
               .m_Access = m_Core.access(),
@@ -229,6 +238,7 @@
       });
   m_Core.crashes().onChange([this](const std::vector<RequestDigest> &Digests) {
     m_CrashExchange.announce(Digests);
+    m_CrashStore.observed(Digests);
   });
   Dependencies.m_Datagrams.onReceive(
       [this](const std::string &Address, std::string_view Bytes) {
@@ -402,6 +412,7 @@
                                      m_Relay.start();
                                      m_UsageRelay.start();
                                      m_CrashExchange.start();
+                                     m_CrashStore.start();
                                    },
                                .m_Reset = [this] { m_Hosts.deregister(); }}));
   m_Tree.add(std::make_unique<FunctionComponent>(
--- a/src/host/HostProcessPeers.cpp
+++ b/src/host/HostProcessPeers.cpp
@@ -83,6 +83,15 @@
               {"messages", std::exchange(m_UnreadableCount, 0)}});
 }
 
+auto HostProcess::mergeStoredCrashes(const std::vector<CrashReport> &Reports)
+    -> void {
+  m_Core.crashes().merge(Reports, m_Loop.now());
+  auto Digests = std::vector<RequestDigest>();
+  for (const auto &Report : Reports)
+    Digests.push_back(Report.m_Digest);
+  m_CrashExchange.noteStored(Digests);
+}
+
 auto HostProcess::mergeCrashReport(const CrashReport &Report, MonotonicTime Now)
     -> bool {
   const auto &Known = m_Core.crashes().registry();
@@ -94,6 +103,7 @@
   };
   auto Before = Summary();
   m_Core.crashes().merge({Report}, Now);
+  m_CrashStore.merged(Report.m_Digest);
   return Summary() != Before;
 }
 
--- a/src/peers/CrashExchange.cpp
+++ b/src/peers/CrashExchange.cpp
@@ -65,6 +65,19 @@
   }
 }
 
+auto CrashExchange::noteStored(const std::vector<RequestDigest> &Digests)
+    -> void {
+  auto Now = m_Scheduler.now();
+  for (auto Digest : Digests) {
+    auto &State = m_Digests[Digest];
+    State.m_ChangedAt = Now;
+    State.m_Shared = true;
+    if (auto Report = m_Crashes.report(Digest, Now))
+      State.m_MostLosses =
+          std::max(State.m_MostLosses, Report->m_Losses.size());
+  }
+}
+
 auto CrashExchange::addPending(RequestDigest Digest, bool ToRemote) -> void {
   auto &State = m_Digests[Digest];
   if (auto Report = m_Crashes.report(Digest, m_Scheduler.now()))
--- a/src/poison/CrashRegistry.cpp
+++ b/src/poison/CrashRegistry.cpp
@@ -109,9 +109,13 @@
                                    : verdict(Found->second);
 }
 
-auto CrashRegistry::verdict(const Evidence &Item) const -> CrashVerdict {
-  if (Item.m_Losses.empty())
-    return CrashVerdict::Clear;
+auto CrashRegistry::consecutiveLosses(RequestDigest Digest) const
+    -> std::size_t {
+  auto Found = m_Evidence.find(Digest);
+  return Found == m_Evidence.end() ? 0 : countConsecutive(Found->second);
+}
+
+auto CrashRegistry::countConsecutive(const Evidence &Item) -> std::size_t {
   // The earliest loss first, so that the number of consecutive losses is the
   // largest possible.
   auto Losses = std::vector<LossTimes>();
@@ -129,10 +133,16 @@
     ++Consecutive;
     LastLoss = Times.m_LostAt;
   }
+  return Consecutive;
+}
+
+auto CrashRegistry::verdict(const Evidence &Item) const -> CrashVerdict {
+  if (Item.m_Losses.empty())
+    return CrashVerdict::Clear;
   auto Limit = Item.m_LostAlone ? m_Options.m_QuarantineLossesAlone
                                 : m_Options.m_QuarantineLossesShared;
-  return Consecutive >= Limit ? CrashVerdict::Quarantined
-                              : CrashVerdict::Suspect;
+  return countConsecutive(Item) >= Limit ? CrashVerdict::Quarantined
+                                         : CrashVerdict::Suspect;
 }
 
 auto CrashRegistry::recordSuccess(RequestDigest Digest) -> bool {
--- a/tests/support/PlatformFakes.cpp
+++ b/tests/support/PlatformFakes.cpp
@@ -260,8 +260,9 @@
 }
 
 FakeServer::FakeServer(EventLoop &Loop, std::string Id)
-    : m_Id(std::move(Id)), m_Loop(Loop),
-      m_Server(Loop, *this, loopbackOptions()) {}
+    : m_Id(std::move(Id)), m_Loop(Loop) {
+  m_Server.emplace(Loop, *this, loopbackOptions());
+}
 
 auto FakeServer::handle(HttpExchangePtr Exchange) -> void {
   const auto &Headers = Exchange->request().m_Headers;
@@ -281,6 +282,10 @@
   }
   ++m_Executions[Request];
   m_Headers.push_back(Headers);
+  if (findHeader(Headers, CrashHeader)) {
+    m_Loop.schedule(Duration::zero(), [this] { m_Server.reset(); });
+    return;
+  }
   auto Truncate = m_ResponsesToTruncate > 0;
   m_ResponsesToTruncate -= Truncate ? 1 : 0;
   m_Loop.schedule(m_WorkTime, [this, Exchange, Request, Truncate] {
--- a/tests/support/PlatformFakes.h
+++ b/tests/support/PlatformFakes.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -95,6 +96,9 @@
 inline constexpr auto EventCountHeader = "X-Fake-Events";
 inline constexpr auto EventInterval = Milliseconds(100);
 
+/// Header of a request that crashes the FakeServer that executes it.
+inline constexpr auto CrashHeader = "X-Fake-Crash";
+
 /// Returns the events \p First to \p Count of a FakeServer's stream.
 auto fakeEvents(int Count, int First = 1) -> std::string;
 
@@ -115,8 +119,10 @@
   }
 
   [[nodiscard]] auto address() const -> std::string {
-    return m_Server.address().text();
+    return m_Server->address().text();
   }
+  /// Whether the server has crashed; it does not start again.
+  [[nodiscard]] auto crashed() const -> bool { return !m_Server; }
 
   /// Responds with 421 to requests for another id. A change takes the place of
   /// a restart.
@@ -142,7 +148,7 @@
       -> void;
 
   EventLoop &m_Loop;
-  StrictHttpServer m_Server;
+  std::optional<StrictHttpServer> m_Server;
 };
 
 /// Accepts all orders and usage reports.
