A service with engines keeps one that decodes

Cause: the planner plans each data centre alone and rounds half of its engines to prefill, one of one for a single engine. A prefill engine cannot decode. When the last decode engine was lost, the others stayed in prefill: the plan of their data centres was met, and a deviation of one engine is tolerated under load.

Change: the plan leaves a decode engine in each data centre that has engines. If none of a service decodes, one in its largest data centre is ordered to decode, also while requests are in flight.

Why it works: a decode engine prefills as well, so that one of them serves the model alone. Data centres with two engines or more are planned as before, so that their prefill engines stay.

--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -42,7 +42,8 @@
   double m_MinShrinkShare = 0.12;
   /// Maximum share of servers that one reduction removes.
   double m_MaxShrinkShare = 0.25;
-  /// Share of a data centre's engines in the prefill stage.
+  /// Share of a data centre's engines in the prefill stage. One decodes in any
+  /// case.
   double m_PrefillShare = 0.5;
   /// Share of a data centre's engines by which the stages may deviate from the
   /// plan under load: a stage change makes an engine unavailable for seconds.
@@ -61,6 +62,8 @@
 /// Plans the fleet from the configuration and the registered servers, and keeps
 /// track of which reclaimable servers were not available.
 ///
+/// \invariant The plan leaves a decode engine in each data centre that has
+/// engines.
 /// \invariant The orders of a data centre add up to the size that the demand
 /// requires, regardless of how many servers are reclaimed.
 class FleetPlanner {
@@ -78,8 +81,9 @@
 
   /// Returns the engines that should change their stage: at most one in each
   /// data centre, or all that deviate from the plan if \p Idle is set, as no
-  /// request can be delayed then. Engines that \p MayOrder excludes, if given,
-  /// are left out of the plan.
+  /// request can be delayed then. Under load small deviations are tolerated,
+  /// unless a service has no decode engine. Engines that \p MayOrder excludes,
+  /// if given, are left out of the plan.
   [[nodiscard]] auto stages(const ServingConfiguration &Configuration,
                             const BackendDirectory &Directory, bool Idle,
                             const EngineFilter &MayOrder = {}) const
@@ -109,6 +113,9 @@
     MonotonicTime m_ChangedAt; ///< Time of the latest change.
   };
 
+  /// Returns the number of engines to prefill among those of a data centre, of
+  /// which one decodes at the least.
+  [[nodiscard]] auto prefillCount(std::size_t Engines) const -> long;
   auto resize(const ServiceSpec &Service, std::optional<double> BusyServers,
               MonotonicTime Now) -> std::uint32_t;
   auto updateSupply(Supply &Current, std::uint32_t Max,
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -32,6 +32,33 @@
   return Found == Members.end() ? nullptr : *Found;
 }
 
+using EnginesByDataCentre =
+    std::map<DataCentreId, std::vector<const BackendRecord *>>;
+
+auto countStage(const std::vector<const BackendRecord *> &Members,
+                EngineStage Stage) -> long {
+  return std::count_if(
+      Members.begin(), Members.end(),
+      [Stage](const auto *Engine) { return Engine->m_Stage == Stage; });
+}
+
+/// Returns the data centre in which an engine must change to decode at once,
+/// since the service has none that does: the one with the most engines. Empty
+/// if there is a decode engine, or no engine at all.
+auto withoutDecodeEngine(const EnginesByDataCentre &Engines)
+    -> std::optional<DataCentreId> {
+  auto Largest = Engines.end();
+  for (auto Item = Engines.begin(); Item != Engines.end(); ++Item) {
+    if (countStage(Item->second, EngineStage::Decode) > 0)
+      return std::nullopt;
+    if (Largest == Engines.end() ||
+        Item->second.size() > Largest->second.size())
+      Largest = Item;
+  }
+  return Largest == Engines.end() ? std::nullopt
+                                  : std::optional(Largest->first);
+}
+
 } // namespace
 
 auto FleetPlanner::resize(const ServiceSpec &Service,
@@ -169,6 +196,13 @@
                          .m_Short = Planned.m_Short};
 }
 
+auto FleetPlanner::prefillCount(std::size_t Engines) const -> long {
+  // A decode engine also prefills, and no engine of the other stage decodes.
+  return std::min(
+      std::lround(static_cast<double>(Engines) * m_Options.m_PrefillShare),
+      std::max(static_cast<long>(Engines) - 1, 0L));
+}
+
 auto FleetPlanner::stages(const ServingConfiguration &Configuration,
                           const BackendDirectory &Directory, bool Idle,
                           const EngineFilter &MayOrder) const
@@ -177,18 +211,15 @@
   for (const auto &[Id, Service] : Configuration.m_Services) {
     if (!Service.m_Engine)
       continue;
-    auto Engines = std::map<DataCentreId, std::vector<const BackendRecord *>>();
+    auto Engines = EnginesByDataCentre();
     for (const auto *Engine : Directory.usable(Id))
       if (Engine->m_Stage != EngineStage::None &&
           (!MayOrder || MayOrder(*Engine)))
         Engines[Engine->m_DataCentre].push_back(Engine);
+    const auto Urgent = withoutDecodeEngine(Engines);
     for (auto &[DataCentre, Members] : Engines) {
-      auto Wanted = std::lround(static_cast<double>(Members.size()) *
-                                m_Options.m_PrefillShare);
-      auto PrefillCount =
-          std::count_if(Members.begin(), Members.end(), [](const auto *Engine) {
-            return Engine->m_Stage == EngineStage::Prefill;
-          });
+      auto Wanted = prefillCount(Members.size());
+      auto PrefillCount = countStage(Members, EngineStage::Prefill);
       auto From =
           PrefillCount < Wanted ? EngineStage::Decode : EngineStage::Prefill;
       auto To =
@@ -196,7 +227,8 @@
       auto Missing = std::abs(Wanted - PrefillCount);
       auto Slack =
           static_cast<double>(Members.size()) * m_Options.m_StageTolerance;
-      if (!Idle && static_cast<double>(Missing) <= std::max(1.0, Slack))
+      if (!Idle && DataCentre != Urgent &&
+          static_cast<double>(Missing) <= std::max(1.0, Slack))
         continue;
       for (auto Step = 0L; Step < (Idle ? Missing : std::min(1L, Missing));
            ++Step) {
--- a/tests/unit-FleetPlanner.cpp
+++ b/tests/unit-FleetPlanner.cpp
@@ -1,7 +1,10 @@
 #include "dotterel/serving/FleetPlanner.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <rapidcheck.h>
+#include <vector>
 
 using namespace dotterel;
 
@@ -50,6 +53,40 @@
   return Result;
 }
 
+/// Puts engines into a directory, of each data centre those with the given
+/// stages.
+auto directoryOf(const std::vector<std::vector<EngineStage>> &DataCentres)
+    -> BackendDirectory {
+  auto Directory = BackendDirectory();
+  auto Number = 0;
+  for (auto Index = std::size_t{0}; Index < DataCentres.size(); ++Index)
+    for (auto Stage : DataCentres[Index]) {
+      auto Record = engine(Number++, false, Stage);
+      Record.m_DataCentre = DataCentreId{fmt::format("d{}", Index)};
+      Directory.put(Record);
+    }
+  return Directory;
+}
+
+auto countOf(const BackendDirectory &Directory, EngineStage Stage) -> long {
+  auto Engines = Directory.usable(Service);
+  return std::count_if(
+      Engines.begin(), Engines.end(),
+      [Stage](const auto *Engine) { return Engine->m_Stage == Stage; });
+}
+
+auto execute(const std::vector<StageOrder> &Orders, BackendDirectory &Directory)
+    -> void {
+  for (const auto &Order : Orders) {
+    auto Record = *Directory.find(Order.m_Backend);
+    Record.m_Stage = Order.m_Stage;
+    Directory.put(Record);
+  }
+}
+
+constexpr auto P = EngineStage::Prefill;
+constexpr auto D = EngineStage::Decode;
+
 } // namespace
 
 TEST_CASE("fleet planner: reclaimed servers are replaced by ordinary ones when "
@@ -135,3 +172,82 @@
     Directory.put(engine(Number, true, EngineStage::Prefill));
   CHECK(Planner.stages(Configuration, Directory, false).empty());
 }
+
+// Guards against a service without an engine that decodes: with one engine in
+// each data centre, half of one was rounded up to prefill.
+TEST_CASE("fleet planner: the only engine of a data centre decodes") {
+  auto Planner = FleetPlanner({.m_PrefillShare = 0.5});
+  auto Configuration = configuration(8);
+  auto Decoding = directoryOf({{D}, {D}, {D}});
+  for (auto Idle : {false, true})
+    CHECK(Planner.stages(Configuration, Decoding, Idle).empty());
+  auto Prefilling = directoryOf({{P}, {P}, {P}});
+  execute(Planner.stages(Configuration, Prefilling, true), Prefilling);
+  CHECK(countOf(Prefilling, D) == 3);
+  // Larger data centres still have prefill engines.
+  auto Mixed = directoryOf({{D, D}, {D, D, D}, {D, D, D, D}, {D}});
+  execute(Planner.stages(Configuration, Mixed, true), Mixed);
+  CHECK(countOf(Mixed, P) == 1 + 2 + 2);
+}
+
+// Guards against refusing all prompts of a service for good after the loss of
+// its last decode engine, since a deviation of one engine is tolerated under
+// load.
+TEST_CASE(
+    "fleet planner: if no engine of a service decodes, one is ordered to, "
+    "also under load") {
+  auto Planner = FleetPlanner({.m_PrefillShare = 0.5});
+  auto Configuration = configuration(8);
+  auto Directory = directoryOf({{P}, {P, P}, {P}});
+  for (auto Idle : {false, true}) {
+    auto Orders = Planner.stages(Configuration, Directory, Idle);
+    CHECK(Orders.size() == (Idle ? 3 : 1));
+    for (const auto &Order : Orders)
+      CHECK(Order.m_Stage == D);
+    // The same engine until it has changed, so that no second one is lost to
+    // prefill meanwhile.
+    auto Again = Planner.stages(Configuration, Directory, Idle);
+    REQUIRE(Again.size() == Orders.size());
+    CHECK(Again[0].m_Backend == Orders[0].m_Backend);
+  }
+  // The last decode engine leaves, and gets no orders any more.
+  auto Leaving = directoryOf({{D}, {P, P}, {P}});
+  auto MayOrder = [](const BackendRecord &Engine) {
+    return Engine.m_Stage != D;
+  };
+  auto Orders = Planner.stages(Configuration, Leaving, false, MayOrder);
+  REQUIRE(Orders.size() == 1);
+  CHECK(Orders[0].m_Stage == D);
+  // One decode engine anywhere is enough for the tolerance to hold.
+  auto Served = directoryOf({{D}, {P}, {P}});
+  CHECK(Planner.stages(Configuration, Served, false).empty());
+}
+
+TEST_CASE("fleet planner: for any engines, stages settle with a decode engine "
+          "in each data centre, and the last one is never ordered to prefill") {
+  CHECK(rc::check([](const std::vector<std::vector<bool>> &Stages) {
+    auto Planner = FleetPlanner({.m_PrefillShare = 0.5});
+    auto Configuration = configuration(8);
+    auto DataCentres = std::vector<std::vector<EngineStage>>();
+    for (const auto &Members : Stages)
+      for (DataCentres.emplace_back(); auto Prefill : Members)
+        DataCentres.back().push_back(Prefill ? P : D);
+    auto Directory = directoryOf(DataCentres);
+    auto Engines = Directory.usable(Service).size();
+    for (auto Round = std::size_t{0}; Round < 2; ++Round) {
+      execute(Planner.stages(Configuration, Directory, false), Directory);
+      RC_ASSERT(Engines == 0 || countOf(Directory, D) > 0);
+    }
+    execute(Planner.stages(Configuration, Directory, true), Directory);
+    for (auto Index = std::size_t{0}; Index < DataCentres.size(); ++Index) {
+      auto Decoding = 0;
+      for (const auto *Engine : Directory.usable(Service))
+        Decoding += Engine->m_Stage == D && Engine->m_DataCentre.text() ==
+                                                fmt::format("d{}", Index)
+                        ? 1
+                        : 0;
+      RC_ASSERT(DataCentres[Index].empty() || Decoding > 0);
+    }
+    RC_ASSERT(Planner.stages(Configuration, Directory, true).empty());
+  }));
+}
