Evidence of crashes outlives a restart of all gates and stewards

What callers saw: after such a restart a quarantined request crashed two more engines.

Cause: as for hosts, gates and stewards keep the evidence in memory and exchange it by gossip.

Change: gates keep a record each with CrashEvidenceStore. A gate writes when it has observed a loss, a success that clears a suspect, or an operator's release.

The release is stored too, so that the records of other gates do not bring a digest back: the test restarts all processes once more after the release, and the request is served.

--- a/include/dotterel/gate/GateServices.h
+++ b/include/dotterel/gate/GateServices.h
@@ -66,6 +66,8 @@
   ClaimRouter &m_Claims;
   UsageRecorder &m_Usage;
   CrashRegistry &m_Crashes;
+  /// Called when this gate has observed that digests crash engines, or do not.
+  std::function<void(const std::vector<RequestDigest> &)> m_OnCrashEvidence;
   RetryBudget &m_OrganisationRetries;
   RetryBudget &m_BackendRetries;
   GateMetrics &m_Metrics;
--- a/include/dotterel/membership/Gossip.h
+++ b/include/dotterel/membership/Gossip.h
@@ -72,6 +72,12 @@
   /// Merges a peer's view and returns the own one.
   auto handleExchange(const PeerView &View) -> PeerView;
 
+  /// Sets \p Receive, which is called for each digest that a peer reports
+  /// evidence about, once that is merged.
+  auto onCrashEvidence(std::function<void(RequestDigest)> Receive) -> void {
+    m_OnCrashEvidence = std::move(Receive);
+  }
+
   /// Sets \p Report, which returns the backend servers known to be leaving, and
   /// \p Receive, which gets those that peers report.
   auto setLeavingBackends(
@@ -110,6 +116,7 @@
   GossipOptions m_Options;
   std::vector<ListedProcess> m_Listed;
   std::set<ProcessId> m_ListedIds;
+  std::function<void(RequestDigest)> m_OnCrashEvidence;
   std::function<std::vector<BackendId>()> m_LeavingBackendsSource;
   std::function<void(const std::vector<BackendId> &)> m_OnLeavingBackends;
   std::function<std::vector<RateLimitReport>()> m_RateLimitsSource;
--- a/include/dotterel/poison/CrashEvidenceStore.h
+++ b/include/dotterel/poison/CrashEvidenceStore.h
@@ -41,7 +41,7 @@
   double m_MaxWritesPerSecond = 20;
   /// Pace of the calls while the store answers none.
   CallBackoffOptions m_Backoff;
-  /// Age from which a loss is no evidence any more.
+  /// Age from which a stored loss is no evidence any more.
   Duration m_EvidenceLifetime = Seconds(600);
   Duration m_ExpiryInterval = Seconds(30);
   /// Maximum number of outdated records of other processes that are deleted
--- a/src/gate/AdminHandler.cpp
+++ b/src/gate/AdminHandler.cpp
@@ -270,6 +270,8 @@
     throw ConfigurationError(202, "digest: must be hexadecimal");
   m_Services.m_Crashes.release(RequestDigest{Value});
   logInfo("quarantine.released", {{"digest", Text}});
+  if (m_Services.m_OnCrashEvidence)
+    m_Services.m_OnCrashEvidence({RequestDigest{Value}});
   m_AnnounceRelease();
   Exchange->respond(jsonReply(StatusOk, {{"digest", Text}}));
 }
--- a/src/gate/CompletionCall.cpp
+++ b/src/gate/CompletionCall.cpp
@@ -330,7 +330,9 @@
   if (Result.m_Outcome == HttpOutcome::Complete && m_Stream->isComplete()) {
     endAttempt();
     m_Services.m_Engines.outliers().recordSuccess(m_Engine);
-    m_Services.m_Crashes.recordSuccess(m_Digest);
+    if (m_Services.m_Crashes.recordSuccess(m_Digest) &&
+        m_Services.m_OnCrashEvidence)
+      m_Services.m_OnCrashEvidence({m_Digest});
     m_Services.m_OrganisationRetries.recordSuccess(
         m_Input.m_Caller.m_Organisation.text());
     m_Services.m_BackendRetries.recordSuccess(m_Engine.text());
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -9,6 +9,7 @@
 #include "dotterel/gate/GateServices.h"
 #include "dotterel/io/MemoryBudget.h"
 #include "dotterel/ledger/ClaimRouter.h"
+#include "dotterel/poison/CrashEvidenceStore.h"
 #include "dotterel/process/ProcessCore.h"
 #include "dotterel/supervision/FunctionComponent.h"
 #include "dotterel/usage/SegmentReplicas.h"
@@ -26,6 +27,8 @@
 constexpr auto MaxDecisions = std::size_t{20'000};
 constexpr auto DemandTimeConstant = Seconds(10);
 constexpr auto TickInterval = Milliseconds(100);
+/// Evidence in memory is kept until an operator releases it.
+constexpr auto StoredEvidenceLifetime = Seconds(24 * 3600);
 /// Interval of the updates of the gates among which request rates are shared.
 constexpr auto SenderInterval = Seconds(1);
 constexpr auto ReplicaSweepInterval = Seconds(2);
@@ -63,6 +66,8 @@
   auto addUsage() -> void;
   auto addServers() -> void;
   auto tick() -> void;
+  /// Has this gate's evidence stored, since it has observed a loss.
+  auto storeCrashEvidence() -> void;
   /// Tells the engine table which gates send requests to the servers.
   auto updateSenders() -> void;
   auto sendUsageReplica(const UsageSegment &Segment,
@@ -79,6 +84,7 @@
   std::unique_ptr<WaitingQueue> m_Queue;
   std::unique_ptr<RoutingPolicy> m_Routing;
   Dispatcher m_Dispatcher;
+  CrashEvidenceStore m_CrashStore;
   BackendLossDetector m_LossDetector;
   ClaimRouter m_Claims;
   UsageRecorder m_Usage;
@@ -124,9 +130,23 @@
                [this] { return m_Core.m_Engines.utilisation(m_Loop.now()); }})),
       m_Routing(makeRoutingPolicy(Values.text("routing-policy"))),
       m_Dispatcher(m_Loop, m_Core.m_Engines, *m_Queue),
+      m_CrashStore(m_Loop, *m_Core.m_Store, m_Core.m_Random, m_Core.m_Crashes,
+                   Values.text("host"),
+                   {.m_Merge =
+                        [this](const std::vector<CrashReport> &Reports) {
+                          for (const auto &Report : Reports)
+                            m_Core.m_Crashes.merge(Report, m_Loop.now());
+                        },
+                    .m_WriterCount =
+                        [this] {
+                          auto Gates = m_Core.m_Gossip.otherGates();
+                          return Gates ? Gates->size() + 1 : 1;
+                        }},
+                   {.m_EvidenceLifetime = StoredEvidenceLifetime}),
       m_LossDetector(m_Loop, m_Core.m_Backends, m_Core.m_Engines,
                      m_Core.m_Crashes,
                      [this](std::function<void()> Done) {
+                       storeCrashEvidence();
                        m_Core.m_Gossip.announce(std::move(Done));
                      }),
       m_Claims(m_Loop, *m_Core.m_Store, m_Core.m_Members, *m_Core.m_Peers, {}),
@@ -157,6 +177,10 @@
                  .m_Claims = m_Claims,
                  .m_Usage = m_Usage,
                  .m_Crashes = m_Core.m_Crashes,
+                 .m_OnCrashEvidence =
+                     [this](const std::vector<RequestDigest> &Digests) {
+                       m_CrashStore.observed(Digests);
+                     },
                  .m_OrganisationRetries = m_OrganisationRetries,
                  .m_BackendRetries = m_BackendRetries,
                  .m_Metrics = m_Metrics,
@@ -177,6 +201,8 @@
         m_Core.m_Configuration.current()->backendsWithoutNewWork());
     m_CallerHandler.onConfigurationChange();
   });
+  m_Core.m_Gossip.onCrashEvidence(
+      [this](RequestDigest Digest) { m_CrashStore.merged(Digest); });
   m_Core.m_Gossip.setLeavingBackends(
       [this] { return m_Core.m_Engines.leaving(); },
       [this](const std::vector<BackendId> &Leaving) {
@@ -196,6 +222,13 @@
   addComponents();
 }
 
+auto GateProcess::storeCrashEvidence() -> void {
+  auto Digests = std::vector<RequestDigest>();
+  for (const auto &Report : m_Core.m_Crashes.reports(m_Loop.now()))
+    Digests.push_back(Report.m_Digest);
+  m_CrashStore.observed(Digests);
+}
+
 auto GateProcess::addComponents() -> void {
   m_Core.addPeers(m_Supervisor);
   m_Core.addReaders(m_Supervisor);
@@ -205,6 +238,10 @@
 }
 
 auto GateProcess::addDispatcher() -> void {
+  m_Supervisor.add(std::make_unique<FunctionComponent>(
+      FunctionComponentOptions{.m_Name = "crash-evidence",
+                               .m_Start = [this] { m_CrashStore.start(); },
+                               .m_Reset = [] {}}));
   m_Supervisor.add(std::make_unique<FunctionComponent>(FunctionComponentOptions{
       .m_Name = "dispatcher",
       .m_Start =
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -175,8 +175,11 @@
   auto Now = m_Scheduler.now();
   for (const auto &Record : View.m_Members)
     m_Members.merge(Record, Now);
-  for (const auto &Report : View.m_Crashes)
+  for (const auto &Report : View.m_Crashes) {
     m_Crashes.merge(Report, Now);
+    if (m_OnCrashEvidence)
+      m_OnCrashEvidence(Report.m_Digest);
+  }
   if (m_OnLeavingBackends)
     m_OnLeavingBackends(View.m_LeavingBackends);
 }
--- a/src/poison/CrashEvidenceStore.cpp
+++ b/src/poison/CrashEvidenceStore.cpp
@@ -198,8 +198,10 @@
     }
     auto Recent = false;
     for (auto &Report : Reports) {
-      Recent = Recent || Report.m_Losses.empty() ||
-               youngestLoss(Report) < m_Options.m_EvidenceLifetime;
+      if (!Report.m_Losses.empty() &&
+          youngestLoss(Report) >= m_Options.m_EvidenceLifetime)
+        continue;
+      Recent = true;
       auto Value = Rank(Report.m_Releases, Report.m_Losses.size());
       auto &Known = Best[Report.m_Digest];
       if (Value >= Known.first)
--- a/tests/e2e-CrashingRequest.cpp
+++ b/tests/e2e-CrashingRequest.cpp
@@ -65,3 +65,68 @@
   }
   CHECK(Test.crashedServers() == 3);
 }
+
+// Guards against a request that crashes engines anew after a restart of all
+// gates and stewards, since these had kept the evidence in their memory alone.
+TEST_CASE(
+    "e2e: after a restart of all gates and stewards a request that crashed "
+    "its engines is refused until an operator releases it") {
+  auto Test = Cluster({.m_Runners = 6, .m_Stewards = 1});
+  auto Key = Test.grantKey("ghent");
+  for (const auto &Url : Test.m_RunnerUrls)
+    Test.setFaults(Url, {{"crash_on", "poison"}});
+  auto Chat = [&Test, &Key](std::size_t Gate, const char *Text) {
+    return Test.call(Test.chatCall(
+        Gate, Key,
+        {{"messages", Json::array({{{"role", "user"}, {"content", Text}}})}}));
+  };
+  auto LostEngines = [&Test] {
+    return std::count_if(Test.m_Runners.begin(), Test.m_Runners.end(),
+                         [](const auto &Item) { return !Item->running(); });
+  };
+  auto RestartAll = [&Test] {
+    auto Kill = [&Test](auto &Processes) {
+      for (auto &Item : Processes)
+        Item->signal(SIGKILL);
+      Test.waitFor("the end of all", [&Processes] {
+        return std::none_of(Processes.begin(), Processes.end(),
+                            [](auto &Item) { return Item->running(); });
+      });
+    };
+    Kill(Test.m_Gates);
+    Kill(Test.m_Stewards);
+    for (auto Index = std::size_t{0}; Index < Test.m_Gates.size(); ++Index)
+      Test.startGate(Index);
+    for (auto Index = std::size_t{0}; Index < Test.m_Stewards.size(); ++Index)
+      Test.startSteward(Index);
+    Test.publishHosts();
+  };
+  auto WaitUntilServed = [&] {
+    for (auto Gate = std::size_t{0}; Gate < Test.m_Gates.size(); ++Gate)
+      Test.waitFor("a served request",
+                   [&, Gate] { return Chat(Gate, "sound").m_Status == 200; });
+  };
+  CHECK(Chat(0, "poison").error().starts_with("quarantined/"));
+  REQUIRE(LostEngines() == 2);
+  // The gates write within a second of their last observation.
+  Test.runLoopFor(Seconds(2));
+  RestartAll();
+  WaitUntilServed();
+  for (auto Gate = std::size_t{0}; Gate < Test.m_Gates.size(); ++Gate)
+    CHECK(Chat(Gate, "poison").error().starts_with("quarantined/"));
+  CHECK(LostEngines() == 2);
+
+  auto Digests =
+      Test.get(Test.m_AdminUrls[0] + "/admin/v1/status")["quarantined"];
+  REQUIRE(Digests.size() == 1);
+  for (auto Index = std::size_t{0}; Index < Test.m_Runners.size(); ++Index)
+    if (Test.m_Runners[Index]->running())
+      Test.setFaults(Test.m_RunnerUrls[Index], {{"crash_on", ""}});
+  CHECK(Test.callAsOperator(0, "quarantine/release", {{"digest", Digests[0]}})
+            .m_Status == 200);
+  Test.runLoopFor(Seconds(2));
+  RestartAll();
+  WaitUntilServed();
+  for (auto Gate = std::size_t{0}; Gate < Test.m_Gates.size(); ++Gate)
+    CHECK(Chat(Gate, "poison").m_Status == 200);
+}
