Stored evidence of crashes: age and bounds of a record

Change: a record's age is that of its newest write, after which everything in it has expired; negative times make a record unreadable.

--- a/include/dotterel/poison/CrashRecord.h
+++ b/include/dotterel/poison/CrashRecord.h
@@ -15,16 +15,22 @@
 
 namespace dotterel {
 
+/// A stored record.
+struct CrashRecord {
+  Duration m_Age{}; ///< Since it was written.
+  std::vector<CrashReport> m_Reports;
+};
+
 /// Returns a JSON document with the reports of one moment, \p Written. Ages are
 /// stored as calendar times, so that they go on while no process runs.
 auto encodeCrashRecord(const std::vector<CrashReport> &Reports,
                        WallTime Written) -> std::string;
 
-/// Returns the reports of a document with their ages at \p Now. Times that lie
-/// in the future, by the reader's clock, have the age zero.
+/// Returns the record in a document, with ages at \p Now. Times that lie in the
+/// future, by the reader's clock, have the age zero.
 /// \throws ProtocolError 301 if the document cannot be decoded.
 auto decodeCrashRecord(const std::string &Document, WallTime Now)
-    -> std::vector<CrashReport>;
+    -> CrashRecord;
 
 } // namespace dotterel
 
--- a/src/poison/CrashEvidenceStore.cpp
+++ b/src/poison/CrashEvidenceStore.cpp
@@ -22,13 +22,6 @@
         }));
 }
 
-auto youngestLoss(const CrashReport &Report) -> Duration {
-  auto Youngest = Duration::max();
-  for (const auto &[Backend, Ages] : Report.m_Losses)
-    Youngest = std::min(Youngest, Ages.m_SinceLost);
-  return Youngest;
-}
-
 } // namespace
 
 CrashEvidenceStore::CrashEvidenceStore(Scheduler &Clock, KeyValueStore &Store,
@@ -181,35 +174,33 @@
   auto Best = std::map<RequestDigest, std::pair<Rank, CrashReport>>();
   auto Outdated = std::vector<StoreCompare>();
   for (const auto &Item : Read.m_Values) {
-    auto Reports = std::vector<CrashReport>();
+    auto Record = CrashRecord();
     try {
-      Reports = decodeCrashRecord(Item.m_Value, m_Clock.wallNow());
+      Record = decodeCrashRecord(Item.m_Value, m_Clock.wallNow());
     } catch (const ProtocolError &Failure) {
       logWarning("crash.unreadable-record",
                  {{"key", Item.m_Key}, {"reason", Failure.what()}});
     }
-    if (Item.m_Key == m_Key) {
+    auto IsOwn = Item.m_Key == m_Key;
+    if (IsOwn) {
       m_Revision = Item.m_Modified;
-      m_RecordEmpty = Reports.empty();
-      // Other records may still hold the evidence that was released.
-      for (const auto &Report : Reports)
-        if (Report.m_Losses.empty())
-          m_ReleasedAt.try_emplace(Report.m_Digest, m_Clock.now());
+      m_RecordEmpty = Record.m_Reports.empty();
     }
-    auto Recent = false;
-    for (auto &Report : Reports) {
-      if (!Report.m_Losses.empty() &&
-          youngestLoss(Report) >= m_Options.m_EvidenceLifetime)
-        continue;
-      Recent = true;
+    if (Record.m_Age >= m_Options.m_EvidenceLifetime) {
+      if (!IsOwn && Outdated.size() < m_Options.m_MaxDeletions)
+        Outdated.push_back(
+            {.m_Key = Item.m_Key, .m_Modified = Item.m_Modified});
+      continue;
+    }
+    for (auto &Report : Record.m_Reports) {
+      // Other records may still hold the evidence that was released.
+      if (IsOwn && Report.m_Losses.empty())
+        m_ReleasedAt.try_emplace(Report.m_Digest, m_Clock.now());
       auto Value = Rank(Report.m_Releases, Report.m_Losses.size());
       auto &Known = Best[Report.m_Digest];
       if (Value >= Known.first)
         Known = {Value, std::move(Report)};
     }
-    if (!Recent && !Reports.empty() && Item.m_Key != m_Key &&
-        Outdated.size() < m_Options.m_MaxDeletions)
-      Outdated.push_back({.m_Key = Item.m_Key, .m_Modified = Item.m_Modified});
   }
   auto Evidence = std::vector<CrashReport>();
   for (auto &[Digest, Known] : Best) {
--- a/src/poison/CrashRecord.cpp
+++ b/src/poison/CrashRecord.cpp
@@ -18,8 +18,11 @@
 }
 
 auto ageOf(const Json &Time, WallTime Now) -> Duration {
-  auto Age = std::chrono::microseconds(unixMicroseconds(Now) -
-                                       Time.get<std::int64_t>());
+  auto Microseconds = Time.get<std::int64_t>();
+  // The difference to a time before 1970 might not be representable.
+  if (Microseconds < 0)
+    throw ProtocolError(301, "a time is negative");
+  auto Age = std::chrono::microseconds(unixMicroseconds(Now) - Microseconds);
   return std::max<Duration>(Age, Duration::zero());
 }
 
@@ -46,10 +49,10 @@
 }
 
 auto decodeCrashRecord(const std::string &Document, WallTime Now)
-    -> std::vector<CrashReport> {
+    -> CrashRecord {
   try {
     auto Source = Json::parse(Document);
-    auto Reports = std::vector<CrashReport>();
+    auto Record = CrashRecord{.m_Age = ageOf(Source.at("written_us"), Now)};
     for (const auto &Item : Source.at("digests")) {
       auto Report = CrashReport{
           .m_Digest = RequestDigest{Item.at("digest").get<std::uint64_t>()},
@@ -60,9 +63,9 @@
             BackendId{Loss.at("backend").get<std::string>()},
             LossAges{.m_SinceSent = ageOf(Loss.at("sent_us"), Now),
                      .m_SinceLost = ageOf(Loss.at("lost_us"), Now)});
-      Reports.push_back(std::move(Report));
+      Record.m_Reports.push_back(std::move(Report));
     }
-    return Reports;
+    return Record;
   } catch (const Json::exception &Failure) {
     throw ProtocolError(301, Failure.what());
   }
--- a/tests/fault-CrashEvidenceStore.cpp
+++ b/tests/fault-CrashEvidenceStore.cpp
@@ -228,8 +228,11 @@
         .m_Losses = {{BackendId{"x"}, {Seconds(9), Seconds(8)}},
                      {BackendId{"y"}, {Seconds(7), Seconds(6)}}}}},
       WallTime(Seconds(1'800'001'000)));
-  for (const auto &Value : {Record, std::string("{"), std::string("[1]"),
-                            std::string(R"({"digests":[{"digest":"x"}]})")}) {
+  auto Negative = Record;
+  Negative.replace(Negative.find("\"lost_us\":") + 10, 1, "-1");
+  for (const auto &Value :
+       {Record, Negative, std::string("{"), std::string("[1]"),
+        std::string(R"({"digests":[{"digest":"x"}]})")}) {
     CAPTURE(Value);
     auto Test = Fixture();
     auto First = Test.start("a");
