A response that is reset during an upload is not complete

What callers saw: a backend server responded to a long upload with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: a reset leaves one error at the socket, which the next system call returns and clears. The pooled client wrote on with the upload first, so sendmsg() took the error; recv() then returned the part, and 0, which reads like an orderly end. Only a response without a length depends on how its connection ended.

Change: before the client continues a write, it reads what has arrived. After a write has failed, an end of the connection is never an orderly one.

Why it works: a read finds the response and the kind of its end before a write can take the error. If a reset comes between the two calls, the response is broken unless its length shows that it is complete.

Responses without a length and with an orderly end, and refusals with their length, are passed on, during uploads too.

--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -105,6 +105,8 @@
 private:
   /// Reads once. \returns whether bytes were read.
   auto readable() -> bool;
+  /// Reads all that has arrived. \returns whether the call goes on.
+  auto readAvailable() -> bool;
   auto writable() -> void;
   /// Sends as much of the call as the socket takes, like send().
   auto sendRest() -> ssize_t;
@@ -133,6 +135,7 @@
   SharedBytes m_Body;
   std::size_t m_SentBytes = 0; ///< Of head and body.
   std::size_t m_RequestBytes = 0;
+  bool m_WriteFailed = false;
   std::size_t m_BufferedBytes = 0; ///< Of m_Result's body.
   MonotonicTime m_Deadline;
   MonotonicTime m_IdleUntil;
@@ -216,6 +219,7 @@
   if (m_SendsLargeBody)
     m_Socket.setUserTimeout(Duration::zero());
   m_SentBytes = 0;
+  m_WriteFailed = false;
   m_Reader = std::make_unique<detail::ResponseReader>(
       detail::ResponseReaderOptions{.m_HeadMethod = m_Call->m_Method == "HEAD",
                                     .m_EchoedHeader = m_Call->m_EchoedHeader,
@@ -247,10 +251,7 @@
 
 auto PooledConnection::onTimeout() -> void {
   // The response may have arrived since the socket was last read.
-  auto Id = m_Id;
-  while (m_Connected && readable() && !m_Closed && m_Call && m_Id == Id) {
-  }
-  if (m_Closed || !m_Call || m_Id != Id)
+  if (m_Connected && !readAvailable())
     return;
   finish(m_SentBytes > 0 ? HttpOutcome::TimedOut : HttpOutcome::NotSent,
          m_Connected ? "no answer in time" : "no connection in time");
@@ -270,6 +271,10 @@
     armTimeout(m_Deadline - m_Client.loop().now());
   }
   while (m_SentBytes < m_RequestBytes) {
+    // A write to a connection that was reset takes the error that tells its end
+    // from an orderly one.
+    if (m_SentBytes > 0 && !readAvailable())
+      return;
     auto Count = sendRest();
     if (Count < 0 && errno == EINTR)
       continue;
@@ -278,6 +283,7 @@
     if (Count < 0) {
       // A response that arrived before the failure is still read.
       if (m_SentBytes > 0) {
+        m_WriteFailed = true;
         m_WriteWatcher.enable(false);
         return;
       }
@@ -307,6 +313,13 @@
   return ::sendmsg(m_Socket.fd(), &Message, MSG_NOSIGNAL);
 }
 
+auto PooledConnection::readAvailable() -> bool {
+  auto Id = m_Id;
+  while (readable() && !m_Closed && m_Call && m_Id == Id) {
+  }
+  return !m_Closed && m_Call && m_Id == Id;
+}
+
 auto PooledConnection::readable() -> bool {
   auto Buffer = std::array<char, ReadBlockBytes>();
   auto Count = ::recv(m_Socket.fd(), Buffer.data(), Buffer.size(), 0);
@@ -318,7 +331,7 @@
     return false;
   }
   if (Count <= 0) {
-    auto State = m_Reader->end(Count == 0);
+    auto State = m_Reader->end(Count == 0 && !m_WriteFailed);
     if (State != detail::ResponseReader::State::Complete) {
       finish(m_SentBytes > 0 ? HttpOutcome::Broken : HttpOutcome::NotSent,
              "the connection ended before the answer did");
--- a/tests/support/PlatformHosts.h
+++ b/tests/support/PlatformHosts.h
@@ -27,8 +27,10 @@
 /// Hosts as real processes, connected to fakes of the platform's servers.
 struct Platform {
   explicit Platform(int Hosts = 1, Duration RouteTimeout = Seconds(3),
-                    std::vector<std::string> Versions = {"v1", "v1"})
-      : m_RouteTimeout(RouteTimeout), m_Versions(std::move(Versions)) {
+                    std::vector<std::string> Versions = {"v1", "v1"},
+                    std::size_t MaxBodyBytes = 10000)
+      : m_RouteTimeout(RouteTimeout), m_MaxBodyBytes(MaxBodyBytes),
+        m_Versions(std::move(Versions)) {
     for (auto Number = 0; Number < static_cast<int>(m_Versions.size());
          ++Number) {
       auto Id = fmt::format("i-{}", Number);
@@ -81,7 +83,7 @@
                  {"services", {{{"name", "desk"}}}},
                  {"limits",
                   {{"max_header_bytes", 4096},
-                   {"max_body_bytes", 10000},
+                   {"max_body_bytes", m_MaxBodyBytes},
                    {"header_timeout_ms", 1000},
                    {"idle_timeout_ms", 5000}}},
                  {"tenants", {{{"name", "org"}, {"api_keys", Keys}}}}});
@@ -195,6 +197,7 @@
   }
 
   Duration m_RouteTimeout;
+  std::size_t m_MaxBodyBytes;
   /// Software version of each server.
   std::vector<std::string> m_Versions;
   EventLoop m_Loop;
