A response whose status is none of HTTP is broken

What callers saw: responses with the statuses 600 and 999, and one with 200 where the server had sent 0200. A server's 000 did not reach callers of a host: it carries no signature that the host could have read, and was refused for that. To the client's users it was a complete response with the status 0, and with a length it was taken for an interim response, so that the call went on to what followed.

Cause: the parser of the pooled client takes any number up to 999, with any number of digits, and all statuses below 200 were taken for interim ones. libcurl refuses statuses below 100, but takes 600 to 999 and 200x.

Change: both clients check each head with ResponseHeadCheck before their parser uses it: the status is three digits, from 100 to 599. Headers of a head that is not valid are not passed to anybody. The reason says what is wrong.

Why it works: the check runs on the bytes as they arrive, in any pieces, and for interim and skipped responses too, so no other code sees such a status. The attempt counts as one that may have run: an unsafe request is sent once, and its caller gets 502.

--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -10,6 +10,7 @@
 
 #include "dotterel/base/Units.h"
 #include "dotterel/io/HttpMessage.h"
+#include "dotterel/io/detail/ResponseHeadCheck.h"
 
 #include <functional>
 #include <http_parser.h>
@@ -83,6 +84,8 @@
   [[nodiscard]] auto rejectedUnnamed() const -> bool {
     return m_RejectedUnnamed;
   }
+  /// Returns why bytes that were read are no response to the call.
+  [[nodiscard]] auto brokenReason() const -> const char *;
   [[nodiscard]] auto started() const -> bool { return m_Started; }
   /// Returns whether the response repeats the expected header.
   [[nodiscard]] auto namesCall() const -> bool { return m_NamesCall; }
@@ -106,6 +109,7 @@
   Callbacks m_Callbacks;
   http_parser m_Parser{};
   State m_State = State::Reading;
+  ResponseHeadCheck m_HeadCheck; ///< Of the current response.
   HttpHeaders m_Headers;
   std::size_t m_OverheadBytes = 0;
   std::size_t m_OwnBodyBytes = 0;
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/io/Socket.h"
+#include "dotterel/io/detail/ResponseHeadCheck.h"
 
 #include <algorithm>
 #include <curl/curl.h>
@@ -34,6 +35,7 @@
   bool m_Cancelled = false;
   std::size_t m_ReceivedBytes = 0;
   std::size_t m_HeaderBytes = 0;
+  detail::ResponseHeadCheck m_HeadCheck; ///< Of the newest head.
 };
 
 struct SocketWatch {
@@ -78,11 +80,17 @@
   Current.m_HeaderBytes += Line.size();
   if (Current.m_HeaderBytes > MaxHeaderBytes)
     return 0;
-  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
-    Line.remove_suffix(1);
   // A status line starts a new response, for example after "100 Continue".
-  if (Line.starts_with("HTTP/"))
+  if (Line.starts_with("HTTP/")) {
+    Current.m_Result.m_Headers.clear();
+    Current.m_HeadCheck = detail::ResponseHeadCheck();
+  }
+  if (!Current.m_HeadCheck.feed(Line)) {
     Current.m_Result.m_Headers.clear();
+    return 0;
+  }
+  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
+    Line.remove_suffix(1);
   auto Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return Size * Count;
@@ -323,6 +331,10 @@
     Result.m_Outcome = toOutcome(Code, Easy);
     if (Code != CURLE_OK)
       Result.m_Detail = curl_easy_strerror(Code);
+    if (const auto *Error = Current->m_HeadCheck.error()) {
+      Result.m_Status = 0;
+      Result.m_Detail = Error;
+    }
     auto OnDone = std::move(Current->m_Call.m_OnDone);
     curl_multi_remove_handle(m_Multi, Easy);
     m_Transfers.erase(Current->m_Id.number());
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -384,10 +384,7 @@
   if (m_Closed || !m_Call)
     return;
   if (State == detail::ResponseReader::State::Broken)
-    finish(HttpOutcome::Broken,
-           m_Reader->overLimit()         ? "the answer is over the limit"
-           : m_Reader->rejectedUnnamed() ? "the answer names no request"
-                                         : "the bytes are no answer");
+    finish(HttpOutcome::Broken, m_Reader->brokenReason());
   else if (State == detail::ResponseReader::State::Complete)
     finish(HttpOutcome::Complete, "");
 }
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -30,6 +30,7 @@
 auto ResponseReader::restart() -> void {
   http_parser_init(&m_Parser, HTTP_RESPONSE);
   m_Parser.data = this;
+  m_HeadCheck = ResponseHeadCheck();
   m_Headers.clear();
   m_InHeaderValue = m_HeadersDone = m_MessageDone = m_BelongsToOtherCall =
       false;
@@ -128,6 +129,10 @@
 
 auto ResponseReader::feed(std::string_view Bytes) -> State {
   while (m_State == State::Reading && !Bytes.empty()) {
+    if (!m_HeadCheck.feed(Bytes)) {
+      m_State = State::Broken;
+      return m_State;
+    }
     auto EarlierBodyBytes = m_BodyBytes;
     auto Parsed = std::min(
         http_parser_execute(&m_Parser, &settings(), Bytes.data(), Bytes.size()),
@@ -180,6 +185,16 @@
   return m_State;
 }
 
+auto ResponseReader::brokenReason() const -> const char * {
+  if (m_OverLimit)
+    return "the answer is over the limit";
+  if (m_RejectedUnnamed)
+    return "the answer names no request";
+  if (m_HeadCheck.error() != nullptr)
+    return m_HeadCheck.error();
+  return "the bytes are no answer";
+}
+
 auto ResponseReader::keepAliveTimeout() const -> std::optional<Duration> {
   auto Value = findHeader(m_Headers, "Keep-Alive");
   if (!Value)
--- a/tests/e2e-BrokenResponses.cpp
+++ b/tests/e2e-BrokenResponses.cpp
@@ -71,6 +71,11 @@
   std::vector<std::unique_ptr<EarlyServer>> m_Scripted;
 };
 
+auto requestIdIn(const std::string &Head) -> std::string {
+  auto Id = headerIn(Head, "X-Request-Id");
+  return Id.empty() ? headerIn(Head, "x-request-id") : Id;
+}
+
 /// Returns a response to the request with a head; \p Framing are the headers
 /// that state its length, if any.
 auto signedResponse(const std::string &Status, const std::string &Framing,
@@ -79,7 +84,7 @@
   return [=](const std::string &Head) {
     return fmt::format("HTTP/1.1 {} -\r\nX-Request-Id: {}\r\n"
                        "X-Response-Stamp: s\r\n{}\r\n{}",
-                       Status, headerIn(Head, "X-Request-Id"), Framing, Body);
+                       Status, requestIdIn(Head), Framing, Body);
   };
 }
 
@@ -87,19 +92,25 @@
   return {.m_Response = signedResponse("200", "Content-Length: 2\r\n", "ok")};
 }
 
-auto promisesNotRun(unsigned Status) -> bool {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
-
-/// Checks that a caller got no complete success and no promise.
-auto checkFailed(const Reply &Response) -> void {
-  if (Response.m_Outcome != HttpOutcome::Complete)
+/// Checks that a caller of \p Route got no complete success and no promise. A
+/// stream may be cut instead.
+auto checkFailed(const std::string &Route, const Reply &Response) -> void {
+  auto Streams = Route == "stream" || Route == "resumable";
+  if (Streams && Response.m_Outcome != HttpOutcome::Complete)
     return;
+  CHECK(Response.m_Outcome == HttpOutcome::Complete);
   CHECK(Response.m_Status >= 500);
-  CHECK_FALSE(promisesNotRun(Response.m_Status));
+  CHECK(Response.m_Status != 503);
   CHECK_FALSE(findHeader(Response.m_Headers, "X-Response-Stamp"));
 }
 
+/// Status lines that are none of HTTP.
+const auto BrokenStatuses =
+    std::vector<std::string>{"000", "099", "600", "999", "1000", "0200", "20"};
+
+/// How a response with a body states its length.
+const auto BodyFramings = std::vector<std::string>{"Content-Length: 2\r\n", ""};
+
 } // namespace
 
 // Guards against a partial response that its caller takes for a complete one.
@@ -137,7 +148,7 @@
               REQUIRE(Test.upload(Route, 4).m_Status == 200);
             Server.setScript(Stopped ? Test.stopHostDuring(Script) : Script);
             auto Earlier = Server.requests();
-            checkFailed(Test.upload(Route, Bytes));
+            checkFailed(Route, Test.upload(Route, Bytes));
             if (std::string(Route) == "once" || std::string(Route) == "stream")
               CHECK(Server.requests() == Earlier + 1);
             else
@@ -185,3 +196,63 @@
         }
       }
 }
+
+// Guards against responses that are none, because their status is not one of
+// HTTP.
+TEST_CASE("host: a response without a valid status is never passed on, and an "
+          "unsafe request is not sent again") {
+  auto Test = ScriptedPlatform();
+  auto &Server = Test.useServer(completeResponse());
+  for (const auto &Status : BrokenStatuses)
+    for (const auto &Framing : BodyFramings)
+      for (const auto *Route : {"safe", "once", "stream", "resumable"})
+        for (auto Kept : {false, true}) {
+          CAPTURE(Status);
+          CAPTURE(Framing);
+          CAPTURE(std::string(Route));
+          CAPTURE(Kept);
+          // The server ends its connection after each broken response.
+          Server.setScript(completeResponse());
+          if (Kept)
+            REQUIRE(Test.upload(Route, 4).m_Status == 200);
+          Server.setScript({.m_Response = signedResponse(Status, Framing, "ok"),
+                            .m_End = ConnectionEnd::HalfClose});
+          auto Earlier = Server.requests();
+          checkFailed(Route, Test.upload(Route, 4));
+          if (std::string(Route) == "once" || std::string(Route) == "stream")
+            CHECK(Server.requests() == Earlier + 1);
+          else
+            CHECK(Server.requests() > Earlier);
+        }
+}
+
+TEST_CASE("gate: a response without a valid status is never passed on, and a "
+          "non-idempotent request is not sent again") {
+  auto Test = Cluster({.m_Gates = 1, .m_Runners = 0, .m_Services = 0});
+  auto Server = EarlyServer(Test.loop(), completeResponse());
+  Test.m_ServiceUrls = {"http://" + Server.address()};
+  Test.publishBackends();
+  auto Key = Test.grantKey("org");
+  Test.setRoute("once", {{"idempotent", false}});
+  Test.setRoute("safe", {{"idempotent", true}});
+  auto Call = [&](const std::string &Route) {
+    return Test.call(Test.serviceCall(
+        0, Key, "/" + Route + "/1",
+        Route == "once" ? Test.makeIdempotencyKey() : std::string()));
+  };
+  Test.waitFor("service", [&] { return Call("safe").m_Status == 200; });
+  for (const auto &Status : BrokenStatuses)
+    for (const auto &Framing : BodyFramings)
+      for (const auto *Route : {"safe", "once"}) {
+        CAPTURE(Status);
+        CAPTURE(Framing);
+        CAPTURE(std::string(Route));
+        Server.setScript({.m_Response = signedResponse(Status, Framing, "ok"),
+                          .m_End = ConnectionEnd::HalfClose});
+        auto Earlier = Server.requests();
+        auto Response = Call(Route);
+        CHECK(Response.error() == "backend_failed/may_have_run");
+        if (std::string(Route) == "once")
+          CHECK(Server.requests() == Earlier + 1);
+      }
+}
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -124,6 +124,8 @@
   auto waitFor(const std::string &What, const std::function<bool()> &Condition)
       -> void;
 
+  /// Returns the loop that servers of a test run on.
+  auto loop() -> EventLoop & { return m_Loop; }
   /// Runs the loop for a fixed time.
   auto runLoopFor(Duration Span) -> void;
 
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -1,3 +1,4 @@
+#include "dotterel/io/detail/ResponseReader.h"
 #include "support/ByteServer.h"
 #include "support/EarlyServer.h"
 
@@ -189,3 +190,111 @@
         CHECK(Result.m_Body == "big");
       }
 }
+
+namespace {
+
+/// Reads a response with the reader alone, in pieces of \p PieceBytes, and an
+/// orderly end of its connection. \returns the last state.
+auto readAlone(const std::string &Bytes, std::size_t PieceBytes,
+               bool *HeadersSeen = nullptr) -> detail::ResponseReader::State {
+  auto Reader = detail::ResponseReader(
+      {.m_EchoedHeader = {.m_Name = "X-Id", .m_Value = "7"}},
+      {.m_OnHeaders = [HeadersSeen](unsigned, const HttpHeaders &) {
+        if (HeadersSeen != nullptr)
+          *HeadersSeen = true;
+      }});
+  for (auto Position = std::size_t{0}; Position < Bytes.size();
+       Position += PieceBytes)
+    Reader.feed(std::string_view(Bytes).substr(Position, PieceBytes));
+  return Reader.end(true);
+}
+
+/// Calls \p Check with each client's result for a response after which the
+/// server ends the connection in order, and with the client's name.
+auto forEachClient(const std::string &Bytes,
+                   const std::function<void(const std::string &,
+                                            const HttpCallResult &)> &Check)
+    -> void {
+  for (auto Curl : {false, true}) {
+    auto Test = Curl ? std::make_unique<Upload>(Upload::WithCurl())
+                     : std::make_unique<Upload>();
+    Test->m_Server.setScript(
+        {.m_Response = respondWith(Bytes), .m_End = ConnectionEnd::HalfClose});
+    Check(Curl ? "curl" : "pooled", Test->post(3));
+  }
+}
+
+auto checkBroken(const std::string &Bytes) -> void {
+  CAPTURE(Bytes);
+  for (auto PieceBytes : {std::size_t{1}, std::size_t{7}, Bytes.size()}) {
+    CAPTURE(PieceBytes);
+    CHECK(readAlone(Bytes, PieceBytes) ==
+          detail::ResponseReader::State::Broken);
+  }
+  forEachClient(Bytes,
+                [](const std::string &Client, const HttpCallResult &Result) {
+                  CAPTURE(Client);
+                  CHECK(Result.m_Outcome == HttpOutcome::Broken);
+                });
+}
+
+auto checkComplete(const std::string &Bytes, unsigned Status,
+                   const std::string &Body) -> void {
+  CAPTURE(Bytes);
+  for (auto PieceBytes : {std::size_t{1}, std::size_t{7}, Bytes.size()}) {
+    CAPTURE(PieceBytes);
+    CHECK(readAlone(Bytes, PieceBytes) ==
+          detail::ResponseReader::State::Complete);
+  }
+  forEachClient(Bytes,
+                [&](const std::string &Client, const HttpCallResult &Result) {
+                  CAPTURE(Client);
+                  CHECK(Result.m_Outcome == HttpOutcome::Complete);
+                  CHECK(Result.m_Status == Status);
+                  CHECK(Result.m_Body == Body);
+                });
+}
+
+const auto OwnBody = std::string("X-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+const auto OwnUntilClose = std::string("X-Id: 7\r\n\r\nok");
+
+} // namespace
+
+// Guards against a response whose status is no status of HTTP: 000 passed for
+// an interim one, and for a complete one at the end of its connection.
+TEST_CASE("response reader, clients: a response with a status outside 100 to "
+          "599, or not of three digits, is broken") {
+  for (const auto *Status :
+       {"000",  "001",  "099",   "600",  "700",   "999", "1000",
+        "2000", "0200", "00200", "20",   "2",     "0",   "-200",
+        "+200", "2x0",  "20x",   "200x", "0x200", "abc", ""})
+    for (const auto &Rest : {OwnBody, OwnUntilClose})
+      for (const auto *Reason : {" OK\r\n", "\r\n"})
+        checkBroken("HTTP/1.1 " + std::string(Status) + Reason + Rest);
+  checkBroken("HTTP/1.1 000 -\r\n\r\n");
+  checkBroken("HTTP/1.1 000 -\r\n\r\nHTTP/1.1 200 OK\r\n" + OwnBody);
+  checkBroken("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 -\r\n" + OwnBody);
+  // Of another call, which is skipped otherwise.
+  CHECK(readAlone("HTTP/1.1 000 -\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\n" +
+                      OwnBody,
+                  1) == detail::ResponseReader::State::Broken);
+}
+
+TEST_CASE("response reader, clients: a response with any other status is "
+          "complete") {
+  for (auto Status = 200U; Status < 600; ++Status) {
+    auto NoBody = Status == 204 || Status == 304;
+    checkComplete(
+        fmt::format("HTTP/1.1 {}{}\r\n{}", Status,
+                    Status % 3 == 0 ? " Some reason" : " ",
+                    NoBody ? std::string("X-Id: 7\r\n\r\n") : OwnBody),
+        Status, NoBody ? "" : "ok");
+  }
+  for (const auto *Interim :
+       {"100 Continue", "102 Processing", "103 Early Hints", "110 -", "199 -"})
+    checkComplete(fmt::format("HTTP/1.1 {}\r\nLink: a\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\n{}",
+                              Interim, OwnBody),
+                  200, "ok");
+}
