Broken responses are logged and counted

What operators saw: of a broken response that was followed by a retry, nothing but "broken" among the attempts of the request's last line, without a reason; of a broken response of the store or the platform's interface, nothing.

Cause: the reason went to the result of the call, whose users log it only if the request fails, or not at all.

Hosts and gates show the count as a metric; stewards serve no metrics. A host logs the address of its metrics, so that it can listen on port 0.

Why it works: every response that a program reads comes through one of the two clients. A connection that ends without any byte of a response is no broken response and is not counted.

--- a/include/dotterel/gate/Metrics.h
+++ b/include/dotterel/gate/Metrics.h
@@ -41,6 +41,8 @@
   auto setConfigRevision(double Revision) -> void;
   auto setConfirmationAge(double Seconds) -> void;
   auto setUnreplicatedUsage(double Count) -> void;
+  /// Sets the number of broken responses since the start, which never falls.
+  auto setBrokenResponses(std::uint64_t Total) -> void;
 
   /// Returns all metrics in the Prometheus text format.
   [[nodiscard]] auto prometheusText() const -> std::string;
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -67,6 +67,8 @@
   const RecordReader &m_Records;
   /// Reads the settings again. \throws SettingsError 101.
   std::function<HostSettings()> m_ReadSettings;
+  /// Returns the number of broken responses since the start.
+  std::function<std::uint64_t()> m_BrokenResponses;
 };
 
 struct HostOptions {
--- a/include/dotterel/io/HttpClient.h
+++ b/include/dotterel/io/HttpClient.h
@@ -80,6 +80,12 @@
 
   /// Cancels a call and closes its connection. No callback follows.
   virtual auto cancel(HttpCallId Call) -> void = 0;
+
+  /// Returns the number of responses that began to arrive and were incomplete
+  /// or not valid.
+  [[nodiscard]] virtual auto brokenResponses() const -> std::uint64_t {
+    return 0;
+  }
 };
 
 /// Creates a client that uses libcurl.
--- a/include/dotterel/io/detail/ResponseHeadCheck.h
+++ b/include/dotterel/io/detail/ResponseHeadCheck.h
@@ -28,6 +28,8 @@
   /// Lets the next bytes be read as trailers, whose lines are those of a head.
   auto beginTrailers() -> void { m_State = State::LineBegin; }
 
+  /// Returns whether a byte of the head has been read.
+  [[nodiscard]] auto begun() const -> bool { return m_State != State::Begin; }
   /// Returns whether the head, or the trailers, have ended.
   [[nodiscard]] auto ended() const -> bool { return m_State == State::Ended; }
   /// Returns whether a head that has ended belongs to an interim response.
--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -84,6 +84,10 @@
   [[nodiscard]] auto rejectedUnnamed() const -> bool {
     return m_RejectedUnnamed;
   }
+  /// Returns whether a response began to arrive that was not skipped.
+  [[nodiscard]] auto begun() const -> bool {
+    return m_HeadCheck.begun() || m_OverLimit;
+  }
   /// Returns why bytes that were read are no response to the call.
   [[nodiscard]] auto brokenReason() const -> const char *;
   [[nodiscard]] auto started() const -> bool { return m_Started; }
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -68,6 +68,8 @@
   auto setDutyHeld(bool Held) -> void;
   auto countDutyCall(const char *Matter, const char *Outcome) -> void;
   auto countDutyGivenUp(const char *Reason) -> void;
+  /// Sets the number of broken responses since the start, which never falls.
+  auto setBrokenResponses(std::uint64_t Total) -> void;
   auto setLogLinesDropped(double Count) -> void;
   auto setDatagramsDropped(double Count) -> void;
 
--- a/src/gate/GateProcess.cpp
+++ b/src/gate/GateProcess.cpp
@@ -341,6 +341,7 @@
   if (Age != Duration::max())
     m_Metrics.setConfirmationAge(std::chrono::duration<double>(Age).count());
   m_Metrics.setUnreplicatedUsage(static_cast<double>(m_Usage.uncopied()));
+  m_Metrics.setBrokenResponses(m_Core.m_Client->brokenResponses());
 }
 
 auto GateProcess::usageReplicaAddress() const -> std::string {
--- a/src/gate/Metrics.cpp
+++ b/src/gate/Metrics.cpp
@@ -56,6 +56,11 @@
       counterFamily(m_Registry, "dotterel_backend_failures_total",
                     "Attempts that failed at a backend server.")
           .Add({});
+  Counter &m_BrokenResponses =
+      counterFamily(m_Registry, "dotterel_broken_responses_total",
+                    "Responses that began to arrive and were incomplete or not "
+                    "valid.")
+          .Add({});
   Family<Counter> &m_Tokens = counterFamily(m_Registry, "dotterel_tokens_total",
                                             "Tokens billed, by kind.");
   Counter &m_Prefill = m_Tokens.Add({{"kind", "prefill"}});
@@ -162,6 +167,11 @@
   m_Impl->m_UnreplicatedUsage.Set(Count);
 }
 
+auto GateMetrics::setBrokenResponses(std::uint64_t Total) -> void {
+  m_Impl->m_BrokenResponses.Increment(static_cast<double>(Total) -
+                                      m_Impl->m_BrokenResponses.Value());
+}
+
 auto GateMetrics::prometheusText() const -> std::string {
   return prometheus::TextSerializer().Serialize(m_Impl->m_Registry.Collect());
 }
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -375,6 +375,8 @@
   m_Metrics.setCallerMemory(m_CallerMemory);
   m_Metrics.setActive(static_cast<double>(m_Core.active()));
   m_Metrics.setDutyHeld(m_Duty.held());
+  if (m_Dependencies.m_BrokenResponses)
+    m_Metrics.setBrokenResponses(m_Dependencies.m_BrokenResponses());
   m_Metrics.setLogLinesDropped(static_cast<double>(m_Log.dropped()));
   m_Metrics.setDatagramsDropped(
       static_cast<double>(m_Dependencies.m_Datagrams.dropped()));
@@ -447,6 +449,8 @@
                   m_Loop, *m_MetricsHandler,
                   StrictHttpServerOptions{.m_Address = SocketAddress::parse(
                                               m_Options.m_MetricsAddress)});
+              logInfo("metrics.listening",
+                      {{"address", m_MetricsServer->address().text()}});
             },
         .m_Reset = [this] { m_MetricsServer.reset(); }}));
   }
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/io/Socket.h"
+#include "dotterel/io/detail/BrokenResponseLog.h"
 #include "dotterel/io/detail/ResponseHeadCheck.h"
 
 #include <algorithm>
@@ -123,6 +124,21 @@
     ::shutdown(Fd, SHUT_RDWR);
 }
 
+/// Returns whether bytes of a response arrived. libcurl passes on no line that
+/// it rejects itself.
+auto responseBegan(const Transfer &Current, CURLcode Code) -> bool {
+  return Current.m_HeaderBytes > 0 || Code == CURLE_UNSUPPORTED_PROTOCOL ||
+         Code == CURLE_WEIRD_SERVER_REPLY;
+}
+
+/// Returns the address in a URL.
+auto serverOf(std::string_view Url) -> std::string_view {
+  constexpr auto Separator = std::string_view("://");
+  if (auto Scheme = Url.find(Separator); Scheme != std::string_view::npos)
+    Url.remove_prefix(Scheme + Separator.size());
+  return Url.substr(0, Url.find('/'));
+}
+
 auto toOutcome(CURLcode Code, CURL *Easy) -> HttpOutcome {
   if (Code == CURLE_OK)
     return HttpOutcome::Complete;
@@ -143,6 +159,9 @@
 
   auto start(HttpCall Call) -> HttpCallId override;
   auto cancel(HttpCallId Call) -> void override;
+  [[nodiscard]] auto brokenResponses() const -> std::uint64_t override {
+    return m_BrokenResponses.count();
+  }
 
 private:
   static auto onSocket(CURL *Easy, curl_socket_t Fd, int PollAction, void *Self,
@@ -166,6 +185,7 @@
   std::vector<HttpCallId> m_Deferred;
   bool m_InsideCurl = false;
   std::uint64_t m_LastId = 0;
+  detail::BrokenResponseLog m_BrokenResponses;
 };
 
 CurlClient::CurlClient(EventLoop &Loop)
@@ -359,6 +379,11 @@
     }
     if (const auto *Error = Current->m_HeadCheck.error())
       Result.m_Detail = Error;
+    if (Result.m_Outcome == HttpOutcome::Broken &&
+        responseBegan(*Current, Code))
+      m_BrokenResponses.record(detail::requestIdOf(Current->m_Call),
+                               serverOf(Current->m_Call.m_Url), Result,
+                               m_Loop.now());
     auto OnDone = std::move(Current->m_Call.m_OnDone);
     curl_multi_remove_handle(m_Multi, Easy);
     m_Transfers.erase(Current->m_Id.number());
--- a/src/io/PooledHttpClient.cpp
+++ b/src/io/PooledHttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "dotterel/base/Errors.h"
 #include "dotterel/io/Socket.h"
+#include "dotterel/io/detail/BrokenResponseLog.h"
 #include "dotterel/io/detail/CarriedCalls.h"
 #include "dotterel/io/detail/ResponseReader.h"
 
@@ -165,6 +166,15 @@
   auto addBuffered(std::size_t Bytes) -> void;
   auto removeBuffered(std::size_t Bytes) -> void { m_BufferedBytes -= Bytes; }
 
+  [[nodiscard]] auto brokenResponses() const -> std::uint64_t override {
+    return m_BrokenResponses.count();
+  }
+  auto recordBroken(const HttpCall &Call, const std::string &Address,
+                    const HttpCallResult &Result) -> void {
+    m_BrokenResponses.record(detail::requestIdOf(Call), Address, Result,
+                             m_Loop.now());
+  }
+
   [[nodiscard]] auto loop() -> EventLoop & { return m_Loop; }
   [[nodiscard]] auto options() const -> const PooledHttpClientOptions & {
     return m_Options;
@@ -190,6 +200,7 @@
   std::unordered_map<std::uint64_t, TimerId> m_FailedStarts;
   std::uint64_t m_LastId = 0;
   std::size_t m_BufferedBytes = 0; ///< Of all calls in progress.
+  detail::BrokenResponseLog m_BrokenResponses;
   RepeatingTimer m_SweepTimer;
 };
 
@@ -401,6 +412,8 @@
   m_Result.m_Detail = Detail;
   m_Result.m_NamesCall = m_Reader->namesCall();
   m_Result.m_SkippedResponses = m_Reader->skippedResponses();
+  if (Outcome == HttpOutcome::Broken && m_Reader->begun())
+    m_Client.recordBroken(Call, m_Address, m_Result);
   auto Result = std::move(m_Result);
   auto Keep = Outcome == HttpOutcome::Complete && m_Reader->reusable() &&
               m_SentBytes == m_RequestBytes && !Call.m_DedicatedConnection;
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -196,6 +196,11 @@
   Gauge &m_LimitUnheardHosts =
       gauge(m_Registry, "dotterel_serving_limit_unheard_hosts",
             "Registered hosts whose share of the limits is reserved.");
+  Counter &m_BrokenResponses =
+      counters(m_Registry, "dotterel_serving_broken_responses_total",
+               "Responses that began to arrive and were incomplete or not "
+               "valid.")
+          .Add({});
   Gauge &m_LinesDropped =
       gauge(m_Registry, "dotterel_serving_log_lines_dropped",
             "Log lines dropped since the start, since their reader was slow "
@@ -343,6 +348,11 @@
   m_Impl->m_DutiesGivenUp.Add({{"reason", Reason}}).Increment();
 }
 
+auto ServingMetrics::setBrokenResponses(std::uint64_t Total) -> void {
+  m_Impl->m_BrokenResponses.Increment(static_cast<double>(Total) -
+                                      m_Impl->m_BrokenResponses.Value());
+}
+
 auto ServingMetrics::setLogLinesDropped(double Count) -> void {
   m_Impl->m_LinesDropped.Set(Count);
 }
--- a/tests/e2e-BrokenResponses.cpp
+++ b/tests/e2e-BrokenResponses.cpp
@@ -443,3 +443,45 @@
       CHECK(Response.m_Body == "ok");
     }
 }
+
+TEST_CASE("host: a broken response is logged with its request, server and "
+          "reason, and counted") {
+  auto Test = ScriptedPlatform();
+  auto &Server = Test.useServer({.m_Response = signedResponse("999", "", "ok"),
+                                 .m_End = ConnectionEnd::HalfClose});
+  Test.upload("once", 4);
+  auto Line = fmt::format("event=response.broken request=q{} server={} "
+                          "reason=\"the status of the answer is not valid\"",
+                          Test.m_LastRequest, Server.address());
+  Test.waitFor("the log line", [&] {
+    return Test.m_Hosts[0]->log().find(Line) != std::string::npos;
+  });
+  auto Metrics = Test.m_Hosts[0]->field("metrics.listening", "address");
+  Test.waitFor("the count", [&] {
+    return Test.call({.m_Url = "http://" + Metrics + "/"})
+               .m_Body.find("dotterel_serving_broken_responses_total 1") !=
+           std::string::npos;
+  });
+}
+
+TEST_CASE("gate: a broken response is logged with its request, server and "
+          "reason, and counted") {
+  auto Test = ScriptedService(completeResponse());
+  Test.m_Server.setScript(
+      {.m_Response = signedResponse("200", "X Y: a\r\n", "ok"),
+       .m_End = ConnectionEnd::HalfClose});
+  auto Response = Test.request("once");
+  auto Line =
+      fmt::format("event=response.broken request={}.1 server={} "
+                  "reason=\"a header name of the answer is not valid\"",
+                  findHeader(Response.m_Headers, "x-request-id").value_or(""),
+                  Test.m_Server.address());
+  Test.waitFor("the log line", [&] {
+    return Test.m_Gates[0]->log().find(Line) != std::string::npos;
+  });
+  Test.waitFor("the count", [&] {
+    return Test.call({.m_Url = Test.m_GateUrls[0] + "/metrics"})
+               .m_Body.find("dotterel_broken_responses_total 1") !=
+           std::string::npos;
+  });
+}
--- a/tests/support/PlatformHosts.h
+++ b/tests/support/PlatformHosts.h
@@ -112,8 +112,9 @@
   auto startProcess(int Number) -> void {
     auto Index = static_cast<std::size_t>(Number);
     m_Hosts[Index] = std::make_unique<Process>(
-        "dotterel-host", std::vector<std::string>{"--platform-settings=" +
-                                                  m_SettingsPaths[Index]});
+        "dotterel-host", std::vector<std::string>{
+                             "--metrics-listen=127.0.0.1:0",
+                             "--platform-settings=" + m_SettingsPaths[Index]});
     // The fake store responds only while the event loop of this process runs.
     auto &Started = *m_Hosts[Index];
     waitFor("a listening host", [&Started] {
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -1,3 +1,4 @@
+#include "dotterel/base/Log.h"
 #include "dotterel/io/detail/ResponseReader.h"
 #include "support/ByteServer.h"
 #include "support/EarlyServer.h"
@@ -391,3 +392,38 @@
                   200, "ok");
   checkComplete("HTTP/1.1 200 OK\nX-Id: 7\nContent-Length: 2\n\nok", 200, "ok");
 }
+
+TEST_CASE("clients: a broken response is counted, and a connection that ends "
+          "without one is not") {
+  struct Case {
+    std::string m_Bytes;
+    std::uint64_t m_Count;
+  };
+  for (const auto &Case : std::vector<Case>{
+           {"", 0},
+           {"HTTP/1.1 200 OK\r\n" + OwnBody, 0},
+           {"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nok", 1},
+           {"HTTP/1.1 200 OK\r\nX-I", 1},
+           {"HTTP/1.1 000 -\r\n" + OwnBody, 1},
+           {"HTTP/1.1 999 -\r\n" + OwnBody, 1},
+           {"HTTP/1.1 200 OK\r\nX Y: a\r\n" + OwnBody, 1},
+           {"garbage", 1}})
+    for (auto Curl : {false, true}) {
+      CAPTURE(Case.m_Bytes);
+      CAPTURE(Curl);
+      auto Test = Curl ? std::make_unique<Upload>(Upload::WithCurl())
+                       : std::make_unique<Upload>();
+      Test->m_Server.setScript({.m_Response = respondWith(Case.m_Bytes),
+                                .m_End = ConnectionEnd::HalfClose});
+      auto Lines = 0;
+      setLogSink([&Lines](std::string_view Line) {
+        if (Line.find("event=response.broken request=7 server=127.0.0.1:") !=
+            std::string_view::npos)
+          ++Lines;
+      });
+      Test->post(3);
+      setLogSink(nullptr);
+      CHECK(Test->m_Client->brokenResponses() == Case.m_Count);
+      CHECK(Lines == static_cast<int>(Case.m_Count));
+    }
+}
