Test: a peer's response that ends early fails the call

After each number of bytes of the response to a claim, with an orderly end and with a reset, the call fails. Passed on the code before, which was not changed: Cap'n Proto states the length of each message.

--- a/tests/unit-PeerRpc.cpp
+++ b/tests/unit-PeerRpc.cpp
@@ -1,7 +1,12 @@
 #include "dotterel/io/KjLoop.h"
+#include "dotterel/io/Socket.h"
 #include "dotterel/rpc/PeerRpc.h"
 
+#include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <limits>
+#include <sys/socket.h>
 
 using namespace dotterel;
 
@@ -44,6 +49,77 @@
   std::string m_Address = m_Server.address().text();
 };
 
+/// Passes one connection on to a peer, and ends it after the first bytes of the
+/// peer's responses.
+class CuttingRelay {
+public:
+  CuttingRelay(EventLoop &Loop, std::string Peer, std::size_t MaxBytes,
+               bool Reset)
+      : m_Loop(Loop), m_Address(std::move(Peer)), m_MaxBytes(MaxBytes),
+        m_Reset(Reset),
+        m_Listener(listenOn(SocketAddress::parse("127.0.0.1:0"))),
+        m_AcceptWatcher(Loop, m_Listener.fd(), EV_READ,
+                        [this](int) { accept(); }) {}
+
+  [[nodiscard]] auto address() const -> std::string {
+    return boundAddress(m_Listener).text();
+  }
+  /// Returns the number of bytes of responses that were passed on.
+  [[nodiscard]] auto bytes() const -> std::size_t { return m_Bytes; }
+
+private:
+  auto accept() -> void {
+    m_Caller =
+        Socket(::accept4(m_Listener.fd(), nullptr, nullptr, SOCK_NONBLOCK));
+    m_Peer = beginConnect(SocketAddress::parse(m_Address));
+    m_CallerWatcher.emplace(m_Loop, m_Caller.fd(), EV_READ,
+                            [this](int) { pass(m_Caller, m_Peer); });
+    m_PeerWatcher.emplace(m_Loop, m_Peer.fd(), EV_READ,
+                          [this](int) { passBack(); });
+  }
+
+  auto pass(Socket &From, Socket &To,
+            std::size_t MaxBytes = std::numeric_limits<std::size_t>::max())
+      -> std::size_t {
+    auto Buffer = std::array<char, 4096>();
+    auto Count = ::recv(From.fd(), Buffer.data(), Buffer.size(), 0);
+    if (Count <= 0) {
+      end();
+      return 0;
+    }
+    auto Bytes = std::min(MaxBytes, static_cast<std::size_t>(Count));
+    ::send(To.fd(), Buffer.data(), Bytes, MSG_NOSIGNAL);
+    return Bytes;
+  }
+
+  auto passBack() -> void {
+    m_Bytes += pass(m_Peer, m_Caller, m_MaxBytes - m_Bytes);
+    if (m_Bytes == m_MaxBytes)
+      end();
+  }
+
+  auto end() -> void {
+    m_CallerWatcher->enable(false);
+    m_PeerWatcher->enable(false);
+    if (m_Reset)
+      m_Caller.resetOnClose();
+    m_Caller = Socket();
+    m_Peer = Socket();
+  }
+
+  EventLoop &m_Loop;
+  std::string m_Address;
+  std::size_t m_MaxBytes;
+  bool m_Reset;
+  std::size_t m_Bytes = 0;
+  Socket m_Listener;
+  Socket m_Caller;
+  Socket m_Peer;
+  std::optional<FdWatcher> m_CallerWatcher;
+  std::optional<FdWatcher> m_PeerWatcher;
+  FdWatcher m_AcceptWatcher;
+};
+
 } // namespace
 
 TEST_CASE("peer exchange transmits every field of a view") {
@@ -141,6 +217,31 @@
   CHECK(Verdict == ClaimVerdict::Granted);
 }
 
+TEST_CASE("peer call whose response ends early fails, after any number of its "
+          "bytes") {
+  auto Claim = [](Fixture &Test, CuttingRelay &Relay) {
+    auto Reply = std::optional<ClaimReply>();
+    Test.m_Caller->claim(Relay.address(), {}, [&](auto Received) {
+      Reply = Received;
+      Test.m_Loop.stop();
+    });
+    Test.m_Loop.run();
+    return Reply;
+  };
+  auto Test = Fixture();
+  auto Whole = CuttingRelay(Test.m_Loop, Test.m_Address,
+                            std::numeric_limits<std::size_t>::max(), false);
+  REQUIRE(Claim(Test, Whole));
+  REQUIRE(Whole.bytes() > 0);
+  for (auto Bytes = std::size_t{1}; Bytes < Whole.bytes(); ++Bytes)
+    for (auto Reset : {false, true}) {
+      CAPTURE(Bytes);
+      CAPTURE(Reset);
+      auto Relay = CuttingRelay(Test.m_Loop, Test.m_Address, Bytes, Reset);
+      CHECK_FALSE(Claim(Test, Relay));
+    }
+}
+
 TEST_CASE("many peer calls in sequence to one address succeed") {
   auto Test = Fixture();
   constexpr auto Calls = 500;
