A response with a stray carriage return or control byte in its head is broken

Cause: the parser library is built without its strict checks and takes any byte after a carriage return for a line feed; libcurl checks no values.

Change: in a head a carriage return is followed by a line feed, and values hold no control bytes but tabs. The pooled client's parser refused the latter before.

Why it works: the check reads each byte of a head before a parser uses it.

--- a/include/dotterel/io/detail/ResponseHeadCheck.h
+++ b/include/dotterel/io/detail/ResponseHeadCheck.h
@@ -17,8 +17,8 @@
 auto isNameByte(char Byte) -> bool;
 
 /// Reads the head of one response as it arrives, and says whether it is valid:
-/// its status is one of HTTP, three digits from 100 to 599, and each line has a
-/// name.
+/// its status is one of HTTP, three digits from 100 to 599, each line has a
+/// name, and values and line ends hold no other control bytes.
 class ResponseHeadCheck {
 public:
   /// Reads up to the end of the head, and ignores what follows. \returns
@@ -46,6 +46,7 @@
     LineBegin,
     Name,
     Value,
+    LineEnd,     ///< After a CR.
     LastLineEnd, ///< After the CR of the empty line.
     Ended,
   };
@@ -54,6 +55,7 @@
   auto readStatus(char Byte) -> void;
   auto readLineBegin(char Byte) -> void;
   auto readName(char Byte) -> void;
+  auto readText(char Byte) -> void;
   auto fail(const char *Error) -> void { m_Error = Error; }
 
   State m_State = State::Begin;
--- a/src/io/detail/ResponseHeadCheck.cpp
+++ b/src/io/detail/ResponseHeadCheck.cpp
@@ -10,6 +10,7 @@
 constexpr auto FirstFinalStatus = 200U;
 constexpr auto Decimal = 10U;
 
+constexpr auto InvalidLineEnd = "a line of the answer's head has no valid end";
 constexpr auto InvalidName = "a header name of the answer is not valid";
 
 } // namespace
@@ -49,8 +50,12 @@
     return;
   case State::Reason:
   case State::Value:
-    if (Byte == '\n')
-      m_State = State::LineBegin;
+    readText(Byte);
+    return;
+  case State::LineEnd:
+    m_State = State::LineBegin;
+    if (Byte != '\n')
+      fail(InvalidLineEnd);
     return;
   case State::LineBegin:
     readLineBegin(Byte);
@@ -59,10 +64,9 @@
     readName(Byte);
     return;
   case State::LastLineEnd:
-    if (Byte == '\n')
-      m_State = State::Ended;
-    else
-      fail(InvalidName);
+    m_State = State::Ended;
+    if (Byte != '\n')
+      fail(InvalidLineEnd);
     return;
   case State::Ended:
     return;
@@ -84,7 +88,21 @@
     fail("the status of the answer is not valid");
     return;
   }
-  m_State = Byte == '\n' ? State::LineBegin : State::Reason;
+  m_State = State::Reason;
+  readText(Byte);
+}
+
+auto ResponseHeadCheck::readText(char Byte) -> void {
+  constexpr auto FirstVisible = '\x20';
+  constexpr auto Delete = '\x7f';
+  if (Byte == '\n') {
+    m_State = State::LineBegin;
+  } else if (Byte == '\r') {
+    m_State = State::LineEnd;
+  } else if (m_State == State::Value && Byte != '\t' &&
+             ((Byte >= 0 && Byte < FirstVisible) || Byte == Delete)) {
+    fail("a value in the head of the answer is not valid");
+  }
 }
 
 auto ResponseHeadCheck::readLineBegin(char Byte) -> void {
--- a/tests/e2e-BrokenResponses.cpp
+++ b/tests/e2e-BrokenResponses.cpp
@@ -108,7 +108,7 @@
 const auto BrokenStatuses =
     std::vector<std::string>{"000", "099", "600", "999", "1000", "0200", "20"};
 
-/// Lines with a byte that no header name may hold, among them such whose name
+/// Lines with a byte that no header may hold, among them such whose name
 /// resembles one that frames the body.
 const auto BrokenLines =
     std::vector<std::string>{"X Other: a",
@@ -126,6 +126,8 @@
                              "Transfer-Encoding\t: chunked",
                              "Connection : close",
                              "X-Response-Stamp : a",
+                             "X-Other: a\x01",
+                             "X-Other: a\rb",
                              ": a",
                              "X-Other"};
 
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -371,6 +371,25 @@
   checkComplete(std::string(Chunked) + "Checksum: a\r\n\r\n", 200, "ok");
 }
 
+// Guards against lines of a head that became the body: a carriage return alone
+// ended the status line for one reader.
+TEST_CASE(
+    "response reader, clients: a response with a carriage return alone in "
+    "its head, or a control byte in a value, is broken") {
+  checkBroken("HTTP/1.1 200 O\rK\r\n" + OwnUntilClose);
+  checkBroken("HTTP/1.1 200\rX\r\n" + OwnUntilClose);
+  checkBroken("HTTP/1.1 200 OK\r\r\n" + OwnUntilClose);
+  checkBroken("HTTP/1.1 200 OK\r\nX-Id: 7\r\n\rX\r\n" + OwnUntilClose);
+  for (auto Value = 0; Value < 256; ++Value) {
+    auto Byte = static_cast<char>(Value);
+    if ((Value >= 0x20 && Value != 0x7f) || Byte == '\t' || Byte == '\n')
+      continue;
+    for (const auto *Name : {"X-Other", "Content-Type", "Content-Length"})
+      checkBroken("HTTP/1.1 200 OK\r\n" + std::string(Name) + ": 2" +
+                  std::string(1, Byte) + "a\r\n" + OwnBody);
+  }
+}
+
 TEST_CASE("response reader, clients: a response with unusual names and values "
           "is complete") {
   for (const auto *Line :
