A response with bytes between its chunks is broken

Cause: the parser library is built without its strict checks and skips two bytes after a chunk, and one after each carriage return, whatever they are. libcurl refuses both; nothing was changed for it.

Change: the reader of responses checks what stands between chunks, and trailers, with the same checks as heads.

Why it works: the check runs before a response counts as complete; the bytes of a chunk's data are not looked at.

--- a/include/dotterel/io/detail/ResponseHeadCheck.h
+++ b/include/dotterel/io/detail/ResponseHeadCheck.h
@@ -13,17 +13,14 @@
 
 namespace dotterel::detail {
 
-/// Returns whether a header name may hold \p Byte.
-auto isNameByte(char Byte) -> bool;
-
 /// Reads the head of one response as it arrives, and says whether it is valid:
 /// its status is one of HTTP, three digits from 100 to 599, each line has a
 /// name, and values and line ends hold no other control bytes.
 class ResponseHeadCheck {
 public:
-  /// Reads up to the end of the head, and ignores what follows. \returns
-  /// whether the head is valid so far.
-  auto feed(std::string_view Bytes) -> bool;
+  /// Reads \p Bytes, of which it leaves what follows the end of the head.
+  /// \returns whether the head is valid so far.
+  auto feed(std::string_view &Bytes) -> bool;
 
   /// Lets the next bytes be read as trailers, whose lines are those of a head.
   auto beginTrailers() -> void { m_State = State::LineBegin; }
--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -10,6 +10,7 @@
 
 #include "dotterel/base/Units.h"
 #include "dotterel/io/HttpMessage.h"
+#include "dotterel/io/detail/ChunkCheck.h"
 #include "dotterel/io/detail/ResponseHeadCheck.h"
 
 #include <functional>
@@ -104,7 +105,8 @@
 private:
   auto finishResponse() -> State;
   auto headersComplete() -> int;
-  auto checkTrailerName(std::string_view Part) -> int;
+  /// Checks bytes after a head that the parser has read.
+  auto checkBody(std::string_view Bytes) -> bool;
   auto addBody(std::string_view Data) -> int;
   [[nodiscard]] auto maxOverheadBytes() const -> std::size_t;
   auto restart() -> void;
@@ -115,6 +117,8 @@
   http_parser m_Parser{};
   State m_State = State::Reading;
   ResponseHeadCheck m_HeadCheck; ///< Of the current response.
+  ChunkCheck m_ChunkCheck;       ///< Of its body, if that is chunked.
+  ResponseHeadCheck m_TrailerCheck;
   HttpHeaders m_Headers;
   std::size_t m_OverheadBytes = 0;
   std::size_t m_OwnBodyBytes = 0;
@@ -127,7 +131,7 @@
   std::uint32_t m_SkippedResponses = 0;
   bool m_NamesCall = false;
   bool m_RejectedUnnamed = false;
-  bool m_InvalidTrailer = false;
+  bool m_InvalidChunks = false;
   bool m_HasTrailingBytes = false;
   bool m_Reusable = false;
   bool m_Started = false;
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -93,7 +93,7 @@
   } else if (Check.ended()) {
     Check.beginTrailers();
   }
-  if (!Check.feed(Line))
+  if (auto Unread = Line; !Check.feed(Unread))
     return 0;
   Current.m_HeadComplete =
       Current.m_HeadComplete || (Check.ended() && !Check.interim());
--- a/src/io/detail/ResponseHeadCheck.cpp
+++ b/src/io/detail/ResponseHeadCheck.cpp
@@ -13,8 +13,7 @@
 constexpr auto InvalidLineEnd = "a line of the answer's head has no valid end";
 constexpr auto InvalidName = "a header name of the answer is not valid";
 
-} // namespace
-
+/// Returns whether a header name may hold \p Byte.
 auto isNameByte(char Byte) -> bool {
   constexpr auto Marks = std::string_view("!#$%&'*+-.^_`|~");
   return (Byte >= '0' && Byte <= '9') || (Byte >= 'a' && Byte <= 'z') ||
@@ -22,15 +21,16 @@
          Marks.find(Byte) != std::string_view::npos;
 }
 
+} // namespace
+
 auto ResponseHeadCheck::interim() const -> bool {
   return m_Status < FirstFinalStatus;
 }
 
-auto ResponseHeadCheck::feed(std::string_view Bytes) -> bool {
-  for (auto Byte : Bytes) {
-    if (m_Error != nullptr || ended())
-      break;
-    read(Byte);
+auto ResponseHeadCheck::feed(std::string_view &Bytes) -> bool {
+  while (!Bytes.empty() && m_Error == nullptr && !ended()) {
+    read(Bytes.front());
+    Bytes.remove_prefix(1);
   }
   return m_Error == nullptr;
 }
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -31,6 +31,9 @@
   http_parser_init(&m_Parser, HTTP_RESPONSE);
   m_Parser.data = this;
   m_HeadCheck = ResponseHeadCheck();
+  m_ChunkCheck = ChunkCheck();
+  m_TrailerCheck = ResponseHeadCheck();
+  m_TrailerCheck.beginTrailers();
   m_Headers.clear();
   m_InHeaderValue = m_HeadersDone = m_MessageDone = m_BelongsToOtherCall =
       false;
@@ -44,7 +47,7 @@
                                 std::size_t Size) {
       auto &Self = reader(Parser);
       if (Self.m_HeadersDone)
-        return Self.checkTrailerName(std::string_view(Data, Size));
+        return 0;
       if (Self.m_Headers.empty() || Self.m_InHeaderValue) {
         if (Self.m_Headers.size() == MaxHeaders) {
           Self.m_OverLimit = true;
@@ -109,9 +112,11 @@
   return m_Options.m_HeadMethod ? SkipBody : 0;
 }
 
-auto ResponseReader::checkTrailerName(std::string_view Part) -> int {
-  m_InvalidTrailer = !std::all_of(Part.begin(), Part.end(), isNameByte);
-  return m_InvalidTrailer ? StopParser : 0;
+auto ResponseReader::checkBody(std::string_view Bytes) -> bool {
+  if ((m_Parser.flags & F_CHUNKED) == 0)
+    return true;
+  m_InvalidChunks = !m_ChunkCheck.feed(Bytes);
+  return !m_InvalidChunks && m_TrailerCheck.feed(Bytes);
 }
 
 auto ResponseReader::addBody(std::string_view Data) -> int {
@@ -134,7 +139,8 @@
 
 auto ResponseReader::feed(std::string_view Bytes) -> State {
   while (m_State == State::Reading && !Bytes.empty()) {
-    if (!m_HeadCheck.feed(Bytes)) {
+    auto Body = Bytes;
+    if (!m_HeadCheck.feed(Body)) {
       m_State = State::Broken;
       return m_State;
     }
@@ -157,6 +163,11 @@
       return m_State;
     }
     Bytes.remove_prefix(Parsed);
+    Body.remove_suffix(std::min(Body.size(), Bytes.size()));
+    if (!checkBody(Body)) {
+      m_State = State::Broken;
+      return m_State;
+    }
     if (m_MessageDone)
       m_State = finishResponse();
   }
@@ -197,8 +208,10 @@
     return "the answer names no request";
   if (m_HeadCheck.error() != nullptr)
     return m_HeadCheck.error();
-  if (m_InvalidTrailer)
-    return "a trailer name of the answer is not valid";
+  if (m_InvalidChunks)
+    return "the chunks of the answer are not valid";
+  if (m_TrailerCheck.error() != nullptr)
+    return m_TrailerCheck.error();
   return "the bytes are no answer";
 }
 
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -390,6 +390,37 @@
   }
 }
 
+// Guards against a body that lacks what follows a chunk's stated size.
+TEST_CASE("response reader, clients: a response with broken chunks is broken") {
+  for (const auto *Chunks :
+       {"2\r\nokXX0\r\n\r\n", "2\r\nok\rX0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+        "2\rXok\r\n0\r\n\r\n", "2;a\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n",
+        "2\r\nok\r\n0\r\n\rX", "2\r\nok!\r\n0\r\n\r\n", "2\r\nok\r\n",
+        "2\r\nok\r\n0\r\n", "-2\r\nok\r\n0\r\n\r\n", "x\r\nok\r\n0\r\n\r\n",
+        "\r\n2\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n\r\n0\r\n\r\n",
+        "2\r\nok\r\n0\r\nA b: c\r\n\r\n", "2\r\nok\r\n0\r\nA: b\rc\r\n\r\n"})
+    checkBroken("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n" +
+                std::string(Chunks));
+}
+
+TEST_CASE("response reader, clients: a response with unusual chunks is "
+          "complete") {
+  for (const auto *Chunks :
+       {"2\r\nok\r\n0\r\n\r\n", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        "0002\r\nok\r\n000\r\n\r\n", "2;a=b;c=\"d\"\r\nok\r\n0;e\r\n\r\n",
+        "2\r\nok\r\n0\r\nA: b\r\nC:\r\n\r\n"})
+    checkComplete("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n"
+                  "\r\n" +
+                      std::string(Chunks),
+                  200, "ok");
+  constexpr auto Bytes = std::size_t{0xabc};
+  checkComplete("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: "
+                "Chunked\r\n\r\naBC\r\n" +
+                    std::string(Bytes, '\n') + "\r\n0\r\n\r\n",
+                200, std::string(Bytes, '\n'));
+}
+
 TEST_CASE("response reader, clients: a response with unusual names and values "
           "is complete") {
   for (const auto *Line :
