A response with an unknown transfer coding is broken

Cause: the parser library reads such a body up to the end of the connection. The header is not forwarded, as it holds for one connection. No program asks for a coding, so that a server must use none but chunked. libcurl refuses the others; nothing was changed for it.

Change: each transfer coding is the one that the parser decodes.

--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -105,6 +105,8 @@
 private:
   auto finishResponse() -> State;
   auto headersComplete() -> int;
+  /// Returns whether the parser decodes the body as the headers say.
+  [[nodiscard]] auto decodesBody() const -> bool;
   /// Checks bytes after a head that the parser has read.
   auto checkBody(std::string_view Bytes) -> bool;
   auto addBody(std::string_view Data) -> int;
@@ -132,6 +134,7 @@
   bool m_NamesCall = false;
   bool m_RejectedUnnamed = false;
   bool m_InvalidChunks = false;
+  bool m_UnknownCoding = false;
   bool m_HasTrailingBytes = false;
   bool m_Reusable = false;
   bool m_Started = false;
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -91,6 +91,9 @@
   auto Status = static_cast<unsigned>(m_Parser.status_code);
   if (Status < FirstFinalStatus)
     return 0;
+  m_UnknownCoding = !decodesBody();
+  if (m_UnknownCoding)
+    return ParserError;
   if (!m_Options.m_EchoedHeader.m_Name.empty()) {
     auto Name = nameInResponse(m_Headers, m_Options.m_EchoedHeader);
     m_BelongsToOtherCall = Name == ResponseName::Other;
@@ -112,6 +115,19 @@
   return m_Options.m_HeadMethod ? SkipBody : 0;
 }
 
+auto ResponseReader::decodesBody() const -> bool {
+  return std::all_of(
+      m_Headers.begin(), m_Headers.end(), [this](const HttpHeader &Header) {
+        if (!sameHeaderName(Header.m_Name, "Transfer-Encoding"))
+          return true;
+        auto Coding = std::string_view(Header.m_Value);
+        while (Coding.ends_with(' '))
+          Coding.remove_suffix(1);
+        return sameHeaderName(
+            Coding, (m_Parser.flags & F_CHUNKED) != 0 ? "chunked" : "identity");
+      });
+}
+
 auto ResponseReader::checkBody(std::string_view Bytes) -> bool {
   if ((m_Parser.flags & F_CHUNKED) == 0)
     return true;
@@ -208,6 +224,8 @@
     return "the answer names no request";
   if (m_HeadCheck.error() != nullptr)
     return m_HeadCheck.error();
+  if (m_UnknownCoding)
+    return "the transfer coding of the answer is not known";
   if (m_InvalidChunks)
     return "the chunks of the answer are not valid";
   if (m_TrailerCheck.error() != nullptr)
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -421,6 +421,22 @@
                 200, std::string(Bytes, '\n'));
 }
 
+// Guards against a body that is not the server's, because its coding was not
+// undone.
+TEST_CASE(
+    "response reader, clients: a response with an unknown transfer coding "
+    "is broken") {
+  for (const auto *Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "xchunked", "chunkedx",
+        "\"chunked\"", "chunked;a=b", "x\r\nTransfer-Encoding: chunked"})
+    checkBroken("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: " +
+                std::string(Coding) + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  for (const auto *Coding : {"chunked", "CHUNKED", " chunked "})
+    checkComplete("HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding:" +
+                      std::string(Coding) + "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                  200, "ok");
+}
+
 TEST_CASE("response reader, clients: a response with unusual names and values "
           "is complete") {
   for (const auto *Line :
