Gates and stewards reject a response whose length is not one

Cause: libcurl reads a length up to the first byte that is no digit, and takes the last of several. The parser library of the pooled client refuses these; nothing was changed for it.

Change: the libcurl client takes a length only if it is a whole number, and the same one each time that it is stated.

--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include "dotterel/io/detail/ResponseHeadCheck.h"
 
 #include <algorithm>
+#include <charconv>
 #include <curl/curl.h>
 #include <optional>
 #include <sys/socket.h>
@@ -39,6 +40,7 @@
   std::size_t m_HeaderBytes = 0;
   detail::ResponseHeadCheck m_HeadCheck; ///< Of the newest head.
   bool m_HeadComplete = false;           ///< That of the final response.
+  bool m_InvalidLength = false;
 };
 
 struct SocketWatch {
@@ -77,6 +79,23 @@
   return Bytes;
 }
 
+/// Returns whether \p Value is a length, and the only one in the head. libcurl
+/// reads what precedes the first byte that is no digit.
+auto acceptLength(Transfer &Current, std::string_view Value) -> bool {
+  constexpr auto Blanks = std::string_view(" \t");
+  auto Begin = std::min(Value.find_first_not_of(Blanks), Value.size());
+  auto End = Value.find_last_not_of(Blanks) + 1;
+  auto Number = Value.substr(Begin, End > Begin ? End - Begin : 0);
+  auto Length = std::int64_t{-1};
+  auto Parsed =
+      std::from_chars(Number.data(), Number.data() + Number.size(), Length);
+  auto Whole = Parsed.ec == std::errc() &&
+               Parsed.ptr == Number.data() + Number.size() && Length >= 0;
+  auto Stated = findHeader(Current.m_Result.m_Headers, "Content-Length");
+  Current.m_InvalidLength = !Whole || (Stated && *Stated != Value);
+  return !Current.m_InvalidLength;
+}
+
 auto onHeader(char *Data, std::size_t Size, std::size_t Count, void *Target)
     -> std::size_t {
   auto &Current = *static_cast<Transfer *>(Target);
@@ -105,6 +124,9 @@
   auto Value = Line.substr(Colon + 1);
   while (!Value.empty() && Value.front() == ' ')
     Value.remove_prefix(1);
+  if (sameHeaderName(Line.substr(0, Colon), "Content-Length") &&
+      !acceptLength(Current, Value))
+    return 0;
   Current.m_Result.m_Headers.push_back(
       {.m_Name = std::string(Line.substr(0, Colon)),
        .m_Value = std::string(Value)});
@@ -379,6 +401,8 @@
     }
     if (const auto *Error = Current->m_HeadCheck.error())
       Result.m_Detail = Error;
+    if (Current->m_InvalidLength)
+      Result.m_Detail = "the length of the answer is not valid";
     if (Result.m_Outcome == HttpOutcome::Broken &&
         responseBegan(*Current, Code))
       m_BrokenResponses.record(detail::requestIdOf(Current->m_Call),
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -437,6 +437,22 @@
                   200, "ok");
 }
 
+// Guards against a body of another length than the server's.
+TEST_CASE("response reader, clients: a response whose length is no number, or "
+          "that states several, is broken") {
+  for (const auto *Length :
+       {"+2", "-2", "2x", "0x2", "x", "2 3", "2,3", "2;a", "2.0", "",
+        "99999999999999999999999", "18446744073709551615",
+        "2\r\nContent-Length: 3", "3\r\nContent-Length: 2",
+        "2\r\nContent-Length: x"})
+    checkBroken("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: " +
+                std::string(Length) + "\r\n\r\nok");
+  for (const auto *Length : {"2", " 2", "\t2 ", "002"})
+    checkComplete("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length:" +
+                      std::string(Length) + "\r\n\r\nok",
+                  200, "ok");
+}
+
 TEST_CASE("response reader, clients: a response with unusual names and values "
           "is complete") {
   for (const auto *Line :
