Test: responses during uploads that are complete stay so with libcurl too

Responses without a length and with an orderly end, and refusals with a length, whatever becomes of the connection: the two tests of the pooled client now run for both clients.

--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -149,7 +149,7 @@
     }
 }
 
-TEST_CASE("pooled client: a response without a length whose server ends its "
+TEST_CASE("clients: a response without a length whose server ends its "
           "connection in order during an upload is complete") {
   for (auto End : {ConnectionEnd::HalfClose, ConnectionEnd::HalfCloseAndReset})
     for (auto UploadBytes : {std::size_t{0}, 10 * KibiByte, 8 * MebiByte})
@@ -157,18 +157,23 @@
         CAPTURE(static_cast<int>(End));
         CAPTURE(UploadBytes);
         CAPTURE(PartBytes);
-        auto Test = Upload();
-        auto Body = std::string(PartBytes, 'p');
-        Test.m_Server.setScript({.m_Response = respondWith(NoLengthHead + Body),
-                                 .m_ReadBytes = 0,
-                                 .m_End = End});
-        auto Result = Test.post(UploadBytes);
-        CHECK(Result.m_Outcome == HttpOutcome::Complete);
-        CHECK(Result.m_Body == Body);
+        for (auto Curl : {false, true}) {
+          CAPTURE(Curl);
+          auto Test = Curl ? std::make_unique<Upload>(Upload::WithCurl())
+                           : std::make_unique<Upload>();
+          auto Body = std::string(PartBytes, 'p');
+          Test->m_Server.setScript(
+              {.m_Response = respondWith(NoLengthHead + Body),
+               .m_ReadBytes = 0,
+               .m_End = End});
+          auto Result = Test->post(UploadBytes);
+          CHECK(Result.m_Outcome == HttpOutcome::Complete);
+          CHECK(Result.m_Body == Body);
+        }
       }
 }
 
-TEST_CASE("pooled client: a refusal of an upload with its length is complete, "
+TEST_CASE("clients: a refusal of an upload with its length is complete, "
           "whatever becomes of its connection") {
   const auto Refusal =
       std::string("HTTP/1.1 413 No\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nbig");
@@ -179,16 +184,20 @@
         CAPTURE(static_cast<int>(End));
         CAPTURE(UploadBytes);
         CAPTURE(Kept);
-        auto Test = Upload();
-        if (Kept)
-          Test.useConnection();
-        Test.m_Server.setScript({.m_Response = respondWith(Refusal),
-                                 .m_ReadBytes = 0,
-                                 .m_End = End});
-        auto Result = Test.post(UploadBytes);
-        CHECK(Result.m_Outcome == HttpOutcome::Complete);
-        CHECK(Result.m_Status == 413);
-        CHECK(Result.m_Body == "big");
+        for (auto Curl : {false, true}) {
+          CAPTURE(Curl);
+          auto Test = Curl ? std::make_unique<Upload>(Upload::WithCurl())
+                           : std::make_unique<Upload>();
+          if (Kept)
+            Test->useConnection();
+          Test->m_Server.setScript({.m_Response = respondWith(Refusal),
+                                    .m_ReadBytes = 0,
+                                    .m_End = End});
+          auto Result = Test->post(UploadBytes);
+          CHECK(Result.m_Outcome == HttpOutcome::Complete);
+          CHECK(Result.m_Status == 413);
+          CHECK(Result.m_Body == "big");
+        }
       }
 }
 
