Bytes that do not begin with the version of HTTP are no response

What callers could see (found by a comparison of both clients on altered responses, not in the field): of "HXTP/1.1 200 OK" and other bytes in the place of those of the version, a complete response.

Cause: the parser library is built without its strict checks and takes any bytes for "TTP/"; libcurl takes some too.

Change: the check of heads reads the version.

--- a/include/dotterel/io/detail/ResponseHeadCheck.h
+++ b/include/dotterel/io/detail/ResponseHeadCheck.h
@@ -8,14 +8,16 @@
 #ifndef DOTTEREL_IO_DETAIL_RESPONSEHEADCHECK_H
 #define DOTTEREL_IO_DETAIL_RESPONSEHEADCHECK_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
 namespace dotterel::detail {
 
 /// Reads the head of one response as it arrives, and says whether it is valid:
-/// its status is one of HTTP, three digits from 100 to 599, each line has a
-/// name, and values and line ends hold no other control bytes.
+/// it begins with the version, its status is one of HTTP, three digits from 100
+/// to 599, each line has a name, and values and line ends hold no other control
+/// bytes.
 class ResponseHeadCheck {
 public:
   /// Reads \p Bytes, of which it leaves what follows the end of the head.
@@ -49,6 +51,7 @@
   };
 
   auto read(char Byte) -> void;
+  auto readVersion(char Byte) -> void;
   auto readStatus(char Byte) -> void;
   auto readLineBegin(char Byte) -> void;
   auto readName(char Byte) -> void;
@@ -56,6 +59,7 @@
   auto fail(const char *Error) -> void { m_Error = Error; }
 
   State m_State = State::Begin;
+  std::size_t m_VersionBytes = 0;
   unsigned m_StatusDigits = 0;
   unsigned m_Status = 0;
   const char *m_Error = nullptr;
--- a/src/io/detail/ResponseHeadCheck.cpp
+++ b/src/io/detail/ResponseHeadCheck.cpp
@@ -13,10 +13,12 @@
 constexpr auto InvalidLineEnd = "a line of the answer's head has no valid end";
 constexpr auto InvalidName = "a header name of the answer is not valid";
 
+auto isDigit(char Byte) -> bool { return Byte >= '0' && Byte <= '9'; }
+
 /// Returns whether a header name may hold \p Byte.
 auto isNameByte(char Byte) -> bool {
   constexpr auto Marks = std::string_view("!#$%&'*+-.^_`|~");
-  return (Byte >= '0' && Byte <= '9') || (Byte >= 'a' && Byte <= 'z') ||
+  return isDigit(Byte) || (Byte >= 'a' && Byte <= 'z') ||
          (Byte >= 'A' && Byte <= 'Z') ||
          Marks.find(Byte) != std::string_view::npos;
 }
@@ -38,12 +40,12 @@
 auto ResponseHeadCheck::read(char Byte) -> void {
   switch (m_State) {
   case State::Begin:
-    if (Byte != '\r' && Byte != '\n')
-      m_State = State::Version;
-    return;
+    if (Byte == '\r' || Byte == '\n')
+      return;
+    m_State = State::Version;
+    [[fallthrough]];
   case State::Version:
-    if (Byte == ' ')
-      m_State = State::Status;
+    readVersion(Byte);
     return;
   case State::Status:
     readStatus(Byte);
@@ -73,8 +75,18 @@
   }
 }
 
+auto ResponseHeadCheck::readVersion(char Byte) -> void {
+  constexpr auto Digit = '0';
+  constexpr auto Form = std::string_view("HTTP/0.0 ");
+  auto Expected = Form[m_VersionBytes++];
+  if (Expected == Digit ? !isDigit(Byte) : Byte != Expected)
+    fail("the bytes are no answer");
+  else if (m_VersionBytes == Form.size())
+    m_State = State::Status;
+}
+
 auto ResponseHeadCheck::readStatus(char Byte) -> void {
-  if (Byte >= '0' && Byte <= '9' && m_StatusDigits < StatusDigits) {
+  if (isDigit(Byte) && m_StatusDigits < StatusDigits) {
     ++m_StatusDigits;
     m_Status = Decimal * m_Status + static_cast<unsigned>(Byte - '0');
     return;
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -291,6 +291,27 @@
                   1) == detail::ResponseReader::State::Broken);
 }
 
+// Guards against bytes that are no HTTP.
+TEST_CASE("response reader, clients: a response that does not begin with the "
+          "version is broken") {
+  const auto Version = std::string("HTTP/1.1");
+  for (auto Position = std::size_t{0}; Position < Version.size(); ++Position)
+    for (auto Value = 0; Value < 256; ++Value) {
+      auto Byte = static_cast<char>(Value);
+      auto Digit = Byte >= '0' && Byte <= '9';
+      auto LeadingLine = Position == 0 && (Byte == '\r' || Byte == '\n');
+      if (Byte == Version[Position] || LeadingLine ||
+          (Digit && (Position == 5 || Position == 7)))
+        continue;
+      auto Broken = Version;
+      Broken[Position] = Byte;
+      checkBroken(Broken + " 200 OK\r\n" + OwnBody);
+    }
+  for (const auto *Begin : {"ICY", "HTTP", "HTTP/1", "HTTP/1.", "HTTP/1.10",
+                            "HTTP/11", "HTTP/1.1x", "XHTTP/1.1", "HTTP/1.1\t"})
+    checkBroken(std::string(Begin) + " 200 OK\r\n" + OwnBody);
+}
+
 TEST_CASE("response reader, clients: a response with any other status is "
           "complete") {
   for (auto Status = 200U; Status < 600; ++Status) {
