A response with the status 204 or 304 has no body

What callers could see (found by a comparison of both clients on altered responses, not in the field): of a 204 that states a length, its bytes behind a response that has no body for them, where they read the next response. A sound 304 that states the length of what it stands for, as RFC 9110, 15.4.5, allows, was waited for until the timeout.

Cause: the parser library reads a body of the stated length whatever the status.

Change: the reader of responses reads none either. A connection whose 204 states a body is not used again, as its bytes may still come.

--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -105,6 +105,8 @@
 private:
   auto finishResponse() -> State;
   auto headersComplete() -> int;
+  /// Returns whether the headers state a length other than 0, or chunks.
+  [[nodiscard]] auto statesBody() const -> bool;
   /// Returns whether the parser decodes the body as the headers say.
   [[nodiscard]] auto decodesBody() const -> bool;
   /// Checks bytes after a head that the parser has read.
--- a/src/io/detail/ResponseReader.cpp
+++ b/src/io/detail/ResponseReader.cpp
@@ -13,6 +13,8 @@
 }
 
 constexpr auto FirstFinalStatus = 200U;
+constexpr auto NoContent = 204U;
+constexpr auto NotModified = 304U;
 /// Returned by a parser callback to stop the parser with an error.
 constexpr auto StopParser = 1;
 /// The same for the callback that runs after the headers, where 1 and 2 have
@@ -105,14 +107,24 @@
       return ParserError;
     }
   }
+  auto HasBody = Status != NoContent && Status != NotModified;
   if (!m_BelongsToOtherCall) {
     m_Started = true;
-    m_Reusable = http_should_keep_alive(&m_Parser) != 0;
+    // Bytes that the server sends all the same would precede the next response.
+    // A length in a response with status 304 is not that of its own body.
+    m_Reusable = http_should_keep_alive(&m_Parser) != 0 &&
+                 (Status != NoContent || !statesBody());
     if (m_Callbacks.m_OnHeaders)
       m_Callbacks.m_OnHeaders(Status, m_Headers);
   }
   constexpr auto SkipBody = 1;
-  return m_Options.m_HeadMethod ? SkipBody : 0;
+  return m_Options.m_HeadMethod || !HasBody ? SkipBody : 0;
+}
+
+auto ResponseReader::statesBody() const -> bool {
+  if ((m_Parser.flags & F_CONTENTLENGTH) != 0)
+    return m_Parser.content_length > 0;
+  return (m_Parser.flags & F_CHUNKED) != 0;
 }
 
 auto ResponseReader::decodesBody() const -> bool {
--- a/tests/e2e-BrokenResponses.cpp
+++ b/tests/e2e-BrokenResponses.cpp
@@ -144,8 +144,8 @@
   auto Result = std::vector<BrokenResponse>();
   for (const auto &Status : BrokenStatuses)
     for (const auto &Framing : BodyFramings)
-      Result.push_back(
-          {Status + " " + Framing, signedResponse(Status, Framing, "ok")});
+      Result.push_back({fmt::format("{} {}", Status, Framing),
+                        signedResponse(Status, Framing, "ok")});
   return Result;
 }
 
@@ -155,7 +155,7 @@
   auto Result = std::vector<BrokenResponse>();
   for (const auto &Line : BrokenLines)
     for (const auto &Framing : BodyFramings)
-      Result.push_back({Line + " " + Framing,
+      Result.push_back({fmt::format("{} {}", Line, Framing),
                         signedResponse("200", Framing + Line + "\r\n", "ok")});
   return Result;
 }
--- a/tests/fault-BrokenResponses.cpp
+++ b/tests/fault-BrokenResponses.cpp
@@ -56,13 +56,15 @@
   for (const auto *Status : {"000", "0200", "20", "999"}) {
     auto Line = fmt::format("HTTP/1.1 {} -", Status);
     Result.push_back({Status, withLength(Line, Headers, Body)});
-    Result.push_back({Status, Line + "\r\n" + Headers + "\r\n" + Body});
+    Result.push_back(
+        {Status, fmt::format("{}\r\n{}\r\n{}", Line, Headers, Body)});
   }
   for (const auto *Line :
        {"X Y: a\r\n", "X-Y : a\r\n", "X\x01Y: a\r\n", "Content-Length : 1\r\n",
         "Transfer-Encoding : chunked\r\n"}) {
     Result.push_back({Line, withLength(Ok, Line + Headers, Body)});
-    Result.push_back({Line, Ok + "\r\n" + Line + Headers + "\r\n" + Body});
+    Result.push_back(
+        {Line, fmt::format("{}\r\n{}{}\r\n{}", Ok, Line, Headers, Body)});
   }
   return Result;
 }
--- a/tests/unit-BrokenResponses.cpp
+++ b/tests/unit-BrokenResponses.cpp
@@ -305,13 +305,42 @@
         continue;
       auto Broken = Version;
       Broken[Position] = Byte;
-      checkBroken(Broken + " 200 OK\r\n" + OwnBody);
+      checkBroken(fmt::format("{} 200 OK\r\n{}", Broken, OwnBody));
     }
   for (const auto *Begin : {"ICY", "HTTP", "HTTP/1", "HTTP/1.", "HTTP/1.10",
                             "HTTP/11", "HTTP/1.1x", "XHTTP/1.1", "HTTP/1.1\t"})
     checkBroken(std::string(Begin) + " 200 OK\r\n" + OwnBody);
 }
 
+// Guards against a body where HTTP has none: its bytes would be read as the
+// next response. A length there is that of another response.
+TEST_CASE("clients: a response with the status 204 or 304 has no body") {
+  for (auto Status : {204U, 304U})
+    for (const auto *Framing :
+         {"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"})
+      for (const auto *Body : {"", "ok"})
+        for (auto Curl : {false, true})
+          for (auto End : {ConnectionEnd::HalfClose, ConnectionEnd::KeepOpen}) {
+            CAPTURE(Status);
+            CAPTURE(std::string(Framing));
+            CAPTURE(std::string(Body));
+            CAPTURE(Curl);
+            auto Test = Curl ? std::make_unique<Upload>(Upload::WithCurl())
+                             : std::make_unique<Upload>();
+            Test->m_Server.setScript(
+                {.m_Response = respondWith(
+                     fmt::format("HTTP/1.1 {} -\r\nX-Id: 7\r\n{}\r\n{}", Status,
+                                 Framing, Body)),
+                 .m_End = End});
+            auto Result = Test->call({.m_Method = "POST",
+                                      .m_Body = std::string("abc"),
+                                      .m_Timeout = Seconds(2)});
+            CHECK(Result.m_Outcome == HttpOutcome::Complete);
+            CHECK(Result.m_Status == Status);
+            CHECK(Result.m_Body.empty());
+          }
+}
+
 TEST_CASE("response reader, clients: a response with any other status is "
           "complete") {
   for (auto Status = 200U; Status < 600; ++Status) {
@@ -368,21 +397,18 @@
       for (auto Position : {std::size_t{1}, Text.size() / 2, Text.size()}) {
         auto Broken = Text;
         Broken.insert(Position, 1, Byte);
-        checkBroken(Head + Broken + ":" + Value + Body);
+        checkBroken(fmt::format("{}{}:{}{}", Head, Broken, Value, Body));
       }
       // At the begin of a line a line break ends the head or is part of it.
       if (Byte != '\r' && Byte != '\n') {
-        checkBroken(Head + Byte + Text + ":" + Value + Body);
-        checkBroken("HTTP/1.1 200 OK\r\n" + std::string(1, Byte) + Text + ":" +
-                    Value + "\r\nX-Id: 7" + Body);
+        checkBroken(fmt::format("{}{}{}:{}{}", Head, Byte, Text, Value, Body));
+        checkBroken(fmt::format("HTTP/1.1 200 OK\r\n{}{}:{}\r\nX-Id: 7{}", Byte,
+                                Text, Value, Body));
       }
     }
   for (const auto *Line :
-       {": a", "X-Other", "", " : a", "HTTP/1.1: a", "HTTP/1.1 200 OK"}) {
-    if (std::string(Line).empty())
-      continue;
-    checkBroken(Head + Line + "\r\n" + "Content-Length: 2\r\n\r\nok");
-  }
+       {": a", "X-Other", " : a", "HTTP/1.1: a", "HTTP/1.1 200 OK"})
+    checkBroken(fmt::format("{}{}\r\nContent-Length: 2\r\n\r\nok", Head, Line));
 }
 
 TEST_CASE(
@@ -393,9 +419,10 @@
   for (auto Byte : bytesOfNoName()) {
     if (Byte == '\r' || Byte == '\n')
       continue;
-    auto Line = "Li" + std::string(1, Byte) + "nk: a\r\n";
-    checkBroken("HTTP/1.1 103 Early Hints\r\n" + Line +
-                "\r\nHTTP/1.1 200 OK\r\n" + OwnBody);
+    auto Line = fmt::format("Li{}nk: a\r\n", Byte);
+    checkBroken(
+        fmt::format("HTTP/1.1 103 Early Hints\r\n{}\r\nHTTP/1.1 200 OK\r\n{}",
+                    Line, OwnBody));
     checkBroken(Chunked + Line + "\r\n");
   }
   checkComplete(std::string(Chunked) + "Checksum: a\r\n\r\n", 200, "ok");
