--- a/include/dotterel/io/detail/ResponseReader.h
+++ b/include/dotterel/io/detail/ResponseReader.h
@@ -120,8 +120,9 @@
   Callbacks m_Callbacks;
   http_parser m_Parser{};
   State m_State = State::Reading;
-  ResponseHeadCheck m_HeadCheck; ///< Of the current response.
-  ChunkCheck m_ChunkCheck;       ///< Of its body, if that is chunked.
+  // Of the current response.
+  ResponseHeadCheck m_HeadCheck;
+  ChunkCheck m_ChunkCheck;
   ResponseHeadCheck m_TrailerCheck;
   HttpHeaders m_Headers;
   std::size_t m_OverheadBytes = 0;
--- a/src/io/HttpClient.cpp
+++ b/src/io/HttpClient.cpp
@@ -79,8 +79,8 @@
   return Bytes;
 }
 
-/// Returns whether \p Value is a length, and the only one in the head. libcurl
-/// reads what precedes the first byte that is no digit.
+/// Returns whether \p Value is a length, and the same as any earlier one of the
+/// head. libcurl reads what precedes the first byte that is no digit.
 auto acceptLength(Transfer &Current, std::string_view Value) -> bool {
   constexpr auto Blanks = std::string_view(" \t");
   auto Begin = std::min(Value.find_first_not_of(Blanks), Value.size());
