--- a/review/standins-3/Bed.h
+++ b/review/standins-3/Bed.h
@@ -18,6 +18,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
@@ -127,8 +128,9 @@
     ::dup2(Fd, 2);
     ::setenv("DOTTERELPOINT_NODE_FILE", m_Settings.c_str(), 1);
     auto Metrics = "--metrics-listen=" + m_Ip + ":0";
-    ::execl("target/dotterel-host", "target/dotterel-host", Metrics.c_str(),
-            nullptr);
+    const auto *Other = std::getenv("REVIEW_HOST");
+    const auto *Program = Other != nullptr ? Other : "target/dotterel-host";
+    ::execl(Program, Program, Metrics.c_str(), nullptr);
     ::_exit(127);
   }
 
@@ -138,6 +140,15 @@
     ::waitpid(m_Pid, nullptr, 0);
     m_Pid = -1;
   }
+  /// The wait status of the process if it has ended.
+  auto status() -> std::optional<int> {
+    auto Status = 0;
+    if (m_Pid > 0 && ::waitpid(m_Pid, &Status, WNOHANG) == m_Pid) {
+      m_Pid = -1;
+      return Status;
+    }
+    return std::nullopt;
+  }
   /// Whether the process has ended by itself.
   auto ended() -> bool {
     if (m_Pid > 0 && ::waitpid(m_Pid, nullptr, WNOHANG) == m_Pid)
--- a/review/standins-3/crashes.cpp
+++ b/review/standins-3/crashes.cpp
@@ -6,6 +6,7 @@
 /// - left: one caller sends it, and leaves before the crash. Most runners drop
 ///   a request whose connection closes; a third of them go on.
 #include "Bed.h"
+#include "RunnerServer.h"
 
 #include "dotterel/base/Log.h"
 
@@ -53,8 +54,9 @@
   Runner(Bed &Test, History &Seen, const Mode &Mode, int Number)
       : m_Test(Test), m_Seen(Seen), m_Mode(Mode),
         m_Id(fmt::format("i-{}", Number)), m_Drops(Number % 3 != 0) {
-    open("127.0.0.1:0");
-    m_Address = m_Server->address().text();
+    // No outgoing connection uses this address, so the port stays free.
+    open(fmt::format("127.0.1.{}:0", 1 + Number));
+    m_Address = m_Server->address();
     beat();
   }
 
@@ -101,9 +103,7 @@
                  std::chrono::system_clock::now().time_since_epoch())
                  .count();
     m_Sequence = 0;
-    m_Server.emplace(
-        m_Test.m_Loop, *this,
-        StrictHttpServerOptions{.m_Address = SocketAddress::parse(Address)});
+    m_Server = std::make_unique<RunnerServer>(m_Test.m_Loop, *this, Address);
   }
   auto beat() -> void {
     if (m_Server)
@@ -152,7 +152,7 @@
   std::string m_Address;
   std::int64_t m_Born = 0;
   int m_Sequence = 0;
-  std::optional<StrictHttpServer> m_Server;
+  std::unique_ptr<RunnerServer> m_Server;
 };
 
 /// Sends requests to the host.
@@ -262,13 +262,13 @@
     for (auto At : Seen.m_Arrivals)
       Retries += At > Limit ? 1 : 0;
   }
+  Test.m_Record.line("other requests: {} served, {} not", Seen.m_SoundServed,
+                     Seen.m_SoundFailed);
   Test.m_Record.line("the request reached runners {} times and crashed {}; {} "
                      "arrivals later than {} ms after the third crash, {} are "
                      "allowed",
                      Seen.m_Arrivals.size(), Seen.m_Crashes.size(), Retries,
                      toMilliseconds(ContactTime), MostRetries);
-  Test.m_Record.line("other requests: {} served, {} not", Seen.m_SoundServed,
-                     Seen.m_SoundFailed);
   return Retries > MostRetries ? Broken : Held;
 }
 
--- a/review/standins-3/engines.cpp
+++ b/review/standins-3/engines.cpp
@@ -7,6 +7,7 @@
 /// - late: a runner leaves an order unanswered and carries it out late, and the
 ///   host that gave it is killed.
 #include "Bed.h"
+#include "RunnerServer.h"
 
 #include "dotterel/base/Log.h"
 
@@ -44,8 +45,9 @@
   Engine(Bed &Test, History &Seen, int Number, const char *Stage)
       : m_Test(Test), m_Seen(Seen), m_Id(fmt::format("i-{}", Number)),
         m_Stage(Stage) {
-    open("127.0.0.1:0");
-    m_Address = m_Server->address().text();
+    // No outgoing connection uses this address, so the port stays free.
+    open(fmt::format("127.0.1.{}:0", 1 + Number));
+    m_Address = m_Server->address();
     scheduleBeat();
   }
 
@@ -107,9 +109,7 @@
                  std::chrono::system_clock::now().time_since_epoch())
                  .count();
     m_Sequence = m_Orders = 0;
-    m_Server.emplace(
-        m_Test.m_Loop, *this,
-        StrictHttpServerOptions{.m_Address = SocketAddress::parse(Address)});
+    m_Server = std::make_unique<RunnerServer>(m_Test.m_Loop, *this, Address);
   }
   auto beat() -> void {
     m_Test.m_Store.put("servers/" + m_Id,
@@ -237,7 +237,7 @@
   int m_Orders = 0; ///< Accepted since the start.
   int m_Handle = 0;
   bool m_Busy = false;
-  std::optional<StrictHttpServer> m_Server;
+  std::unique_ptr<RunnerServer> m_Server;
 };
 
 auto engineService() -> Json {
