Server orders wait 12 s for earlier ones where tokens are not checked, not 10 s

Callers could lose servers that had been ordered back: a decrease that the platform had left unanswered was executed after the increase that replaced it.

The delay is 12 s and a setting (--max-order-delay-ms). Orders of earlier grants are waited for 1.5 s longer, the timeout of a call, after which its connection is reset and nothing of it is sent any more.

--- a/apps/dotterel-host.cpp
+++ b/apps/dotterel-host.cpp
@@ -57,6 +57,11 @@
                           "Waiting time that equals the price of a megabyte to "
                           "another region, in ms.",
                           0, 60'000),
+           integerSetting("max-order-delay-ms", "12000",
+                          "Longest time after its arrival at which an order "
+                          "that was not answered is executed, in ms. Orders "
+                          "wait for it where fencing tokens are not checked.",
+                          0, 600'000),
            {.m_Name = "log-level",
             .m_Kind = SettingKind::Choice,
             .m_Default = "info",
@@ -137,6 +142,7 @@
       {.m_Settings = Node,
        .m_MetricsAddress = Values.text("metrics-listen"),
        .m_Planner = plannerOptions(Values),
+       .m_MaxOrderDelay = Values.milliseconds("max-order-delay-ms"),
        .m_Offload = offloadOptions(Values)});
   auto Callers = platform::CallerRequestHandler(
       [&Host](CallerExchangePtr Exchange) { Host.serve(std::move(Exchange)); });
--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -39,10 +39,13 @@
   Duration m_OrderRetryDelay = Milliseconds(2000);
   /// Delay before an order that was rejected is sent again.
   Duration m_RejectedOrderDelay = Seconds(60);
-  /// Maximum time after which the platform executes a server order that it has
-  /// not answered. A different order waits for that long where the platform
-  /// does not check fencing tokens.
-  Duration m_MaxOrderDelay = Seconds(10);
+  /// Maximum time after its arrival at which an order that was not answered is
+  /// executed. A different order waits for that long where fencing tokens are
+  /// not checked.
+  Duration m_MaxOrderDelay = Seconds(12);
+  /// Maximum time after the end of a grant at which an order sent under it
+  /// arrives: the timeout of a call.
+  Duration m_MaxOrderTransit = FleetCallTimeout;
   /// Pace of the reports, and of the server orders, while the platform accepts
   /// none.
   CallBackoffOptions m_Backoff;
@@ -56,6 +59,12 @@
   /// because the list of servers is updated with a delay.
   Duration m_StageRetryMargin = Milliseconds(2000);
   FleetPlannerOptions m_Planner;
+
+  /// Returns the time after a grant for which orders of earlier grants may
+  /// still be executed.
+  [[nodiscard]] auto delayOfEarlierGrants() const -> Duration {
+    return m_MaxOrderTransit + m_MaxOrderDelay;
+  }
 };
 
 /// State of the host that the fleet duty bases its decisions on.
@@ -92,8 +101,9 @@
 /// store, so that the next holder continues from that plan.
 /// \invariant Unless the platform checks fencing tokens, a server order is sent
 /// only once no different order about its subject can be executed any more:
-/// m_MaxOrderDelay after the grant, if there was an earlier one, and after the
-/// end of each call that was not answered conclusively.
+/// delayOfEarlierGrants() after the grant, if there was an earlier one, and
+/// m_MaxOrderDelay after the end of each call that was not answered
+/// conclusively.
 class FleetDuty {
 public:
   FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -75,6 +75,7 @@
   HostSettings m_Settings;
   std::string m_MetricsAddress; ///< IP:PORT; empty: no metrics are served.
   FleetPlannerOptions m_Planner;
+  Duration m_MaxOrderDelay = FleetDutyOptions().m_MaxOrderDelay;
   OffloadOptions m_Offload;
 };
 
--- a/include/dotterel/serving/FleetCalls.h
+++ b/include/dotterel/serving/FleetCalls.h
@@ -15,6 +15,10 @@
 
 namespace dotterel {
 
+/// Time after which a call without a response ends, and nothing of it is sent
+/// any more.
+inline constexpr auto FleetCallTimeout = Milliseconds(1500);
+
 /// Order for a number of servers of a service in a data centre.
 struct ServerOrder {
   ServiceId m_Service;
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -178,7 +178,7 @@
 auto FleetDuty::holdOrders() -> void {
   if (m_Options.m_Bounds.m_ChecksFencing)
     return;
-  m_OrdersHeldUntil = m_GrantSeenAt + m_Options.m_MaxOrderDelay;
+  m_OrdersHeldUntil = m_GrantSeenAt + m_Options.delayOfEarlierGrants();
   logInfo("fleet.orders-held",
           {{"fencing", m_CurrentFencing},
            {"reason", "orders of an earlier grant"},
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -203,6 +203,7 @@
                   }},
              {.m_Bounds = Options.m_Settings.m_Bounds,
               .m_Host = Options.m_Settings.m_Location.m_Host,
+              .m_MaxOrderDelay = Options.m_MaxOrderDelay,
               .m_Planner = Options.m_Planner}),
       m_Tree(Loop, "host", {}),
       m_CallerMemory(memoryBudgetFor(Options.m_Settings.m_MemoryMegabytes)) {
--- a/tests/fault-LateOrders.cpp
+++ b/tests/fault-LateOrders.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Latest execution of an order that the platform has not answered.
+constexpr auto MaxLateness = Milliseconds(12000);
+
 /// What happened in a run in which orders were late, lost and doubled.
 struct Outcome {
   int m_Overtaken = 0;
@@ -27,7 +30,7 @@
   Test.m_Fleet.m_Fates = [&]() -> Fleet::OrderFate {
     auto Late = [&] {
       ++Result.m_Late;
-      return Milliseconds(1000 + Choice.below(8500));
+      return Milliseconds(1000 + Choice.below(MaxLateness.count() - 999));
     };
     switch (Choice.below(6)) {
     case 0:
@@ -117,9 +120,9 @@
     Test.add("second");
     while (!Test.m_Holders[0]->m_Duty.held())
       Test.advanceTime(Milliseconds(500));
-    Test.advanceTime(Seconds(8));
+    Test.advanceTime(MaxLateness + Seconds(1));
     CHECK((Test.m_Fleet.m_OrderCalls.size() > Calls) == ChecksFencing);
-    Test.advanceTime(Seconds(5));
+    Test.advanceTime(Seconds(3));
     CHECK(Test.m_Fleet.m_OrderCalls.size() > Calls);
   }
 }
@@ -145,7 +148,7 @@
       REQUIRE(Test.m_Fleet.m_Counts[false] == MaxServers);
       Test.m_Fleet.m_NoReclaimable = false;
       Test.m_Fleet.m_Fates = []() -> Fleet::OrderFate {
-        return {.m_Late = {Milliseconds(9500)}};
+        return {.m_Late = {MaxLateness}};
       };
       // Ordinary servers are to make room for reclaimable ones.
       auto Calls = Test.m_Fleet.m_OrderCalls.size();
@@ -172,6 +175,33 @@
   }
 }
 
+// Guards against a wait that is shorter than the time after which the platform
+// still executes an order that it has not answered.
+TEST_CASE(
+    "late orders: a different order of the same holder follows only after "
+    "the latest time at which the platform executes the earlier one") {
+  auto Test = World();
+  Test.m_Fleet.m_ChecksFencing = false;
+  Test.add("first");
+  Test.advanceTime(Seconds(12));
+  Test.reclaimServers();
+  Test.advanceTime(Seconds(3));
+  REQUIRE(Test.m_Fleet.m_Counts[false] == MaxServers);
+  Test.m_Fleet.m_NoReclaimable = false;
+  Test.m_Fleet.m_Fates = []() -> Fleet::OrderFate {
+    return {.m_Late = {MaxLateness}};
+  };
+  auto Calls = Test.m_Fleet.m_OrderCalls.size();
+  while (Test.m_Fleet.m_OrderCalls.size() == Calls)
+    Test.m_Scheduler.advance(Milliseconds(10));
+  Test.m_Fleet.m_Fates = nullptr;
+  // The plan is changed back.
+  Test.reclaimServers();
+  Test.advanceTime(Seconds(40));
+  CHECK(Test.m_Fleet.m_OrderCalls.size() > Calls + 1);
+  CHECK(Test.m_Fleet.m_Overtaken == 0);
+}
+
 // Guards against an increase that follows a decrease which was sent, but not
 // accepted: both kinds together were then over their common bound.
 TEST_CASE("late orders: one kind is increased only after the decrease of the "
