Stage orders wait where an order of an ended grant may still be executed

Callers can be left with a runner in the wrong stage.

Cause: an order without an answer can be executed up to 12 s after its arrival. Server orders waited for that after a grant; stage orders did not, and nothing told the next holder to which runners there were open orders. It was the same however the grant ended: killed, stopped as planned, cut off, the same host again, the store restored.

Change: before an engine is ordered, a record in the store (fleet-stage-orders, written under the grant and compared by its revision) names it. It is taken out once each copy was answered conclusively or is over. A new holder does not order the engines in the record for 13.5 s (12 s, and a call's timeout); others at once. If the record cannot be trusted - unreadable, of another era of the store, or missing though an earlier version has reported usage - it orders none for that long. Within one grant, an order for the other stage waits as well. Held engines count in the stage that they have. Where tokens are checked nothing waits and nothing is recorded. Stage orders moved to StageOrders, the decision is OpenOrders.

Why it works: all that is sent under a grant was recorded under it, the next holder reads after its grant, and a write of an ended grant fails at the guard; so whatever may still be executed is in the record that it reads. It leans on no `sequence` and no `precondition`.

Also: fleet.stage-orders-held, fleet.stage-order-held, `copy` on orders, and dotterel_serving_order_events_total (held, repeated); outcomes of stage orders are counted.

--- a/include/dotterel/fleet/OrderCopies.h
+++ b/include/dotterel/fleet/OrderCopies.h
@@ -12,6 +12,7 @@
 #include "dotterel/fleet/Order.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace dotterel {
 
@@ -37,6 +38,11 @@
     return m_Pending == 0 && Now >= m_PossibleUntil;
   }
 
+  /// Returns until when a copy may be executed, at most; empty if none can be.
+  /// A call without an outcome is taken to end at \p Now.
+  [[nodiscard]] auto openUntil(MonotonicTime Now, Duration MaxDelay) const
+      -> std::optional<MonotonicTime>;
+
 private:
   std::uint32_t m_Pending = 0; ///< Copies without an outcome.
   MonotonicTime m_PossibleUntil;
--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -10,9 +10,9 @@
 #include "dotterel/base/Random.h"
 #include "dotterel/fleet/CallBackoff.h"
 #include "dotterel/fleet/OrderCopies.h"
-#include "dotterel/host/HostSettings.h"
+#include "dotterel/host/FleetDutyOptions.h"
+#include "dotterel/host/StageOrders.h"
 #include "dotterel/lease/DutyLease.h"
-#include "dotterel/serving/BackendDirectory.h"
 #include "dotterel/serving/FleetCalls.h"
 #include "dotterel/serving/FleetPlanner.h"
 #include "dotterel/usage/WindowSealer.h"
@@ -24,70 +24,6 @@
 
 namespace dotterel {
 
-struct FleetDutyOptions {
-  ServiceBounds m_Bounds;
-  HostId m_Host;
-  /// Share of the time until a usage window's report is due in which hosts
-  /// may write their counts; the rest is left for sending the report and for
-  /// retries.
-  double m_UsageGraceShare = 0.85;
-  /// Minimum time between the end of a window and its closing, even if all
-  /// hosts have written their counts, because the hosts' clocks differ.
-  Duration m_MinUsageGrace = Milliseconds(1000);
-  Duration m_StepInterval = Milliseconds(1000);
-  /// Delay before an order that was not accepted is sent again.
-  Duration m_OrderRetryDelay = Milliseconds(2000);
-  /// Delay before an order that was rejected is sent again.
-  Duration m_RejectedOrderDelay = Seconds(60);
-  /// Maximum time after its arrival at which an order that was not answered is
-  /// executed. A different order waits for that long where fencing tokens are
-  /// not checked.
-  Duration m_MaxOrderDelay = Seconds(12);
-  /// Maximum time after the end of a grant at which an order sent under it
-  /// arrives: the timeout of a call.
-  Duration m_MaxOrderTransit = FleetCallTimeout;
-  /// Pace of the reports, and of the server orders, while the platform accepts
-  /// none.
-  CallBackoffOptions m_Backoff;
-  /// Time without any answer of the platform after which the holder gives the
-  /// duty up, since another host may reach the platform. While nobody reaches
-  /// it, each holder keeps the duty for that long.
-  Duration m_MaxUnanswered = Seconds(10);
-  /// Time for which a host that gave the duty up does not campaign.
-  Duration m_StandDown = Seconds(20);
-  /// Added to an engine's role change time before its stage is ordered again,
-  /// because the list of servers is updated with a delay.
-  Duration m_StageRetryMargin = Milliseconds(2000);
-  FleetPlannerOptions m_Planner;
-
-  /// Returns the time after a grant for which orders of earlier grants may
-  /// still be executed.
-  [[nodiscard]] auto delayOfEarlierGrants() const -> Duration {
-    return m_MaxOrderTransit + m_MaxOrderDelay;
-  }
-};
-
-/// State of the host that the fleet duty bases its decisions on.
-struct FleetDutyInputs {
-  const BackendDirectory &m_Directory;
-  ServerAccess &m_Access;
-  /// Returns the current configuration, or null before the first one.
-  std::function<const ServingConfiguration *()> m_Configuration;
-  /// Returns whether this host has no request in flight.
-  std::function<bool()> m_IsIdle;
-  /// Returns the number of engines needed for the prompts of all hosts; empty
-  /// while that is unknown.
-  std::function<std::optional<double>()> m_NeededEngines;
-  /// Returns the number of registered hosts, including this one.
-  std::function<std::size_t()> m_HostCount;
-  /// Returns whether this host may campaign for the duty.
-  std::function<bool()> m_Eligible;
-  /// Called with the outcome of each report and server order.
-  std::function<void(const char *Matter, OrderOutcome)> m_OnOutcome;
-  /// Called with the reason when this host gives the duty up.
-  std::function<void(const char *Reason)> m_OnGivenUp;
-};
-
 /// Runs the fleet duty on one host. It acts only while the host holds the
 /// lease.
 ///
@@ -103,7 +39,7 @@
 /// only once no different order about its subject can be executed any more:
 /// delayOfEarlierGrants() after the grant, if there was an earlier one, and
 /// m_MaxOrderDelay after the end of each call that was not answered
-/// conclusively.
+/// conclusively. StageOrders keeps the same for engines.
 class FleetDuty {
 public:
   FleetDuty(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
@@ -130,7 +66,6 @@
   auto planServers() -> void;
   auto storePlan(FleetPlan Plan) -> void;
   auto orderServers() -> void;
-  auto orderStages() -> void;
   /// Returns whether orders of an earlier grant may still be executed.
   [[nodiscard]] auto awaitsEarlierOrders() const -> bool {
     return m_Scheduler.now() < m_OrdersHeldUntil;
@@ -142,17 +77,18 @@
   [[nodiscard]] auto mustWaitForOther(const ServerOrder &Order) -> bool;
   [[nodiscard]] auto isDue(const ServerOrder &Order, MonotonicTime Now) -> bool;
   auto send(const ServerOrder &Order) -> void;
-  auto send(const StageOrder &Order) -> void;
   auto mayAct() const -> bool;
   auto reportUsage(const UsageReport &Report,
                    const std::function<void(bool)> &Done) -> void;
-  auto handleOutcome(const ServerOrder &Order, FencingNumber Number,
-                     OrderOutcome Outcome) -> void;
+  /// \p Copy counts the times that the order was sent under its grant.
+  auto handleOutcome(const ServerOrder &Order, std::uint32_t Copy,
+                     FencingNumber Number, OrderOutcome Outcome) -> void;
   /// Records whether a call that was sent at \p SentAt was answered, and gives
   /// the duty up if none was for too long.
   auto recordReach(OrderOutcome Outcome, MonotonicTime SentAt) -> void;
   auto recordRefusal(FencingNumber Number, const char *Matter) -> void;
   auto giveUp(const char *Reason) -> void;
+  auto countEvent(const char *Matter, const char *Event) -> void;
 
   /// The newest order sent for one target.
   struct SentOrder {
@@ -161,6 +97,7 @@
     bool m_Rejected = false;
     bool m_Pending = false;
     MonotonicTime m_SentAt;
+    std::uint32_t m_Number = 0; ///< Number of times that it was sent.
     /// Maximum count that may be in force, by the orders of this grant.
     std::uint32_t m_MaxInForce = 0;
     OrderCopies m_Copies;
@@ -175,6 +112,7 @@
   DutyLease m_Lease;
   WindowSealer m_Sealer;
   FleetPlanner m_Planner;
+  StageOrders m_Stages;
   std::optional<FleetPlan> m_StoredPlan; ///< Empty until read from the store.
   /// Whether a read or write of the plan is in flight.
   bool m_PlanCallPending = false;
@@ -183,7 +121,6 @@
   MonotonicTime m_OrdersHeldUntil;
   std::vector<ServerOrder> m_TargetOrders; ///< According to the stored plan.
   std::map<std::string, SentOrder> m_ServerOrders; ///< Under the current lease.
-  std::map<BackendId, SentOrder> m_StageOrders;    ///< Under the current lease.
   FencingNumber m_CurrentFencing;
   FencingNumber m_RefusedFencing;
   CallBackoff m_ReportBackoff;
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -20,9 +20,14 @@
 
 namespace dotterel {
 
-/// Returns whether an engine may be sent orders.
 using EngineFilter = std::function<bool(const BackendRecord &)>;
 
+/// Engines that a plan of stages is made of; an empty filter excludes none.
+struct StageFilters {
+  EngineFilter m_Counts;    ///< Whether an engine is part of the plan.
+  EngineFilter m_MayChange; ///< Whether an engine may leave its stage now.
+};
+
 struct FleetPlannerOptions {
   /// Share of ordinary servers in a data centre while reclaimable ones are
   /// available.
@@ -82,11 +87,11 @@
   /// Returns the engines that should change their stage: at most one in each
   /// data centre, or all that deviate from the plan if \p Idle is set, as no
   /// request can be delayed then. Under load small deviations are tolerated,
-  /// unless a service has no decode engine. Engines that \p MayOrder excludes,
-  /// if given, are left out of the plan.
+  /// unless a service has no decode engine. An engine that may not change counts
+  /// in the stage that it has, and another one is chosen.
   [[nodiscard]] auto stages(const ServingConfiguration &Configuration,
                             const BackendDirectory &Directory, bool Idle,
-                            const EngineFilter &MayOrder = {}) const
+                            const StageFilters &Filters = {}) const
       -> std::vector<StageOrder>;
 
   /// Returns the state that another planner needs to continue these orders.
--- a/include/dotterel/serving/ServingMetrics.h
+++ b/include/dotterel/serving/ServingMetrics.h
@@ -67,6 +67,7 @@
   auto setConfirmationAge(double Seconds) -> void;
   auto setDutyHeld(bool Held) -> void;
   auto countDutyCall(const char *Matter, const char *Outcome) -> void;
+  auto countOrderEvent(const char *Matter, const char *Event) -> void;
   auto countDutyGivenUp(const char *Reason) -> void;
   /// Sets the number of broken responses since the start, which never falls.
   auto setBrokenResponses(std::uint64_t Total) -> void;
--- a/include/dotterel/usage/UsageKeys.h
+++ b/include/dotterel/usage/UsageKeys.h
@@ -16,6 +16,8 @@
 /// Returns the key that exists once no more segments can be added to the
 /// window.
 auto closedKey(WindowIndex Window) -> std::string;
+/// Returns the key of the number of the newest reported window.
+auto usageProgressKey() -> std::string;
 /// Returns the key of the window's final totals.
 auto sealedKey(WindowIndex Window) -> std::string;
 /// Returns the key that exists once the platform has accepted the window's
--- a/src/fleet/OrderCopies.cpp
+++ b/src/fleet/OrderCopies.cpp
@@ -11,4 +11,12 @@
     m_PossibleUntil = std::max(m_PossibleUntil, Now + MaxDelay);
 }
 
+auto OrderCopies::openUntil(MonotonicTime Now, Duration MaxDelay) const
+    -> std::optional<MonotonicTime> {
+  if (isComplete(Now))
+    return std::nullopt;
+  return m_Pending == 0 ? m_PossibleUntil
+                        : std::max(m_PossibleUntil, Now + MaxDelay);
+}
+
 } // namespace dotterel
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -60,7 +60,12 @@
                     [this](const std::vector<StoredValue> &Segments) {
                       return Segments.size() >= m_Inputs.m_HostCount();
                     }}),
-      m_Planner(Options.m_Planner), m_ReportBackoff(Random, Options.m_Backoff),
+      m_Planner(Options.m_Planner),
+      m_Stages(
+          Scheduler, Store, Calls, m_Lease, m_Planner, m_Inputs,
+          [this] { return mayAct() && m_CurrentFencing == m_Lease.fencing(); },
+          m_Options),
+      m_ReportBackoff(Random, Options.m_Backoff),
       m_OrderBackoff(Random, Options.m_Backoff) {}
 
 FleetDuty::~FleetDuty() { *m_Alive = false; }
@@ -116,6 +121,11 @@
   m_Lease.standDown(m_Options.m_StandDown);
 }
 
+auto FleetDuty::countEvent(const char *Matter, const char *Event) -> void {
+  if (m_Inputs.m_OnOrderEvent)
+    m_Inputs.m_OnOrderEvent(Matter, Event);
+}
+
 auto FleetDuty::reportUsage(const UsageReport &Report,
                             const std::function<void(bool)> &Done) -> void {
   auto Call = m_ReportBackoff.begin();
@@ -159,7 +169,7 @@
       holdOrders();
     m_UnansweredSince.reset();
     m_ServerOrders.clear();
-    m_StageOrders.clear();
+    m_Stages.beginGrant();
     m_TargetOrders.clear();
   }
   // Windows stay in the store until the platform has accepted their reports.
@@ -172,7 +182,7 @@
     return;
   }
   continuePlan();
-  orderStages();
+  m_Stages.step();
 }
 
 auto FleetDuty::holdOrders() -> void {
@@ -183,6 +193,7 @@
           {{"fencing", m_CurrentFencing},
            {"reason", "orders of an earlier grant"},
            {"wait_ms", toMilliseconds(m_OrdersHeldUntil - m_GrantSeenAt)}});
+  countEvent("servers", "held");
 }
 
 auto FleetDuty::readPlan() -> void {
@@ -274,13 +285,18 @@
   if (Last.m_Count != Order.m_Count &&
       !mayReplaceOrder(Last.m_Copies.isComplete(Now),
                        m_Options.m_Bounds.m_ChecksFencing)) {
-    if (!std::exchange(Last.m_Held, true))
-      logInfo("fleet.order-held", {{"service", Order.m_Service},
-                                   {"data_centre", Order.m_DataCentre},
-                                   {"reclaimable", Order.m_Reclaimable},
-                                   {"count", Order.m_Count},
-                                   {"earlier_count", Last.m_Count},
-                                   {"fencing", m_CurrentFencing}});
+    if (!std::exchange(Last.m_Held, true)) {
+      auto Until = Last.m_Copies.openUntil(Now, m_Options.m_MaxOrderDelay);
+      logInfo("fleet.order-held",
+              {{"service", Order.m_Service},
+               {"data_centre", Order.m_DataCentre},
+               {"reclaimable", Order.m_Reclaimable},
+               {"count", Order.m_Count},
+               {"earlier_count", Last.m_Count},
+               {"fencing", m_CurrentFencing},
+               {"wait_ms", toMilliseconds(Until.value_or(Now) - Now)}});
+      countEvent("servers", "held");
+    }
     return false;
   }
   auto Delay = Last.m_Rejected ? m_Options.m_RejectedOrderDelay
@@ -338,36 +354,44 @@
 auto FleetDuty::send(const ServerOrder &Order) -> void {
   auto Number = m_Lease.fencing();
   auto &Last = m_ServerOrders[orderKey(Order)];
+  auto Repeated = Last.m_Number > 0 && Last.m_Count == Order.m_Count;
+  if (Repeated)
+    countEvent("servers", "repeated");
   Last = {.m_Count = Order.m_Count,
           .m_Pending = true,
           .m_SentAt = m_Scheduler.now(),
+          .m_Number = Repeated ? Last.m_Number + 1 : 1,
           .m_MaxInForce = std::max(Last.m_MaxInForce, Order.m_Count),
           .m_Copies = Last.m_Copies};
   Last.m_Copies.recordSent();
-  m_Calls.orderServers(
-      Order, Number,
-      [this, Alive = m_Alive, Order, Number, Call = m_OrderBackoff.begin(),
-       SentAt = m_Scheduler.now()](OrderOutcome Outcome) {
-        if (!*Alive)
-          return;
-        // An answer about this order alone does not slow the others down.
-        m_OrderBackoff.end(Call,
-                           !mayStillArrive(Outcome) &&
-                               Outcome != OrderOutcome::NotSent &&
-                               Outcome != OrderOutcome::Throttled,
-                           m_Scheduler.now());
-        handleOutcome(Order, Number, Outcome);
-        recordReach(Outcome, SentAt);
-      });
+  m_Calls.orderServers(Order, Number,
+                       [this, Alive = m_Alive, Order, Copy = Last.m_Number,
+                        Number, Call = m_OrderBackoff.begin(),
+                        SentAt = m_Scheduler.now()](OrderOutcome Outcome) {
+                         if (!*Alive)
+                           return;
+                         // An answer about this order alone does not slow the
+                         // others down.
+                         m_OrderBackoff.end(
+                             Call,
+                             !mayStillArrive(Outcome) &&
+                                 Outcome != OrderOutcome::NotSent &&
+                                 Outcome != OrderOutcome::Throttled,
+                             m_Scheduler.now());
+                         handleOutcome(Order, Copy, Number, Outcome);
+                         recordReach(Outcome, SentAt);
+                       });
 }
 
-auto FleetDuty::handleOutcome(const ServerOrder &Order, FencingNumber Number,
-                              OrderOutcome Outcome) -> void {
+auto FleetDuty::handleOutcome(const ServerOrder &Order, std::uint32_t Copy,
+                              FencingNumber Number, OrderOutcome Outcome)
+    -> void {
   logInfo("fleet.ordered", {{"service", Order.m_Service},
                             {"data_centre", Order.m_DataCentre},
                             {"count", Order.m_Count},
                             {"reclaimable", Order.m_Reclaimable},
                             {"fencing", Number},
+                            {"copy", Copy},
                             {"answer", nameOf(Outcome)},
                             {"failures", m_OrderBackoff.failures()}});
   if (m_Inputs.m_OnOutcome)
@@ -396,55 +420,4 @@
     recordRefusal(Number, "servers");
 }
 
-auto FleetDuty::orderStages() -> void {
-  auto Now = m_Scheduler.now();
-  const auto &Configuration = *m_Inputs.m_Configuration();
-  auto Orders = m_Planner.stages(
-      Configuration, m_Inputs.m_Directory, m_Inputs.m_IsIdle(),
-      [this, Now](const BackendRecord &Engine) {
-        return m_Inputs.m_Access.check(targetOf(Engine), SendPurpose::Order,
-                                       Now) == SendDenial::None;
-      });
-  for (const auto &Order : Orders) {
-    auto &Last = m_StageOrders[Order.m_Backend];
-    const auto *Engine = m_Inputs.m_Directory.find(Order.m_Backend);
-    auto RetryDelay = m_Options.m_StageRetryMargin;
-    if (auto Service = Configuration.m_Services.find(Engine->m_Service);
-        Service != Configuration.m_Services.end() && Service->second.m_Engine)
-      RetryDelay += Service->second.m_Engine->m_RoleChangeTime;
-    if (Last.m_SentAt != MonotonicTime() && Now - Last.m_SentAt < RetryDelay)
-      continue;
-    Last.m_SentAt = Now;
-    send(Order);
-  }
-}
-
-auto FleetDuty::send(const StageOrder &Order) -> void {
-  auto Number = m_Lease.fencing();
-  auto Engine = *m_Inputs.m_Directory.find(Order.m_Backend);
-  auto Target = targetOf(Engine);
-  auto Decision = m_Inputs.m_Access.admit(
-      Target, SendPurpose::Order, {.m_Listed = &Target}, m_Scheduler.now());
-  if (!Decision.m_Permit) {
-    logInfo("fleet.stage-not-ordered", {{"backend", Order.m_Backend},
-                                        {"reason", nameOf(Decision.m_Denial)}});
-    return;
-  }
-  m_Calls.orderStage(
-      std::move(*Decision.m_Permit), Order, Number,
-      [this, Alive = m_Alive, Order, Number,
-       Engine](const StageOrderReply &Reply) {
-        if (!*Alive)
-          return;
-        m_Inputs.m_Access.recordNotice(targetOf(Engine), Reply.m_Notice,
-                                       m_Scheduler.now());
-        logInfo("fleet.stage-ordered",
-                {{"backend", Order.m_Backend},
-                 {"stage",
-                  Order.m_Stage == EngineStage::Prefill ? "prefill" : "decode"},
-                 {"fencing", Number},
-                 {"answer", nameOf(Reply.m_Outcome)}});
-      });
-}
-
 } // namespace dotterel
--- a/src/host/HostProcess.cpp
+++ b/src/host/HostProcess.cpp
@@ -197,6 +197,10 @@
                   [this](const char *Matter, OrderOutcome Outcome) {
                     m_Metrics.countDutyCall(Matter, nameOf(Outcome));
                   },
+              .m_OnOrderEvent =
+                  [this](const char *Matter, const char *Event) {
+                    m_Metrics.countOrderEvent(Matter, Event);
+                  },
               .m_OnGivenUp =
                   [this](const char *Reason) {
                     m_Metrics.countDutyGivenUp(Reason);
--- a/src/serving/FleetPlanner.cpp
+++ b/src/serving/FleetPlanner.cpp
@@ -14,22 +14,28 @@
 }
 
 /// Returns the engine among \p Members, the engines of one data centre, that
-/// should leave the stage \p From, or null if there is none. It is of the kind,
-/// ordinary or reclaimable, that has more engines in that stage, so that both
-/// stages remain after a reclaim.
+/// should leave the stage \p From, or null if none that may is in it. It is of
+/// the kind, ordinary or reclaimable, that has more engines in that stage, so
+/// that both stages remain after a reclaim.
 auto chooseStageChange(const std::vector<const BackendRecord *> &Members,
-                       EngineStage From) -> const BackendRecord * {
+                       EngineStage From, const EngineFilter &MayChange)
+    -> const BackendRecord * {
   auto Count = [&](bool Reclaimable) {
     return std::count_if(Members.begin(), Members.end(), [&](const auto *Item) {
       return Item->m_Stage == From && Item->m_Reclaimable == Reclaimable;
     });
   };
+  auto Choose = [&](bool Reclaimable) -> const BackendRecord * {
+    auto Found =
+        std::find_if(Members.begin(), Members.end(), [&](const auto *Item) {
+          return Item->m_Stage == From && Item->m_Reclaimable == Reclaimable &&
+                 (!MayChange || MayChange(*Item));
+        });
+    return Found == Members.end() ? nullptr : *Found;
+  };
   auto Kind = Count(true) > Count(false);
-  auto Found =
-      std::find_if(Members.begin(), Members.end(), [&](const auto *Item) {
-        return Item->m_Stage == From && Item->m_Reclaimable == Kind;
-      });
-  return Found == Members.end() ? nullptr : *Found;
+  const auto *Chosen = Choose(Kind);
+  return Chosen != nullptr ? Chosen : Choose(!Kind);
 }
 
 using EnginesByDataCentre =
@@ -205,7 +211,7 @@
 
 auto FleetPlanner::stages(const ServingConfiguration &Configuration,
                           const BackendDirectory &Directory, bool Idle,
-                          const EngineFilter &MayOrder) const
+                          const StageFilters &Filters) const
     -> std::vector<StageOrder> {
   auto Orders = std::vector<StageOrder>();
   for (const auto &[Id, Service] : Configuration.m_Services) {
@@ -214,7 +220,7 @@
     auto Engines = EnginesByDataCentre();
     for (const auto *Engine : Directory.usable(Id))
       if (Engine->m_Stage != EngineStage::None &&
-          (!MayOrder || MayOrder(*Engine)))
+          (!Filters.m_Counts || Filters.m_Counts(*Engine)))
         Engines[Engine->m_DataCentre].push_back(Engine);
     const auto Urgent = withoutDecodeEngine(Engines);
     for (auto &[DataCentre, Members] : Engines) {
@@ -232,7 +238,8 @@
         continue;
       for (auto Step = 0L; Step < (Idle ? Missing : std::min(1L, Missing));
            ++Step) {
-        const auto *Chosen = chooseStageChange(Members, From);
+        const auto *Chosen =
+            chooseStageChange(Members, From, Filters.m_MayChange);
         if (Chosen == nullptr)
           break;
         Orders.push_back({.m_Backend = Chosen->m_Id,
--- a/src/serving/ServingMetrics.cpp
+++ b/src/serving/ServingMetrics.cpp
@@ -174,7 +174,11 @@
             "Age of the newest answer of the store on the configuration.");
   Family<Counter> &m_DutyCalls =
       counters(m_Registry, "dotterel_serving_duty_calls_total",
-               "Usage reports and server orders sent, by matter and outcome.");
+               "Usage reports and orders sent, by matter and outcome.");
+  Family<Counter> &m_OrderEvents =
+      counters(m_Registry, "dotterel_serving_order_events_total",
+               "Orders and reports held back or sent again, by matter and "
+               "event.");
   Family<Counter> &m_DutiesGivenUp =
       counters(m_Registry, "dotterel_serving_duty_given_up_total",
                "Times that this host gave the fleet duty up, by reason.");
@@ -344,6 +348,11 @@
       .Increment();
 }
 
+auto ServingMetrics::countOrderEvent(const char *Matter, const char *Event)
+    -> void {
+  m_Impl->m_OrderEvents.Add({{"matter", Matter}, {"event", Event}}).Increment();
+}
+
 auto ServingMetrics::countDutyGivenUp(const char *Reason) -> void {
   m_Impl->m_DutiesGivenUp.Add({{"reason", Reason}}).Increment();
 }
--- a/src/usage/UsageKeys.cpp
+++ b/src/usage/UsageKeys.cpp
@@ -17,6 +17,8 @@
   return "usage-closed/" + padded(Window);
 }
 
+auto usageProgressKey() -> std::string { return "usage-progress"; }
+
 auto sealedKey(WindowIndex Window) -> std::string {
   return "usage-sealed/" + padded(Window);
 }
--- a/src/usage/WindowSealer.cpp
+++ b/src/usage/WindowSealer.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Key of the number of the newest reported window. All windows before it are
-/// reported as well; the records of old ones are deleted.
-constexpr auto ProgressKey = "usage-progress";
-
 auto parseNumber(const std::string &Text) -> std::uint64_t {
   return std::stoull(Text);
 }
@@ -65,7 +61,7 @@
 }
 
 auto WindowSealer::findNext() -> void {
-  m_Store.read(KeyRange::single(ProgressKey),
+  m_Store.read(KeyRange::single(usageProgressKey()),
                continueWith<RangeResult>([this](const RangeResult &Read) {
                  if (Read.m_Values.empty()) {
                    if (m_Store.history().restored())
@@ -107,7 +103,7 @@
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back(m_Duty.guard());
   Transaction.m_Writes.push_back(
-      {.m_Key = ProgressKey, .m_Value = encodeProgress(Reported)});
+      {.m_Key = usageProgressKey(), .m_Value = encodeProgress(Reported)});
   m_Store.commit(std::move(Transaction),
                  continueWith<TransactionResult>(
                      [this, Reported](const TransactionResult &Result) {
@@ -238,7 +234,7 @@
   Transaction.m_Writes.push_back(
       {.m_Key = reportedKey(Window), .m_Value = "1"});
   Transaction.m_Writes.push_back(
-      {.m_Key = ProgressKey, .m_Value = encodeProgress(Window)});
+      {.m_Key = usageProgressKey(), .m_Value = encodeProgress(Window)});
   m_Store.commit(std::move(Transaction),
                  continueWith<TransactionResult>([this, Window](const auto &) {
                    if (Window.number() > RetainedWindows)
--- a/tests/support/FleetWorld.h
+++ b/tests/support/FleetWorld.h
@@ -65,10 +65,24 @@
     });
   }
   auto orderStage(SendPermit /*Permit*/, const StageOrder &Order,
-                  FencingNumber /*Fencing*/,
+                  FencingNumber Fencing,
                   std::function<void(const StageOrderReply &)> Done)
       -> void override {
     m_StageOrders.push_back(Order.m_Backend);
+    m_StageCalls.push_back({.m_Engine = Order.m_Backend,
+                            .m_Stage = Order.m_Stage,
+                            .m_Fencing = Fencing,
+                            .m_At = m_Scheduler.now()});
+    auto Fate = m_StageFates ? m_StageFates(Order) : OrderFate{};
+    for (auto Delay : Fate.m_Late)
+      m_Scheduler.schedule(
+          Delay, [this, Order, Fencing] { executeStage(Order, Fencing); });
+    if (!Fate.m_Late.empty() || Fate.m_Lost) {
+      fail(OrderOutcome::Unknown,
+           [Done](OrderOutcome Outcome) { Done({.m_Outcome = Outcome}); });
+      return;
+    }
+    executeStage(Order, Fencing);
     m_Scheduler.schedule(Milliseconds(5), [this, Done] {
       Done({.m_Outcome = OrderOutcome::Accepted, .m_Notice = m_EngineNotice});
     });
@@ -108,6 +122,15 @@
     m_MaxTotal = std::max(m_MaxTotal, m_Counts[false] + m_Counts[true]);
   }
 
+  /// Executes a stage order at an engine that does not check its token.
+  auto executeStage(const StageOrder &Order, FencingNumber Fencing) -> void {
+    auto &Highest = m_StageTokens[Order.m_Backend];
+    if (Fencing < Highest)
+      ++m_StageOvertaken;
+    Highest = std::max(Highest, Fencing);
+    m_Stages[Order.m_Backend] = Order.m_Stage;
+  }
+
   /// Answers a call with \p Outcome. One that is not answered ends by its
   /// timeout.
   auto fail(OrderOutcome Outcome, const std::function<void(OrderOutcome)> &Done)
@@ -152,6 +175,20 @@
   std::vector<BackendId> m_StageOrders;
   ServerNotice m_EngineNotice; ///< In the responses of engines to orders.
 
+  struct StageCall {
+    BackendId m_Engine;
+    EngineStage m_Stage = EngineStage::None;
+    FencingNumber m_Fencing;
+    MonotonicTime m_At;
+  };
+  std::vector<StageCall> m_StageCalls;
+  /// Returns the fate of each stage order; empty: all are executed at once.
+  std::function<OrderFate(const StageOrder &)> m_StageFates;
+  std::map<BackendId, EngineStage> m_Stages;        ///< By the executed orders.
+  std::map<BackendId, FencingNumber> m_StageTokens; ///< Highest one executed.
+  /// Stage orders executed after one with a higher token at the same engine.
+  int m_StageOvertaken = 0;
+
 private:
   VirtualScheduler &m_Scheduler;
   FencingNumber m_MaxFencing;
@@ -220,21 +257,26 @@
   Holder(VirtualScheduler &Scheduler, InMemoryStore &Model, FleetCalls &Calls,
          const BackendDirectory &Directory,
          const ServingConfiguration &Configuration, const std::string &Name,
-         bool ChecksFencing)
+         const FleetDutyOptions &Options, const bool &Idle)
       : m_Store(Scheduler, Model),
         m_Duty(Scheduler, m_Store, Calls, m_Random,
                {.m_Directory = Directory,
                 .m_Access = m_Access,
                 .m_Configuration = [&Configuration] { return &Configuration; },
-                .m_IsIdle = [] { return false; },
+                .m_IsIdle = [&Idle] { return Idle; },
                 .m_NeededEngines = []() -> std::optional<double> { return {}; },
                 .m_HostCount = [] { return std::size_t{2}; },
                 .m_Eligible = [] { return true; }},
-               {.m_Bounds = {.m_ChecksFencing = ChecksFencing},
-                .m_Host = HostId{Name}}) {
+               optionsOf(Options, Name)) {
     m_Duty.start();
   }
 
+  static auto optionsOf(FleetDutyOptions Options, const std::string &Name)
+      -> FleetDutyOptions {
+    Options.m_Host = HostId{Name};
+    return Options;
+  }
+
   FaultyStore m_Store;
   Random m_Random{1};
   ServerAccess m_Access{{}, {}};
@@ -255,11 +297,12 @@
   }
 
   auto add(const std::string &Name) -> void {
+    m_Options.m_Bounds.m_ChecksFencing = m_ChecksFencing;
     m_Recorders.push_back(std::make_unique<RecordedCalls>(m_Scheduler, m_Fleet,
                                                           Name, m_Received));
     m_Holders.push_back(std::make_unique<Holder>(
         m_Scheduler, m_Model, *m_Recorders.back(), m_Directory, m_Configuration,
-        Name, m_ChecksFencing));
+        Name, m_Options, m_Idle));
   }
 
   /// Registers the servers that the platform runs.
@@ -276,10 +319,18 @@
                            .m_Address = "10.0.0.1:1",
                            .m_DataCentre = Here,
                            .m_Reclaimable = Reclaimable,
-                           .m_Stage = EngineStage::Decode});
+                           .m_Stage = stageOf(Id)});
       }
   }
 
+  /// Returns the stage with which an engine is registered.
+  [[nodiscard]] auto stageOf(const BackendId &Engine) const -> EngineStage {
+    auto Found = m_Fleet.m_Stages.find(Engine);
+    return m_ListsStages && Found != m_Fleet.m_Stages.end()
+               ? Found->second
+               : EngineStage::Decode;
+  }
+
   auto advanceTime(Duration Span) -> void {
     constexpr auto Step = Milliseconds(500);
     for (auto Elapsed = Duration::zero(); Elapsed < Span; Elapsed += Step) {
@@ -310,6 +361,10 @@
   ServingConfiguration m_Configuration;
   /// Whether holders that are added rely on the platform's check of tokens.
   bool m_ChecksFencing = false;
+  FleetDutyOptions m_Options; ///< Of holders that are added.
+  bool m_Idle = false;        ///< Whether no request is in flight.
+  /// Whether engines are registered with their stage, not always with decode.
+  bool m_ListsStages = false;
   std::vector<ReceivedCall> m_Received; ///< By the platform, in order.
   std::vector<std::unique_ptr<RecordedCalls>> m_Recorders;
   std::vector<std::unique_ptr<Holder>> m_Holders;
--- a/tests/unit-FleetPlanner.cpp
+++ b/tests/unit-FleetPlanner.cpp
@@ -215,7 +215,8 @@
   auto MayOrder = [](const BackendRecord &Engine) {
     return Engine.m_Stage != D;
   };
-  auto Orders = Planner.stages(Configuration, Leaving, false, MayOrder);
+  auto Orders =
+      Planner.stages(Configuration, Leaving, false, {.m_Counts = MayOrder});
   REQUIRE(Orders.size() == 1);
   CHECK(Orders[0].m_Stage == D);
   // One decode engine anywhere is enough for the tolerance to hold.
