Usage reports of a new holder wait where one of an ended grant may be open

What could be seen: where the platform checks no fencing tokens, it could carry out a report of an ended holder after one of its successor. The same cause as that of stage orders; found by the list in docs/design/late-orders.md.

Where tokens are checked nothing waits.

Why it works: a window is sealed before its report is sent, and its record is written after the report was accepted, both under the grant; one of the two tells the next holder.

Also: usage.reports-held, and held and repeated reports in dotterel_serving_order_events_total.

--- a/include/dotterel/host/FleetDuty.h
+++ b/include/dotterel/host/FleetDuty.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace dotterel {
 
@@ -123,6 +124,8 @@
   std::map<std::string, SentOrder> m_ServerOrders; ///< Under the current lease.
   FencingNumber m_CurrentFencing;
   FencingNumber m_RefusedFencing;
+  /// Window and fencing token of the newest report that was sent.
+  std::pair<WindowIndex, FencingNumber> m_SentReport;
   CallBackoff m_ReportBackoff;
   CallBackoff m_OrderBackoff;
   /// When the oldest call was sent that is followed by no answered one.
--- a/include/dotterel/host/StageOrders.h
+++ b/include/dotterel/host/StageOrders.h
@@ -50,6 +50,13 @@
   /// Starts over under a new grant of the duty.
   auto beginGrant() -> void;
 
+  /// Returns whether it is known which orders earlier grants have left. Until
+  /// then no usage is reported, since reports are taken for a trace of versions
+  /// that have kept no record of open orders.
+  [[nodiscard]] auto ready() const -> bool {
+    return checksFencing() || m_Open.inherited();
+  }
+
   /// Sends the orders that are due. \pre the duty is held, and there is a
   /// configuration.
   auto step() -> void;
--- a/include/dotterel/usage/WindowSealer.h
+++ b/include/dotterel/usage/WindowSealer.h
@@ -9,9 +9,11 @@
 #define DOTTEREL_USAGE_WINDOWSEALER_H
 
 #include "dotterel/base/Scheduler.h"
+#include "dotterel/fleet/OrderCopies.h"
 #include "dotterel/lease/DutyLease.h"
 #include "dotterel/store/KeyValueStore.h"
 #include "dotterel/usage/Usage.h"
+#include "dotterel/usage/UsageKeys.h"
 
 #include <functional>
 #include <memory>
@@ -34,6 +36,14 @@
   /// Returns whether these are all segments of the window, so that it can be
   /// closed before m_Grace has passed. If empty, no window is closed early.
   std::function<bool(const std::vector<StoredValue> &)> m_AllWritten;
+  /// Maximum time after the end of a call at which a report that was not
+  /// accepted is executed; 0 if the receiver checks fencing tokens.
+  Duration m_MaxReportDelay = Duration::zero();
+  /// Time after the beginning of a grant for which reports of earlier grants
+  /// may still be executed; 0 if the receiver checks fencing tokens.
+  Duration m_MaxDelayOfEarlierGrants = Duration::zero();
+  /// Called when reports are held back until those of earlier grants are over.
+  std::function<void()> m_OnHeld;
 };
 
 /// Usage report of a window. A report that is sent again after a lost response
@@ -60,6 +70,11 @@
 /// reported window names the history of the store that it was written in. In a
 /// later one, the holder first records which windows may have been reported,
 /// and skips these.
+///
+/// \invariant Unless the receiver checks fencing tokens, a report is sent only
+/// once no report of an earlier grant can be executed any more. One may be open
+/// if its window was sealed under an earlier grant, or if the record of the
+/// newest reported window says so.
 class WindowSealer {
 public:
   WindowSealer(Scheduler &Scheduler, KeyValueStore &Store,
@@ -82,14 +97,27 @@
     std::string m_Entries;
   };
 
+  auto beginGrant() -> void;
+  /// Holds reports back until those of earlier grants are over.
+  auto awaitEarlierReports() -> void;
+  [[nodiscard]] auto awaitsEarlierReports() const -> bool {
+    return m_EarlierReportsOpen && m_Scheduler.now() < m_HeldUntil;
+  }
   auto findNext() -> void;
   /// Records, after a restore of the store, the newest window that may have
   /// been reported. \p Stored is the one that the store has.
   auto recover(WindowIndex Stored) -> void;
   auto recordReported(WindowIndex Window) -> void;
+  /// Returns a compare that fails if the record of the newest reported window
+  /// was written since it was read, so that no earlier write replaces a later.
+  [[nodiscard]] auto progressUnchanged() const -> StoreCompare {
+    return {.m_Key = usageProgressKey(), .m_Modified = m_ProgressRevision};
+  }
   /// Returns the value of the record of the newest reported window.
   [[nodiscard]] auto encodeProgress(WindowIndex Window) const -> std::string;
   auto findFirst() -> void;
+  /// Records that no window before \p First is reported, and closes \p First.
+  auto recordFirst(WindowIndex First) -> void;
   auto closeEarly(WindowIndex Window) -> void;
   auto close(WindowIndex Window) -> void;
   auto seal(WindowIndex Window) -> void;
@@ -116,6 +144,14 @@
   WindowIndex m_Reported;
   FencingNumber m_ReportedUnder;
   std::optional<SentReport> m_Unconfirmed;
+  FencingNumber m_Grant;       ///< Token of the newest grant that was begun.
+  MonotonicTime m_HeldUntil;   ///< When reports of earlier grants are over.
+  bool m_ProgressRead = false; ///< Under this grant.
+  bool m_EarlierReportsOpen = false; ///< Whether there may be any.
+  WindowIndex m_SealedWindow;        ///< Newest window sealed under this grant.
+  WindowIndex m_AcceptedWindow;      ///< Newest one accepted under this grant.
+  StoreRevision m_ProgressRevision;  ///< Of the record of the reported window.
+  OrderCopies m_Copies;              ///< Reports sent under this grant.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
 
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -45,21 +45,29 @@
       m_Inputs(std::move(Inputs)), m_Options(Options),
       m_Lease(Scheduler, Store, DutyId{"fleet"},
               ProcessId{Options.m_Host.text()}, leaseOptions(Options.m_Bounds)),
-      m_Sealer(Scheduler, Store, m_Lease,
-               [this](const UsageReport &Report,
-                      const std::function<void(bool)> &Done) {
-                 reportUsage(Report, Done);
+      m_Sealer(
+          Scheduler, Store, m_Lease,
+          [this](const UsageReport &Report,
+                 const std::function<void(bool)> &Done) {
+            reportUsage(Report, Done);
+          },
+          {.m_WindowLength = std::chrono::duration_cast<Seconds>(
+               Options.m_Bounds.m_UsageWindow),
+           .m_Grace = std::chrono::duration_cast<Duration>(
+               Options.m_Bounds.m_UsageDue * Options.m_UsageGraceShare),
+           .m_MinGrace = Options.m_MinUsageGrace,
+           // Each host writes one segment per window, at the window's end.
+           .m_AllWritten =
+               [this](const std::vector<StoredValue> &Segments) {
+                 return Segments.size() >= m_Inputs.m_HostCount();
                },
-               {.m_WindowLength = std::chrono::duration_cast<Seconds>(
-                    Options.m_Bounds.m_UsageWindow),
-                .m_Grace = std::chrono::duration_cast<Duration>(
-                    Options.m_Bounds.m_UsageDue * Options.m_UsageGraceShare),
-                .m_MinGrace = Options.m_MinUsageGrace,
-                // Each host writes one segment per window, at the window's end.
-                .m_AllWritten =
-                    [this](const std::vector<StoredValue> &Segments) {
-                      return Segments.size() >= m_Inputs.m_HostCount();
-                    }}),
+           .m_MaxReportDelay = Options.m_Bounds.m_ChecksFencing
+                                   ? Duration::zero()
+                                   : Options.m_MaxOrderDelay,
+           .m_MaxDelayOfEarlierGrants = Options.m_Bounds.m_ChecksFencing
+                                            ? Duration::zero()
+                                            : Options.delayOfEarlierGrants(),
+           .m_OnHeld = [this] { countEvent("usage", "held"); }}),
       m_Planner(Options.m_Planner),
       m_Stages(
           Scheduler, Store, Calls, m_Lease, m_Planner, m_Inputs,
@@ -129,6 +137,9 @@
 auto FleetDuty::reportUsage(const UsageReport &Report,
                             const std::function<void(bool)> &Done) -> void {
   auto Call = m_ReportBackoff.begin();
+  if (std::exchange(m_SentReport, {Report.m_Window, Report.m_Fencing}) ==
+      std::pair(Report.m_Window, Report.m_Fencing))
+    countEvent("usage", "repeated");
   m_Calls.reportUsage(
       Report, [this, Done, Alive = m_Alive, Call, Window = Report.m_Window,
                Number = Report.m_Fencing,
@@ -173,7 +184,7 @@
     m_TargetOrders.clear();
   }
   // Windows stay in the store until the platform has accepted their reports.
-  if (m_ReportBackoff.mayCall(m_Scheduler.now()))
+  if (m_Stages.ready() && m_ReportBackoff.mayCall(m_Scheduler.now()))
     m_Sealer.step();
   if (m_Inputs.m_Configuration() == nullptr || m_PlanCallPending)
     return;
--- a/src/usage/WindowSealer.cpp
+++ b/src/usage/WindowSealer.cpp
@@ -18,16 +18,21 @@
 struct Progress {
   WindowIndex m_Window;
   StoreEra m_Era; ///< History of the store in which it was recorded.
+  /// Whether a report of this window or an earlier one may still be executed.
+  bool m_ReportsOpen = true;
 };
 
-/// Parses the window's number and, after a space, the era. Records of earlier
-/// versions have no era.
+/// Parses the window's number, the era, and 1 if reports may be open, separated
+/// by spaces. Records of earlier versions end before the era or after it.
 auto parseProgress(const std::string &Text) -> Progress {
-  auto Space = Text.find(' ');
-  return {.m_Window = WindowIndex{parseNumber(Text)},
-          .m_Era = StoreEra{Space == std::string::npos
-                                ? 0
-                                : parseNumber(Text.substr(Space + 1))}};
+  auto Result = Progress{.m_Window = WindowIndex{parseNumber(Text)}};
+  auto EraAt = Text.find(' ');
+  if (EraAt == std::string::npos)
+    return Result;
+  Result.m_Era = StoreEra{parseNumber(Text.substr(EraAt + 1))};
+  if (auto OpenAt = Text.find(' ', EraAt + 1); OpenAt != std::string::npos)
+    Result.m_ReportsOpen = parseNumber(Text.substr(OpenAt + 1)) != 0;
+  return Result;
 }
 
 } // namespace
@@ -56,13 +61,43 @@
 auto WindowSealer::step() -> void {
   if (m_Busy || !m_Duty.held())
     return;
+  if (m_Grant != m_Duty.fencing())
+    beginGrant();
+  if (awaitsEarlierReports())
+    return;
   m_Busy = true;
   findNext();
 }
 
+auto WindowSealer::beginGrant() -> void {
+  m_Grant = m_Duty.fencing();
+  m_HeldUntil = m_Scheduler.now() + m_Options.m_MaxDelayOfEarlierGrants;
+  m_ProgressRead = false;
+  m_EarlierReportsOpen = false;
+  m_SealedWindow = WindowIndex();
+  m_AcceptedWindow = WindowIndex();
+  // The store tells which of these reports are open.
+  m_Copies = OrderCopies();
+}
+
+auto WindowSealer::awaitEarlierReports() -> void {
+  if (std::exchange(m_EarlierReportsOpen, true) || !awaitsEarlierReports())
+    return;
+  logInfo("usage.reports-held",
+          {{"fencing", m_Grant},
+           {"reason", "a report of an earlier grant may be open"},
+           {"wait_ms", toMilliseconds(m_HeldUntil - m_Scheduler.now())}});
+  if (m_Options.m_OnHeld)
+    m_Options.m_OnHeld();
+}
+
 auto WindowSealer::findNext() -> void {
   m_Store.read(KeyRange::single(usageProgressKey()),
                continueWith<RangeResult>([this](const RangeResult &Read) {
+                 auto FirstRead = !std::exchange(m_ProgressRead, true);
+                 m_ProgressRevision = Read.m_Values.empty()
+                                          ? StoreRevision()
+                                          : Read.m_Values.front().m_Modified;
                  if (Read.m_Values.empty()) {
                    if (m_Store.history().restored())
                      recover({});
@@ -75,6 +110,9 @@
                    recover(Stored.m_Window);
                    return;
                  }
+                 // Later reads find what this grant has recorded.
+                 if (FirstRead && Stored.m_ReportsOpen)
+                   awaitEarlierReports();
                  recordReported(Stored.m_Window);
                  auto Next = WindowIndex{Stored.m_Window.number() + 1};
                  if (Next <= lastEnded(m_Options.m_Grace))
@@ -88,6 +126,7 @@
 }
 
 auto WindowSealer::recover(WindowIndex Stored) -> void {
+  awaitEarlierReports();
   auto Known = m_Duty.heldBeforeRestore() == m_ReportedUnder &&
                m_ReportedUnder != FencingNumber{};
   // Unless this process was the last one to report, any window that has ended
@@ -102,6 +141,7 @@
                                  {"era", m_Store.history().era()}});
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Compares.push_back(progressUnchanged());
   Transaction.m_Writes.push_back(
       {.m_Key = usageProgressKey(), .m_Value = encodeProgress(Reported)});
   m_Store.commit(std::move(Transaction),
@@ -119,8 +159,10 @@
 }
 
 auto WindowSealer::encodeProgress(WindowIndex Window) const -> std::string {
-  return fmt::format("{} {}", Window.number(),
-                     m_Store.history().era().number());
+  auto ReportsOpen =
+      awaitsEarlierReports() || !m_Copies.isComplete(m_Scheduler.now());
+  return fmt::format("{} {} {}", Window.number(),
+                     m_Store.history().era().number(), ReportsOpen ? 1 : 0);
 }
 
 auto WindowSealer::findFirst() -> void {
@@ -133,10 +175,30 @@
                    auto Digits = Key.substr(std::string("usage/").size());
                    First = std::min(First, WindowIndex{parseNumber(Digits)});
                  }
-                 close(First);
+                 recordFirst(First);
                }));
 }
 
+auto WindowSealer::recordFirst(WindowIndex First) -> void {
+  // Without segments, another holder would start with a later window, and not
+  // learn that a report of this one may be open.
+  auto Transaction = StoreTransaction();
+  Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Compares.push_back(progressUnchanged());
+  Transaction.m_Writes.push_back(
+      {.m_Key = usageProgressKey(),
+       .m_Value = encodeProgress(WindowIndex{First.number() - 1})});
+  m_Store.commit(std::move(Transaction),
+                 continueWith<TransactionResult>(
+                     [this, First](const TransactionResult &Result) {
+                       m_ProgressRevision = Result.m_Revision;
+                       if (Result.m_Applied)
+                         close(First);
+                       else
+                         m_Busy = false;
+                     }));
+}
+
 auto WindowSealer::closeEarly(WindowIndex Window) -> void {
   m_Store.read(
       KeyRange::prefix(segmentPrefix(Window)),
@@ -181,8 +243,13 @@
         m_Store.commit(
             std::move(Transaction),
             continueWith<TransactionResult>([this, Window](const auto &Result) {
-              if (Result.m_Applied)
+              if (Result.m_Applied) {
                 logInfo("usage.sealed", {{"window", Window}});
+                m_SealedWindow = Window;
+              } else if (m_SealedWindow != Window) {
+                // An earlier grant has sealed the window and may have sent it.
+                awaitEarlierReports();
+              }
               report(Window);
             }));
       }));
@@ -202,18 +269,29 @@
 
 auto WindowSealer::sendReport(WindowIndex Window, const std::string &Entries)
     -> void {
-  if (!m_Duty.held()) {
+  if (!m_Duty.held() || awaitsEarlierReports()) {
     m_Busy = false;
     return;
   }
+  // A report that was accepted is not sent again for want of its record: the
+  // record may still be written, and would not tell of the new copy.
+  if (m_AcceptedWindow == Window) {
+    finish(Window);
+    return;
+  }
   auto Report = UsageReport{
       .m_Window = Window, .m_Fencing = m_Duty.fencing(), .m_Entries = Entries};
   recordReported(Window);
   m_Unconfirmed = {.m_Window = Window, .m_Entries = Entries};
+  m_Copies.recordSent();
   m_SendReport(Report, [this, Alive = m_Alive, Window,
                         Fencing = Report.m_Fencing](bool Accepted) {
     if (!*Alive)
       return;
+    if (Fencing == m_Grant)
+      m_Copies.recordOutcome(Accepted ? OrderOutcome::Accepted
+                                      : OrderOutcome::Unknown,
+                             m_Scheduler.now(), m_Options.m_MaxReportDelay);
     if (Accepted) {
       logInfo("usage.reported", {{"window", Window}});
       m_Unconfirmed.reset();
@@ -222,6 +300,7 @@
       m_Busy = false;
       return;
     }
+    m_AcceptedWindow = Window;
     finish(Window);
   });
 }
@@ -231,6 +310,7 @@
   // add segments to it. The sealed totals are kept for operators.
   auto Transaction = StoreTransaction();
   Transaction.m_Compares.push_back(m_Duty.guard());
+  Transaction.m_Compares.push_back(progressUnchanged());
   Transaction.m_Writes.push_back(
       {.m_Key = reportedKey(Window), .m_Value = "1"});
   Transaction.m_Writes.push_back(
--- a/tests/support/FleetWorld.h
+++ b/tests/support/FleetWorld.h
@@ -97,6 +97,17 @@
       fail(*m_Outage, Done);
       return;
     }
+    auto Fate = m_ReportFates ? m_ReportFates() : OrderFate{};
+    for (auto Delay : Fate.m_Late)
+      m_Scheduler.schedule(Delay, [this, Fencing = Report.m_Fencing] {
+        executeReport(Fencing);
+      });
+    if (!Fate.m_Late.empty() || Fate.m_Lost) {
+      m_Reports.back().m_Accepted = false;
+      fail(OrderOutcome::Unknown, Done);
+      return;
+    }
+    executeReport(Report.m_Fencing);
     m_Scheduler.schedule(Milliseconds(5),
                          [Done] { Done(OrderOutcome::Accepted); });
   }
@@ -131,6 +142,12 @@
     m_Stages[Order.m_Backend] = Order.m_Stage;
   }
 
+  auto executeReport(FencingNumber Fencing) -> void {
+    if (Fencing < m_ReportToken)
+      ++m_ReportsOvertaken;
+    m_ReportToken = std::max(m_ReportToken, Fencing);
+  }
+
   /// Answers a call with \p Outcome. One that is not answered ends by its
   /// timeout.
   auto fail(OrderOutcome Outcome, const std::function<void(OrderOutcome)> &Done)
@@ -175,6 +192,11 @@
   std::vector<BackendId> m_StageOrders;
   ServerNotice m_EngineNotice; ///< In the responses of engines to orders.
 
+  /// Returns the fate of each report; empty: all are accepted at once.
+  std::function<OrderFate()> m_ReportFates;
+  FencingNumber m_ReportToken; ///< Highest one of an executed report.
+  int m_ReportsOvertaken = 0;  ///< Reports executed after a higher token.
+
   struct StageCall {
     BackendId m_Engine;
     EngineStage m_Stage = EngineStage::None;
