--- a/include/dotterel/host/HostProcess.h
+++ b/include/dotterel/host/HostProcess.h
@@ -75,6 +75,8 @@
   HostSettings m_Settings;
   std::string m_MetricsAddress; ///< IP:PORT; empty: no metrics are served.
   FleetPlannerOptions m_Planner;
+  /// Maximum time after its arrival at which an order that was not answered is
+  /// executed.
   Duration m_MaxOrderDelay = FleetDutyOptions().m_MaxOrderDelay;
   OffloadOptions m_Offload;
 };
--- a/include/dotterel/host/StageOrders.h
+++ b/include/dotterel/host/StageOrders.h
@@ -37,8 +37,7 @@
 class StageOrders {
 public:
   /// \p MayAct returns whether this host holds the duty under the grant that
-  /// was begun. The references are
-  /// valid for the lifetime of this object.
+  /// was begun.
   StageOrders(Scheduler &Scheduler, KeyValueStore &Store, FleetCalls &Calls,
               const DutyLease &Lease, const FleetPlanner &Planner,
               const FleetDutyInputs &Inputs, std::function<bool()> MayAct,
@@ -50,12 +49,10 @@
   /// Starts over under a new grant of the duty.
   auto beginGrant() -> void;
 
-  /// Returns whether it is known which orders earlier grants have left. Until
-  /// then no usage is reported, since reports are taken for a trace of versions
-  /// that have kept no record of open orders.
-  [[nodiscard]] auto ready() const -> bool {
-    return checksFencing() || m_Open.inherited();
-  }
+  /// Reads which orders earlier grants have left, and returns whether that is
+  /// known. Usage is reported only then, since a report counts as a trace of a
+  /// version that has kept no record of open orders.
+  auto prepare() -> bool;
 
   /// Sends the orders that are due. \pre the duty is held, and there is a
   /// configuration.
@@ -104,6 +101,8 @@
   std::set<BackendId> m_HeldEngines;
   bool m_RecordRead = false;
   bool m_StoreCallPending = false;
+  /// Whether a write may still replace the record, unless another one does.
+  bool m_WriteOutcomeUnknown = false;
   std::optional<OpenOrderRecord> m_Record; ///< In the store; empty: none.
   StoreRevision m_RecordRevision;          ///< Of the record in the store.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/include/dotterel/serving/FleetPlanner.h
+++ b/include/dotterel/serving/FleetPlanner.h
@@ -20,6 +20,7 @@
 
 namespace dotterel {
 
+/// Returns whether an engine belongs to a choice of engines.
 using EngineFilter = std::function<bool(const BackendRecord &)>;
 
 /// Engines that a plan of stages is made of; an empty filter excludes none.
@@ -87,8 +88,8 @@
   /// Returns the engines that should change their stage: at most one in each
   /// data centre, or all that deviate from the plan if \p Idle is set, as no
   /// request can be delayed then. Under load small deviations are tolerated,
-  /// unless a service has no decode engine. An engine that may not change counts
-  /// in the stage that it has, and another one is chosen.
+  /// unless a service has no decode engine. An engine that may not change
+  /// counts in the stage that it has, and another one is chosen.
   [[nodiscard]] auto stages(const ServingConfiguration &Configuration,
                             const BackendDirectory &Directory, bool Idle,
                             const StageFilters &Filters = {}) const
--- a/src/host/FleetDuty.cpp
+++ b/src/host/FleetDuty.cpp
@@ -184,7 +184,7 @@
     m_TargetOrders.clear();
   }
   // Windows stay in the store until the platform has accepted their reports.
-  if (m_Stages.ready() && m_ReportBackoff.mayCall(m_Scheduler.now()))
+  if (m_Stages.prepare() && m_ReportBackoff.mayCall(m_Scheduler.now()))
     m_Sealer.step();
   if (m_Inputs.m_Configuration() == nullptr || m_PlanCallPending)
     return;
--- a/src/host/StageOrders.cpp
+++ b/src/host/StageOrders.cpp
@@ -42,8 +42,15 @@
   m_RecordRead = false;
   // Responses to calls of an earlier grant are ignored.
   m_StoreCallPending = false;
-  if (!checksFencing())
+  m_WriteOutcomeUnknown = false;
+}
+
+auto StageOrders::prepare() -> bool {
+  if (checksFencing())
+    return true;
+  if (!m_RecordRead && !m_StoreCallPending)
     readRecord();
+  return m_Open.inherited();
 }
 
 auto StageOrders::step() -> void {
@@ -51,12 +58,8 @@
     send(dueOrders());
     return;
   }
-  if (m_StoreCallPending)
+  if (!prepare() || !m_RecordRead || m_StoreCallPending)
     return;
-  if (!m_RecordRead) {
-    readRecord();
-    return;
-  }
   auto Engines = m_Open.engines(m_Scheduler.now());
   if (!Engines)
     return;
@@ -70,7 +73,7 @@
   });
   auto Record = OpenOrderRecord{.m_Era = m_Store.history().era(),
                                 .m_Engines = *std::move(Engines)};
-  if (m_Record == Record)
+  if (m_Record == Record && !m_WriteOutcomeUnknown)
     send(Orders);
   else
     storeRecord(std::move(Record), std::move(Orders));
@@ -216,8 +219,11 @@
                    m_StoreCallPending = false;
                    if (!Reply || !Reply->m_Applied) {
                      m_RecordRead = false;
+                     if (!Reply)
+                       m_WriteOutcomeUnknown = true;
                      return;
                    }
+                   m_WriteOutcomeUnknown = false;
                    m_Record = Record;
                    m_RecordRevision = Reply->m_Revision;
                    if (m_MayAct())
--- a/tests/fault-StageOrders.cpp
+++ b/tests/fault-StageOrders.cpp
@@ -299,6 +299,47 @@
   }
 }
 
+// Guards against a removal from the record whose outcome is unknown, and which
+// is carried out after the engine was ordered again.
+TEST_CASE("stage orders: a late write of the record does not hide an open "
+          "order, whenever the store answers late") {
+  for (auto Offset = Milliseconds(0); Offset < Seconds(4);
+       Offset += Milliseconds(250))
+    for (auto Length : {Milliseconds(250), Milliseconds(500),
+                        Milliseconds(1000), Milliseconds(2000)}) {
+      CAPTURE(Offset.count());
+      CAPTURE(Length.count());
+      auto Test = World();
+      Test.m_ListsStages = true;
+      Test.m_Idle = true;
+      Test.add("first");
+      while (Test.m_Fleet.m_StageCalls.empty())
+        Test.advanceTime(Milliseconds(500));
+      auto Answered = Test.m_Fleet.m_StageCalls.size();
+      Test.m_Fleet.m_StageFates = [](const StageOrder &) -> Fleet::OrderFate {
+        return {.m_Late = {MaxLateness}};
+      };
+      Test.m_Scheduler.advance(Offset);
+      Test.m_Holders[0]->m_Store.setOutage(StoreFault::LateEffect);
+      Test.m_Fleet.m_Stages.clear();
+      Test.registerServers();
+      Test.m_Scheduler.advance(Length);
+      Test.m_Holders[0]->m_Store.setOutage(StoreFault::None);
+      for (auto Step = 0;
+           Step < 20 && Test.m_Fleet.m_StageCalls.size() == Answered; ++Step)
+        Test.advanceTime(Milliseconds(500));
+      CHECK(Test.m_Fleet.m_StageCalls.size() > Answered);
+      Test.m_Fleet.m_StageFates = nullptr;
+      Test.m_Holders.clear();
+      Test.add("second");
+      for (auto Step = 0; Step < 60; ++Step) {
+        Test.m_Fleet.m_Stages.clear();
+        Test.advanceTime(Milliseconds(500));
+      }
+      CHECK(Test.m_Fleet.m_StageOvertaken == 0);
+    }
+}
+
 // Guards against an engine that is left in the wrong stage by a late copy of an
 // order that its own holder has already taken back.
 TEST_CASE(
