--- a/tests/fault-LateReports.cpp
+++ b/tests/fault-LateReports.cpp
@@ -57,15 +57,9 @@
   return Test.m_Fleet.m_Reports.back();
 }
 
-struct Outcome {
-  int m_Overtaken = 0;
-  int m_Late = 0;
-  int m_Grants = 0;
-};
-
-auto runHolders(std::uint64_t Seed, bool ChecksFencing) -> Outcome {
+auto runHolders(std::uint64_t Seed, bool ChecksFencing) -> GrantsOutcome {
   auto Test = World();
-  auto Result = Outcome();
+  auto Result = GrantsOutcome();
   auto Choice = Random(Seed);
   Test.m_ChecksFencing = ChecksFencing;
   Test.m_Fleet.m_ReportFates = [&]() -> Fleet::OrderFate {
@@ -82,26 +76,8 @@
       return {};
     }
   };
-  for (const auto *Name : {"first", "second", "third"})
-    Test.add(Name);
-  Test.advanceTime(Seconds(8));
-  auto Copy = Test.m_Model.copy();
-  for (auto Step = 0; Step < 60; ++Step) {
-    auto &Changed = *Test.m_Holders[Choice.below(Test.m_Holders.size())];
-    auto Faults = std::vector<StoreFault>{
-        StoreFault::None,         StoreFault::None,
-        StoreFault::Refuse,       StoreFault::LoseRequest,
-        StoreFault::LoseResponse, StoreFault::LateEffect};
-    Changed.m_Store.setOutage(Faults[Choice.below(Faults.size())]);
-    if (Choice.below(20) == 0)
-      Copy = Test.m_Model.copy();
-    if (Choice.below(20) == 0)
-      Test.m_Model.restore(Copy, Seconds(4));
-    Test.advanceTime(Milliseconds(500) * (1 + Choice.below(12)));
-  }
+  changeHolders(Test, Choice);
   Test.m_Fleet.m_ReportFates = nullptr;
-  for (auto &Holder : Test.m_Holders)
-    Holder->m_Store.setOutage(StoreFault::None);
   auto Reports = Test.m_Fleet.m_Reports.size();
   Test.advanceTime(Seconds(60));
   CHECK(Test.m_Fleet.m_Reports.size() > Reports);
@@ -189,7 +165,7 @@
 TEST_CASE("late reports: with holders that are cut off and come back, and a "
           "store that is restored, no report is executed after one with a "
           "higher token") {
-  auto Total = Outcome();
+  auto Total = GrantsOutcome();
   auto Unguarded = 0;
   for (auto Seed = 1U; Seed <= 40; ++Seed) {
     CAPTURE(Seed);
--- a/tests/fault-StageOrders.cpp
+++ b/tests/fault-StageOrders.cpp
@@ -110,17 +110,9 @@
   MonotonicTime m_EndedAt;
 };
 
-/// What happened in a run with orders that were late, lost and doubled.
-struct Outcome {
-  int m_Overtaken = 0;
-  int m_Late = 0;
-  int m_Grants = 0;
-  int m_Returns = 0; ///< Of a holder after another one.
-};
-
-auto runHolders(std::uint64_t Seed, bool ChecksFencing) -> Outcome {
+auto runHolders(std::uint64_t Seed, bool ChecksFencing) -> GrantsOutcome {
   auto Test = World();
-  auto Result = Outcome();
+  auto Result = GrantsOutcome();
   auto Choice = Random(Seed);
   Test.m_ChecksFencing = ChecksFencing;
   Test.m_Fleet.m_ChecksFencing = false;
@@ -142,31 +134,14 @@
       return {};
     }
   };
-  for (const auto *Name : {"first", "second", "third"})
-    Test.add(Name);
-  Test.advanceTime(Seconds(8));
-  auto Copy = Test.m_Model.copy();
-  for (auto Step = 0; Step < 60; ++Step) {
-    auto &Changed = *Test.m_Holders[Choice.below(Test.m_Holders.size())];
-    auto Faults = std::vector<StoreFault>{
-        StoreFault::None,         StoreFault::None,
-        StoreFault::Refuse,       StoreFault::LoseRequest,
-        StoreFault::LoseResponse, StoreFault::LateEffect};
-    Changed.m_Store.setOutage(Faults[Choice.below(Faults.size())]);
+  changeHolders(Test, Choice, [&] {
     // Engines that start again are registered under their id, in the stage of
     // the start.
     for (auto &[Engine, Stage] : Test.m_Fleet.m_Stages)
       if (Choice.below(3) == 0)
         Stage = EngineStage::Decode;
-    if (Choice.below(20) == 0)
-      Copy = Test.m_Model.copy();
-    if (Choice.below(20) == 0)
-      Test.m_Model.restore(Copy, Seconds(4));
-    Test.advanceTime(Milliseconds(500) * (1 + Choice.below(12)));
-  }
+  });
   Test.m_Fleet.m_StageFates = nullptr;
-  for (auto &Holder : Test.m_Holders)
-    Holder->m_Store.setOutage(StoreFault::None);
   Test.advanceTime(Seconds(60));
   auto Prefilling = 0;
   for (const auto &[Engine, Stage] : Test.m_Fleet.m_Stages)
@@ -224,7 +199,7 @@
 TEST_CASE("stage orders: with holders that end, are cut off and come back, and "
           "a store that is restored, no order is executed after one with a "
           "higher token") {
-  auto Total = Outcome();
+  auto Total = GrantsOutcome();
   auto Unguarded = 0;
   for (auto Seed = 1U; Seed <= 40; ++Seed) {
     CAPTURE(Seed);
--- a/tests/support/FleetWorld.h
+++ b/tests/support/FleetWorld.h
@@ -392,6 +392,46 @@
   std::vector<std::unique_ptr<Holder>> m_Holders;
 };
 
+/// Draws the fault of a store's calls, or none.
+inline auto drawStoreFault(Random &Choice) -> StoreFault {
+  auto Faults =
+      std::vector<StoreFault>{StoreFault::None,         StoreFault::None,
+                              StoreFault::Refuse,       StoreFault::LoseRequest,
+                              StoreFault::LoseResponse, StoreFault::LateEffect};
+  return Faults[Choice.below(Faults.size())];
+}
+
+/// What the ends of grants beside late calls led to.
+struct GrantsOutcome {
+  int m_Overtaken = 0;
+  int m_Late = 0;
+  int m_Grants = 0;
+};
+
+/// Lets three holders lose and acquire the duty, with a store that fails and is
+/// restored. Calls \p BeforeStep before each step.
+inline auto changeHolders(World &Test, Random &Choice,
+                          const std::function<void()> &BeforeStep = {})
+    -> void {
+  for (const auto *Name : {"first", "second", "third"})
+    Test.add(Name);
+  Test.advanceTime(Seconds(8));
+  auto Copy = Test.m_Model.copy();
+  for (auto Step = 0; Step < 60; ++Step) {
+    auto &Changed = *Test.m_Holders[Choice.below(Test.m_Holders.size())];
+    Changed.m_Store.setOutage(drawStoreFault(Choice));
+    if (BeforeStep)
+      BeforeStep();
+    if (Choice.below(20) == 0)
+      Copy = Test.m_Model.copy();
+    if (Choice.below(20) == 0)
+      Test.m_Model.restore(Copy, Seconds(4));
+    Test.advanceTime(Milliseconds(500) * (1 + Choice.below(12)));
+  }
+  for (auto &Holder : Test.m_Holders)
+    Holder->m_Store.setOutage(StoreFault::None);
+}
+
 } // namespace dotterel::test
 
 #endif // DOTTEREL_TESTS_SUPPORT_FLEETWORLD_H
--- a/tests/unit-FleetPlanner.cpp
+++ b/tests/unit-FleetPlanner.cpp
@@ -224,6 +224,37 @@
   CHECK(Planner.stages(Configuration, Served, false).empty());
 }
 
+TEST_CASE(
+    "fleet planner: an engine that may not change counts in its stage, and "
+    "another one is chosen, if need be of the other kind") {
+  auto Planner = FleetPlanner({.m_PrefillShare = 0.5});
+  auto Configuration = configuration(8);
+  auto Directory = BackendDirectory();
+  Directory.put(engine(0, true, D));
+  Directory.put(engine(1, true, D));
+  Directory.put(engine(2, false, D));
+  Directory.put(engine(3, true, P));
+  auto Chosen = [&](const std::vector<std::string> &Held) {
+    auto Orders =
+        Planner.stages(Configuration, Directory, true,
+                       {.m_MayChange = [&](const BackendRecord &Engine) {
+                         return std::find(Held.begin(), Held.end(),
+                                          Engine.m_Id.text()) == Held.end();
+                       }});
+    auto Ids = std::vector<std::string>();
+    for (const auto &Order : Orders)
+      Ids.push_back(Order.m_Backend.text());
+    return Ids;
+  };
+  using Ids = std::vector<std::string>;
+  CHECK(Chosen({}) == Ids{"e0"});
+  CHECK(Chosen({"e0"}) == Ids{"e1"});
+  CHECK(Chosen({"e0", "e1"}) == Ids{"e2"});
+  CHECK(Chosen({"e0", "e1", "e2"}).empty());
+  // The one that prefills already is not counted out.
+  CHECK(Chosen({"e3"}) == Ids{"e0"});
+}
+
 TEST_CASE("fleet planner: for any engines, stages settle with a decode engine "
           "in each data centre, and the last one is never ordered to prefill") {
   CHECK(rc::check([](const std::vector<std::vector<bool>> &Stages) {
